--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# The test command of the README. Tools are built outside the product's go.mod, into .tools.
+LINT_VERSION := v2.15.0
+TOOLS := $(CURDIR)/.tools
+LINT := $(TOOLS)/golangci-lint-$(LINT_VERSION)
+PACKAGES := ./...
+
+.PHONY: check format lint build vet test generate
+
+check: format lint build vet test
+
+$(LINT):
+	mkdir -p $(TOOLS)
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	mv $(TOOLS)/golangci-lint $(LINT)
+
+format: $(LINT)
+	$(LINT) fmt --diff $(PACKAGES)
+
+lint: $(LINT)
+	$(LINT) run --allow-parallel-runners $(PACKAGES)
+
+build:
+	go build $(PACKAGES)
+
+vet:
+	go vet $(PACKAGES)
+
+test:
+	go test -race -timeout 20m $(PACKAGES)
+
+# Regenerates the committed protobuf code; needs buf and the two protoc plugins on PATH.
+generate:
+	buf generate
--- /dev/null
+++ b/internal/batch/chunk/file.go
@@ -0,0 +1,196 @@
+// Package chunk keeps bulk data, the files that callers upload and the results
+// of jobs, as write-once chunks. A chunk holds whole lines, is compressed and
+// fits one value of the platform's store; a manifest, written last, makes the
+// file exist. Chunks without a manifest are left-overs of a broken upload.
+//
+// The package reaches the store through the small Store interface, so that
+// chunks can move to the disk hosts when bulk outgrows the platform's service.
+package chunk
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"hash"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/klauspost/compress/zstd"
+
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/record/store"
+)
+
+const (
+	// MaxFileBytes bounds the lines of one file.
+	MaxFileBytes = 100 << 20
+	// MaxLines bounds the number of lines of one file.
+	MaxLines = 150_000
+	// MaxLineBytes bounds one line; it must fit a chunk.
+	MaxLineBytes = 512 << 10
+	// chunkBytes is the uncompressed size at which a chunk is closed; a chunk
+	// that does not compress still fits one value.
+	chunkBytes      = 900 << 10
+	maxDecodedBytes = 4 << 20
+)
+
+// Store is the part of the platform's store that chunks need.
+type Store interface {
+	Get(ctx context.Context, key string) (store.Entry, bool, error)
+	Commit(ctx context.Context, txn store.Txn) (store.Outcome, error)
+}
+
+var _ Store = (store.Store)(nil)
+
+// Manifest describes a complete file.
+type Manifest struct {
+	ID           string    `json:"id"`
+	Organisation string    `json:"organisation"`
+	Name         string    `json:"name"`
+	Purpose      string    `json:"purpose"`
+	Created      time.Time `json:"created"`
+	Bytes        int64     `json:"bytes"`
+	Lines        int       `json:"lines"`
+	Chunks       int       `json:"chunks"`
+	// Digest is the SHA-256 sum of the lines in hexadecimal.
+	Digest string `json:"digest"`
+}
+
+var (
+	encoder, _ = zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1))
+	decoder, _ = zstd.NewReader(nil, zstd.WithDecoderMaxMemory(maxDecodedBytes), zstd.WithDecoderConcurrency(1))
+)
+
+// Pack returns the stored form of a chunk's lines.
+func Pack(lines []byte) []byte { return encoder.EncodeAll(lines, nil) }
+
+// Unpack reads the stored form of a chunk; any bytes are safe to pass.
+func Unpack(value []byte) ([]byte, error) {
+	lines, err := decoder.DecodeAll(value, nil)
+	return lines, trace.Wrap(err)
+}
+
+// Writer writes one file, a line at a time. It holds at most one chunk.
+type Writer struct {
+	store    Store
+	manifest Manifest
+	buffer   bytes.Buffer
+	digest   hash.Hash
+}
+
+// NewWriter returns a writer of the file that manifest names.
+func NewWriter(s Store, manifest Manifest) *Writer {
+	return &Writer{store: s, manifest: manifest, digest: sha256.New()}
+}
+
+// Add appends one line without its line break.
+func (w *Writer) Add(ctx context.Context, line []byte) *result.Error {
+	if len(line) > MaxLineBytes {
+		return result.New(result.InvalidItem, "line %d is longer than %d bytes", w.manifest.Lines+1, MaxLineBytes)
+	}
+	if w.manifest.Lines >= MaxLines {
+		return result.New(result.TooManyItems, "more than %d lines", MaxLines)
+	}
+	if w.manifest.Bytes+int64(len(line)) > MaxFileBytes {
+		return result.New(result.BodyTooLarge, "more than %d bytes", MaxFileBytes)
+	}
+	if w.buffer.Len()+len(line) >= chunkBytes {
+		if err := w.flush(ctx); err != nil {
+			return err
+		}
+	}
+	w.buffer.Write(line)
+	w.buffer.WriteByte('\n')
+	w.manifest.Lines++
+	w.manifest.Bytes += int64(len(line)) + 1
+	return nil
+}
+
+func (w *Writer) flush(ctx context.Context) *result.Error {
+	if w.buffer.Len() == 0 {
+		return nil
+	}
+	w.digest.Write(w.buffer.Bytes())
+	key := Key(w.manifest.ID, w.manifest.Chunks)
+	if err := PutOnce(ctx, w.store, key, Pack(w.buffer.Bytes())); err != nil {
+		return result.New(result.StoreUnavailable, "%v", err).WithRetry(time.Second)
+	}
+	w.buffer.Reset()
+	w.manifest.Chunks++
+	return nil
+}
+
+// Close writes the last chunk and the manifest; the file exists from then on.
+func (w *Writer) Close(ctx context.Context) (Manifest, *result.Error) {
+	if err := w.flush(ctx); err != nil {
+		return Manifest{}, err
+	}
+	w.manifest.Digest = hex.EncodeToString(w.digest.Sum(nil))
+	value, err := json.Marshal(w.manifest)
+	if err != nil {
+		return Manifest{}, result.From(err)
+	}
+	if err := PutOnce(ctx, w.store, manifestKey(w.manifest.ID), value); err != nil {
+		return Manifest{}, result.New(result.StoreUnavailable, "%v", err).WithRetry(time.Second)
+	}
+	return w.manifest, nil
+}
+
+// Key returns the store key of a file's chunk.
+func Key(id string, number int) string { return fmt.Sprintf("chunk/%s/%06d", id, number) }
+
+func manifestKey(id string) string { return "file/" + id }
+
+const putTries = 4
+
+// PutOnce writes a key that nobody else writes. A lost reply is settled by
+// writing again under the comparison that the key does not exist: a refusal
+// then means that the first write took effect.
+func PutOnce(ctx context.Context, s Store, key string, value []byte) error {
+	txn := store.Txn{
+		Compares: []store.Compare{{Key: key, Target: store.CreateRevision}},
+		Puts:     []store.Put{{Key: key, Value: value}},
+	}
+	var err error
+	for range putTries {
+		if _, err = s.Commit(ctx, txn); err == nil {
+			return nil
+		}
+	}
+	return trace.Wrap(err)
+}
+
+// Open returns the manifest of a file.
+func Open(ctx context.Context, s Store, id string) (Manifest, *result.Error) {
+	entry, ok, err := s.Get(ctx, manifestKey(id))
+	if err != nil {
+		return Manifest{}, result.New(result.StoreUnavailable, "%v", err).WithRetry(time.Second)
+	}
+	if !ok {
+		return Manifest{}, result.New(result.NotFound, "no file %s", id)
+	}
+	var m Manifest
+	if err := json.Unmarshal(entry.Value, &m); err != nil {
+		return Manifest{}, result.New(result.Internal, "manifest of %s: %v", id, err)
+	}
+	return m, nil
+}
+
+// Read returns the lines of one chunk.
+func Read(ctx context.Context, s Store, key string) ([]byte, *result.Error) {
+	entry, ok, err := s.Get(ctx, key)
+	if err != nil {
+		return nil, result.New(result.StoreUnavailable, "%v", err).WithRetry(time.Second)
+	}
+	if !ok {
+		return nil, result.New(result.NotFound, "no chunk %s", key)
+	}
+	lines, err := Unpack(entry.Value)
+	if err != nil {
+		return nil, result.New(result.Internal, "chunk %s: %v", key, err)
+	}
+	return lines, nil
+}
--- /dev/null
+++ b/internal/batch/job/record.go
@@ -0,0 +1,105 @@
+// Package job runs batch jobs. A job belongs to one shard, and the shard's
+// holder runs it: it reads the input chunk by chunk, sends each item as a
+// batch request, and checkpoints what gathered.
+//
+// A checkpoint is one compare-and-swap that checks the shard's fencing token
+// and writes, together, the result lines, the set of items that are done, and
+// the counts. So an item's result stands in the output exactly once, however
+// often a lost holder's successor ran the item again.
+package job
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// State is where a job stands, in the words of the callers' tools.
+type State string
+
+// The states of a job. Completed, Cancelled and Expired are final.
+const (
+	InProgress State = "in_progress"
+	Cancelling State = "cancelling"
+	Completed  State = "completed"
+	Cancelled  State = "cancelled"
+	Expired    State = "expired"
+	FailedJob  State = "failed"
+)
+
+// Final reports whether the job will not change any more.
+func (s State) Final() bool {
+	return s == Completed || s == Cancelled || s == Expired || s == FailedJob
+}
+
+// Record is the durable state of a job but for the set of done items.
+type Record struct {
+	ID           string            `json:"id"`
+	Organisation string            `json:"organisation"`
+	InputFile    string            `json:"input_file"`
+	Endpoint     string            `json:"endpoint"`
+	Window       string            `json:"window"`
+	Metadata     map[string]string `json:"metadata,omitempty"`
+	State        State             `json:"state"`
+	Created      time.Time         `json:"created"`
+	Due          time.Time         `json:"due"`
+	Ended        time.Time         `json:"ended"`
+	Chunks       int               `json:"chunks"`
+	Total        int               `json:"total"`
+	Completed    int               `json:"completed"`
+	Failed       int               `json:"failed"`
+	OutputChunks int               `json:"output_chunks"`
+	ErrorChunks  int               `json:"error_chunks"`
+	OutputBytes  int64             `json:"output_bytes"`
+	ErrorBytes   int64             `json:"error_bytes"`
+	Cause        string            `json:"cause,omitempty"`
+}
+
+// count adds one result to the counts.
+func (r *Record) count(o outcome) {
+	if o.failed {
+		r.Failed++
+		return
+	}
+	r.Completed++
+}
+
+// OutputFile returns the id of the file with the results.
+func (r *Record) OutputFile() string { return r.ID + "-output" }
+
+// ErrorFile returns the id of the file with the failed items.
+func (r *Record) ErrorFile() string { return r.ID + "-errors" }
+
+// Prefix returns the store prefix of a shard's jobs.
+func Prefix(shard int) string { return fmt.Sprintf("job/%04d/", shard) }
+
+// Key returns the store key of a job's record.
+func Key(shard int, id string) string { return Prefix(shard) + id }
+
+func progressKey(id string) string { return "jobdone/" + id }
+
+func encodeRecord(r *Record) []byte {
+	value, err := json.Marshal(r)
+	if err != nil {
+		panic("job record can't be encoded: " + err.Error())
+	}
+	return value
+}
+
+// DecodeRecord reads a job's record; any bytes are safe to pass.
+func DecodeRecord(value []byte) (*Record, error) {
+	r := new(Record)
+	if err := json.Unmarshal(value, r); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// bitmap is a set of item numbers.
+type bitmap []byte
+
+func newBitmap(n int) bitmap { return make(bitmap, (n+7)/8) }
+
+func (b bitmap) has(i int) bool { return i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0 }
+
+func (b bitmap) add(i int) { b[i/8] |= 1 << (i % 8) }
--- /dev/null
+++ b/internal/fleet/host/host.go
@@ -0,0 +1,400 @@
+package host
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+	"google.golang.org/grpc"
+
+	"github.com/kingcupquay/kingcupquay/internal/batch/job"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/member"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/peer"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/supervisor"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/wire"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/zone"
+	"github.com/kingcupquay/kingcupquay/internal/operator/admin"
+	"github.com/kingcupquay/kingcupquay/internal/operator/cause"
+	"github.com/kingcupquay/kingcupquay/internal/operator/services"
+	"github.com/kingcupquay/kingcupquay/internal/record/lease"
+	"github.com/kingcupquay/kingcupquay/internal/record/recorder"
+	"github.com/kingcupquay/kingcupquay/internal/record/store"
+	"github.com/kingcupquay/kingcupquay/internal/serving/caller"
+	"github.com/kingcupquay/kingcupquay/internal/serving/dispatch"
+	"github.com/kingcupquay/kingcupquay/internal/serving/engine"
+	"github.com/kingcupquay/kingcupquay/internal/serving/keeper"
+)
+
+const (
+	keeperTick     = 50 * time.Millisecond
+	hostListEvery  = 2 * time.Second
+	peerTimeout    = time.Second
+	maxHeaderBytes = 64 << 10
+	// readTimeout bounds the silence of a caller in the middle of a body.
+	readTimeout = time.Minute
+)
+
+// Host is one running entry host.
+type Host struct {
+	settings *Settings
+	log      logr.Logger
+	timer    timer.Service
+	store    store.Store
+
+	supervisor *supervisor.Supervisor
+	pool       *peer.Pool
+	keepers    *keeper.Set
+	dispatcher *dispatch.Dispatcher
+	recorder   *recorder.Recorder
+	jobs       *job.Manager
+	holders    *holders
+	front      *caller.Front
+	ring       *cause.Ring
+	http       *server.Hertz
+	grpc       *grpc.Server
+	listener   net.Listener
+
+	// text is nil until the first revision is known; it never goes back.
+	text   atomic.Pointer[services.Text]
+	adopts sync.Mutex
+
+	mu   sync.Mutex
+	view *member.View
+	subs []*timer.Subscription
+	// ready is set once the host answers callers.
+	ready atomic.Bool
+}
+
+// New returns a host that is not started; s is the platform's store.
+func New(settings *Settings, log logr.Logger, t timer.Service, s store.Store) (*Host, error) {
+	h := &Host{settings: settings, log: log.WithValues("host", settings.Name), timer: t, store: s}
+	seed := xxhash.Sum64String(settings.Name)
+	h.supervisor = supervisor.New(h.log)
+	h.ring = cause.NewRing(settings.Name, t.Now)
+	h.view = member.NewView(member.Host{
+		Name: settings.Name, Zone: settings.Zone, Address: settings.PeerAddress, Incarnation: t.Now().UnixNano(),
+	}, seed)
+	var config *tls.Config
+	h.pool = peer.NewPool(config)
+	h.keepers = keeper.NewSet(t, engine.NewClient(t), keeper.UrgentPolicy)
+	h.dispatcher = dispatch.New(t, (*fleetView)(h), h.keepers, h.pool, h.text.Load, settings.Zone, seed, h.ring.Note)
+	h.recorder = recorder.New(settings.Name, s, t, settings.Shards, lease.DefaultTerms, recorder.Hooks{
+		Live: h.live, Won: h.shardWon, Lost: h.shardLost, RunAgain: h.runAgain, Note: h.note,
+	})
+	jobs, err := job.NewManager(s, t, &itemCaller{host: h}, h.recorder, settings.Shards)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	h.jobs = jobs
+	h.holders = &holders{recorder: h.recorder, jobs: jobs, pool: h.pool, address: h.peerAddress, self: settings.Name}
+	h.front = caller.New(caller.Parts{
+		Host: settings.Name, Timer: t, Text: h.text.Load, Runner: h.dispatcher, Records: h.holders, Jobs: h.holders,
+		Store: s, Hosts: func() int { return len(h.live()) }, Note: h.ring.Note,
+	})
+	return h, nil
+}
+
+// Start opens the host's addresses and begins to serve.
+func (h *Host) Start() error {
+	listener, err := net.Listen("tcp", h.settings.PeerAddress)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	h.listener = listener
+	h.grpc = peer.NewServer(nil)
+	wire.RegisterPeerServer(h.grpc, &peerServer{host: h})
+	callers, err := net.Listen("tcp", h.settings.CallerAddress)
+	if err != nil {
+		_ = listener.Close()
+		return trace.Wrap(err)
+	}
+	h.http = h.newHTTP(callers)
+	h.supervisor.Start(&part{name: "peer server", run: h.servePeers})
+	h.supervisor.Start(&part{name: "caller server", run: h.serveCallers})
+	h.recorder.Start()
+	h.subs = []*timer.Subscription{
+		h.timer.Every(member.Interval, func(now time.Time) { h.beat(now) }),
+		h.timer.Every(keeperTick, func(time.Time) { h.keepers.Tick() }),
+		h.timer.Every(textEvery, func(time.Time) { go h.pollText() }),
+		h.timer.Every(flushEvery, func(time.Time) { go h.flushCauses() }),
+	}
+	if h.settings.HostListURL != "" {
+		h.subs = append(h.subs, h.timer.Every(hostListEvery, func(time.Time) { go h.readHostList() }))
+		go h.readHostList()
+	}
+	go h.pollText()
+	h.log.Info("host started", "zone", h.settings.Zone, "callers", h.settings.CallerAddress)
+	h.ring.Note("host started", "process was started", h.settings.Name)
+	return nil
+}
+
+// part is a supervised function.
+type part struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+var _ supervisor.Part = (*part)(nil)
+
+func (p *part) Name() string                  { return p.name }
+func (p *part) Run(ctx context.Context) error { return p.run(ctx) }
+
+func (h *Host) servePeers(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, h.grpc.Stop)
+	defer stop()
+	return h.grpc.Serve(h.listener)
+}
+
+func (h *Host) serveCallers(ctx context.Context) error {
+	h.ready.Store(true)
+	stop := context.AfterFunc(ctx, func() {
+		closing, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = h.http.Shutdown(closing)
+	})
+	defer stop()
+	return h.http.Run()
+}
+
+// silenceLibrary turns off the HTTP library's own log: counters and changes of
+// state are written by us.
+var silenceLibrary = sync.OnceFunc(func() { hlog.SetLevel(hlog.LevelFatal) })
+
+func (h *Host) newHTTP(listener net.Listener) *server.Hertz {
+	silenceLibrary()
+	s := server.New(
+		server.WithListener(listener), server.WithStreamBody(true), server.WithDisablePreParseMultipartForm(true),
+		server.WithDisablePrintRoute(true), server.WithSenseClientDisconnection(true),
+		server.WithMaxHeaderBytes(maxHeaderBytes), server.WithReadTimeout(readTimeout),
+		server.WithMaxRequestBodySize(128<<20), server.WithExitWaitTime(time.Second),
+		server.WithUnescapePathValues(true),
+	)
+	h.front.Register(s)
+	admin.New(admin.Parts{
+		Timer: h.timer, Store: h.store, Text: h.text.Load, Adopt: h.adopt, Status: h.status, Why: h.why, Note: h.ring.Note,
+	}).Register(s)
+	s.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.String(http.StatusOK, "ok\n") })
+	s.GET("/readyz", h.readyz)
+	s.GET("/metrics", func(_ context.Context, c *app.RequestContext) { metrics.WritePrometheus(c, true) })
+	return s
+}
+
+func (h *Host) readyz(_ context.Context, c *app.RequestContext) {
+	switch {
+	case !h.ready.Load():
+		c.String(http.StatusServiceUnavailable, "stopping\n")
+	case h.text.Load() == nil:
+		c.String(http.StatusServiceUnavailable, "no services text yet\n")
+	default:
+		c.String(http.StatusOK, "ready\n")
+	}
+}
+
+// Ready reports whether the host has a services text and is not stopping.
+func (h *Host) Ready() bool { return h.ready.Load() && h.text.Load() != nil }
+
+// Stop ends the host gracefully: no new work, shards and keepers handed over,
+// requests in progress finished, then the connections closed. It gives up
+// waiting when ctx ends.
+func (h *Host) Stop(ctx context.Context) {
+	h.ready.Store(false)
+	h.note("host stopping", "stop was asked for", h.settings.Name)
+	h.mu.Lock()
+	self := h.view.Self()
+	h.view.SetSelf(self.Revision, true, self.Loads)
+	h.mu.Unlock()
+	h.beat(h.timer.Now())
+	h.front.Stop(ctx)
+	h.recorder.Leave(ctx)
+	h.flushCauses()
+	for _, sub := range h.subs {
+		sub.Cancel()
+	}
+	h.stopPeers(ctx)
+	h.supervisor.Stop(ctx)
+	h.pool.Close()
+	h.log.Info("host stopped")
+}
+
+// Kill ends the host at once, as a crash would; it is for tests.
+func (h *Host) Kill() {
+	h.ready.Store(false)
+	for _, sub := range h.subs {
+		sub.Cancel()
+	}
+	h.recorder.Stop()
+	h.grpc.Stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	h.supervisor.Stop(ctx)
+	h.pool.Close()
+}
+
+// stopPeers lets streams for other hosts end before the server does.
+func (h *Host) stopPeers(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		h.grpc.GracefulStop()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		h.grpc.Stop()
+	}
+}
+
+// note records a change of state in the ring and the log.
+func (h *Host) note(kind, why string, subjects ...string) {
+	h.ring.Note(kind, why, subjects...)
+	h.log.Info(kind, "cause", why, "subjects", subjects)
+}
+
+func (h *Host) live() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.view.Live(h.timer.Now(), "")
+}
+
+func (h *Host) peerAddress(name string) (string, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	known, ok := h.view.Host(name)
+	return known.Address, ok && known.Address != ""
+}
+
+// beat sends this interval's heartbeats.
+func (h *Host) beat(now time.Time) {
+	var revision int64
+	if text := h.text.Load(); text != nil {
+		revision = text.Revision()
+	}
+	loads := h.keepers.Loads()
+	h.mu.Lock()
+	h.view.SetSelf(revision, h.view.Self().Leaving, loads)
+	beats := h.view.Tick(now)
+	message := h.view.Message(now)
+	known := h.view.Hosts()
+	h.mu.Unlock()
+	h.dispatcher.Reported(loads)
+	for _, b := range beats {
+		go h.sendBeat(b.Address, b.Message)
+	}
+	if len(known) == 0 {
+		for _, address := range h.settings.Peers {
+			if address != h.settings.PeerAddress {
+				go h.sendBeat(address, message)
+			}
+		}
+	}
+}
+
+func (h *Host) sendBeat(address string, message *wire.Heartbeat) {
+	client, err := h.pool.Peer(address, 0)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	reply, err := client.Beat(ctx, message)
+	if err != nil {
+		return
+	}
+	h.heard(reply)
+}
+
+// heard takes a heartbeat and fetches a newer services text from its sender.
+func (h *Host) heard(beat *wire.Heartbeat) {
+	h.mu.Lock()
+	h.view.Heard(h.timer.Now(), beat)
+	h.mu.Unlock()
+	h.dispatcher.Reported(beat.GetLoads())
+	for _, other := range beat.GetOthers() {
+		h.dispatcher.Reported(other.GetLoads())
+	}
+	if text := h.text.Load(); text == nil || beat.GetRevision() > text.Revision() {
+		go h.fetchText(beat.GetAddress())
+	}
+}
+
+func (h *Host) readHostList() {
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.settings.HostListURL, nil)
+	if err != nil {
+		return
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var list []member.Listed
+	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.view.Listed(h.timer.Now(), list)
+}
+
+// status describes the fleet as this host sees it.
+func (h *Host) status() []admin.HostStatus {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.timer.Now()
+	self := h.view.Self()
+	list := []admin.HostStatus{{
+		Host: self.Name, Zone: self.Zone, Revision: self.Revision, Alive: true, Leaving: self.Leaving,
+		Shards: len(h.recorder.Held()),
+	}}
+	for _, other := range h.view.Hosts() {
+		list = append(list, admin.HostStatus{
+			Host: other.Name, Zone: other.Zone, Revision: other.Revision, Leaving: other.Leaving,
+			Alive: h.view.Alive(now, other.Name),
+		})
+	}
+	return list
+}
+
+// fleetView is the host as the dispatcher sees it.
+type fleetView Host
+
+var _ dispatch.Fleet = (*fleetView)(nil)
+
+// Keeper returns the keeper of a back end: the first live host of its zone,
+// and this host if none is known there.
+func (f *fleetView) Keeper(b *services.Backend) (name, address string) {
+	h := (*Host)(f)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.timer.Now()
+	first := zone.First(h.view.Live(now, b.Zone), fmt.Sprintf("keeper/%s", b.Name))
+	known, ok := h.view.Host(first)
+	if !ok {
+		return h.settings.Name, h.settings.PeerAddress
+	}
+	return known.Name, known.Address
+}
+
+// Self returns this host's name.
+func (f *fleetView) Self() string { return f.settings.Name }
+
+// Unreachable notes a peer that could not be reached.
+func (f *fleetView) Unreachable(name string) {
+	f.ring.Note("peer unreachable", "connection failed", name, f.settings.Name)
+}
--- /dev/null
+++ b/internal/fleet/host/peers.go
@@ -0,0 +1,74 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/kingcupquay/kingcupquay/internal/fleet/wire"
+	"github.com/kingcupquay/kingcupquay/internal/serving/request"
+)
+
+// peerServer answers what other hosts ask.
+type peerServer struct {
+	wire.UnimplementedPeerServer
+	host *Host
+}
+
+var _ wire.PeerServer = (*peerServer)(nil)
+
+// Run executes one request at a keeper of this host.
+func (s *peerServer) Run(in *wire.RunRequest, stream wire.Peer_RunServer) error {
+	r := in.Request(s.host.timer.Now())
+	failure := s.host.keepers.Run(stream.Context(), in.GetBackend(), r, func(e request.Event) error {
+		return stream.Send(wire.EventMessage(e))
+	})
+	return stream.Send(wire.EventMessage(request.Event{Kind: request.Finished, Err: failure}))
+}
+
+// Claim records a request before it runs.
+func (s *peerServer) Claim(ctx context.Context, in *wire.ClaimRequest) (*wire.ClaimReply, error) {
+	return s.host.recorder.Claim(ctx, in), nil
+}
+
+// Finish records how an attempt ended.
+func (s *peerServer) Finish(ctx context.Context, in *wire.FinishRequest) (*wire.FinishReply, error) {
+	return s.host.recorder.Finish(ctx, in), nil
+}
+
+// Lookup reads the record of a key.
+func (s *peerServer) Lookup(ctx context.Context, in *wire.LookupRequest) (*wire.LookupReply, error) {
+	return s.host.recorder.Lookup(ctx, in), nil
+}
+
+// Job carries out an action on a job.
+func (s *peerServer) Job(ctx context.Context, in *wire.JobRequest) (*wire.JobReply, error) {
+	record, failure := s.host.jobs.Serve(ctx, int(in.GetShard()), in.GetAction(), in.GetId(), in.GetBody())
+	if failure != nil {
+		return &wire.JobReply{Failure: wire.FailureOf(failure)}, nil
+	}
+	body, err := json.Marshal(record)
+	return &wire.JobReply{Body: body}, err
+}
+
+// Beat takes a heartbeat and answers with one.
+func (s *peerServer) Beat(_ context.Context, in *wire.Heartbeat) (*wire.Heartbeat, error) {
+	s.host.heard(in)
+	s.host.mu.Lock()
+	defer s.host.mu.Unlock()
+	return s.host.view.Message(s.host.timer.Now()), nil
+}
+
+// Text returns the services text in force here.
+func (s *peerServer) Text(_ context.Context, in *wire.TextRequest) (*wire.TextReply, error) {
+	text := s.host.text.Load()
+	if text == nil || text.Revision() <= in.GetNewerThan() {
+		return &wire.TextReply{}, nil
+	}
+	return &wire.TextReply{Revision: text.Revision(), Source: text.Source()}, nil
+}
+
+// Causes returns the events about a subject in this host's ring.
+func (s *peerServer) Causes(_ context.Context, in *wire.CausesRequest) (*wire.CausesReply, error) {
+	events, err := json.Marshal(s.host.ring.About(in.GetSubject(), int(in.GetLimit())))
+	return &wire.CausesReply{Events: events}, err
+}
--- /dev/null
+++ b/internal/fleet/host/records.go
@@ -0,0 +1,149 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/kingcupquay/kingcupquay/internal/batch/job"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/peer"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/wire"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/zone"
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/record/recorder"
+	"github.com/kingcupquay/kingcupquay/internal/serving/caller"
+	"github.com/kingcupquay/kingcupquay/internal/serving/request"
+)
+
+const (
+	holderRetry   = 100 * time.Millisecond
+	holderTimeout = 5 * time.Second
+)
+
+// holders finds the holder of a shard and speaks to it, wherever it is.
+type holders struct {
+	recorder *recorder.Recorder
+	jobs     *job.Manager
+	pool     *peer.Pool
+	// address returns the peer address of a host.
+	address func(host string) (string, bool)
+	self    string
+}
+
+var (
+	_ caller.Records = (*holders)(nil)
+	_ caller.Jobs    = (*holders)(nil)
+)
+
+// exchange gives a message to a shard's holder until one answers. local or
+// remote is called; a failure LeaseLost means that the holder has changed.
+func (h *holders) exchange(ctx context.Context, shard int, local func(context.Context) *result.Error,
+	remote func(context.Context, wire.PeerClient) (*result.Error, error)) *result.Error {
+	ctx, cancel := context.WithTimeout(ctx, holderTimeout)
+	defer cancel()
+	ran := result.RanNo
+	for {
+		failure, reached := h.once(ctx, shard, local, remote)
+		if failure == nil || (failure.Code() != result.LeaseLost && failure.Code() != result.StoreUnavailable) {
+			return failure
+		}
+		if reached && failure.Ran() != result.RanNo {
+			ran = result.RanMaybe
+		}
+		last := result.New(result.StoreUnavailable, "%s", failure.Message()).WithRetry(time.Second)
+		select {
+		case <-ctx.Done():
+			return last.WithRan(ran)
+		case <-time.After(holderRetry):
+		}
+	}
+}
+
+// once tries the holder as it is known now; reached says that the message may
+// have come to a holder.
+func (h *holders) once(ctx context.Context, shard int, local func(context.Context) *result.Error,
+	remote func(context.Context, wire.PeerClient) (*result.Error, error)) (*result.Error, bool) {
+	owner, ok := h.recorder.Owner(shard)
+	if !ok {
+		return result.New(result.LeaseLost, "no host holds shard %d", shard), false
+	}
+	if owner == h.self {
+		return local(ctx), true
+	}
+	address, ok := h.address(owner)
+	if !ok || !h.pool.Ready(ctx, address, request.Online) {
+		return result.New(result.LeaseLost, "host %s of shard %d can't be reached", owner, shard), false
+	}
+	client, err := h.pool.Peer(address, request.Online)
+	if err != nil {
+		return result.New(result.LeaseLost, "%v", err), false
+	}
+	failure, err := remote(ctx, client)
+	if err != nil {
+		return result.New(result.LeaseLost, "host %s: %v", owner, err).WithRan(result.RanMaybe), true
+	}
+	return failure, true
+}
+
+// Claim records a request before it runs.
+func (h *holders) Claim(ctx context.Context, in *wire.ClaimRequest) (*wire.Entry, *result.Error) {
+	in.Shard = int32(zone.Shard(in.GetKey(), h.recorder.Shards()))
+	var reply *wire.ClaimReply
+	failure := h.exchange(ctx, int(in.Shard), func(ctx context.Context) *result.Error {
+		reply = h.recorder.Claim(ctx, in)
+		return reply.GetFailure().Err()
+	}, func(ctx context.Context, peer wire.PeerClient) (*result.Error, error) {
+		var err error
+		reply, err = peer.Claim(ctx, in)
+		return reply.GetFailure().Err(), err
+	})
+	if failure != nil {
+		return nil, failure
+	}
+	return reply.GetExisting(), nil
+}
+
+// Finish records how an attempt ended.
+func (h *holders) Finish(ctx context.Context, in *wire.FinishRequest) *result.Error {
+	in.Shard = int32(zone.Shard(in.GetKey(), h.recorder.Shards()))
+	return h.exchange(ctx, int(in.Shard), func(ctx context.Context) *result.Error {
+		return h.recorder.Finish(ctx, in).GetFailure().Err()
+	}, func(ctx context.Context, peer wire.PeerClient) (*result.Error, error) {
+		reply, err := peer.Finish(ctx, in)
+		return reply.GetFailure().Err(), err
+	})
+}
+
+// Lookup reads the entry of a key.
+func (h *holders) Lookup(ctx context.Context, key string) (*wire.Entry, *result.Error) {
+	in := &wire.LookupRequest{Key: key, Shard: int32(zone.Shard(key, h.recorder.Shards()))}
+	var reply *wire.LookupReply
+	failure := h.exchange(ctx, int(in.Shard), func(ctx context.Context) *result.Error {
+		reply = h.recorder.Lookup(ctx, in)
+		return reply.GetFailure().Err()
+	}, func(ctx context.Context, peer wire.PeerClient) (*result.Error, error) {
+		var err error
+		reply, err = peer.Lookup(ctx, in)
+		return reply.GetFailure().Err(), err
+	})
+	return reply.GetEntry(), failure
+}
+
+// Act carries out an action on a job at its holder.
+func (h *holders) Act(ctx context.Context, action, id string, body []byte) (*job.Record, *result.Error) {
+	shard := job.Shard(id, h.recorder.Shards())
+	var record *job.Record
+	failure := h.exchange(ctx, shard, func(ctx context.Context) *result.Error {
+		var failure *result.Error
+		record, failure = h.jobs.Serve(ctx, shard, action, id, body)
+		return failure
+	}, func(ctx context.Context, peer wire.PeerClient) (*result.Error, error) {
+		reply, err := peer.Job(ctx, &wire.JobRequest{Shard: int32(shard), Action: action, Id: id, Body: body})
+		if err != nil || reply.GetFailure() != nil {
+			return reply.GetFailure().Err(), err
+		}
+		record = new(job.Record)
+		return nil, json.Unmarshal(reply.GetBody(), record)
+	})
+	return record, failure
+}
--- /dev/null
+++ b/internal/fleet/host/settings.go
@@ -0,0 +1,120 @@
+// Package host assembles the parts of one entry host and runs them as a
+// supervisor tree: it is the only package that knows all the others. Every
+// entry host runs the same parts; roles are taken by rule and given up by rule.
+package host
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+// Settings are what a process learns at its start: its own name, zone and
+// addresses, and where the platform is.
+type Settings struct {
+	// Name is unique in the deployment and stays the same over restarts.
+	Name string `json:"name"`
+	Zone string `json:"zone"`
+	// CallerAddress is where callers and operators come in, PeerAddress where
+	// other hosts do; both IP:PORT.
+	CallerAddress string `json:"caller_address"`
+	PeerAddress   string `json:"peer_address"`
+	// PlatformEndpoints are base URLs of the key-value service.
+	PlatformEndpoints []string `json:"platform_endpoints"`
+	// HostListURL is where the platform lists the hosts; empty for none.
+	HostListURL string `json:"host_list_url,omitempty"`
+	// Peers are peer addresses to begin with, so that a host that starts during
+	// an outage of the platform finds the others.
+	Peers []string `json:"peers,omitempty"`
+	// Shards is the number of record shards; the same on all hosts.
+	Shards int `json:"shards,omitempty"`
+	// TLS, if set, is used between hosts in both directions.
+	TLS *TLSFiles `json:"tls,omitempty"`
+	// StopSeconds bounds a graceful stop.
+	StopSeconds int `json:"stop_seconds,omitempty"`
+}
+
+// TLSFiles are PEM files; they are read again when they change.
+type TLSFiles struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+	Authority   string `json:"authority"`
+}
+
+const (
+	defaultShards      = 16
+	maxShards          = 4096
+	defaultStopSeconds = 60
+)
+
+// ParseSettings checks the JSON form of settings; the error names line, field
+// and remedy.
+func ParseSettings(source []byte) (*Settings, error) {
+	s := new(Settings)
+	decoder := json.NewDecoder(bytes.NewReader(source))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(s); err != nil {
+		return nil, settingsError(source, decoder.InputOffset(), err)
+	}
+	if s.Shards == 0 {
+		s.Shards = defaultShards
+	}
+	if s.StopSeconds == 0 {
+		s.StopSeconds = defaultStopSeconds
+	}
+	return s, s.check(source)
+}
+
+func settingsError(source []byte, offset int64, err error) error {
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	field := "document"
+	if errors.As(err, &syntax) {
+		offset = syntax.Offset
+	}
+	if errors.As(err, &kind) {
+		offset, field = kind.Offset, kind.Field
+	}
+	line := 1 + bytes.Count(source[:min(int(offset), len(source))], []byte{'\n'})
+	return trace.BadParameter("line %d: %s: %v; correct it as docs/OPERATORS.md shows", line, field, err)
+}
+
+func (s *Settings) check(source []byte) error {
+	checks := []struct {
+		field, fault, remedy string
+		bad                  bool
+	}{
+		{"name", "not a name", "write 1 to 64 characters without spaces or slashes", s.Name == "" || len(s.Name) > 64 || strings.ContainsAny(s.Name, " /")},
+		{"zone", "no availability zone", "name the zone the host stands in", s.Zone == ""},
+		{"caller_address", "not an address", "write IP:PORT", !isAddress(s.CallerAddress)},
+		{"peer_address", "not an address", "write IP:PORT", !isAddress(s.PeerAddress)},
+		{"platform_endpoints", "no endpoint", "write at least one URL of the key-value service", len(s.PlatformEndpoints) == 0},
+		{"shards", "out of range", "write 1 to 4096, the same on all hosts", s.Shards < 1 || s.Shards > maxShards},
+		{"tls", "incomplete", "name certificate, key and authority", s.TLS != nil && (s.TLS.Certificate == "" || s.TLS.Key == "" || s.TLS.Authority == "")},
+	}
+	for _, c := range checks {
+		if c.bad {
+			return trace.BadParameter("line %d: %s: %s; %s", lineOf(source, c.field), c.field, c.fault, c.remedy)
+		}
+	}
+	return nil
+}
+
+func isAddress(text string) bool {
+	host, _, err := net.SplitHostPort(text)
+	return err == nil && net.ParseIP(host) != nil
+}
+
+// lineOf returns the line where a top-level field stands, 1 if it is missing.
+func lineOf(source []byte, field string) int {
+	at := bytes.Index(source, fmt.Appendf(nil, "%q", field))
+	if at < 0 {
+		return 1
+	}
+	return 1 + bytes.Count(source[:at], []byte{'\n'})
+}
--- /dev/null
+++ b/internal/fleet/supervisor/supervisor.go
@@ -0,0 +1,104 @@
+// Package supervisor runs the parts of a process as a tree. A part that fails
+// or panics is started again with a growing delay; a stop ends the children in
+// the reverse order of their start, so that a part never outlives what it uses.
+package supervisor
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+const (
+	shortestRestartDelay = 50 * time.Millisecond
+	longestRestartDelay  = 5 * time.Second
+)
+
+// Part is something that runs until its context ends.
+type Part interface {
+	// Name identifies the part in logs.
+	Name() string
+	// Run returns when ctx ends; an earlier return is a failure.
+	Run(ctx context.Context) error
+}
+
+// Supervisor owns a list of running parts. It is itself a Part's parent only
+// through Start; the zero value is not usable, call New.
+type Supervisor struct {
+	log logr.Logger
+
+	mu       sync.Mutex
+	children []*child
+	stopped  bool
+}
+
+// New returns a supervisor without parts.
+func New(log logr.Logger) *Supervisor { return &Supervisor{log: log} }
+
+// child is one running part; done is closed after its last Run returned.
+type child struct {
+	part   Part
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// Start runs part until Stop and returns its done channel.
+func (s *Supervisor) Start(part Part) <-chan struct{} {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &child{part: part, cancel: cancel, done: make(chan struct{})}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		cancel()
+		close(c.done)
+		return c.done
+	}
+	s.children = append(s.children, c)
+	go s.run(ctx, c)
+	return c.done
+}
+
+// Stop ends all parts, last started first, and waits for each until ctx ends.
+func (s *Supervisor) Stop(ctx context.Context) {
+	s.mu.Lock()
+	s.stopped = true
+	children := s.children
+	s.mu.Unlock()
+	for i := len(children) - 1; i >= 0; i-- {
+		children[i].cancel()
+		select {
+		case <-children[i].done:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (s *Supervisor) run(ctx context.Context, c *child) {
+	defer close(c.done)
+	delay := shortestRestartDelay
+	for {
+		err := runOnce(ctx, c.part)
+		if ctx.Err() != nil {
+			return
+		}
+		s.log.Info("part restarts", "part", c.part.Name(), "cause", fmt.Sprint(err), "delay", delay.String())
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(delay):
+		}
+		delay = min(2*delay, longestRestartDelay)
+	}
+}
+
+func runOnce(ctx context.Context, part Part) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("panic: %v", p)
+		}
+	}()
+	return part.Run(ctx)
+}
--- /dev/null
+++ b/internal/fleet/wire/convert.go
@@ -0,0 +1,91 @@
+// Package wire holds the messages and the service of the protocol between
+// entry hosts, and their conversion to the types of the decision parts. The
+// protocol carries times as remaining milliseconds, since hosts' clocks differ.
+package wire
+
+import (
+	"time"
+
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/serving/request"
+)
+
+// FailureOf returns the message for e, nil for nil.
+func FailureOf(e *result.Error) *Failure {
+	if e == nil {
+		return nil
+	}
+	return &Failure{
+		Code:         int32(e.Code()),
+		Message:      e.Message(),
+		Ran:          string(e.Ran()),
+		RetryAfterMs: e.RetryAfter().Milliseconds(),
+	}
+}
+
+// Err returns the result error in f, nil for nil.
+func (f *Failure) Err() *result.Error {
+	if f == nil {
+		return nil
+	}
+	e := result.New(result.Code(f.GetCode()), "%s", f.GetMessage())
+	return e.WithRan(result.Ran(f.GetRan())).WithRetry(time.Duration(f.GetRetryAfterMs()) * time.Millisecond)
+}
+
+// RunRequestOf returns the message that runs r at the keeper of backend.
+func RunRequestOf(r *request.Request, backend string, now time.Time) *RunRequest {
+	o := r.Options()
+	return &RunRequest{
+		Backend: backend, Id: o.ID, Organisation: o.Organisation, Service: o.Service, Model: o.Model,
+		Method: o.Method, Path: o.Path, ContentType: o.ContentType, Body: o.Body,
+		Batch: o.Urgency == request.Batch, Weight: int32(o.Weight), Idempotent: o.Idempotent,
+		Engine: o.Engine, Stream: o.Stream, Key: o.Key, Resume: o.Resume, ResumeTokens: int32(o.ResumeTokens),
+		DeadlineInMs: remaining(o.Deadline, now), DueInMs: remaining(o.Due, now),
+	}
+}
+
+// remaining returns the milliseconds from now to t, at least 1, and 0 for no t.
+func remaining(t, now time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return max(1, t.Sub(now).Milliseconds())
+}
+
+// Request returns the request in m with its times counted from now.
+func (m *RunRequest) Request(now time.Time) *request.Request {
+	urgency := request.Online
+	if m.GetBatch() {
+		urgency = request.Batch
+	}
+	return request.New(request.Options{
+		ID: m.GetId(), Organisation: m.GetOrganisation(), Service: m.GetService(), Model: m.GetModel(),
+		Method: m.GetMethod(), Path: m.GetPath(), ContentType: m.GetContentType(), Body: m.GetBody(),
+		Urgency: urgency, Weight: int(m.GetWeight()), Idempotent: m.GetIdempotent(), Engine: m.GetEngine(),
+		Stream: m.GetStream(), Key: m.GetKey(), Resume: m.GetResume(), ResumeTokens: int(m.GetResumeTokens()),
+		Deadline: absolute(m.GetDeadlineInMs(), now), Due: absolute(m.GetDueInMs(), now),
+	})
+}
+
+func absolute(ms int64, now time.Time) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(ms) * time.Millisecond)
+}
+
+// EventMessage returns the message for one event of an answer.
+func EventMessage(e request.Event) *RunEvent {
+	return &RunEvent{
+		Kind: int32(e.Kind), Status: int32(e.Status), ContentType: e.ContentType,
+		Backend: e.Backend, Data: e.Data, Failure: FailureOf(e.Err),
+	}
+}
+
+// Event returns the event in m.
+func (m *RunEvent) Event() request.Event {
+	return request.Event{
+		Kind: request.EventKind(m.GetKind()), Status: int(m.GetStatus()), ContentType: m.GetContentType(),
+		Backend: m.GetBackend(), Data: m.GetData(), Err: m.GetFailure().Err(),
+	}
+}
--- /dev/null
+++ b/internal/fleet/zone/rendezvous.go
@@ -0,0 +1,73 @@
+// Package zone assigns work to the entry hosts of an availability zone, and
+// shards to those of the whole deployment, by rendezvous hashing: every host
+// that knows the same live hosts comes to the same answer without asking, and
+// the loss of one host moves only what that host had.
+//
+// Two hosts may know different live hosts for a while. Whoever uses an
+// assignment must bear two holders for that time, or guard it with a lease.
+package zone
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Score returns the weight of a host for a name; the highest host wins.
+// Source: D. Thaler and C. Ravishankar, "A Name-Based Mapping Scheme for
+// Rendezvous", 1996.
+func Score(host, name string) uint64 {
+	return Mix(Hash(host) ^ Mix(Hash(name)))
+}
+
+// Hash returns the 64-bit hash of a name.
+func Hash(name string) uint64 { return xxhash.Sum64String(name) }
+
+// Mix spreads the bits of x. Source: the finalizer of splitmix64.
+func Mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// First returns the host with the highest score for name, empty for no hosts.
+func First(hosts []string, name string) string {
+	var first string
+	var best uint64
+	for _, host := range hosts {
+		if score := Score(host, name); first == "" || score > best || (score == best && host < first) {
+			first, best = host, score
+		}
+	}
+	return first
+}
+
+// Rank returns the place of host among hosts for name, 0 for the first, and
+// len(hosts) for a host that is not listed.
+func Rank(hosts []string, host, name string) int {
+	own := Score(host, name)
+	rank, listed := 0, false
+	for _, other := range hosts {
+		if other == host {
+			listed = true
+			continue
+		}
+		if score := Score(other, name); score > own || (score == own && other < host) {
+			rank++
+		}
+	}
+	if !listed {
+		return len(hosts)
+	}
+	return rank
+}
+
+// ShardName returns the name under which a shard is assigned.
+func ShardName(shard int) string { return fmt.Sprintf("shard/%04d", shard) }
+
+// Shard returns the shard of a request key or job id.
+func Shard(key string, shards int) int {
+	return int(Mix(Hash(key)) % uint64(shards))
+}
--- /dev/null
+++ b/internal/operator/examples/examples.go
@@ -0,0 +1,24 @@
+// Package examples holds the services texts of the two users, for the dev
+// command, the tests and newcomers. The tokens in them are for examples only:
+// the SHA-256 sums of the constants here.
+package examples
+
+import _ "embed" // for the texts
+
+// The bearer tokens of the examples.
+const (
+	AgencyCallerToken     = "agency-caller-token"
+	AgencyOperatorToken   = "agency-operator-token"
+	WielwerkCallerToken   = "wielwerk-caller-token"
+	WielwerkOperatorToken = "wielwerk-operator-token"
+)
+
+// Agency is the services text of the Ethiopian Rural Water Storage Agency.
+//
+//go:embed agency.json
+var Agency []byte
+
+// Wielwerk is the services text of Wielwerk Trolleytech B.V.
+//
+//go:embed wielwerk.json
+var Wielwerk []byte
--- /dev/null
+++ b/internal/serving/caller/answer.go
@@ -0,0 +1,54 @@
+package caller
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+)
+
+// errorBody is the one JSON shape of an error.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message   string `json:"message"`
+	Type      string `json:"type"`
+	Code      int    `json:"code"`
+	Ran       string `json:"ran"`
+	RequestID string `json:"request_id"`
+	// RetryAfterMS is absent where a retry can't help.
+	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
+}
+
+func (c *call) errorJSON(e *result.Error) []byte {
+	body, _ := json.Marshal(errorBody{errorDetail{
+		Message: e.Error(), Type: e.Code().String(), Code: int(e.Code()), Ran: string(e.Ran()),
+		RequestID: c.id, RetryAfterMS: e.RetryAfter().Milliseconds(),
+	}})
+	return body
+}
+
+// fail answers with an error.
+func (c *call) fail(e *result.Error) {
+	if e.RetryAfter() > 0 {
+		seconds := int(math.Ceil(e.RetryAfter().Seconds()))
+		c.http.Response.Header.Set("Retry-After", strconv.Itoa(seconds))
+	}
+	c.http.Data(e.Code().Status(), jsonType, c.errorJSON(e))
+}
+
+const jsonType = "application/json"
+
+// json answers 200 with value.
+func (c *call) json(value any) *result.Error {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return result.From(err)
+	}
+	c.http.Data(http.StatusOK, jsonType, body)
+	return nil
+}
--- /dev/null
+++ b/internal/serving/caller/batches.go
@@ -0,0 +1,200 @@
+package caller
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/kingcupquay/kingcupquay/internal/batch/chunk"
+	"github.com/kingcupquay/kingcupquay/internal/batch/job"
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+)
+
+const (
+	maxBatchBody    = 64 << 10
+	defaultPageSize = 20
+	maxPageSize     = 100
+	maxWindow       = 30 * 24 * time.Hour
+)
+
+// createBatchBody is the body of a new batch.
+type createBatchBody struct {
+	InputFileID      string            `json:"input_file_id"`
+	Endpoint         string            `json:"endpoint"`
+	CompletionWindow string            `json:"completion_window"`
+	Metadata         map[string]string `json:"metadata"`
+}
+
+// createBatch accepts a job. A caller that resends a job, meaning the same
+// lines, endpoint, metadata and idempotency key, gets the job it has.
+func (f *Front) createBatch(ctx context.Context, c *call) *result.Error {
+	body, failure := c.readBody(maxBatchBody)
+	if failure != nil {
+		return failure
+	}
+	var in createBatchBody
+	if err := json.Unmarshal(body, &in); err != nil {
+		return result.New(result.MalformedJSON, "%v", err)
+	}
+	key, failure := c.key()
+	if failure != nil {
+		return failure
+	}
+	if in.CompletionWindow == "" {
+		in.CompletionWindow = "24h"
+	}
+	window, err := time.ParseDuration(in.CompletionWindow)
+	if err != nil || window <= 0 || window > maxWindow {
+		return result.New(result.InvalidField, "completion_window must be a duration up to %s, as in 24h", maxWindow)
+	}
+	if in.Endpoint != "/v1/chat/completions" && in.Endpoint != "/v1/completions" {
+		return result.New(result.InvalidField, "endpoint must be /v1/chat/completions or /v1/completions")
+	}
+	manifest, failure := chunk.Open(ctx, f.p.Store, in.InputFileID)
+	if failure != nil {
+		return failure
+	}
+	if manifest.Organisation != c.organisation.Name {
+		return result.New(result.NotFound, "no file %s", in.InputFileID)
+	}
+	record := &job.Record{
+		ID: jobID(c.organisation.Name, key, manifest.Digest, &in), Organisation: c.organisation.Name,
+		InputFile: in.InputFileID, Endpoint: in.Endpoint, Window: in.CompletionWindow, Metadata: in.Metadata,
+		State: job.InProgress, Created: c.now, Due: c.now.Add(window), Chunks: manifest.Chunks, Total: manifest.Lines,
+	}
+	encoded, err := json.Marshal(record)
+	if err != nil {
+		return result.From(err)
+	}
+	created, failure := f.p.Jobs.Act(ctx, job.ActionCreate, record.ID, encoded)
+	if failure != nil {
+		return failure
+	}
+	return c.json(batchView(created))
+}
+
+// jobID is the same for the same job, whichever host takes it.
+func jobID(organisation, key, digest string, in *createBatchBody) string {
+	metadata, _ := json.Marshal(in.Metadata)
+	sum := sha256.New()
+	for _, part := range []string{organisation, key, digest, in.Endpoint, string(metadata)} {
+		sum.Write([]byte(part))
+		sum.Write([]byte{0})
+	}
+	return "batch-" + hex.EncodeToString(sum.Sum(nil)[:16])
+}
+
+// ownJob returns a job of the caller's organisation.
+func (f *Front) ownJob(ctx context.Context, c *call) (*job.Record, *result.Error) {
+	record, failure := f.p.Jobs.Act(ctx, job.ActionGet, c.http.Param("id"), nil)
+	if failure != nil {
+		return nil, failure
+	}
+	if record.Organisation != c.organisation.Name {
+		return nil, result.New(result.NotFound, "no job %s", c.http.Param("id"))
+	}
+	return record, nil
+}
+
+func (f *Front) getBatch(ctx context.Context, c *call) *result.Error {
+	record, failure := f.ownJob(ctx, c)
+	if failure != nil {
+		return failure
+	}
+	return c.json(batchView(record))
+}
+
+func (f *Front) cancelBatch(ctx context.Context, c *call) *result.Error {
+	record, failure := f.ownJob(ctx, c)
+	if failure != nil {
+		return failure
+	}
+	record, failure = f.p.Jobs.Act(ctx, job.ActionCancel, record.ID, nil)
+	if failure != nil {
+		return failure
+	}
+	f.p.Note("job cancelled", "caller "+c.organisation.Name+" asked for it", record.ID)
+	return c.json(batchView(record))
+}
+
+func (f *Front) listBatches(ctx context.Context, c *call) *result.Error {
+	limit := defaultPageSize
+	if text := c.http.Query("limit"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > maxPageSize {
+			return result.New(result.InvalidField, "limit must be 1 to %d", maxPageSize)
+		}
+		limit = n
+	}
+	records, failure := job.List(ctx, f.p.Store, c.organisation.Name)
+	if failure != nil {
+		return failure
+	}
+	if after := c.http.Query("after"); after != "" {
+		for i, record := range records {
+			if record.ID == after {
+				records = records[i+1:]
+				break
+			}
+		}
+	}
+	page := listBody[batchBody]{Object: "list", Data: []batchBody{}, HasMore: len(records) > limit}
+	for _, record := range records[:min(limit, len(records))] {
+		page.Data = append(page.Data, batchView(record))
+	}
+	if n := len(page.Data); n > 0 {
+		page.FirstID, page.LastID = page.Data[0].ID, page.Data[n-1].ID
+	}
+	return c.json(page)
+}
+
+// batchBody is a job as callers see it.
+type batchBody struct {
+	ID               string            `json:"id"`
+	Object           string            `json:"object"`
+	Endpoint         string            `json:"endpoint"`
+	InputFileID      string            `json:"input_file_id"`
+	CompletionWindow string            `json:"completion_window"`
+	Status           string            `json:"status"`
+	OutputFileID     string            `json:"output_file_id,omitempty"`
+	ErrorFileID      string            `json:"error_file_id,omitempty"`
+	CreatedAt        int64             `json:"created_at"`
+	InProgressAt     int64             `json:"in_progress_at"`
+	ExpiresAt        int64             `json:"expires_at"`
+	CompletedAt      int64             `json:"completed_at,omitempty"`
+	CancelledAt      int64             `json:"cancelled_at,omitempty"`
+	RequestCounts    requestCounts     `json:"request_counts"`
+	Metadata         map[string]string `json:"metadata,omitempty"`
+	Cause            string            `json:"cause,omitempty"`
+}
+
+type requestCounts struct {
+	Total     int `json:"total"`
+	Completed int `json:"completed"`
+	Failed    int `json:"failed"`
+}
+
+func batchView(r *job.Record) batchBody {
+	b := batchBody{
+		ID: r.ID, Object: "batch", Endpoint: r.Endpoint, InputFileID: r.InputFile, CompletionWindow: r.Window,
+		Status: string(r.State), CreatedAt: r.Created.Unix(), InProgressAt: r.Created.Unix(), ExpiresAt: r.Due.Unix(),
+		RequestCounts: requestCounts{Total: r.Total, Completed: r.Completed, Failed: r.Failed},
+		Metadata:      r.Metadata, Cause: r.Cause,
+	}
+	if r.OutputChunks > 0 {
+		b.OutputFileID = r.OutputFile()
+	}
+	if r.ErrorChunks > 0 {
+		b.ErrorFileID = r.ErrorFile()
+	}
+	if r.State == job.Completed {
+		b.CompletedAt = r.Ended.Unix()
+	}
+	if r.State == job.Cancelled {
+		b.CancelledAt = r.Ended.Unix()
+	}
+	return b
+}
--- /dev/null
+++ b/internal/serving/caller/files.go
@@ -0,0 +1,216 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"mime"
+	"mime/multipart"
+	"net/http"
+	"strings"
+
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+	"github.com/google/uuid"
+
+	"github.com/kingcupquay/kingcupquay/internal/batch/chunk"
+	"github.com/kingcupquay/kingcupquay/internal/batch/item"
+	"github.com/kingcupquay/kingcupquay/internal/batch/job"
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+)
+
+const (
+	maxFieldBytes = 4096
+	purposeBatch  = "batch"
+)
+
+// fileBody is a file as callers see it.
+type fileBody struct {
+	ID        string `json:"id"`
+	Object    string `json:"object"`
+	Bytes     int64  `json:"bytes"`
+	CreatedAt int64  `json:"created_at"`
+	Filename  string `json:"filename"`
+	Purpose   string `json:"purpose"`
+	Status    string `json:"status"`
+}
+
+func fileView(m chunk.Manifest) fileBody {
+	return fileBody{
+		ID: m.ID, Object: "file", Bytes: m.Bytes, CreatedAt: m.Created.Unix(),
+		Filename: m.Name, Purpose: m.Purpose, Status: "processed",
+	}
+}
+
+// uploadFile stores a batch file as it comes in, holding one chunk at a time.
+func (f *Front) uploadFile(ctx context.Context, c *call) *result.Error {
+	kind, params, err := mime.ParseMediaType(string(c.http.ContentType()))
+	if err != nil || kind != "multipart/form-data" {
+		return result.New(result.InvalidHeader, "a file is uploaded as multipart/form-data")
+	}
+	if c.http.Request.Header.ContentLength() > chunk.MaxFileBytes+(64<<10) {
+		return result.New(result.BodyTooLarge, "file is over %d bytes", chunk.MaxFileBytes)
+	}
+	u := &upload{front: f, call: c, purpose: purposeBatch}
+	reader := multipart.NewReader(c.http.RequestBodyStream(), params["boundary"])
+	for {
+		part, err := reader.NextPart()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return result.New(result.TruncatedUpload, "%v", err)
+		}
+		if failure := u.part(ctx, part); failure != nil {
+			return failure
+		}
+	}
+	return u.finish(ctx)
+}
+
+// upload is a file that comes in.
+type upload struct {
+	front   *Front
+	call    *call
+	purpose string
+	writer  *chunk.Writer
+}
+
+func (u *upload) part(ctx context.Context, part *multipart.Part) *result.Error {
+	switch part.FormName() {
+	case "purpose":
+		value, err := io.ReadAll(io.LimitReader(part, maxFieldBytes))
+		if err != nil {
+			return result.New(result.TruncatedUpload, "%v", err)
+		}
+		if u.purpose = string(value); u.purpose != purposeBatch {
+			return result.New(result.InvalidField, `purpose must be "batch"`)
+		}
+	case "file":
+		return u.file(ctx, part)
+	}
+	return nil
+}
+
+// file checks and stores the lines of the file part.
+func (u *upload) file(ctx context.Context, part *multipart.Part) *result.Error {
+	u.writer = chunk.NewWriter(u.front.p.Store, chunk.Manifest{
+		ID: "file-" + uuid.NewString(), Organisation: u.call.organisation.Name, Name: part.FileName(),
+		Purpose: purposeBatch, Created: u.call.now,
+	})
+	seen := make(map[[16]byte]struct{})
+	scanner := bufio.NewScanner(part)
+	scanner.Buffer(make([]byte, 0, 64<<10), chunk.MaxLineBytes+1)
+	number := 0
+	for scanner.Scan() {
+		line := bytes.TrimSpace(scanner.Bytes())
+		if len(line) == 0 {
+			continue
+		}
+		number++
+		if failure := u.line(ctx, line, number, seen); failure != nil {
+			return failure
+		}
+	}
+	switch err := scanner.Err(); {
+	case errors.Is(err, bufio.ErrTooLong):
+		return result.New(result.InvalidItem, "line %d is longer than %d bytes", number+1, chunk.MaxLineBytes)
+	case err != nil:
+		return result.New(result.TruncatedUpload, "upload ended after line %d: %v", number, err)
+	case number == 0:
+		return result.New(result.InvalidField, "file has no lines")
+	}
+	return nil
+}
+
+func (u *upload) line(ctx context.Context, line []byte, number int, seen map[[16]byte]struct{}) *result.Error {
+	i, failure := item.Parse(line, number)
+	if failure != nil {
+		return failure
+	}
+	sum := sha256.Sum256([]byte(i.CustomID()))
+	name := [16]byte(sum[:16])
+	if _, ok := seen[name]; ok {
+		return result.New(result.DuplicateCustomID, "line %d: custom_id %q stands twice", number, i.CustomID())
+	}
+	seen[name] = struct{}{}
+	return u.writer.Add(ctx, line)
+}
+
+func (u *upload) finish(ctx context.Context) *result.Error {
+	if u.writer == nil {
+		return result.New(result.InvalidField, "the form has no part named file")
+	}
+	manifest, failure := u.writer.Close(ctx)
+	if failure != nil {
+		return failure
+	}
+	return u.call.json(fileView(manifest))
+}
+
+// getFile describes an uploaded file or a job's output.
+func (f *Front) getFile(ctx context.Context, c *call) *result.Error {
+	m, _, failure := f.openFile(ctx, c)
+	if failure != nil {
+		return failure
+	}
+	return c.json(fileView(m))
+}
+
+// openFile returns the manifest of a file of the caller's organisation. The
+// files of a job are made up from its record.
+func (f *Front) openFile(ctx context.Context, c *call) (chunk.Manifest, string, *result.Error) {
+	id := c.http.Param("id")
+	jobID, isOutput := strings.CutSuffix(id, "-output")
+	jobID, isErrors := strings.CutSuffix(jobID, "-errors")
+	var m chunk.Manifest
+	if isOutput || isErrors {
+		record, failure := f.p.Jobs.Act(ctx, job.ActionGet, jobID, nil)
+		if failure != nil {
+			return m, "", failure
+		}
+		m = chunk.Manifest{ID: id, Organisation: record.Organisation, Name: id + ".jsonl", Purpose: "batch_output", Created: record.Created}
+		m.Chunks, m.Bytes = record.OutputChunks, record.OutputBytes
+		if isErrors {
+			m.Chunks, m.Bytes = record.ErrorChunks, record.ErrorBytes
+		}
+	} else {
+		var failure *result.Error
+		if m, failure = chunk.Open(ctx, f.p.Store, id); failure != nil {
+			return m, "", failure
+		}
+	}
+	if m.Organisation != c.organisation.Name {
+		return m, "", result.New(result.NotFound, "no file %s", id)
+	}
+	return m, id, nil
+}
+
+// fileContent sends a file chunk by chunk.
+func (f *Front) fileContent(ctx context.Context, c *call) *result.Error {
+	m, id, failure := f.openFile(ctx, c)
+	if failure != nil {
+		return failure
+	}
+	c.http.SetStatusCode(http.StatusOK)
+	c.http.Response.Header.SetContentType("application/jsonl")
+	c.http.Response.HijackWriter(resp.NewChunkedBodyWriter(&c.http.Response, c.http.GetWriter()))
+	for number := range m.Chunks {
+		lines, failure := chunk.Read(ctx, f.p.Store, chunk.Key(id, number))
+		if failure != nil {
+			f.p.Note("file cut short", failure.Error(), id)
+			c.http.Response.Header.SetConnectionClose(true)
+			_ = c.http.GetConn().Close()
+			return nil
+		}
+		if _, err := c.http.Write(lines); err != nil {
+			return nil
+		}
+		if err := c.http.Flush(); err != nil {
+			return nil
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/serving/caller/run.go
@@ -0,0 +1,164 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/kingcupquay/kingcupquay/internal/fleet/wire"
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/operator/services"
+	"github.com/kingcupquay/kingcupquay/internal/record/ledger"
+	"github.com/kingcupquay/kingcupquay/internal/serving/request"
+)
+
+// whole is a complete answer.
+type whole struct {
+	status      int
+	contentType string
+	body        []byte
+}
+
+// RunWhole runs r and returns its complete answer.
+func RunWhole(ctx context.Context, runner Runner, r *request.Request) (int, string, []byte, *result.Error) {
+	w, failure := runWhole(ctx, runner, r)
+	return w.status, w.contentType, w.body, failure
+}
+
+func runWhole(ctx context.Context, runner Runner, r *request.Request) (whole, *result.Error) {
+	w := whole{status: http.StatusOK, contentType: jsonType}
+	var assembler Assembler
+	failure := runner.Run(ctx, r, func(e request.Event) error {
+		switch {
+		case e.Kind == request.Started && !r.Engine():
+			w.status, w.contentType = e.Status, e.ContentType
+		case e.Kind == request.Data && r.Engine():
+			if failure := assembler.Add(e.Data); failure != nil {
+				return failure
+			}
+		case e.Kind == request.Data:
+			w.body = append(w.body, e.Data...)
+		}
+		return nil
+	})
+	if failure == nil && r.Engine() {
+		w.body, failure = assembler.JSON()
+	}
+	return w, failure
+}
+
+// recorded runs r under a durable claim of its key and returns the recorded
+// answer, be it of this run or of an earlier one.
+func (f *Front) recorded(ctx context.Context, c *call, s *services.Service, r *request.Request) (whole, *result.Error) {
+	key := recordKey(c.organisation.Name, r.Key())
+	fingerprint := r.Fingerprint()
+	existing, failure := f.p.Records.Claim(ctx, &wire.ClaimRequest{
+		Key: key, Attempt: c.id, Owner: f.p.Host, Fingerprint: fingerprint[:], Idempotent: r.Idempotent(),
+		Request: wire.RunRequestOf(r, "", c.now), DeadlineInMs: r.Deadline().Sub(c.now).Milliseconds(),
+		KeepMs: s.Keep().Milliseconds(),
+	})
+	if failure != nil {
+		return whole{}, failure
+	}
+	if existing != nil {
+		return f.earlier(ctx, r, key, existing)
+	}
+	w, failure := runWhole(ctx, f.p.Runner, r)
+	return w, f.finish(key, c.id, w, failure)
+}
+
+// recordKey makes callers' keys of different organisations distinct.
+func recordKey(organisation, key string) string { return organisation + "/" + key }
+
+const finishTimeout = 10 * time.Second
+
+// finish records the outcome of a claimed run and returns the failure to
+// answer with. An answer that can't be recorded is still given: it is the one
+// answer, only its reading afterwards has to wait.
+func (f *Front) finish(key, attempt string, w whole, failure *result.Error) *result.Error {
+	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+	defer cancel()
+	in := &wire.FinishRequest{
+		Key: key, Attempt: attempt, State: int32(stateOf(failure)),
+		Status: int32(w.status), ContentType: w.contentType, Answer: w.body, Failure: wire.FailureOf(failure),
+	}
+	if err := f.p.Records.Finish(ctx, in); err != nil {
+		f.p.Note("record delayed", err.Error(), attempt, key)
+	}
+	return failure
+}
+
+func stateOf(failure *result.Error) ledger.State {
+	switch {
+	case failure == nil:
+		return ledger.Done
+	case failure.Ran() == result.RanNo:
+		return ledger.NotRun
+	case failure.Ran() == result.RanMaybe:
+		return ledger.MayHaveRun
+	}
+	return ledger.Failed
+}
+
+const lookupInterval = 200 * time.Millisecond
+
+// earlier answers with the outcome of an earlier claim of the key, waiting for
+// it as long as the caller does.
+func (f *Front) earlier(ctx context.Context, r *request.Request, key string, entry *wire.Entry) (whole, *result.Error) {
+	for ledger.State(entry.GetState()) == ledger.Claimed {
+		if f.p.Timer.Now().Add(lookupInterval).After(r.Deadline()) {
+			return whole{}, result.New(result.InProgress, "a request with this key is in progress").
+				WithRan(result.RanMaybe).WithRetry(time.Second)
+		}
+		select {
+		case <-ctx.Done():
+			return whole{}, result.New(result.Cancelled, "caller left").WithRan(result.RanMaybe)
+		case <-time.After(lookupInterval):
+		}
+		if later, failure := f.p.Records.Lookup(ctx, key); failure == nil {
+			entry = later
+		}
+	}
+	return wholeOf(entry)
+}
+
+// wholeOf returns the answer in a final entry.
+func wholeOf(entry *wire.Entry) (whole, *result.Error) {
+	if ledger.State(entry.GetState()) == ledger.Done {
+		return whole{status: int(entry.GetStatus()), contentType: entry.GetContentType(), body: entry.GetAnswer()}, nil
+	}
+	if failure := entry.GetFailure().Err(); failure != nil {
+		return whole{}, failure
+	}
+	return whole{}, result.New(result.MayHaveRun, "the request may have run").WithRan(result.RanMaybe)
+}
+
+// getRequest answers with the recorded outcome of a key.
+func (f *Front) getRequest(ctx context.Context, c *call) *result.Error {
+	entry, failure := f.p.Records.Lookup(ctx, recordKey(c.organisation.Name, c.http.Param("key")))
+	if failure != nil {
+		return failure
+	}
+	return c.json(requestView(c.http.Param("key"), entry))
+}
+
+// requestBody is what readers of a record get.
+type requestBody struct {
+	Key         string `json:"key"`
+	RequestID   string `json:"request_id"`
+	State       string `json:"state"`
+	Status      int    `json:"status,omitempty"`
+	ContentType string `json:"content_type,omitempty"`
+	Answer      string `json:"answer,omitempty"`
+	Code        int    `json:"code,omitempty"`
+	Message     string `json:"message,omitempty"`
+	Ran         string `json:"ran,omitempty"`
+}
+
+func requestView(key string, entry *wire.Entry) requestBody {
+	return requestBody{
+		Key: key, RequestID: entry.GetAttempt(), State: ledger.State(entry.GetState()).String(),
+		Status: int(entry.GetStatus()), ContentType: entry.GetContentType(), Answer: string(entry.GetAnswer()),
+		Code: int(entry.GetFailure().GetCode()), Message: entry.GetFailure().GetMessage(), Ran: entry.GetFailure().GetRan(),
+	}
+}
--- /dev/null
+++ b/internal/serving/dispatch/dispatcher.go
@@ -0,0 +1,259 @@
+// Package dispatch carries a request from the host that accepted it to the
+// keeper of a back end and its answer back. It tries again elsewhere where the
+// retry policy allows, going on from what a broken stream had produced, so
+// that the reader of the answer sees one whole answer.
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/kingcupquay/kingcupquay/internal/fleet/peer"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/wire"
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/operator/services"
+	"github.com/kingcupquay/kingcupquay/internal/serving/engine"
+	"github.com/kingcupquay/kingcupquay/internal/serving/request"
+	"github.com/kingcupquay/kingcupquay/internal/serving/retry"
+	"github.com/kingcupquay/kingcupquay/internal/serving/route"
+)
+
+// Fleet tells which host keeps a back end.
+type Fleet interface {
+	// Keeper returns the name and address of the keeper of a back end.
+	Keeper(b *services.Backend) (name, address string)
+	// Self returns this host's name.
+	Self() string
+	// Unreachable notes that a peer could not be reached.
+	Unreachable(name string)
+}
+
+// Local runs requests of back ends that this host keeps.
+type Local interface {
+	// Run runs r at the keeper of the back end and gives its events to sink.
+	Run(ctx context.Context, backend string, r *request.Request, sink request.Sink) *result.Error
+}
+
+// Dispatcher sends the requests of one host.
+type Dispatcher struct {
+	timer timer.Service
+	fleet Fleet
+	local Local
+	pool  *peer.Pool
+	text  func() *services.Text
+	note  func(kind, cause string, subjects ...string)
+
+	mu     sync.Mutex
+	router *route.Router
+	retry  *retry.Policy
+}
+
+// New returns a dispatcher for a host in zone.
+func New(t timer.Service, fleet Fleet, local Local, pool *peer.Pool, text func() *services.Text,
+	zone string, seed uint64, note func(kind, cause string, subjects ...string)) *Dispatcher {
+	return &Dispatcher{
+		timer: t, fleet: fleet, local: local, pool: pool, text: text, note: note,
+		router: route.NewRouter(zone, seed), retry: retry.NewPolicy(seed),
+	}
+}
+
+// SetText takes a new services text.
+func (d *Dispatcher) SetText(text *services.Text) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router.SetText(text)
+}
+
+// Reported takes keepers' reports.
+func (d *Dispatcher) Reported(loads []*wire.Load) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, load := range loads {
+		d.router.Reported(load.GetBackend(), route.Load{
+			Running: int(load.GetRunning()), Waiting: int(load.GetWaiting()), Batch: int(load.GetBatch()),
+		})
+	}
+}
+
+// answer is the state of one request across its attempts.
+type answer struct {
+	request    *request.Request
+	transcript *engine.Transcript
+	sink       request.Sink
+	// started says that Started went to sink, delivered that any data did.
+	started   bool
+	delivered bool
+	backend   string
+}
+
+// Run sends r until its answer is whole or can't be had. Every event but
+// Finished goes to sink.
+func (d *Dispatcher) Run(ctx context.Context, r *request.Request, sink request.Sink) *result.Error {
+	service, ok := d.text().Service(r.Service())
+	if !ok {
+		return result.New(result.UnknownService, "no service %q", r.Service())
+	}
+	a := &answer{request: r, transcript: engine.NewTranscript(r), sink: sink}
+	d.mu.Lock()
+	d.retry.Fresh()
+	d.mu.Unlock()
+	var avoid []string
+	ran := result.RanNo
+	for attempts := 1; ; attempts++ {
+		failure := d.attempt(ctx, a, avoid)
+		if failure == nil {
+			return nil
+		}
+		ran = worse(ran, failure.Ran())
+		wait, again := d.next(a, service, failure, attempts)
+		if !again || !d.sleep(ctx, wait) {
+			return failure.WithRan(ran)
+		}
+		avoid = append(avoid, a.backend)
+	}
+}
+
+// worse keeps what an earlier attempt may have done.
+func worse(a, b result.Ran) result.Ran {
+	if a == result.RanNo {
+		return b
+	}
+	if b == result.RanNo {
+		return a
+	}
+	return b
+}
+
+func (d *Dispatcher) next(a *answer, service *services.Service, failure *result.Error, attempts int) (time.Duration, bool) {
+	if a.delivered && (!a.request.Engine() || !a.transcript.Resumable()) {
+		return 0, false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.retry.Next(d.timer.Now(), retry.Failure{
+		Err: failure, Idempotent: a.request.Idempotent(), Attempts: attempts, Limit: service.Retries,
+		Deadline: a.request.Deadline(),
+	})
+}
+
+func (d *Dispatcher) sleep(ctx context.Context, wait time.Duration) bool {
+	woken := make(chan struct{})
+	sub := d.timer.After(wait, func(time.Time) { close(woken) })
+	defer sub.Cancel()
+	select {
+	case <-woken:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// attempt sends the request to one back end.
+func (d *Dispatcher) attempt(ctx context.Context, a *answer, avoid []string) *result.Error {
+	d.mu.Lock()
+	backend, failure := d.router.Pick(d.timer.Now(), a.request, avoid)
+	if failure == nil {
+		d.router.Sent(backend.Name)
+	}
+	d.mu.Unlock()
+	if failure != nil {
+		return failure
+	}
+	a.backend = backend.Name
+	failure = d.send(ctx, a, &backend)
+	unreachable := failure != nil && (failure.Code() == result.NoBackend || failure.Code() == result.BackendCrashed ||
+		failure.Code() == result.BackendSilent)
+	d.mu.Lock()
+	d.router.Ended(d.timer.Now(), backend.Name, unreachable)
+	d.mu.Unlock()
+	if unreachable {
+		d.note("attempt failed", failure.Error(), a.request.ID(), backend.Name, a.request.Service())
+	}
+	return failure
+}
+
+func (d *Dispatcher) send(ctx context.Context, a *answer, backend *services.Backend) *result.Error {
+	r := a.resumed()
+	name, address := d.fleet.Keeper(backend)
+	if name == d.fleet.Self() {
+		return d.local.Run(ctx, backend.Name, r, a.take)
+	}
+	return d.sendRemote(ctx, a, r, backend.Name, name, address)
+}
+
+// resumed returns the request that goes on from what the answer holds.
+func (a *answer) resumed() *request.Request {
+	text, tokens := a.transcript.Text()
+	if tokens == 0 {
+		return a.request
+	}
+	o := a.request.Options()
+	o.Resume, o.ResumeTokens = text, tokens
+	return request.New(o)
+}
+
+// take passes one event on; Started goes to the reader only once.
+func (a *answer) take(e request.Event) error {
+	switch e.Kind {
+	case request.Started:
+		if a.started {
+			return nil
+		}
+		a.started = true
+	case request.Data:
+		a.delivered = true
+		if a.request.Engine() {
+			a.transcript.Add(e.Data)
+		}
+	case request.Finished:
+		return nil
+	}
+	return a.sink(e)
+}
+
+// sendRemote runs the request at a keeper on another host.
+func (d *Dispatcher) sendRemote(ctx context.Context, a *answer, r *request.Request, backend, name, address string) *result.Error {
+	if !d.pool.Ready(ctx, address, r.Urgency()) {
+		d.fleet.Unreachable(name)
+		return result.New(result.NoBackend, "keeper host %s can't be reached", name)
+	}
+	client, err := d.pool.Peer(address, r.Urgency())
+	if err != nil {
+		return result.New(result.NoBackend, "%v", err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := client.Run(ctx, wire.RunRequestOf(r, backend, d.timer.Now()))
+	if err != nil {
+		return d.lost(ctx, name, err)
+	}
+	for {
+		message, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return result.New(result.Internal, "answer of host %s has no end", name).WithRan(result.RanMaybe)
+		}
+		if err != nil {
+			return d.lost(ctx, name, err)
+		}
+		event := message.Event()
+		if event.Kind == request.Finished {
+			return event.Err
+		}
+		if err := a.take(event); err != nil {
+			return result.New(result.Cancelled, "caller left: %v", err).WithRan(result.RanYes)
+		}
+	}
+}
+
+// lost is the failure of a call whose message may have arrived.
+func (d *Dispatcher) lost(ctx context.Context, name string, err error) *result.Error {
+	if ctx.Err() != nil {
+		return result.New(result.Cancelled, "cancelled").WithRan(result.RanMaybe)
+	}
+	d.fleet.Unreachable(name)
+	return result.New(result.BackendFailed, "keeper host %s lost: %v", name, err).WithRan(result.RanMaybe)
+}
--- /dev/null
+++ b/internal/serving/engine/run.go
@@ -0,0 +1,103 @@
+package engine
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/operator/services"
+	"github.com/kingcupquay/kingcupquay/internal/serving/request"
+)
+
+// eventStream is the media type of a streamed answer.
+const eventStream = "text/event-stream"
+
+// Attempt is one try of a request at one back end.
+type Attempt struct {
+	Request *request.Request
+	Backend *services.Backend
+	Service *services.Service
+	// Transcript is where an engine's answer stands; it grows with the answer.
+	Transcript *Transcript
+	// Fresh asks for a new connection.
+	Fresh bool
+	// Produced is called with the tokens of each chunk.
+	Produced func(tokens int)
+}
+
+// Run sends the attempt and gives the answer's events, but not Finished, to
+// sink. It returns nil if the answer is whole.
+func (c *Client) Run(ctx context.Context, a Attempt, sink request.Sink) *result.Error {
+	call := Call{
+		Method: a.Request.Method(), URL: "http://" + a.Backend.Address + a.Request.Path(),
+		ContentType: a.Request.ContentType(), Body: a.Request.Body(),
+		FirstByte: a.Service.FirstByte(), Progress: a.Service.Progress(), Fresh: a.Fresh,
+	}
+	if !a.Request.Engine() {
+		return c.Do(ctx, call, func(head Answer, body io.Reader) error { return copyAnswer(a, head, body, sink) })
+	}
+	body, failure := streamBody(a.Request, a.Transcript)
+	if failure != nil {
+		return failure
+	}
+	call.Body = body
+	return c.Do(ctx, call, func(head Answer, body io.Reader) error { return copyStream(a, head, body, sink) })
+}
+
+// copyAnswer passes a plain service's answer on as it comes.
+func copyAnswer(a Attempt, head Answer, body io.Reader, sink request.Sink) error {
+	event := request.Event{Kind: request.Started, Status: head.Status, ContentType: head.ContentType, Backend: a.Backend.Name}
+	if err := sink(event); err != nil {
+		return err
+	}
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := body.Read(buffer)
+		if n > 0 {
+			piece := request.Event{Kind: request.Data, Data: append([]byte(nil), buffer[:n]...)}
+			if sinkErr := sink(piece); sinkErr != nil {
+				return sinkErr
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// copyStream passes an engine's chunks on as they come.
+func copyStream(a Attempt, head Answer, body io.Reader, sink request.Sink) error {
+	if head.Status != http.StatusOK || !strings.HasPrefix(head.ContentType, eventStream) {
+		return refusal(head, body)
+	}
+	_, resumed := a.Transcript.Text()
+	if err := sink(request.Event{Kind: request.Started, Status: head.Status, ContentType: head.ContentType, Backend: a.Backend.Name}); err != nil {
+		return err
+	}
+	return readEvents(body, func(data []byte) error {
+		tokens := a.Transcript.Add(data)
+		if a.Produced != nil && tokens > 0 {
+			a.Produced(tokens)
+		}
+		return sink(request.Event{Kind: request.Data, Data: correctUsage(data, resumed)})
+	})
+}
+
+// refusal turns an engine's error answer into a result error. An engine that
+// answers 4xx has not run the request; 429 and 5xx can be tried elsewhere.
+func refusal(head Answer, body io.Reader) *result.Error {
+	text, _ := io.ReadAll(io.LimitReader(body, maxErrorBytes))
+	message := strings.TrimSpace(string(text))
+	switch {
+	case head.Status == http.StatusTooManyRequests || head.Status == http.StatusServiceUnavailable:
+		return result.New(result.NoBackend, "engine refused: %s", message).WithRan(result.RanMaybe)
+	case head.Status >= 400 && head.Status < 500:
+		return result.New(result.BackendRefused, "status %d: %s", head.Status, message).WithRan(result.RanYes)
+	}
+	return result.New(result.BackendFailed, "status %d: %s", head.Status, message).WithRan(result.RanMaybe)
+}
--- /dev/null
+++ b/internal/serving/keeper/set.go
@@ -0,0 +1,112 @@
+package keeper
+
+import (
+	"context"
+	"sort"
+	"sync"
+
+	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/wire"
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/operator/services"
+	"github.com/kingcupquay/kingcupquay/internal/serving/queue"
+	"github.com/kingcupquay/kingcupquay/internal/serving/request"
+)
+
+// NewPolicy makes the queue of a back end.
+type NewPolicy func(b *services.Backend, limit int) queue.Policy
+
+// UrgentPolicy makes the queues of production.
+func UrgentPolicy(b *services.Backend, limit int) queue.Policy {
+	return queue.NewUrgent(b.Slots, limit)
+}
+
+// Set holds the keepers of the back ends that this host keeps. A keeper is
+// made when the first request for its back end comes in.
+type Set struct {
+	timer    timer.Service
+	executor Executor
+	policy   NewPolicy
+
+	mu      sync.Mutex
+	text    *services.Text
+	keepers map[string]*Keeper
+}
+
+// NewSet returns a set without keepers.
+func NewSet(t timer.Service, executor Executor, policy NewPolicy) *Set {
+	return &Set{timer: t, executor: executor, policy: policy, keepers: make(map[string]*Keeper)}
+}
+
+// SetText takes a new services text: keepers get their new number of slots,
+// and a back end with a new address gets a new keeper.
+func (s *Set) SetText(text *services.Text) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.text = text
+	for name, k := range s.keepers {
+		b, ok := text.Backend(name)
+		if !ok || b.Address != k.backend.Address {
+			delete(s.keepers, name)
+			continue
+		}
+		k.Resize(b.Slots)
+	}
+}
+
+// Run runs r at the keeper of the back end.
+func (s *Set) Run(ctx context.Context, backend string, r *request.Request, sink request.Sink) *result.Error {
+	s.mu.Lock()
+	if s.text == nil {
+		s.mu.Unlock()
+		return result.New(result.StoreUnavailable, "no services text yet")
+	}
+	b, ok := s.text.Backend(backend)
+	service, known := s.text.Service(r.Service())
+	if !ok || !known {
+		s.mu.Unlock()
+		return result.New(result.NoBackend, "back end %s is not in the services text", backend)
+	}
+	k, kept := s.keepers[backend]
+	if !kept {
+		k = New(s.timer, s.executor, *b, s.policy(b, service.QueueLimit))
+		s.keepers[backend] = k
+	}
+	share := 1
+	if o, ok := s.text.Organisation(r.Organisation()); ok {
+		share = o.Share
+	}
+	s.mu.Unlock()
+	return k.Run(ctx, r, service, share, sink)
+}
+
+// Tick lets every queue refuse what waited too long.
+func (s *Set) Tick() {
+	for _, k := range s.list() {
+		k.Tick()
+	}
+}
+
+func (s *Set) list() []*Keeper {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*Keeper, 0, len(s.keepers))
+	for _, k := range s.keepers {
+		list = append(list, k)
+	}
+	return list
+}
+
+// Loads returns the load of every back end kept here, by name.
+func (s *Set) Loads() []*wire.Load {
+	var loads []*wire.Load
+	for _, k := range s.list() {
+		c := k.Counts()
+		loads = append(loads, &wire.Load{
+			Backend: k.backend.Name, Running: int32(c.Running), Waiting: int32(c.Waiting),
+			Slots: int32(c.Slots), Batch: int32(c.BatchRunning + c.BatchWaiting),
+		})
+	}
+	sort.Slice(loads, func(i, j int) bool { return loads[i].GetBackend() < loads[j].GetBackend() })
+	return loads
+}
--- /dev/null
+++ b/internal/serving/request/request.go
@@ -0,0 +1,147 @@
+// Package request holds the messages of one call on its way from a caller to
+// a back end and back: the request, the events of its answer and the terms
+// (urgency, weight, deadline) that every decision part reads.
+//
+// A Request is immutable once made; parts that need a variant (a resumed
+// batch item, a hedge on another server) derive a new one.
+package request
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Urgency decides who waits: online requests go before batch items.
+type Urgency uint8
+
+// The two urgencies.
+const (
+	Online Urgency = iota
+	Batch
+)
+
+// String returns "online" or "batch".
+func (u Urgency) String() string {
+	if u == Batch {
+		return "batch"
+	}
+	return "online"
+}
+
+// Options are the fields of a new request.
+type Options struct {
+	ID           string
+	Organisation string
+	Service      string
+	Model        string
+	Method       string
+	Path         string
+	ContentType  string
+	Body         []byte
+	Urgency      Urgency
+	Weight       int
+	Idempotent   bool
+	Engine       bool
+	Stream       bool
+	Deadline     time.Time
+	Due          time.Time
+	Key          string
+	Resume       string
+	ResumeTokens int
+}
+
+// Request is one call to a model engine or a plain service.
+type Request struct {
+	// o.ID is never empty and unique across the deployment.
+	o Options
+	// fingerprint is the hash of service, method, path and body.
+	fingerprint [16]byte
+	prefix      uint64
+}
+
+// prefixBytes is how much of a body counts as its prompt prefix.
+const prefixBytes = 1024
+
+// New returns a request made of o; o.Body is kept, not copied.
+func New(o Options) *Request {
+	r := &Request{o: o}
+	sum := sha256.New()
+	for _, part := range []string{o.Service, o.Model, o.Method, o.Path} {
+		sum.Write([]byte(part))
+		sum.Write([]byte{0})
+	}
+	sum.Write(o.Body)
+	copy(r.fingerprint[:], sum.Sum(nil))
+	head := o.Body
+	if len(head) > prefixBytes {
+		head = head[:prefixBytes]
+	}
+	r.prefix = xxhash.Sum64(head)
+	return r
+}
+
+// ID returns the request id that every answer carries.
+func (r *Request) ID() string { return r.o.ID }
+
+// Organisation returns the caller's organisation.
+func (r *Request) Organisation() string { return r.o.Organisation }
+
+// Service returns the name of the service in the services text.
+func (r *Request) Service() string { return r.o.Service }
+
+// Model returns the engine's model, empty for a plain service.
+func (r *Request) Model() string { return r.o.Model }
+
+// Method returns the HTTP method of the call to the back end.
+func (r *Request) Method() string { return r.o.Method }
+
+// Path returns the path and query of the call to the back end.
+func (r *Request) Path() string { return r.o.Path }
+
+// ContentType returns the media type of the body.
+func (r *Request) ContentType() string { return r.o.ContentType }
+
+// Body returns the body; it must not be changed.
+func (r *Request) Body() []byte { return r.o.Body }
+
+// Urgency returns online or batch.
+func (r *Request) Urgency() Urgency { return r.o.Urgency }
+
+// Weight returns the service's weight; a higher one is refused later.
+func (r *Request) Weight() int { return r.o.Weight }
+
+// Idempotent reports whether the call may be sent more than once.
+func (r *Request) Idempotent() bool { return r.o.Idempotent }
+
+// Engine reports whether a model engine, not a plain service, answers.
+func (r *Request) Engine() bool { return r.o.Engine }
+
+// Stream reports whether the caller reads the answer as it is produced.
+func (r *Request) Stream() bool { return r.o.Stream }
+
+// Deadline returns when the caller stops waiting; zero for batch items.
+func (r *Request) Deadline() time.Time { return r.o.Deadline }
+
+// Due returns when a batch job has to be finished; zero for online requests.
+func (r *Request) Due() time.Time { return r.o.Due }
+
+// Key returns the caller's idempotency key, empty if none.
+func (r *Request) Key() string { return r.o.Key }
+
+// Resume returns the text already produced for this request.
+func (r *Request) Resume() (text string, tokens int) { return r.o.Resume, r.o.ResumeTokens }
+
+// Options returns a copy of the fields r was made of.
+func (r *Request) Options() Options { return r.o }
+
+// Fingerprint identifies the content of the call, whoever sends it.
+func (r *Request) Fingerprint() [16]byte { return r.fingerprint }
+
+// FingerprintHex returns the fingerprint as 32 hexadecimal digits.
+func (r *Request) FingerprintHex() string { return hex.EncodeToString(r.fingerprint[:]) }
+
+// Prefix returns the hash of the prompt's head, the unit of cache affinity.
+func (r *Request) Prefix() uint64 { return r.prefix }
