Add load and standin commands

Cause: latency and harm to online callers had no measurement. Change: load added compares an engine called directly with one behind a host; load harm runs the same arrivals alone, with batch under the urgent and under the naive policy; standin runs one stand-in as a process.

--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -56,6 +56,8 @@
 	s.addRunCommands(app, actions)
 	s.addOperatorCommands(app, actions)
 	s.addCallerCommands(app, actions)
+	s.addLoadCommands(app, actions)
+	s.addStandinCommands(app, actions)
 	selected, err := app.Parse(arguments)
 	if err != nil {
 		fmt.Fprintln(errOut, "kingcupquay:", err)
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -37,6 +37,8 @@
 	Slots   int
 	Step    time.Duration
 	Prefill time.Duration
+	// Policy is the queue policy of the hosts, empty for the usual one.
+	Policy string
 	// Listen is the caller address of the first host; the others listen on the
 	// ports after it. Port 0 lets the system choose all ports.
 	Listen string
@@ -254,6 +256,15 @@
 // Services returns the plain services.
 func (d *Deployment) Services() []*service.Service { return d.services }
 
+// Tokens returns how many tokens all engines have produced.
+func (d *Deployment) Tokens() int64 {
+	var sum int64
+	for _, e := range d.engines {
+		sum += e.Tokens()
+	}
+	return sum
+}
+
 // Hosts returns the entry hosts in order of their start.
 func (d *Deployment) Hosts() []*host.Host { return d.hosts }
 
