--- a/internal/operator/services/text.go
+++ b/internal/operator/services/text.go
@@ -19,6 +19,8 @@
 	organisations []Organisation
 	services      []Service
 	backends      []Backend
+	// warnings are what is allowed but rarely meant.
+	warnings Problems
 
 	// tokens maps the SHA-256 of a token, in hexadecimal, to an organisation's index.
 	tokens     map[string]int
@@ -129,6 +131,10 @@
 // Source returns the JSON document as the operator wrote it.
 func (t *Text) Source() []byte { return t.source }
 
+// Warnings returns what is allowed but rarely meant, as a service without a
+// back end.
+func (t *Text) Warnings() Problems { return t.warnings }
+
 // Organisations returns all organisations; the slice must not be changed.
 func (t *Text) Organisations() []Organisation { return t.organisations }
 
@@ -168,6 +174,22 @@
 // ServersFor returns the indices in Backends of the servers of a plain service.
 func (t *Text) ServersFor(service string) []int { return t.byProvider[service] }
 
+// ServingBackends returns the indices in Backends of the back ends that take
+// new work of the service.
+func (t *Text) ServingBackends(s *Service) []int {
+	all := t.byProvider[s.Name]
+	if s.Kind == EngineKind {
+		all = t.byEngines[s.Model]
+	}
+	var serving []int
+	for _, i := range all {
+		if b := &t.backends[i]; b.Kind == s.Kind && !b.Leaving {
+			serving = append(serving, i)
+		}
+	}
+	return serving
+}
+
 // Authenticate returns the organisation that owns the token with that SHA-256
 // sum in hexadecimal.
 func (t *Text) Authenticate(tokenHash string) (*Organisation, bool) {
