Choose back ends in constant draws, share limits exactly, budget retries

Cause: the prefix walk was O(n) a request; a lost keeper's last report kept work from its engine for good; a failed server got all its traffic back at once; limits were rounded up on each host, so that a limit of 1 became one per host; an unreachable keeper host cost a retry and was chosen again; an answer that had begun could end as "not run".

Change: draw two, then a hash ring and an aged, bounded table of hints within a load bound; reports corrected by what was sent since and fading after 3 s; early refusal by deadline; doubling time out with one probe; shares of a limit with the remainder by rendezvous rank, idle buckets forgotten; retry budget of 0.09 a fresh request; next host by rank for an unreachable keeper. Naive policies can be chosen in a host's settings.

--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -37,6 +37,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/dispatch"
 	"github.com/kingcupquay/kingcupquay/internal/serving/engine"
 	"github.com/kingcupquay/kingcupquay/internal/serving/keeper"
+	"github.com/kingcupquay/kingcupquay/internal/serving/route"
 )
 
 const (
@@ -75,6 +76,8 @@
 	mu   sync.Mutex
 	view *member.View
 	subs []*timer.Subscription
+	// unreachable is guarded by mu.
+	unreachable unreachable
 	// ready is set once the host answers callers.
 	ready atomic.Bool
 }
@@ -91,7 +94,9 @@
 	var config *tls.Config
 	h.pool = peer.NewPool(config)
 	h.keepers = keeper.NewSet(t, engine.NewClient(t), keeper.UrgentPolicy)
-	h.dispatcher = dispatch.New(t, (*fleetView)(h), h.keepers, h.pool, h.text.Load, settings.Zone, seed, h.ring.Note)
+	h.dispatcher = dispatch.New(t, (*fleetView)(h), h.keepers, h.pool, h.text.Load, settings.Zone, seed, dispatch.Policies{
+		Routing: route.Policy(settings.Routing), Retries: dispatch.Retries(settings.Retries),
+	}, h.ring.Note)
 	h.recorder = recorder.New(settings.Name, s, t, settings.Shards, lease.DefaultTerms, recorder.Hooks{
 		Live: h.live, Won: h.shardWon, Lost: h.shardLost, RunAgain: h.runAgain, Note: h.note,
 	})
@@ -103,7 +108,7 @@
 	h.holders = &holders{recorder: h.recorder, jobs: jobs, pool: h.pool, address: h.peerAddress, self: settings.Name}
 	h.front = caller.New(caller.Parts{
 		Host: settings.Name, Timer: t, Text: h.text.Load, Runner: h.dispatcher, Records: h.holders, Jobs: h.holders,
-		Store: s, Hosts: func() int { return len(h.live()) }, Note: h.ring.Note,
+		Store: s, Hosts: h.live, Note: h.ring.Note,
 	})
 	return h, nil
 }
@@ -383,7 +388,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.timer.Now()
-	first := zone.First(h.view.Live(now, b.Zone), fmt.Sprintf("keeper/%s", b.Name))
+	live := h.unreachable.without(now, h.view.Live(now, b.Zone))
+	first := zone.First(live, fmt.Sprintf("keeper/%s", b.Name))
 	known, ok := h.view.Host(first)
 	if !ok {
 		return h.settings.Name, h.settings.PeerAddress
@@ -393,8 +399,3 @@
 
 // Self returns this host's name.
 func (f *fleetView) Self() string { return f.settings.Name }
-
-// Unreachable notes a peer that could not be reached.
-func (f *fleetView) Unreachable(name string) {
-	f.ring.Note("peer unreachable", "connection failed", name, f.settings.Name)
-}
--- a/internal/fleet/host/settings.go
+++ b/internal/fleet/host/settings.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 
 	"github.com/gravitational/trace"
@@ -37,6 +38,10 @@
 	TLS *TLSFiles `json:"tls,omitempty"`
 	// StopSeconds bounds a graceful stop.
 	StopSeconds int `json:"stop_seconds,omitempty"`
+	// Routing is "balanced", or "round-robin" or "least-loaded" for comparison.
+	Routing string `json:"routing,omitempty"`
+	// Retries is "budgeted", or "immediate" for comparison.
+	Retries string `json:"retries,omitempty"`
 }
 
 // TLSFiles are PEM files; they are read again when they change.
@@ -95,6 +100,8 @@
 		{"peer_address", "not an address", "write IP:PORT", !isAddress(s.PeerAddress)},
 		{"platform_endpoints", "no endpoint", "write at least one URL of the key-value service", len(s.PlatformEndpoints) == 0},
 		{"shards", "out of range", "write 1 to 4096, the same on all hosts", s.Shards < 1 || s.Shards > maxShards},
+		{"routing", "unknown policy", "write balanced, round-robin or least-loaded", !slices.Contains([]string{"", "balanced", "round-robin", "least-loaded"}, s.Routing)},
+		{"retries", "unknown policy", "write budgeted or immediate", !slices.Contains([]string{"", "budgeted", "immediate"}, s.Retries)},
 		{"tls", "incomplete", "name certificate, key and authority", s.TLS != nil && (s.TLS.Certificate == "" || s.TLS.Key == "" || s.TLS.Authority == "")},
 	}
 	for _, c := range checks {
--- a/internal/serving/caller/front.go
+++ b/internal/serving/caller/front.go
@@ -65,7 +65,7 @@
 	Records Records
 	Jobs    Jobs
 	Store   store.Store
-	Hosts   func() int
+	Hosts   func() []string
 	Note    func(kind, cause string, subjects ...string)
 }
 
@@ -81,7 +81,7 @@
 }
 
 // New returns a front without routes; Register adds them to a server.
-func New(p Parts) *Front { return &Front{p: p, gate: limit.NewGate()} }
+func New(p Parts) *Front { return &Front{p: p, gate: limit.NewGate(p.Host)} }
 
 // Register adds the callers' routes to h.
 func (f *Front) Register(h *server.Hertz) {
--- a/internal/serving/dispatch/dispatcher.go
+++ b/internal/serving/dispatch/dispatcher.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"sync"
 	"time"
 
@@ -49,16 +50,35 @@
 
 	mu     sync.Mutex
 	router *route.Router
-	retry  *retry.Policy
+	retry  retry.Policy
+}
+
+// Retries names a policy for retries.
+type Retries string
+
+// The policies for retries; ImmediateRetries is for comparison.
+const (
+	BudgetedRetries  Retries = "budgeted"
+	ImmediateRetries Retries = "immediate"
+)
+
+// Policies are the decisions that can be chosen; the zero value is production's.
+type Policies struct {
+	Routing route.Policy
+	Retries Retries
 }
 
 // New returns a dispatcher for a host in zone.
 func New(t timer.Service, fleet Fleet, local Local, pool *peer.Pool, text func() *services.Text,
-	zone string, seed uint64, note func(kind, cause string, subjects ...string)) *Dispatcher {
-	return &Dispatcher{
+	zone string, seed uint64, policies Policies, note func(kind, cause string, subjects ...string)) *Dispatcher {
+	d := &Dispatcher{
 		timer: t, fleet: fleet, local: local, pool: pool, text: text, note: note,
-		router: route.NewRouter(zone, seed), retry: retry.NewPolicy(seed),
+		router: route.NewRouter(zone, seed, policies.Routing), retry: retry.NewBudgeted(seed),
+	}
+	if policies.Retries == ImmediateRetries {
+		d.retry = retry.Immediate{}
 	}
+	return d
 }
 
 // SetText takes a new services text.
@@ -73,7 +93,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, load := range loads {
-		d.router.Reported(load.GetBackend(), route.Load{
+		d.router.Reported(d.timer.Now(), load.GetBackend(), route.Load{
 			Running: int(load.GetRunning()), Waiting: int(load.GetWaiting()), Batch: int(load.GetBatch()),
 		})
 	}
@@ -82,12 +102,17 @@
 // answer is the state of one request across its attempts.
 type answer struct {
 	request    *request.Request
+	now        func() time.Time
 	transcript *engine.Transcript
 	sink       request.Sink
 	// started says that Started went to sink, delivered that any data did.
 	started   bool
 	delivered bool
 	backend   string
+	// attempted is when the first event of the attempt in progress came.
+	attempted time.Time
+	// refused says that the server of this attempt answered 503.
+	refused bool
 }
 
 // Run sends r until its answer is whole or can't be had. Every event but
@@ -97,7 +122,7 @@
 	if !ok {
 		return result.New(result.UnknownService, "no service %q", r.Service())
 	}
-	a := &answer{request: r, transcript: engine.NewTranscript(r), sink: sink}
+	a := &answer{request: r, now: d.timer.Now, transcript: engine.NewTranscript(r), sink: sink}
 	d.mu.Lock()
 	d.retry.Fresh()
 	d.mu.Unlock()
@@ -109,6 +134,9 @@
 			return nil
 		}
 		ran = worse(ran, failure.Ran())
+		if a.started {
+			ran = result.RanYes
+		}
 		wait, again := d.next(a, service, failure, attempts)
 		if !again || !d.sleep(ctx, wait) {
 			return failure.WithRan(ran)
@@ -117,15 +145,15 @@
 	}
 }
 
-// worse keeps what an earlier attempt may have done.
+// worse keeps the strongest of what two attempts did: yes, maybe, no.
 func worse(a, b result.Ran) result.Ran {
-	if a == result.RanNo {
-		return b
+	switch {
+	case a == result.RanYes || b == result.RanYes:
+		return result.RanYes
+	case a == result.RanMaybe || b == result.RanMaybe:
+		return result.RanMaybe
 	}
-	if b == result.RanNo {
-		return a
-	}
-	return b
+	return result.RanNo
 }
 
 func (d *Dispatcher) next(a *answer, service *services.Service, failure *result.Error, attempts int) (time.Duration, bool) {
@@ -157,32 +185,69 @@
 	d.mu.Lock()
 	backend, failure := d.router.Pick(d.timer.Now(), a.request, avoid)
 	if failure == nil {
-		d.router.Sent(backend.Name)
+		d.router.Sent(d.timer.Now(), backend.Name, a.request.Urgency())
 	}
 	d.mu.Unlock()
 	if failure != nil {
 		return failure
 	}
-	a.backend = backend.Name
+	a.backend, a.attempted, a.refused = backend.Name, time.Time{}, false
 	failure = d.send(ctx, a, &backend)
-	unreachable := failure != nil && (failure.Code() == result.NoBackend || failure.Code() == result.BackendCrashed ||
-		failure.Code() == result.BackendSilent)
-	d.mu.Lock()
-	d.router.Ended(d.timer.Now(), backend.Name, unreachable)
-	d.mu.Unlock()
-	if unreachable {
+	d.ended(a, backend.Name, failure)
+	if lostServer(failure) {
 		d.note("attempt failed", failure.Error(), a.request.ID(), backend.Name, a.request.Service())
 	}
 	return failure
 }
 
+// ended tells the router how the attempt went.
+func (d *Dispatcher) ended(a *answer, backend string, failure *result.Error) {
+	now := d.timer.Now()
+	o := route.Outcome{Urgency: a.request.Urgency(), Failed: lostServer(failure) || a.refused}
+	if failure == nil && !o.Failed && !a.attempted.IsZero() {
+		o.Whole, o.Service = true, now.Sub(a.attempted)
+		if a.request.Engine() {
+			o.Prefix = a.request.Prefix()
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router.Ended(now, backend, o)
+}
+
+// lostServer reports whether the back end, not the request, is at fault.
+func lostServer(failure *result.Error) bool {
+	if failure == nil {
+		return false
+	}
+	switch failure.Code() {
+	case result.NoBackend, result.BackendCrashed, result.BackendSilent:
+		return true
+	}
+	return false
+}
+
+// keeperTries is how many hosts are tried as a back end's keeper.
+const keeperTries = 3
+
+// send runs the request at the keeper of the back end. A keeper host that
+// can't be reached gets no byte of the request, so the next host is tried.
 func (d *Dispatcher) send(ctx context.Context, a *answer, backend *services.Backend) *result.Error {
 	r := a.resumed()
-	name, address := d.fleet.Keeper(backend)
-	if name == d.fleet.Self() {
-		return d.local.Run(ctx, backend.Name, r, a.take)
+	for range keeperTries {
+		name, address := d.fleet.Keeper(backend)
+		if name == d.fleet.Self() {
+			return d.local.Run(ctx, backend.Name, r, a.take)
+		}
+		if d.pool.Ready(ctx, address, r.Urgency()) {
+			return d.sendRemote(ctx, a, r, backend.Name, name, address)
+		}
+		if ctx.Err() != nil {
+			return result.New(result.Cancelled, "cancelled before it was sent")
+		}
+		d.fleet.Unreachable(name)
 	}
-	return d.sendRemote(ctx, a, r, backend.Name, name, address)
+	return result.New(result.Overloaded, "no keeper of %s can be reached", backend.Name)
 }
 
 // resumed returns the request that goes on from what the answer holds.
@@ -200,6 +265,7 @@
 func (a *answer) take(e request.Event) error {
 	switch e.Kind {
 	case request.Started:
+		a.attempted, a.refused = a.now(), e.Status == http.StatusServiceUnavailable
 		if a.started {
 			return nil
 		}
@@ -217,13 +283,9 @@
 
 // sendRemote runs the request at a keeper on another host.
 func (d *Dispatcher) sendRemote(ctx context.Context, a *answer, r *request.Request, backend, name, address string) *result.Error {
-	if !d.pool.Ready(ctx, address, r.Urgency()) {
-		d.fleet.Unreachable(name)
-		return result.New(result.NoBackend, "keeper host %s can't be reached", name)
-	}
 	client, err := d.pool.Peer(address, r.Urgency())
 	if err != nil {
-		return result.New(result.NoBackend, "%v", err)
+		return result.New(result.Overloaded, "host %s: %v", name, err)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/serving/retry/policy.go
+++ b/internal/serving/retry/policy.go
@@ -2,6 +2,10 @@
 // what is idempotent or surely never sent is sent again, never past the
 // deadline, and only while retries stay within a share of the fresh traffic,
 // so that an outage does not multiply the load.
+//
+// The budget is kept per entry host. Each fresh request pays a share of one
+// retry into it; the part saved up is small, so that over any longer time the
+// retries of a host stay within that share, whatever fails.
 package retry
 
 import (
@@ -13,28 +17,13 @@
 
 const (
 	// budgetShare is how many retries each fresh request pays for.
-	budgetShare = 0.1
+	budgetShare = 0.09
 	// budgetMax bounds the retries saved up.
-	budgetMax       = 20
+	budgetMax       = 10
 	shortestBackoff = 20 * time.Millisecond
 	longestBackoff  = 2 * time.Second
 )
 
-// Policy holds the budget of one entry host.
-type Policy struct {
-	random *rand.Rand
-	// budget is the number of retries that fresh requests have paid for.
-	budget float64
-}
-
-// NewPolicy returns a policy with a full budget.
-func NewPolicy(seed uint64) *Policy {
-	return &Policy{random: rand.New(rand.NewPCG(seed, seed+1)), budget: budgetMax}
-}
-
-// Fresh notes a first attempt.
-func (p *Policy) Fresh() { p.budget = min(budgetMax, p.budget+budgetShare) }
-
 // Failure describes a failed attempt.
 type Failure struct {
 	Err        *result.Error
@@ -46,9 +35,34 @@
 	Deadline time.Time
 }
 
-// Next returns after how long to try again, or false to give up.
-func (p *Policy) Next(now time.Time, f Failure) (time.Duration, bool) {
-	if !retryable(f) || f.Attempts > f.Limit || p.budget < 1 {
+// Policy decides on retries.
+type Policy interface {
+	// Fresh notes a first attempt.
+	Fresh()
+	// Next returns after how long to try again, or false to give up.
+	Next(now time.Time, f Failure) (time.Duration, bool)
+}
+
+// Budgeted is the policy of production: full jitter under a budget.
+type Budgeted struct {
+	random *rand.Rand
+	// budget is the number of retries that fresh requests have paid for.
+	budget float64
+}
+
+var _ Policy = (*Budgeted)(nil)
+
+// NewBudgeted returns a policy with a full budget.
+func NewBudgeted(seed uint64) *Budgeted {
+	return &Budgeted{random: rand.New(rand.NewPCG(seed, seed+1)), budget: budgetMax}
+}
+
+// Fresh notes a first attempt.
+func (p *Budgeted) Fresh() { p.budget = min(budgetMax, p.budget+budgetShare) }
+
+// Next returns a random wait below a ceiling that doubles with each attempt.
+func (p *Budgeted) Next(now time.Time, f Failure) (time.Duration, bool) {
+	if !Allowed(f) || p.budget < 1 {
 		return 0, false
 	}
 	ceiling := min(longestBackoff, shortestBackoff<<min(f.Attempts, 10))
@@ -60,7 +74,29 @@
 	return wait, true
 }
 
-func retryable(f Failure) bool {
+// Immediate is the naive policy for comparison: every retry that is allowed is
+// made at once, without a budget.
+type Immediate struct{}
+
+var _ Policy = Immediate{}
+
+// Fresh does nothing.
+func (Immediate) Fresh() {}
+
+// Next allows a retry at once.
+func (Immediate) Next(now time.Time, f Failure) (time.Duration, bool) {
+	if !Allowed(f) || (!f.Deadline.IsZero() && !now.Before(f.Deadline)) {
+		return 0, false
+	}
+	return 0, true
+}
+
+// Allowed reports whether another attempt could help and breaks no promise:
+// the request is idempotent, or no byte of it was sent.
+func Allowed(f Failure) bool {
+	if f.Attempts > f.Limit {
+		return false
+	}
 	switch f.Err.Code() {
 	case result.NoBackend, result.BackendFailed, result.BackendSilent, result.BackendCrashed, result.Overloaded, result.Stopping:
 		return f.Idempotent || f.Err.Ran() == result.RanNo
