Order each back end's queue by fair shares and refuse early

Cause: the queue was first come first served among online requests, cost O(n) for an insertion, a refusal, a withdrawal and the choice of what yields, gave a fixed retry time and let one organisation starve another.

Change: each urgency is a lane of indexed heaps. Higher weights start first; equals share by start-time fair queueing per organisation. Batch goes by weight, share and due time; every second start may go to what has less than five minutes left. A full lane refuses the lowest weight, of it the organisation with most entries for its share, of it the latest arrival. What can't meet its deadline behind the queue, by the observed service times, is refused on arrival. A yield takes what loses least, counting the prefill to repeat; each earlier yield doubles the loss. The naive order is a policy of its own, chosen by the setting "policy".

--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -93,7 +93,7 @@
 	}, seed)
 	var config *tls.Config
 	h.pool = peer.NewPool(config)
-	h.keepers = keeper.NewSet(t, engine.NewClient(t), keeper.UrgentPolicy)
+	h.keepers = keeper.NewSet(t, engine.NewClient(t), queuePolicy(settings.Policy))
 	h.dispatcher = dispatch.New(t, (*fleetView)(h), h.keepers, h.pool, h.text.Load, settings.Zone, seed, dispatch.Policies{
 		Routing: route.Policy(settings.Routing), Retries: dispatch.Retries(settings.Retries),
 	}, h.ring.Note)
--- /dev/null
+++ b/internal/fleet/host/keepers.go
@@ -0,0 +1,11 @@
+package host
+
+import "github.com/kingcupquay/kingcupquay/internal/serving/keeper"
+
+// queuePolicy returns the policy with that name in the settings.
+func queuePolicy(name string) keeper.NewPolicy {
+	if name == PolicyNaive {
+		return keeper.NaivePolicy
+	}
+	return keeper.UrgentPolicy
+}
--- a/internal/fleet/host/settings.go
+++ b/internal/fleet/host/settings.go
@@ -36,6 +36,8 @@
 	Shards int `json:"shards,omitempty"`
 	// TLS, if set, is used between hosts in both directions.
 	TLS *TLSFiles `json:"tls,omitempty"`
+	// Policy orders the queues of back ends: "urgent", or "naive" for comparison.
+	Policy string `json:"policy,omitempty"`
 	// StopSeconds bounds a graceful stop.
 	StopSeconds int `json:"stop_seconds,omitempty"`
 	// Routing is "balanced", or "round-robin" or "least-loaded" for comparison.
@@ -57,6 +59,12 @@
 	defaultStopSeconds = 60
 )
 
+// The policies of the queues.
+const (
+	PolicyUrgent = "urgent"
+	PolicyNaive  = "naive"
+)
+
 // ParseSettings checks the JSON form of settings; the error names line, field
 // and remedy.
 func ParseSettings(source []byte) (*Settings, error) {
@@ -72,6 +80,9 @@
 	if s.StopSeconds == 0 {
 		s.StopSeconds = defaultStopSeconds
 	}
+	if s.Policy == "" {
+		s.Policy = PolicyUrgent
+	}
 	return s, s.check(source)
 }
 
@@ -102,6 +113,7 @@
 		{"shards", "out of range", "write 1 to 4096, the same on all hosts", s.Shards < 1 || s.Shards > maxShards},
 		{"routing", "unknown policy", "write balanced, round-robin or least-loaded", !slices.Contains([]string{"", "balanced", "round-robin", "least-loaded"}, s.Routing)},
 		{"retries", "unknown policy", "write budgeted or immediate", !slices.Contains([]string{"", "budgeted", "immediate"}, s.Retries)},
+		{"policy", "unknown", "write urgent or naive", s.Policy != PolicyUrgent && s.Policy != PolicyNaive},
 		{"tls", "incomplete", "name certificate, key and authority", s.TLS != nil && (s.TLS.Certificate == "" || s.TLS.Key == "" || s.TLS.Authority == "")},
 	}
 	for _, c := range checks {
--- a/internal/serving/keeper/keeper.go
+++ b/internal/serving/keeper/keeper.go
@@ -19,6 +19,9 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/request"
 )
 
+// bytesPerToken estimates the tokens of a prompt from its size.
+const bytesPerToken = 4
+
 // Executor runs one attempt at a back end.
 type Executor interface {
 	// Run gives the events but Finished to sink and returns how it ended.
@@ -103,8 +106,9 @@
 // It reports every event but Finished to sink and returns how it ended.
 func (k *Keeper) Run(ctx context.Context, r *request.Request, service *services.Service, share int, sink request.Sink) *result.Error {
 	transcript := engine.NewTranscript(r)
+	yields := 0
 	for fresh := false; ; {
-		id, one := k.offer(r, share, transcript)
+		id, one := k.offer(r, share, yields, transcript)
 		if failure := k.await(ctx, id, one); failure != nil {
 			return failure
 		}
@@ -118,6 +122,7 @@
 			if !transcript.Resumable() {
 				return result.New(result.Cancelled, "yielded and can't be resumed").WithRan(result.RanYes)
 			}
+			yields++
 			continue
 		}
 		if retryOnFresh(r, failure, transcript) && !fresh {
@@ -137,7 +142,7 @@
 	return failure.Ran() == result.RanNo || (r.Idempotent() && r.Engine())
 }
 
-func (k *Keeper) offer(r *request.Request, share int, t *engine.Transcript) (queue.ID, *run) {
+func (k *Keeper) offer(r *request.Request, share, yields int, t *engine.Transcript) (queue.ID, *run) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.serial++
@@ -148,7 +153,7 @@
 	k.apply(k.policy.Offer(now, queue.Entry{
 		ID: k.serial, Organisation: r.Organisation(), Share: share, Urgency: r.Urgency(), Weight: r.Weight(),
 		Arrived: now, Deadline: r.Deadline(), Due: r.Due(), Produced: produced,
-		Pinned: !r.Engine(),
+		Prompt: len(r.Body()) / bytesPerToken, Yields: yields, Pinned: !r.Engine(),
 	}))
 	return k.serial, one
 }
--- a/internal/serving/keeper/set.go
+++ b/internal/serving/keeper/set.go
@@ -21,6 +21,11 @@
 	return queue.NewUrgent(b.Slots, limit)
 }
 
+// NaivePolicy makes queues that others are measured against.
+func NaivePolicy(b *services.Backend, limit int) queue.Policy {
+	return queue.NewNaive(b.Slots, limit)
+}
+
 // Set holds the keepers of the back ends that this host keeps. A keeper is
 // made when the first request for its back end comes in.
 type Set struct {
--- a/internal/serving/queue/policy.go
+++ b/internal/serving/queue/policy.go
@@ -29,8 +29,14 @@
 	// Deadline is zero for batch items, Due is zero for online requests.
 	Deadline time.Time
 	Due      time.Time
+	// Prompt estimates the tokens that every run reads before its first token.
+	Prompt int
 	// Produced counts the tokens that a cancelled run would have to resume from.
 	Produced int
+	// Restarts says that a cancelled run begins from nothing.
+	Restarts bool
+	// Yields counts how often the request was cancelled for others.
+	Yields int
 	// Pinned entries are never told to yield: their call may not be repeated.
 	Pinned bool
 }
--- /dev/null
+++ b/internal/serving/queue/slots.go
@@ -0,0 +1,90 @@
+package queue
+
+import "time"
+
+const (
+	// reportLag is how long a report may be old; one fault is not acted on
+	// twice within it.
+	reportLag = 2 * time.Second
+	// growEvery is the quiet time for each slot that comes back.
+	growEvery = 5 * time.Second
+	// shrinkPart and leastPart are parts of the slots: how many one fault
+	// takes, and below which no fault takes any.
+	shrinkPart = 8
+	leastPart  = 4
+	// gapTarget is the time between tokens that is always good enough;
+	// gapGrowth is how often the best seen mean may be exceeded beyond it.
+	gapTarget = 36 * time.Millisecond
+	gapGrowth = 2
+)
+
+// Slots decides how many requests a back end is given side by side: as many as
+// configured, fewer while it shows that this is too much. It decreases by a
+// part and increases by one, since what it learns comes late; the count of the
+// queue itself is exact and never corrected by a report.
+type Slots struct {
+	// configured is at least 1; 1 <= current <= configured.
+	configured int
+	current    int
+	// changed is when current last changed or a fault was last seen.
+	changed time.Time
+	gap     mean
+	// best is the least mean gap seen with enough samples, zero before.
+	best time.Duration
+}
+
+// NewSlots returns the slots of a back end that has shown no fault.
+func NewSlots(configured int) *Slots {
+	configured = max(1, configured)
+	return &Slots{configured: configured, current: configured}
+}
+
+// Current returns the number of slots.
+func (s *Slots) Current() int { return s.current }
+
+// Configure takes a new configured number and forgets what was observed.
+func (s *Slots) Configure(slots int) {
+	slots = max(1, slots)
+	if slots != s.configured {
+		*s = *NewSlots(slots)
+	}
+}
+
+// Reported takes the back end's own, late report on how many requests wait
+// inside of it.
+func (s *Slots) Reported(now time.Time, waiting int) {
+	if waiting > 0 {
+		s.shrink(now)
+	}
+}
+
+// Gap takes the time between two tokens of one stream.
+func (s *Slots) Gap(now time.Time, gap time.Duration) {
+	s.gap.add(gap)
+	if !s.gap.known() {
+		return
+	}
+	if s.best == 0 || s.gap.value < s.best {
+		s.best = s.gap.value
+	}
+	if s.gap.value > max(gapTarget, gapGrowth*s.best) {
+		s.shrink(now)
+	}
+}
+
+func (s *Slots) shrink(now time.Time) {
+	if now.Sub(s.changed) < reportLag {
+		return
+	}
+	s.changed = now
+	least := max(1, s.configured/leastPart)
+	s.current = max(min(least, s.current), s.current-max(1, s.current/shrinkPart))
+}
+
+// Tick gives a slot back after a quiet time.
+func (s *Slots) Tick(now time.Time) {
+	if s.current < s.configured && now.Sub(s.changed) >= growEvery {
+		s.current++
+		s.changed = now
+	}
+}
--- a/internal/serving/queue/urgent.go
+++ b/internal/serving/queue/urgent.go
@@ -1,28 +1,51 @@
 package queue
 
 import (
-	"sort"
+	"math"
 	"time"
 
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
 	"github.com/kingcupquay/kingcupquay/internal/serving/request"
 )
 
-const retryAfterOverload = time.Second
+const (
+	// shortSlack is the time before its due time from which a batch entry may
+	// start out of its turn; every second start at most is out of turn.
+	shortSlack = 5 * time.Minute
+	// restartCost is what producing a token again costs in prompt tokens.
+	restartCost = 16
+	// batchPerOnline is how many batch entries may wait for each online one.
+	batchPerOnline = 4
+)
 
 // Urgent is the Policy of production: online before batch always, batch
-// yields its slot to a waiting online request, and a full queue refuses the
-// lowest weight first.
+// yields its slot to a waiting online request, organisations of equal standing
+// share by weight, and a full queue refuses the lowest weight first.
+//
+// Every operation costs O(log n) for each entry that it starts or refuses.
+// These hold between any two calls:
+//   - no batch entry that may yield occupies a slot while online waits;
+//   - no more than slots entries occupy one, but for online and pinned entries
+//     that ran when slots decreased;
+//   - an entry is in exactly one of online, batch and running.
 type Urgent struct {
-	// slots and limit are at least 1.
-	slots int
-	limit int
-	// online waits in order of arrival, batch in order of weight, then due time.
-	online  []Entry
-	batch   []Entry
-	running map[ID]*Entry
-	// yielding holds the running entries that were told to yield.
-	yielding map[ID]bool
+	// slots and limit are at least 1; limit bounds the online lane.
+	slots  int
+	limit  int
+	online *lane
+	batch  *lane
+	// entries holds every entry that waits or runs.
+	entries map[ID]*entry
+	// running counts the started entries, yielding those of them told to yield.
+	running      int
+	yielding     int
+	batchRunning int
+	// victims orders the running batch entries that may yield by what a cancel
+	// would lose.
+	victims  *heap[*entry]
+	estimate estimate
+	// outOfTurn says that the last batch start was for want of slack.
+	outOfTurn bool
 }
 
 var _ Policy = (*Urgent)(nil)
@@ -30,126 +53,174 @@
 // NewUrgent returns an empty queue for a back end with that many slots; limit
 // bounds the online requests that wait.
 func NewUrgent(slots, limit int) *Urgent {
-	return &Urgent{slots: slots, limit: limit, running: make(map[ID]*Entry), yielding: make(map[ID]bool)}
+	return &Urgent{
+		slots: max(1, slots), limit: max(1, limit), online: newLane(), batch: newLane(), entries: make(map[ID]*entry),
+		victims:  newHeap(yieldsBefore, func(e *entry, i int) { e.victimAt = i }),
+		estimate: estimate{byWeight: make(map[int]*mean)},
+	}
 }
 
-// Offer adds an entry that waits.
-func (q *Urgent) Offer(now time.Time, e Entry) []Action {
-	if e.Urgency == request.Batch {
-		q.insertBatch(e)
-		return q.fill(now)
+// loss is what a cancel costs the engine, in prompt tokens: the prompt and the
+// produced text are read again, and what can't be resumed is produced again.
+// It doubles with each earlier yield, so that no entry is always the cheapest.
+func (e *entry) loss() float64 {
+	loss := 1 + e.Prompt + e.Produced
+	if e.Restarts {
+		loss += e.Produced * restartCost
 	}
-	var actions []Action
-	q.online = append(q.online, e)
-	if len(q.online) > q.limit {
-		actions = append(actions, q.refuseLowest())
-	}
-	return append(actions, q.fill(now)...)
+	return math.Ldexp(float64(loss), e.Yields)
 }
 
-func (q *Urgent) insertBatch(e Entry) {
-	at := sort.Search(len(q.batch), func(i int) bool { return batchBefore(e, q.batch[i]) })
-	q.batch = append(q.batch, Entry{})
-	copy(q.batch[at+1:], q.batch[at:])
-	q.batch[at] = e
+func yieldsBefore(a, b *entry) bool {
+	if x, y := a.loss(), b.loss(); x != y {
+		return x < y
+	}
+	return a.ID > b.ID
 }
 
-func batchBefore(a, b Entry) bool {
-	if a.Weight != b.Weight {
-		return a.Weight > b.Weight
+// Offer adds an entry that waits.
+func (q *Urgent) Offer(now time.Time, one Entry) []Action {
+	e := &entry{Entry: one, orderAt: -1, latestAt: -1, limitAt: -1, victimAt: -1}
+	q.entries[one.ID] = e
+	if one.Urgency == request.Batch {
+		q.batch.push(e)
+		actions := q.fill(now)
+		return q.bound(q.batch, q.limit*batchPerOnline, actions)
+	}
+	q.online.push(e)
+	actions := q.fill(now)
+	if e.flow != nil && q.estimate.hopeless(now, e, q.estimate.wait(q.online.ahead(e), q.slots)) {
+		actions = append(actions, q.refuse(q.online, e, result.DeadlineTooShort, "the queue is too long for the deadline"))
 	}
-	return a.Due.Before(b.Due)
+	return q.bound(q.online, q.limit, actions)
 }
 
-// refuseLowest removes the lowest weight, the latest arrival among equals.
-func (q *Urgent) refuseLowest() Action {
-	lowest := len(q.online) - 1
-	for i := len(q.online) - 1; i >= 0; i-- {
-		if q.online[i].Weight < q.online[lowest].Weight {
-			lowest = i
-		}
+// bound refuses what is too much in a lane.
+func (q *Urgent) bound(l *lane, limit int, actions []Action) []Action {
+	for l.size > limit {
+		actions = append(actions, q.refuse(l, l.last(), result.Overloaded, "queue of the back end is full"))
 	}
-	id := q.online[lowest].ID
-	q.online = append(q.online[:lowest], q.online[lowest+1:]...)
-	err := result.New(result.Overloaded, "queue of the back end is full").WithRetry(retryAfterOverload)
-	return Action{Kind: Refuse, ID: id, Err: err}
+	return actions
+}
+
+func (q *Urgent) refuse(l *lane, e *entry, code result.Code, message string) Action {
+	l.remove(e)
+	delete(q.entries, e.ID)
+	err := result.New(code, "%s", message).WithRetry(q.estimate.retry(l.size, q.slots))
+	return Action{Kind: Refuse, ID: e.ID, Err: err}
 }
 
 // fill starts what fits and asks batch to yield for what does not.
-func (q *Urgent) fill(time.Time) []Action {
+func (q *Urgent) fill(now time.Time) []Action {
 	var actions []Action
-	for len(q.online) > 0 && q.occupied() < q.slots {
-		actions = append(actions, q.start(q.online[0]))
-		q.online = q.online[1:]
+	for q.occupied() > q.slots && q.victims.size() > 0 {
+		actions = append(actions, q.yield())
 	}
-	for range q.online {
-		id, ok := q.cheapest()
-		if !ok {
-			break
+	for q.online.size > 0 {
+		if q.occupied() >= q.slots {
+			if q.occupied() > q.slots || q.victims.size() == 0 {
+				break
+			}
+			actions = append(actions, q.yield())
 		}
-		q.yielding[id] = true
-		actions = append(actions, Action{Kind: Yield, ID: id}, q.start(q.online[0]))
-		q.online = q.online[1:]
+		actions = append(actions, q.start(now, q.online, q.online.head()))
 	}
-	for len(q.batch) > 0 && q.occupied() < q.slots {
-		actions = append(actions, q.start(q.batch[0]))
-		q.batch = q.batch[1:]
+	for q.batch.size > 0 && q.running < q.slots {
+		actions = append(actions, q.start(now, q.batch, q.nextBatch(now)))
 	}
 	return actions
 }
 
+// nextBatch returns the next batch entry in turn, or the one due first if
+// its slack is short; turns alternate, so that short slack starves nobody.
+func (q *Urgent) nextBatch(now time.Time) *entry {
+	if q.batch.limits.size() == 0 || q.outOfTurn {
+		q.outOfTurn = false
+		return q.batch.head()
+	}
+	due := q.batch.limits.first()
+	if due.Due.Sub(now) > shortSlack {
+		return q.batch.head()
+	}
+	q.outOfTurn = true
+	return due
+}
+
 // occupied counts the running entries that were not told to yield.
-func (q *Urgent) occupied() int { return len(q.running) - len(q.yielding) }
+func (q *Urgent) occupied() int { return q.running - q.yielding }
 
-func (q *Urgent) start(e Entry) Action {
-	q.running[e.ID] = &e
+func (q *Urgent) start(now time.Time, l *lane, e *entry) Action {
+	l.take(e)
+	e.started = now
+	q.running++
+	if e.Urgency == request.Batch {
+		q.batchRunning++
+		if !e.Pinned {
+			q.victims.push(e)
+		}
+	}
 	return Action{Kind: Start, ID: e.ID}
 }
 
-// cheapest returns the running batch entry that loses least by a cancel.
-func (q *Urgent) cheapest() (ID, bool) {
-	var best *Entry
-	for id, e := range q.running {
-		if e.Urgency != request.Batch || e.Pinned || q.yielding[id] {
-			continue
-		}
-		if best == nil || e.Produced < best.Produced || (e.Produced == best.Produced && id > best.ID) {
-			best = e
-		}
-	}
-	if best == nil {
-		return 0, false
-	}
-	return best.ID, true
+// yield tells the entry that loses least; there is one.
+func (q *Urgent) yield() Action {
+	e := q.victims.first()
+	q.victims.remove(0)
+	e.yielding = true
+	q.yielding++
+	q.batchRunning--
+	return Action{Kind: Yield, ID: e.ID}
 }
 
-// Finished frees the slot of a started entry.
+// Finished frees the slot of a started entry; a second call changes nothing.
 func (q *Urgent) Finished(now time.Time, id ID) []Action {
-	delete(q.running, id)
-	delete(q.yielding, id)
+	e, ok := q.entries[id]
+	if !ok || e.flow != nil {
+		return nil
+	}
+	delete(q.entries, id)
+	q.running--
+	switch {
+	case e.yielding:
+		q.yielding--
+	case e.Urgency == request.Batch:
+		q.batchRunning--
+	default:
+		q.estimate.add(e.Weight, now.Sub(e.started))
+	}
+	if e.victimAt >= 0 {
+		q.victims.remove(e.victimAt)
+	}
 	return q.fill(now)
 }
 
-// Withdraw removes a waiting entry.
+// Withdraw removes a waiting entry; it changes nothing for any other.
 func (q *Urgent) Withdraw(_ time.Time, id ID) []Action {
-	q.online = without(q.online, id)
-	q.batch = without(q.batch, id)
+	e, ok := q.entries[id]
+	if !ok || e.flow == nil {
+		return nil
+	}
+	delete(q.entries, id)
+	q.laneOf(e).remove(e)
 	return nil
 }
 
-func without(list []Entry, id ID) []Entry {
-	for i := range list {
-		if list[i].ID == id {
-			return append(list[:i], list[i+1:]...)
-		}
+func (q *Urgent) laneOf(e *entry) *lane {
+	if e.Urgency == request.Batch {
+		return q.batch
 	}
-	return list
+	return q.online
 }
 
 // Progress notes that a running entry produced tokens.
 func (q *Urgent) Progress(id ID, tokens int) {
-	if e, ok := q.running[id]; ok {
-		e.Produced += tokens
+	e, ok := q.entries[id]
+	if !ok || e.flow != nil {
+		return
+	}
+	e.Produced += tokens
+	if e.victimAt >= 0 {
+		q.victims.fix(e.victimAt)
 	}
 }
 
@@ -159,32 +230,23 @@
 	return q.fill(now)
 }
 
-// Tick refuses the online entries whose deadline passed.
+// Tick refuses the online entries that can't meet their deadline any more.
 func (q *Urgent) Tick(now time.Time) []Action {
 	var actions []Action
-	kept := q.online[:0]
-	for _, e := range q.online {
-		if !e.Deadline.IsZero() && now.After(e.Deadline) {
-			err := result.New(result.DeadlineTooShort, "waited past the deadline for a slot")
-			actions = append(actions, Action{Kind: Refuse, ID: e.ID, Err: err})
-			continue
+	for q.online.limits.size() > 0 {
+		e := q.online.limits.first()
+		if !q.estimate.hopeless(now, e, 0) {
+			break
 		}
-		kept = append(kept, e)
+		actions = append(actions, q.refuse(q.online, e, result.DeadlineTooShort, "waited too long for a slot to meet the deadline"))
 	}
-	q.online = kept
 	return actions
 }
 
 // Counts returns the load.
 func (q *Urgent) Counts() Counts {
-	c := Counts{
-		Running: q.occupied(), Waiting: len(q.online) + len(q.batch),
-		BatchWaiting: len(q.batch), Slots: q.slots,
-	}
-	for id, e := range q.running {
-		if e.Urgency == request.Batch && !q.yielding[id] {
-			c.BatchRunning++
-		}
+	return Counts{
+		Running: q.occupied(), Waiting: q.online.size + q.batch.size,
+		BatchRunning: q.batchRunning, BatchWaiting: q.batch.size, Slots: q.slots,
 	}
-	return c
 }
