Keep long services texts in sections and show racing editors both changes

Cause: one value holds 1 MB, 44,000 organisations need 7 MB; a conflict showed only theirs to yours; a lost reply was settled only while nobody had changed the text since; audit keys could not be read latest first. Conclusion: an editor that is lost, or swept, between sections and document changes nothing (tests of revision).

--- a/internal/operator/admin/console.go
+++ b/internal/operator/admin/console.go
@@ -5,6 +5,7 @@
 package admin
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -119,6 +120,18 @@
 	Source   string    `json:"source"`
 }
 
+// ChangeBody tells what a change does, or would do in a dry run.
+type ChangeBody struct {
+	Revision int64  `json:"revision"`
+	By       string `json:"by"`
+	DryRun   bool   `json:"dry_run"`
+	// Difference holds the lines that went and came.
+	Difference string `json:"difference"`
+	// Effect says in sentences what the change does, the gravest first.
+	Effect   []string          `json:"effect"`
+	Warnings services.Problems `json:"warnings"`
+}
+
 func (o *Console) showText(ctx context.Context, _ *app.RequestContext, _ string) (any, *result.Error) {
 	d, _, failure := revision.Load(ctx, o.p.Store)
 	if failure != nil {
@@ -139,17 +152,60 @@
 	if name := c.Query("by"); name != "" {
 		by = name + " (" + by + ")"
 	}
-	text, failure := revision.Apply(ctx, o.p.Store, o.p.Timer.Now(), by, uuid.NewString(), from, c.Request.Body())
+	// The library reuses the body's memory after the answer; the text keeps it.
+	source := bytes.Clone(c.Request.Body())
+	change, failure := o.preview(ctx, from, source)
+	change.By = by
+	if dry, _ := strconv.ParseBool(c.Query("dry_run")); dry || failure != nil {
+		change.DryRun = true
+		return change, failure
+	}
+	text, failure := revision.Apply(ctx, o.p.Store, o.p.Timer.Now(), by, uuid.NewString(), from, source)
 	if failure != nil {
 		return nil, failure
 	}
 	o.p.Adopt(text)
 	o.p.Note("services text changed", "operator "+by+" applied revision "+strconv.FormatInt(text.Revision(), 10), "services")
-	return TextBody{Revision: text.Revision(), By: by}, nil
+	return change, nil
+}
+
+// preview checks a change on revision from and tells its effect.
+func (o *Console) preview(ctx context.Context, from int64, source []byte) (ChangeBody, *result.Error) {
+	text, err := services.Check(source, from+1)
+	if err != nil {
+		return ChangeBody{}, result.New(result.ServicesInvalid, "%v", err)
+	}
+	current, _, failure := revision.Load(ctx, o.p.Store)
+	if failure != nil {
+		return ChangeBody{}, failure
+	}
+	if current.Revision != from {
+		return ChangeBody{}, revision.Conflict(ctx, o.p.Store, current, from, source)
+	}
+	var before *services.Text
+	if from > 0 {
+		if before, err = services.Parse([]byte(current.Source), from); err != nil {
+			return ChangeBody{}, result.New(result.Internal, "stored services text: %v", err)
+		}
+	}
+	return ChangeBody{
+		Revision: from + 1, Difference: revision.Difference(current.Source, string(source)),
+		Effect: revision.Effect(before, text), Warnings: text.Warnings(),
+	}, nil
 }
 
-func (o *Console) history(ctx context.Context, _ *app.RequestContext, _ string) (any, *result.Error) {
-	list, failure := revision.History(ctx, o.p.Store)
+// defaultHistory is how many lines of the audit trail are shown unasked.
+const defaultHistory = 100
+
+func (o *Console) history(ctx context.Context, c *app.RequestContext, _ string) (any, *result.Error) {
+	limit := defaultHistory
+	if asked := c.Query("limit"); asked != "" {
+		var err error
+		if limit, err = strconv.Atoi(asked); err != nil || limit < 1 {
+			return nil, result.New(result.InvalidField, "limit must be a number of 1 or more")
+		}
+	}
+	list, failure := revision.History(ctx, o.p.Store, limit)
 	if failure != nil {
 		return nil, failure
 	}
--- a/internal/operator/command/operator.go
+++ b/internal/operator/command/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -40,10 +41,15 @@
 	applied := apply.Arg("file", "JSON file.").Required().ExistingFile()
 	from := apply.Flag("revision", "Revision that the change was made on.").Required().Int64()
 	by := apply.Flag("by", "Name for the audit trail.").String()
-	actions[apply.FullCommand()] = func() error { return s.applyText(*applied, *from, *by) }
+	dryRun := apply.Flag("dry-run", "Print difference and effect, change nothing.").Bool()
+	actions[apply.FullCommand()] = func() error { return s.applyText(*applied, *from, *by, *dryRun) }
+
+	edit := group.Command("edit", "Print how to edit the services text with an editor of your choice.")
+	actions[edit.FullCommand()] = s.editText
 
 	history := s.remote(group.Command("history", "Print the audit trail."))
-	actions[history.FullCommand()] = s.history
+	limit := history.Flag("limit", "Number of lines, latest first.").Default("20").Int()
+	actions[history.FullCommand()] = func() error { return s.history(*limit) }
 
 	status := s.remote(group.Command("status", "Print the revision in force by host."))
 	actions[status.FullCommand()] = s.status
@@ -58,12 +64,13 @@
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	text, err := services.Parse(source, 1)
+	text, err := services.Check(source, 1)
 	if err != nil {
 		return trace.BadParameter("%v", err)
 	}
 	fmt.Fprintf(s.out, "valid: %d organisations, %d services, %d back ends\n",
 		len(text.Organisations()), len(text.Services()), len(text.Backends()))
+	s.printWarnings(text.Warnings())
 	return nil
 }
 
@@ -80,29 +87,78 @@
 	return nil
 }
 
-func (s *shell) applyText(file string, from int64, by string) error {
+func (s *shell) printWarnings(warnings services.Problems) {
+	for _, w := range warnings {
+		fmt.Fprintln(s.out, "warning:", w)
+	}
+}
+
+// editText explains instead of opening an editor: a process starts no other.
+func (s *shell) editText() error {
+	fmt.Fprint(s.out, `1. kingcupquay services show > services.json     (prints the revision N on the error output)
+2. change services.json with an editor of your choice
+3. kingcupquay services check services.json
+4. kingcupquay services apply services.json --revision N --dry-run
+5. kingcupquay services apply services.json --revision N --by YOUR-NAME
+A conflict in step 5 shows both changes: begin again at step 1 with yours.
+`)
+	return nil
+}
+
+func (s *shell) applyText(file string, from int64, by string, dryRun bool) error {
 	source, err := os.ReadFile(file)
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	path := "/operator/text?revision=" + strconv.FormatInt(from, 10) + "&by=" + url.QueryEscape(by)
-	if _, err := s.call(http.MethodPut, path, "application/json", bytes.NewReader(source)); err != nil {
+	query := url.Values{"revision": {strconv.FormatInt(from, 10)}, "by": {by}, "dry_run": {strconv.FormatBool(dryRun)}}
+	answer, err := s.call(http.MethodPut, "/operator/text?"+query.Encode(), "application/json", bytes.NewReader(source))
+	if err != nil {
 		return err
 	}
-	fmt.Fprintf(s.out, "accepted as revision %d\n", from+1)
+	var change admin.ChangeBody
+	if err := json.Unmarshal(answer, &change); err != nil {
+		return trace.Wrap(err)
+	}
+	if s.output == "json" {
+		return s.print(change, nil, nil)
+	}
+	s.printChange(&change)
 	return nil
 }
 
-func (s *shell) history() error {
+func (s *shell) printChange(change *admin.ChangeBody) {
+	if change.DryRun {
+		fmt.Fprintf(s.out, "would become revision %d\n%s\n", change.Revision, change.Difference)
+	} else {
+		fmt.Fprintf(s.out, "accepted as revision %d\n", change.Revision)
+	}
+	for _, sentence := range change.Effect {
+		fmt.Fprintln(s.out, "effect:", sentence)
+	}
+	s.printWarnings(change.Warnings)
+}
+
+func (s *shell) history(limit int) error {
 	var list []revision.AuditEntry
-	if err := s.get("/operator/history", &list); err != nil {
+	if err := s.get("/operator/history?limit="+strconv.Itoa(limit), &list); err != nil {
 		return err
 	}
 	rows := make([][]string, 0, len(list))
 	for _, e := range list {
-		rows = append(rows, []string{e.At.Format(time.RFC3339), e.By, e.Action, strconv.FormatInt(e.Revision, 10), e.Subject})
+		rows = append(rows, []string{
+			e.At.Format(time.RFC3339), e.By, e.Action, revisions(e), e.Subject,
+			strconv.Itoa(strings.Count(e.Difference, "\n+ ") + strings.Count(e.Difference, "\n- ") + min(1, len(e.Difference))),
+		})
+	}
+	return s.print(list, []string{"AT", "BY", "ACTION", "REVISION", "SUBJECT", "LINES"}, rows)
+}
+
+// revisions shows what a change led from and to.
+func revisions(e revision.AuditEntry) string {
+	if e.Revision == 0 {
+		return ""
 	}
-	return s.print(list, []string{"AT", "BY", "ACTION", "REVISION", "SUBJECT"}, rows)
+	return fmt.Sprintf("%d to %d", e.FromRevision, e.Revision)
 }
 
 func (s *shell) status() error {
--- a/internal/operator/revision/document.go
+++ b/internal/operator/revision/document.go
@@ -2,24 +2,43 @@
 // current document, replaced by compare-and-swap together with its line in the
 // audit trail. Revisions count up by one; the higher one wins everywhere, so a
 // host never goes back.
+//
+// A short text stands inside its document. A long one is cut into sections,
+// each a write-once value under a key that is named by its content, and the
+// document only names them: an editor first writes the sections that are new,
+// then replaces the document in one transaction. Cuts depend on the content
+// around them, so that a change moves only the cuts next to it and the other
+// sections are kept.
+//
+// The latest documents stay readable under their revision, with their
+// sections, so that racing editors are shown both changes. The transaction
+// that drops the oldest of them deletes the sections that only it named.
 package revision
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"time"
 
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
-	"github.com/kingcupquay/kingcupquay/internal/operator/services"
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
 )
 
-// CurrentKey is where the document stands in the store.
-const CurrentKey = "text/current"
-
-// AuditPrefix is where the audit trail stands in the store.
-const AuditPrefix = "audit/"
+const (
+	// CurrentKey is where the document stands in the store.
+	CurrentKey = "text/current"
+	// sectionPrefix and documentPrefix are not below CurrentKey, so that a watch
+	// on it sees one event a change.
+	sectionPrefix  = "text/section/"
+	documentPrefix = "text/revision/"
+	// keptDocuments is how many of the latest revisions stay readable.
+	keptDocuments = 16
+	// loadAttempts bounds reads that race with the deletion of old sections.
+	loadAttempts = 3
+)
 
 // Document is one revision of the services text with its origin.
 type Document struct {
@@ -28,116 +47,87 @@
 	At       time.Time `json:"at"`
 	// Writer is unique to the write; it settles an unclear outcome.
 	Writer string `json:"writer"`
-	Source string `json:"source"`
+	// Source is the text; it is stored only if Sections is empty.
+	Source string `json:"source,omitempty"`
+	// Sections names the text's sections in order.
+	Sections []string `json:"sections,omitempty"`
+	// Digest is the SHA-256 sum of Source in hexadecimal.
+	Digest string `json:"digest,omitempty"`
 }
 
-// AuditEntry is one line of the audit trail.
-type AuditEntry struct {
-	At           time.Time `json:"at"`
-	By           string    `json:"by"`
-	Action       string    `json:"action"`
-	Revision     int64     `json:"revision,omitempty"`
-	FromRevision int64     `json:"from_revision,omitempty"`
-	Difference   string    `json:"difference,omitempty"`
-	Subject      string    `json:"subject,omitempty"`
+// Load returns the current document and the store's revision of its last
+// change; the document's revision is 0 if there is none.
+func Load(ctx context.Context, s store.Store) (Document, int64, *result.Error) {
+	return LoadWith(ctx, s, nil)
 }
 
-// Load returns the current document; revision 0 if there is none.
-func Load(ctx context.Context, s store.Store) (Document, int64, *result.Error) {
+// LoadWith is Load that takes the sections that cached has from there.
+func LoadWith(ctx context.Context, s store.Store, cached *Sections) (Document, int64, *result.Error) {
+	for range loadAttempts {
+		d, modRevision, whole, failure := loadOnce(ctx, s, cached)
+		if failure != nil || whole {
+			return d, modRevision, failure
+		}
+	}
+	return Document{}, 0, result.New(result.StoreUnavailable, "services text changes faster than it can be read").WithRetry(time.Second)
+}
+
+func unavailable(err error) *result.Error {
+	return result.New(result.StoreUnavailable, "%v", err).WithRetry(time.Second)
+}
+
+// loadOnce reads the document and its sections; whole is false if a section
+// was deleted in between.
+func loadOnce(ctx context.Context, s store.Store, cached *Sections) (d Document, modRevision int64, whole bool, failure *result.Error) {
 	entry, ok, err := s.Get(ctx, CurrentKey)
 	if err != nil {
-		return Document{}, 0, result.New(result.StoreUnavailable, "%v", err).WithRetry(time.Second)
+		return d, 0, false, unavailable(err)
 	}
 	if !ok {
-		return Document{}, 0, nil
+		return d, 0, true, nil
 	}
-	var d Document
 	if err := json.Unmarshal(entry.Value, &d); err != nil {
-		return Document{}, 0, result.New(result.Internal, "stored services text: %v", err)
+		return d, 0, false, result.New(result.Internal, "stored services text: %v", err)
 	}
-	return d, entry.ModRevision, nil
+	whole, failure = fill(ctx, s, &d, cached)
+	return d, entry.ModRevision, whole, failure
 }
 
-// Apply makes source the text that follows revision from. It fails with
-// ServicesInvalid or, if another editor was faster, RevisionConflict.
-func Apply(ctx context.Context, s store.Store, now time.Time, by, writer string, from int64, source []byte) (*services.Text, *result.Error) {
-	text, err := services.Parse(source, from+1)
-	if err != nil {
-		return nil, result.New(result.ServicesInvalid, "%v", err)
-	}
-	current, modRevision, failure := Load(ctx, s)
-	if failure != nil {
-		return nil, failure
-	}
-	if current.Revision != from {
-		return nil, conflict(current, from, source)
-	}
-	next := Document{Revision: from + 1, By: by, At: now, Writer: writer, Source: string(source)}
-	audit := AuditEntry{
-		At: now, By: by, Action: "apply", Revision: next.Revision, FromRevision: from,
-		Difference: Difference(current.Source, next.Source),
-	}
-	txn, err := applyTxn(modRevision, next, audit)
-	if err != nil {
-		return nil, result.From(err)
+// fill reads the sections of d into its source and checks their sum.
+func fill(ctx context.Context, s store.Store, d *Document, cached *Sections) (whole bool, failure *result.Error) {
+	if len(d.Sections) > 0 {
+		source, ok, err := readSections(ctx, s, d.Sections, cached)
+		if err != nil {
+			return false, unavailable(err)
+		}
+		if !ok {
+			return false, nil
+		}
+		d.Source = string(source)
 	}
-	outcome, err := s.Commit(ctx, txn)
-	if err == nil && outcome.Succeeded {
-		return text, nil
+	if d.Digest != "" && d.Digest != digest([]byte(d.Source)) {
+		return false, result.New(result.Internal, "stored services text of revision %d is damaged", d.Revision)
 	}
-	return settle(ctx, s, text, writer, from, source)
+	return true, nil
 }
 
-func applyTxn(modRevision int64, next Document, audit AuditEntry) (store.Txn, error) {
-	value, err := json.Marshal(next)
-	if err != nil {
-		return store.Txn{}, err
-	}
-	line, err := json.Marshal(audit)
+// loadRevision returns an earlier document that is still kept.
+func loadRevision(ctx context.Context, s store.Store, revision int64) (Document, bool, *result.Error) {
+	var d Document
+	entry, ok, err := s.Get(ctx, documentKey(revision))
 	if err != nil {
-		return store.Txn{}, err
+		return d, false, unavailable(err)
 	}
-	return store.Txn{
-		Compares: []store.Compare{{Key: CurrentKey, Target: store.ModRevision, Revision: modRevision}},
-		Puts: []store.Put{
-			{Key: CurrentKey, Value: value},
-			{Key: fmt.Sprintf("%s%016d", AuditPrefix, next.Revision), Value: line},
-		},
-	}, nil
-}
-
-// settle reads back what became of a write that was refused or unclear.
-func settle(ctx context.Context, s store.Store, text *services.Text, writer string, from int64, source []byte) (*services.Text, *result.Error) {
-	current, _, failure := Load(ctx, s)
-	switch {
-	case failure != nil:
-		return nil, result.New(result.StoreUnavailable, "change may be accepted; look at the current revision").WithRan(result.RanMaybe)
-	case current.Writer == writer:
-		return text, nil
-	case current.Revision == from:
-		return nil, result.New(result.StoreUnavailable, "change was not accepted; apply it again").WithRetry(time.Second)
+	if !ok || json.Unmarshal(entry.Value, &d) != nil {
+		return d, false, nil
 	}
-	return nil, conflict(current, from, source)
+	whole, failure := fill(ctx, s, &d, nil)
+	return d, whole, failure
 }
 
-func conflict(current Document, from int64, source []byte) *result.Error {
-	return result.New(result.RevisionConflict, "revision is %d by %s, not %d; the two differ in:\n%s",
-		current.Revision, current.By, from, Difference(current.Source, string(source)))
-}
+func documentKey(revision int64) string { return fmt.Sprintf("%s%016d", documentPrefix, revision) }
 
-// History returns the audit trail, oldest first.
-func History(ctx context.Context, s store.Store) ([]AuditEntry, *result.Error) {
-	const page = 200
-	entries, _, err := store.RangeAll(ctx, s, AuditPrefix, page)
-	if err != nil {
-		return nil, result.New(result.StoreUnavailable, "%v", err).WithRetry(time.Second)
-	}
-	list := make([]AuditEntry, 0, len(entries))
-	for _, entry := range entries {
-		var one AuditEntry
-		if err := json.Unmarshal(entry.Value, &one); err == nil {
-			list = append(list, one)
-		}
-	}
-	return list, nil
+func digest(source []byte) string {
+	sum := sha256.Sum256(source)
+	return hex.EncodeToString(sum[:])
 }
