--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -91,6 +91,8 @@
 	h.view = member.NewView(member.Host{
 		Name: settings.Name, Zone: settings.Zone, Address: settings.PeerAddress, Incarnation: t.Now().UnixNano(),
 	}, seed)
+	s = store.NewMetered(s, t, storeRates, func() int { return len(h.live()) })
+	h.store = s
 	var config *tls.Config
 	h.pool = peer.NewPool(config)
 	h.keepers = keeper.NewSet(t, engine.NewClient(t), queuePolicy(settings.Policy))
--- a/internal/fleet/host/records.go
+++ b/internal/fleet/host/records.go
@@ -47,6 +47,9 @@
 		if failure == nil || (failure.Code() != result.LeaseLost && failure.Code() != result.StoreUnavailable) {
 			return failure
 		}
+		if failure.Code() == result.LeaseLost {
+			h.recorder.Refresh(ctx, shard)
+		}
 		if reached && failure.Ran() != result.RanNo {
 			ran = result.RanMaybe
 		}
--- a/internal/fleet/host/shards.go
+++ b/internal/fleet/host/shards.go
@@ -17,8 +17,6 @@
 
 const (
 	openTimeout = 10 * time.Second
-	// rerunTimeout bounds the second run of a request whose owner was lost.
-	rerunTimeout = time.Minute
 	// windowExtra is how many items a job has waiting per slot in use.
 	windowExtra = 2
 )
@@ -43,23 +41,17 @@
 // shardLost stops the jobs of a shard.
 func (h *Host) shardLost(shard int) { h.jobs.Close(shard) }
 
-// runAgain completes an idempotent request whose owner was lost.
-func (h *Host) runAgain(_ int, entry ledger.Entry, claim *wire.Record) {
-	h.note("request run again", "host "+entry.Owner+" did not report its end", entry.Key, entry.Attempt)
+// runAgain completes an idempotent request whose owner was lost; the claim is
+// this host's, under an attempt of its own.
+func (h *Host) runAgain(entry ledger.Entry, claim *wire.Record) {
+	h.note("request run again", "owner did not report its end", entry.Key, entry.Attempt)
 	r := claim.GetRequest().Request(h.timer.Now())
 	o := r.Options()
-	o.Deadline = h.timer.Now().Add(rerunTimeout)
+	o.Deadline = h.timer.Now().Add(ledger.RerunTimeout)
 	r = request.New(o)
 	ctx, cancel := context.WithDeadline(context.Background(), o.Deadline)
 	defer cancel()
-	status, contentType, body, failure := caller.RunWhole(ctx, h.dispatcher, r)
-	if failure != nil {
-		return
-	}
-	_ = h.holders.Finish(ctx, &wire.FinishRequest{
-		Key: entry.Key, Attempt: entry.Attempt, State: int32(ledger.Done),
-		Status: int32(status), ContentType: contentType, Answer: body,
-	})
+	h.front.RunClaimed(ctx, entry.Key, entry.Attempt, r)
 }
 
 // itemCaller runs the items of jobs as batch requests of this host.
--- a/internal/record/lease/keeper.go
+++ b/internal/record/lease/keeper.go
@@ -10,6 +10,7 @@
 package lease
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -27,6 +28,16 @@
 	Renew time.Duration
 	// Settle is how long an assignment must stand before a shard is given up.
 	Settle time.Duration
+	// Check is the time between two looks at a wanted shard of another holder.
+	Check time.Duration
+	// Second is how long a shard must be free until the host after the wanted
+	// one takes it, and SecondCheck how often that host looks.
+	Second      time.Duration
+	SecondCheck time.Duration
+	// SecondSettle is Settle for a shard that was taken as the second.
+	SecondSettle time.Duration
+	// Retry is the wait after a failed Grant or Acquire.
+	Retry time.Duration
 }
 
 // DefaultTerms are the terms of a production host.
@@ -35,8 +46,17 @@
 	Margin: 2 * time.Second,
 	Renew:  3 * time.Second,
 	Settle: 3 * time.Second,
+
+	Check:        time.Second,
+	Second:       4 * time.Second,
+	SecondCheck:  20 * time.Second,
+	SecondSettle: time.Minute,
+	Retry:        time.Second,
 }
 
+// maxAcquiring bounds the shards that a host takes at the same time.
+const maxAcquiring = 4
+
 // ActionKind tells what the shell has to do.
 type ActionKind uint8
 
@@ -46,6 +66,8 @@
 	Grant ActionKind = iota
 	// Renew renews the session and reports to Renewed.
 	Renew
+	// Check reads the holder of a shard, for the owners of the next Tick.
+	Check
 	// Acquire takes a free shard and reports to Acquired.
 	Acquire
 	// Lost says that a shard must not be acted on any longer.
@@ -72,9 +94,20 @@
 	token int64
 	// unwanted is since when another host should hold the shard; zero if none.
 	unwanted  time.Time
+	settle    time.Duration
 	releasing bool
 }
 
+// candidate is a shard that the host may take.
+type candidate struct {
+	// free is since when the shard has no holder; zero if it has one.
+	free time.Time
+	// check and try are the earliest times of the next look and Acquire.
+	check, try time.Time
+	second     bool
+	acquiring  bool
+}
+
 // Keeper holds one host's session and shards.
 type Keeper struct {
 	host   string
@@ -86,16 +119,22 @@
 	validUntil time.Time
 	busy       bool
 	nextRenew  time.Time
+	nextGrant  time.Time
 	held       map[int]*holding
-	acquiring  map[int]bool
+	candidates map[int]*candidate
+	acquiring  int
 	leaving    bool
+	// ranks holds the host's place among the hosts of live for each shard, at
+	// most lastRank.
+	live  []string
+	ranks []uint8
 }
 
 // NewKeeper returns the keeper of a host in a deployment with that many shards.
 func NewKeeper(host string, shards int, terms Terms) *Keeper {
 	return &Keeper{
 		host: host, shards: shards, terms: terms,
-		held: make(map[int]*holding), acquiring: make(map[int]bool),
+		held: make(map[int]*holding), candidates: make(map[int]*candidate),
 	}
 }
 
@@ -129,8 +168,9 @@
 	if k.session != 0 && !now.Before(k.validUntil) {
 		actions = k.drop()
 	}
-	if !k.busy && k.session == 0 && !k.leaving {
+	if !k.busy && k.session == 0 && !k.leaving && !now.Before(k.nextGrant) {
 		k.busy = true
+		k.nextGrant = now.Add(k.terms.Retry)
 		return append(actions, Action{Kind: Grant})
 	}
 	if !k.busy && k.session != 0 && !now.Before(k.nextRenew) {
@@ -145,29 +185,128 @@
 
 func (k *Keeper) balance(now time.Time, live []string, owners map[int]Owner) []Action {
 	var actions []Action
+	k.rank(live)
 	for shard := 0; shard < k.shards; shard++ {
-		wanted := !k.leaving && zone.First(live, zone.ShardName(shard)) == k.host
+		rank := int(k.ranks[shard])
 		if h, ok := k.held[shard]; ok {
-			actions = append(actions, k.reconsider(now, shard, h, wanted)...)
+			actions = append(actions, k.reconsider(now, shard, h, rank == 0 && !k.leaving)...)
 			continue
 		}
-		if _, taken := owners[shard]; wanted && !taken && !k.acquiring[shard] {
-			k.acquiring[shard] = true
-			actions = append(actions, Action{Kind: Acquire, Session: k.session, Shard: shard})
+		if k.leaving || rank > 1 {
+			k.withdraw(shard)
+			continue
 		}
+		_, taken := owners[shard]
+		actions = append(actions, k.pursue(now, shard, rank == 1, taken)...)
 	}
 	return actions
 }
 
+// lastRank stands for every place after the second.
+const lastRank = 2
+
+// rank works out the host's places when the live hosts have changed.
+func (k *Keeper) rank(live []string) {
+	if k.ranks != nil && slices.Equal(k.live, live) {
+		return
+	}
+	k.live = slices.Clone(live)
+	k.ranks = make([]uint8, k.shards)
+	hashes := make([]uint64, 0, len(live))
+	own, listed := zone.Hash(k.host), false
+	for _, host := range live {
+		if host == k.host {
+			listed = true
+			continue
+		}
+		hashes = append(hashes, zone.Hash(host))
+	}
+	for shard := range k.ranks {
+		if !listed {
+			k.ranks[shard] = lastRank
+			continue
+		}
+		k.ranks[shard] = place(own, hashes, zone.Mix(zone.Hash(zone.ShardName(shard))))
+	}
+}
+
+// place returns how many hashes score higher than own for a name, at most
+// lastRank.
+func place(own uint64, hashes []uint64, name uint64) uint8 {
+	score := zone.Mix(own ^ name)
+	var higher uint8
+	for _, hash := range hashes {
+		if zone.Mix(hash^name) <= score {
+			continue
+		}
+		if higher++; higher == lastRank {
+			break
+		}
+	}
+	return higher
+}
+
+// withdraw forgets a shard that another host shall take, unless its Acquire
+// is under way.
+func (k *Keeper) withdraw(shard int) {
+	if c, ok := k.candidates[shard]; ok && !c.acquiring {
+		delete(k.candidates, shard)
+	}
+}
+
+// pursue looks at a shard that the host may take, and takes it when it is free:
+// at once as the first host for it, after a while as the second.
+func (k *Keeper) pursue(now time.Time, shard int, second, taken bool) []Action {
+	c, ok := k.candidates[shard]
+	if !ok {
+		c = &candidate{check: now.Add(k.checkEvery(second))}
+		k.candidates[shard] = c
+	}
+	if c.acquiring {
+		return nil
+	}
+	if c.second && !second {
+		c.check = now
+	}
+	c.second = second
+	var actions []Action
+	if taken {
+		c.free = time.Time{}
+		if !now.Before(c.check) {
+			c.check = now.Add(k.checkEvery(second))
+			actions = append(actions, Action{Kind: Check, Shard: shard})
+		}
+		return actions
+	}
+	if c.free.IsZero() {
+		c.free = now
+	}
+	if second && now.Sub(c.free) < k.terms.Second || now.Before(c.try) || k.acquiring >= maxAcquiring {
+		return nil
+	}
+	c.acquiring = true
+	c.try = now.Add(k.terms.Retry)
+	k.acquiring++
+	return []Action{{Kind: Acquire, Session: k.session, Shard: shard}}
+}
+
+func (k *Keeper) checkEvery(second bool) time.Duration {
+	if second {
+		return k.terms.SecondCheck
+	}
+	return k.terms.Check
+}
+
 func (k *Keeper) reconsider(now time.Time, shard int, h *holding, wanted bool) []Action {
 	if wanted {
 		h.unwanted = time.Time{}
+		h.settle = k.terms.Settle
 		return nil
 	}
 	if h.unwanted.IsZero() {
 		h.unwanted = now
 	}
-	if h.releasing || (!k.leaving && now.Sub(h.unwanted) < k.terms.Settle) {
+	if h.releasing || (!k.leaving && now.Sub(h.unwanted) < h.settle) {
 		return nil
 	}
 	h.releasing = true
@@ -182,7 +321,8 @@
 	}
 	k.session = 0
 	k.held = make(map[int]*holding)
-	k.acquiring = make(map[int]bool)
+	k.candidates = make(map[int]*candidate)
+	k.acquiring = 0
 	return actions
 }
 
@@ -219,14 +359,34 @@
 	k.nextRenew = sent.Add(k.terms.Renew)
 }
 
-// Acquired takes the result of Acquire; token 0 says that the shard was taken.
-func (k *Keeper) Acquired(session store.LeaseID, shard int, token int64) {
-	delete(k.acquiring, shard)
-	if session != k.session || token == 0 {
+// Acquired takes the result of Acquire; token 0 says that it was not taken.
+func (k *Keeper) Acquired(now time.Time, session store.LeaseID, shard int, token int64) {
+	c, ok := k.candidates[shard]
+	if session != k.session || !ok {
 		return
 	}
-	k.held[shard] = &holding{token: token}
+	c.acquiring = false
+	k.acquiring--
+	if token == 0 {
+		c.try = now.Add(k.terms.Retry)
+		return
+	}
+	settle := k.terms.Settle
+	if c.second {
+		settle = k.terms.SecondSettle
+	}
+	delete(k.candidates, shard)
+	k.held[shard] = &holding{token: token, settle: settle}
 }
 
 // Released takes the end of Release: the shard is no longer held here.
 func (k *Keeper) Released(shard int) { delete(k.held, shard) }
+
+// WaitOut returns when a new holder may order something that does not check
+// fencing tokens: not before the former holder, whose last renewal may have
+// been sent as late as noticed, has stopped by its own clock, its orders in
+// transit included. A former holder that is paused between looking at its
+// clock and sending is covered only as far as transit allows for that.
+func WaitOut(noticed time.Time, terms Terms, transit time.Duration) time.Time {
+	return noticed.Add(terms.TTL + terms.Margin + transit)
+}
--- a/internal/record/ledger/codec.go
+++ b/internal/record/ledger/codec.go
@@ -47,3 +47,31 @@
 	}
 	return group, nil
 }
+
+// Assemble returns the record of entry with its whole answer from the groups
+// that hold it, nil if a part is missing.
+func Assemble(groups []*wire.Group, entry Entry) *wire.Record {
+	var whole *wire.Record
+	for _, group := range groups {
+		for _, record := range group.GetRecords() {
+			if record.GetKey() != entry.Key || record.GetAttempt() != entry.Attempt || State(record.GetState()) != entry.State {
+				continue
+			}
+			if record.GetPart() == 0 {
+				whole = proto.CloneOf(record)
+				whole.Part, whole.Parts = 1, max(1, record.GetParts())
+				continue
+			}
+			if whole == nil || record.GetPart() != whole.GetPart() {
+				return nil
+			}
+			whole.Answer = append(whole.Answer, record.GetAnswer()...)
+			whole.Part++
+		}
+	}
+	if whole == nil || whole.GetPart() != whole.GetParts() {
+		return nil
+	}
+	whole.Part, whole.Parts = 0, 0
+	return whole
+}
--- a/internal/record/ledger/shard.go
+++ b/internal/record/ledger/shard.go
@@ -2,71 +2,55 @@
 // keys. A Shard is a pure state machine: it takes messages and timer events,
 // changes its own state and returns actions; the recorder carries them out.
 //
-// The durable form is a log of groups. A group holds every record that
-// gathered during one interval and is written as one value, under one
-// compare-and-swap that also checks the shard's fencing token and that the
-// group's sequence number is still free. At most one group is in flight, so
-// the number of writes does not grow with the load.
+// The durable form is a log of groups. A group holds the records that gathered
+// during one interval and is written as one value, under one compare-and-swap
+// that also checks the shard's fencing token and that the group's sequence
+// number is still free. At most one group is in flight, so the number of
+// writes does not grow with the load. An answer larger than a part is split
+// over several records in consecutive groups and counts once the last of them
+// is durable.
 //
-// A reply leaves only after the group that holds its record is durable. A
-// write whose outcome is unclear is settled by reading the group back and
-// comparing the writer id; until then nothing is answered. Trap: a delayed
-// write may land after a read-back found nothing, so the same group, with the
-// same sequence number and writer id, is written again, never another one.
+// A reply leaves only after the records behind it are durable. A write whose
+// outcome is unclear is settled by reading the group back and comparing the
+// writer id; until then nothing is answered. Trap: a delayed write may land
+// after a read-back found nothing, so the same group, with the same sequence
+// number and writer id, is written again, never another one.
+//
+// While the store refuses writes, claims that certainly are not durable are
+// withdrawn and refused as not run; outcomes of claimed requests are kept,
+// within a bound of bytes, and written when the store is back.
+//
+// Groups without a live record are deleted together with a later write. When
+// the log has many more groups than its live records need, runs of old groups
+// are read and their live records appended again.
 package ledger
 
 import (
-	"fmt"
+	"strings"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/kingcupquay/kingcupquay/internal/fleet/wire"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
 )
 
 const (
-	// gatherInterval is how long records wait for others of their group.
-	gatherInterval = 30 * time.Millisecond
-	// commitInterval keeps a shard at no more than 20 writes a second.
-	commitInterval = 50 * time.Millisecond
-	// maxGroupBytes bounds the uncompressed records of one group.
-	maxGroupBytes = 768 << 10
+	// maxPartBytes bounds the answer bytes of one record, and the request
+	// bytes that a claim keeps for a second run.
+	maxPartBytes = 512 << 10
+	// maxAnswerBytes bounds a recorded answer.
+	maxAnswerBytes = 8 << 20
+	// maxClaimBytes bounds what may wait for the store when a claim comes in.
+	maxClaimBytes = 4 << 20
 	// maxPendingBytes bounds what waits for the store, an outage included.
-	maxPendingBytes = 8 << 20
-	// overdueMargin is added to a request's deadline before it is settled.
-	overdueMargin = 2 * time.Second
-)
-
-// State is where the request of a key stands.
-type State int32
-
-// The states of a key. Claimed is the only one that is not final; MayHaveRun
-// still gives way to a late Done or Failed of the same attempt.
-const (
-	Unknown State = iota
-	Claimed
-	Done
-	Failed
-	NotRun
-	MayHaveRun
+	maxPendingBytes = 16 << 20
+	// maxWaiting bounds the callers that wait for a reply.
+	maxWaiting = 20_000
+	// outageRetry is when a caller refused during an outage shall come back.
+	outageRetry = time.Second
 )
 
-// String returns the state's name as readers of a record see it.
-func (s State) String() string {
-	switch s {
-	case Claimed:
-		return "claimed"
-	case Done:
-		return "done"
-	case Failed:
-		return "failed"
-	case NotRun:
-		return "not_run"
-	case MayHaveRun:
-		return "may_have_run"
-	}
-	return "unknown"
-}
-
 // Ticket names one waiting caller of the shard; the shell makes it up.
 type Ticket uint64
 
@@ -75,14 +59,19 @@
 
 // The actions of a shard.
 const (
-	// ReplyTo answers the caller behind Ticket with Failure or Entry.
+	// ReplyTo answers the caller behind Ticket with Failure or Found.
 	ReplyTo ActionKind = iota
-	// CommitGroup writes Group and reports to Committed.
+	// CommitGroup writes Group, deletes the groups in Deletes and reports to
+	// Committed.
 	CommitGroup
 	// ReadGroup reads the group with Group's sequence and reports to ReadBack.
 	ReadGroup
-	// RunAgain runs the idempotent request in the claim of Entry.Key again.
+	// LoadClaim reads the record of Found and reports to Loaded.
+	LoadClaim
+	// RunAgain runs the idempotent request in Record under Found's attempt.
 	RunAgain
+	// ReadRun reads the groups From to To and reports to Cleaned.
+	ReadRun
 	// CloseShard says that the fencing token is no longer valid.
 	CloseShard
 )
@@ -93,69 +82,129 @@
 	Ticket  Ticket
 	Failure *result.Error
 	// Found is the key's state for a reply; its answer has to be read from
-	// the group Sequence if Found.State is final.
-	Found Entry
-	Group *wire.Group
-}
-
-// Entry is what a shard keeps in memory of one key.
-type Entry struct {
-	Key         string
-	Attempt     string
-	State       State
-	Fingerprint string
-	Idempotent  bool
-	Owner       string
-	// Sequence is the group that holds the key's latest record.
-	Sequence int64
-	// ClaimSequence is the group that holds the claim with the request.
-	ClaimSequence int64
-	overdue       time.Time
-	expire        time.Time
-	keep          time.Duration
-}
-
-type waiting struct {
-	ticket Ticket
-	key    string
+	// the groups First to Sequence if Found.State is final.
+	Found    Entry
+	Record   *wire.Record
+	Group    *wire.Group
+	Deletes  []int64
+	From, To int64
 }
 
 // Shard is the state of one shard of request keys at its holder.
 type Shard struct {
 	// writer identifies this holding of the shard; it is unique to it.
 	writer string
+	host   string
 	// entries holds every key whose keep time is not over.
-	entries map[string]*Entry
+	entries  map[string]*Entry
+	schedule schedule
+	serial   uint64
 	// next is the sequence number of the next group.
 	next int64
-	// pending are the records not yet in a group, with their waiting callers.
-	pending        []*wire.Record
-	pendingWaiting []waiting
-	pendingBytes   int
-	pendingSince   time.Time
-	// inflight is the group being written; nil if none.
-	inflight        *wire.Group
-	inflightWaiting []waiting
-	lastCommit      time.Time
-	closed          bool
+	// pending are the records not yet in a group, in the order of their writes.
+	pending      []item
+	pendingBytes int
+	pendingSince time.Time
+	// waiting are the callers to be answered once a key's record is durable.
+	waiting      map[string][]Ticket
+	waitingCount int
+	// undo is what withdrawing a claim that is not durable restores.
+	undo map[string]*Entry
+	// claimPending says that a claim came in since the last withdrawal.
+	claimPending bool
+	// flight is the group being written; nil if none.
+	flight     *flight
+	lastCommit time.Time
+	// probe is the earliest time of a new claim after an outage was seen.
+	probe  time.Time
+	log    groupLog
+	closed bool
 }
 
-// Open returns the shard as the groups, in sequence order, describe it.
-func Open(writer string, now time.Time, groups []*wire.Group) *Shard {
-	s := &Shard{writer: writer, entries: make(map[string]*Entry), next: 1}
+// Options name the holder of a shard.
+type Options struct {
+	// Writer must be unique to this holding of the shard.
+	Writer string
+	Host   string
+}
+
+// Open returns the shard as the groups, in sequence order, describe it. Claims
+// that are overdue already are settled only after a grace, so that owners can
+// report to the new holder first.
+func Open(o Options, now time.Time, groups []*wire.Group) *Shard {
+	s := &Shard{
+		writer: o.Writer, host: o.Host, next: 1,
+		entries: make(map[string]*Entry), waiting: make(map[string][]Ticket), undo: make(map[string]*Entry),
+		log: newGroupLog(),
+	}
+	firsts := make(map[string]int64)
 	for _, group := range groups {
-		for _, record := range group.GetRecords() {
-			s.apply(record, group.GetSequence())
+		s.replay(group, firsts)
+	}
+	for _, e := range s.entries {
+		if e.State == Claimed && e.overdue.Before(now.Add(openGrace)) {
+			e.overdue = now.Add(openGrace)
 		}
-		s.next = max(s.next, group.GetSequence()+1)
+		s.enqueue(e)
 	}
-	s.expireEntries(now)
+	s.log.sweep()
+	s.settle(now)
 	return s
 }
 
+// replay applies one durable group. firsts holds the group of the first part
+// of each split answer whose last part was not seen yet.
+func (s *Shard) replay(group *wire.Group, firsts map[string]int64) {
+	sequence := group.GetSequence()
+	s.next = max(s.next, sequence+1)
+	s.log.add(sequence)
+	for _, record := range group.GetRecords() {
+		first := sequence
+		if record.GetParts() > 1 {
+			if record.GetPart() == 0 {
+				firsts[record.GetKey()] = sequence
+			}
+			if record.GetPart() < record.GetParts()-1 {
+				continue
+			}
+			var ok bool
+			if first, ok = firsts[record.GetKey()]; !ok {
+				continue
+			}
+		}
+		delete(firsts, record.GetKey())
+		s.replayRecord(record, first, sequence)
+	}
+}
+
+func (s *Shard) replayRecord(record *wire.Record, first, last int64) {
+	e, ok := s.entries[record.GetKey()]
+	if !ok {
+		e = &Entry{Key: record.GetKey()}
+		s.entries[record.GetKey()] = e
+	}
+	e.set(record)
+	e.bytes = recordBytes(record) + max(0, int(record.GetParts())-1)*maxPartBytes
+	e.newFirst = first
+	s.locate(e, last)
+}
+
+// locate moves the durable place of e to the groups newFirst to sequence.
+func (s *Shard) locate(e *Entry, sequence int64) {
+	s.log.release(e)
+	e.First, e.Sequence = e.newFirst, sequence
+	s.log.retain(e)
+}
+
 // Len returns the number of keys in memory.
 func (s *Shard) Len() int { return len(s.entries) }
 
+// Groups returns the number of groups in the store.
+func (s *Shard) Groups() int { return len(s.log.groups) }
+
+// PendingBytes returns how much waits for the store.
+func (s *Shard) PendingBytes() int { return s.pendingBytes }
+
 // Claim asks to run a request. The reply has Failure set if the claim is
 // refused, and Found.State other than Claimed by this attempt if the key was
 // taken before.
@@ -163,16 +212,17 @@
 	if s.closed {
 		return refuse(ticket, result.New(result.LeaseLost, "shard moved to another host"))
 	}
-	if e, ok := s.entries[in.GetKey()]; ok {
+	e, ok := s.entries[in.GetKey()]
+	if ok {
 		if e.Fingerprint != string(in.GetFingerprint()) {
 			return refuse(ticket, result.New(result.KeyReused, "key %q was used with another body", in.GetKey()))
 		}
-		if !e.claimable() {
+		if e.unwritten > 0 || !e.claimable(in.GetAttempt()) {
 			return s.replyWhenDurable(ticket, e)
 		}
 	}
-	if s.pendingBytes > maxPendingBytes {
-		return refuse(ticket, result.New(result.StoreUnavailable, "too many records wait for the store").WithRetry(time.Second))
+	if failure := s.refuseClaim(now, e); failure != nil {
+		return refuse(ticket, failure)
 	}
 	overdue := now.Add(time.Duration(in.GetDeadlineInMs())*time.Millisecond + overdueMargin)
 	record := &wire.Record{
@@ -186,16 +236,39 @@
 		OverdueMs:   overdue.UnixMilli(),
 		KeepMs:      in.GetKeepMs(),
 	}
-	if in.GetIdempotent() {
+	if in.GetIdempotent() && proto.Size(in.GetRequest()) <= maxPartBytes {
 		record.Request = in.GetRequest()
 	}
-	s.add(now, ticket, record)
+	prior := clone(e)
+	s.add(now, ticket, []*wire.Record{record})
+	s.undo[in.GetKey()], s.claimPending = prior, true
 	return s.flush(now)
 }
 
-// claimable reports whether the key may be run once more by a new attempt.
-func (e *Entry) claimable() bool {
-	return e.State == NotRun || (e.State == Failed && e.Idempotent)
+// refuseClaim returns why no new claim is taken now, nil if it is. The key's
+// earlier state e decides what is true of its request; e may be nil.
+func (s *Shard) refuseClaim(now time.Time, e *Entry) *result.Error {
+	if s.pendingBytes <= maxClaimBytes && s.waitingCount < maxWaiting && !s.stalled(now) && !now.Before(s.probe) {
+		return nil
+	}
+	return unrecorded(e)
+}
+
+// unrecorded is the refusal of a claim that certainly is not durable.
+func unrecorded(e *Entry) *result.Error {
+	failure := result.New(result.StoreUnavailable, "the platform's store takes no records now").WithRetry(outageRetry)
+	if e != nil && e.State != NotRun {
+		return failure.WithRan(result.RanMaybe)
+	}
+	return failure
+}
+
+func clone(e *Entry) *Entry {
+	if e == nil {
+		return nil
+	}
+	c := *e
+	return &c
 }
 
 // Finish records how an attempt ended. The reply carries the key's final state,
@@ -211,7 +284,20 @@
 	if !e.accepts(in.GetAttempt(), State(in.GetState())) {
 		return s.replyWhenDurable(ticket, e)
 	}
-	s.add(now, ticket, &wire.Record{
+	if s.pendingBytes+len(in.GetAnswer()) > maxPendingBytes || s.waitingCount >= maxWaiting {
+		return refuse(ticket, result.New(result.StoreUnavailable, "too many records wait for the store").
+			WithRan(result.RanMaybe).WithRetry(outageRetry))
+	}
+	if s.postpone(now, e, in) {
+		return []Action{{Kind: ReplyTo, Ticket: ticket, Found: *e}}
+	}
+	s.add(now, ticket, split(s.outcome(now, e, in)))
+	return s.flush(now)
+}
+
+// outcome returns the record of a finished attempt.
+func (s *Shard) outcome(now time.Time, e *Entry, in *wire.FinishRequest) *wire.Record {
+	record := &wire.Record{
 		Key:         in.GetKey(),
 		Attempt:     in.GetAttempt(),
 		State:       in.GetState(),
@@ -220,222 +306,118 @@
 		Owner:       e.Owner,
 		AtMs:        now.UnixMilli(),
 		KeepMs:      e.keep.Milliseconds(),
+		Runs:        int32(e.Runs),
 		Status:      in.GetStatus(),
 		ContentType: in.GetContentType(),
 		Answer:      in.GetAnswer(),
 		Failure:     in.GetFailure(),
-	})
-	return s.flush(now)
-}
-
-// accepts reports whether an attempt's outcome changes the key's state.
-func (e *Entry) accepts(attempt string, state State) bool {
-	switch e.State {
-	case Claimed:
-		if e.Idempotent && state == Done {
-			return true
-		}
-		return e.Attempt == attempt
-	case MayHaveRun:
-		return e.Attempt == attempt && (state == Done || state == Failed)
 	}
-	return false
-}
-
-// Lookup returns the key's entry.
-func (s *Shard) Lookup(key string) (Entry, bool) {
-	e, ok := s.entries[key]
-	if !ok {
-		return Entry{}, false
+	if e.Runs > 0 && State(in.GetState()) == NotRun {
+		// The second run did not run, but the first may have.
+		record.State = int32(MayHaveRun)
+		record.Failure = failureOf(result.New(result.MayHaveRun, "host was lost while the request ran"))
 	}
-	return *e, true
-}
-
-// replyWhenDurable answers with e's state, after the group in flight or
-// pending that holds it is durable.
-func (s *Shard) replyWhenDurable(ticket Ticket, e *Entry) []Action {
-	switch {
-	case e.Sequence >= s.next:
-		s.pendingWaiting = append(s.pendingWaiting, waiting{ticket, e.Key})
-	case s.inflight != nil && e.Sequence == s.inflight.GetSequence():
-		s.inflightWaiting = append(s.inflightWaiting, waiting{ticket, e.Key})
-	default:
-		return []Action{{Kind: ReplyTo, Ticket: ticket, Found: *e}}
+	if len(in.GetAnswer()) > maxAnswerBytes {
+		record.State, record.Answer = int32(Failed), nil
+		record.Failure = failureOf(result.New(result.BodyTooLarge, "the answer has %d bytes, at most %d can be kept",
+			len(in.GetAnswer()), maxAnswerBytes).WithRan(result.RanYes))
 	}
-	return nil
+	return record
 }
 
-// Tick settles overdue claims, forgets expired keys and writes a due group.
-func (s *Shard) Tick(now time.Time) []Action {
-	if s.closed {
-		return nil
+func failureOf(e *result.Error) *wire.Failure {
+	if e.Code() == result.MayHaveRun {
+		e = e.WithRan(result.RanMaybe)
 	}
-	s.expireEntries(now)
-	actions := s.settleOverdue(now)
-	return append(actions, s.flush(now)...)
+	return wire.FailureOf(e)
 }
 
-// settleOverdue decides claims whose owner did not report in time.
-func (s *Shard) settleOverdue(now time.Time) []Action {
-	var actions []Action
-	for _, e := range s.entries {
-		if e.State != Claimed || now.Before(e.overdue) {
-			continue
-		}
-		if e.Idempotent {
-			e.overdue = now.Add(overdueMargin + time.Minute)
-			actions = append(actions, Action{Kind: RunAgain, Found: *e})
-			continue
-		}
-		failure := result.New(result.MayHaveRun, "host %s was lost while the request ran", e.Owner)
-		s.add(now, 0, &wire.Record{
-			Key: e.Key, Attempt: e.Attempt, State: int32(MayHaveRun), Fingerprint: []byte(e.Fingerprint),
-			Owner: e.Owner, AtMs: now.UnixMilli(), KeepMs: e.keep.Milliseconds(),
-			Failure: &wire.Failure{Code: int32(failure.Code()), Message: failure.Message(), Ran: string(result.RanMaybe)},
-		})
-	}
-	return actions
-}
-
-func (s *Shard) expireEntries(now time.Time) {
-	for key, e := range s.entries {
-		if e.State != Claimed && now.After(e.expire) {
-			delete(s.entries, key)
-		}
-	}
-}
-
-// add applies record and puts it into the pending group; ticket 0 is nobody.
-func (s *Shard) add(now time.Time, ticket Ticket, record *wire.Record) {
-	if len(s.pending) == 0 {
-		s.pendingSince = now
+// split returns record as parts of which each fits into a group.
+func split(record *wire.Record) []*wire.Record {
+	answer := record.GetAnswer()
+	if len(answer) <= maxPartBytes {
+		return []*wire.Record{record}
 	}
-	s.pending = append(s.pending, record)
-	s.pendingBytes += recordBytes(record)
-	s.apply(record, s.next)
-	if ticket != 0 {
-		s.pendingWaiting = append(s.pendingWaiting, waiting{ticket, record.GetKey()})
+	count := (len(answer) + maxPartBytes - 1) / maxPartBytes
+	parts := make([]*wire.Record, count)
+	for i := range parts {
+		part := proto.CloneOf(record)
+		part.Answer = answer[i*maxPartBytes : min((i+1)*maxPartBytes, len(answer))]
+		part.Part, part.Parts = int32(i), int32(count)
+		parts[i] = part
 	}
+	return parts
 }
 
-func recordBytes(r *wire.Record) int {
-	const overhead = 128
-	return overhead + len(r.GetKey()) + len(r.GetAnswer()) + len(r.GetRequest().GetBody())
-}
-
-// apply brings the key's entry up to record.
-func (s *Shard) apply(record *wire.Record, sequence int64) {
-	e, ok := s.entries[record.GetKey()]
+// Lookup asks for the key's state; the reply leaves when that is durable.
+func (s *Shard) Lookup(ticket Ticket, key string) []Action {
+	if s.closed {
+		return refuse(ticket, result.New(result.LeaseLost, "shard moved to another host").WithRan(result.RanMaybe))
+	}
+	e, ok := s.entries[key]
 	if !ok {
-		e = &Entry{Key: record.GetKey()}
-		s.entries[record.GetKey()] = e
+		return refuse(ticket, result.New(result.NotFound, "no request with key %q", key))
 	}
-	e.Attempt = record.GetAttempt()
-	e.State = State(record.GetState())
-	e.Fingerprint = string(record.GetFingerprint())
-	e.Idempotent = record.GetIdempotent()
-	e.Owner = record.GetOwner()
-	e.Sequence = sequence
-	e.keep = time.Duration(record.GetKeepMs()) * time.Millisecond
-	if e.State == Claimed {
-		e.ClaimSequence = sequence
-		e.overdue = time.UnixMilli(record.GetOverdueMs())
-	}
-	e.expire = time.UnixMilli(record.GetAtMs()).Add(e.keep)
+	return s.replyWhenDurable(ticket, e)
 }
 
-// flush starts the write of the pending group when it is due.
-func (s *Shard) flush(now time.Time) []Action {
-	if s.inflight != nil || len(s.pending) == 0 {
-		return nil
-	}
-	full := s.pendingBytes >= maxGroupBytes
-	if now.Sub(s.lastCommit) < commitInterval || (!full && now.Sub(s.pendingSince) < gatherInterval) {
-		return nil
+// replyWhenDurable answers with e's state after its latest record is durable.
+func (s *Shard) replyWhenDurable(ticket Ticket, e *Entry) []Action {
+	if e.unwritten == 0 {
+		return []Action{{Kind: ReplyTo, Ticket: ticket, Found: *e}}
 	}
-	s.inflight = &wire.Group{
-		Writer:   fmt.Sprintf("%s/%d", s.writer, s.next),
-		Sequence: s.next,
-		Records:  s.pending,
+	if s.waitingCount >= maxWaiting {
+		return refuse(ticket, result.New(result.StoreUnavailable, "too many callers wait for the store").
+			WithRan(result.RanMaybe).WithRetry(outageRetry))
 	}
-	s.inflightWaiting = s.pendingWaiting
-	s.pending, s.pendingWaiting, s.pendingBytes = nil, nil, 0
-	s.next++
-	s.lastCommit = now
-	return []Action{{Kind: CommitGroup, Group: s.inflight}}
+	s.wait(ticket, e.Key)
+	return nil
 }
 
-// CommitResult is how a write of a group ended.
-type CommitResult uint8
-
-// The results of a write.
-const (
-	// Written says that the group is durable.
-	Written CommitResult = iota
-	// Refused says that a comparison failed.
-	Refused
-	// Unclear says that no answer came.
-	Unclear
-	// NotWritten says that the write certainly took no effect.
-	NotWritten
-)
+func (s *Shard) wait(ticket Ticket, key string) {
+	s.waiting[key] = append(s.waiting[key], ticket)
+	s.waitingCount++
+}
 
-// Committed takes the result of CommitGroup.
-func (s *Shard) Committed(now time.Time, outcome CommitResult) []Action {
-	if s.inflight == nil {
-		return nil
-	}
-	switch outcome {
-	case Written:
-		return s.settled(now)
-	case NotWritten:
-		return []Action{{Kind: CommitGroup, Group: s.inflight}}
-	default:
-		return []Action{{Kind: ReadGroup, Group: s.inflight}}
+// Forget drops a caller that waits no longer.
+func (s *Shard) Forget(ticket Ticket, key string) {
+	list := s.waiting[key]
+	for i, t := range list {
+		if t != ticket {
+			continue
+		}
+		s.waitingCount--
+		list = append(list[:i], list[i+1:]...)
+		s.waiting[key] = list
+		if len(list) == 0 {
+			delete(s.waiting, key)
+		}
+		return
 	}
 }
 
-// ReadResult is what a read-back found at the group's sequence number.
-type ReadResult struct {
-	// Failed says that the read itself failed.
-	Failed bool
-	// Writer is the writer id found, empty if there is no such group.
-	Writer string
-	// HolderValid says that the shard's key still carries our fencing token.
-	HolderValid bool
+// take removes and returns the callers that wait for a key.
+func (s *Shard) take(key string) []Ticket {
+	list := s.waiting[key]
+	delete(s.waiting, key)
+	s.waitingCount -= len(list)
+	return list
 }
 
-// ReadBack takes the result of ReadGroup.
-func (s *Shard) ReadBack(now time.Time, found ReadResult) []Action {
-	if s.inflight == nil {
+// Tick settles due keys, cleans the log and writes a due group.
+func (s *Shard) Tick(now time.Time) []Action {
+	if s.closed {
 		return nil
 	}
-	switch {
-	case found.Failed:
-		return []Action{{Kind: ReadGroup, Group: s.inflight}}
-	case found.Writer == s.inflight.GetWriter():
-		return s.settled(now)
-	case found.Writer == "" && found.HolderValid:
-		return []Action{{Kind: CommitGroup, Group: s.inflight}}
-	default:
-		return s.Close()
+	actions := s.settle(now)
+	if s.claimPending && s.stalled(now) {
+		s.claimPending = false
+		actions = append(actions, s.withdraw(now, false)...)
 	}
-}
-
-func (s *Shard) settled(now time.Time) []Action {
-	actions := s.replies(s.inflightWaiting)
-	s.inflight, s.inflightWaiting = nil, nil
+	actions = append(actions, s.clean(now)...)
 	return append(actions, s.flush(now)...)
 }
 
-func (s *Shard) replies(list []waiting) []Action {
-	actions := make([]Action, 0, len(list))
-	for _, w := range list {
-		actions = append(actions, Action{Kind: ReplyTo, Ticket: w.ticket, Found: *s.entries[w.key]})
-	}
-	return actions
-}
-
 // Close ends the shard: every waiting caller learns that its record's fate is
 // unclear.
 func (s *Shard) Close() []Action {
@@ -445,16 +427,24 @@
 	s.closed = true
 	lost := result.New(result.LeaseLost, "shard moved while the record was written").WithRan(result.RanMaybe)
 	var actions []Action
-	for _, w := range append(s.inflightWaiting, s.pendingWaiting...) {
-		actions = append(actions, Action{Kind: ReplyTo, Ticket: w.ticket, Failure: lost})
+	for _, key := range s.waitingKeys() {
+		for _, ticket := range s.take(key) {
+			actions = append(actions, Action{Kind: ReplyTo, Ticket: ticket, Failure: lost})
+		}
 	}
-	s.inflight, s.inflightWaiting, s.pending, s.pendingWaiting = nil, nil, nil, nil
+	s.flight, s.pending, s.pendingBytes = nil, nil, 0
 	return append(actions, Action{Kind: CloseShard})
 }
 
 // Idle reports whether nothing waits for the store.
-func (s *Shard) Idle() bool { return s.inflight == nil && len(s.pending) == 0 }
+func (s *Shard) Idle() bool { return s.flight == nil && len(s.pending) == 0 }
 
 func refuse(ticket Ticket, failure *result.Error) []Action {
 	return []Action{{Kind: ReplyTo, Ticket: ticket, Failure: failure}}
 }
+
+// baseAttempt returns the attempt of a key's first run.
+func baseAttempt(attempt string) string {
+	base, _, _ := strings.Cut(attempt, "+")
+	return base
+}
--- a/internal/record/recorder/recorder.go
+++ b/internal/record/recorder/recorder.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 
@@ -28,10 +27,14 @@
 const (
 	leaseTick   = 250 * time.Millisecond
 	shardTick   = 10 * time.Millisecond
-	ownersEvery = time.Second
 	callTimeout = 5 * time.Second
-	rangePage   = 64
-	writePause  = 100 * time.Millisecond
+	// loadTimeout bounds the reading of a shard's groups at take-over.
+	loadTimeout = 20 * time.Second
+	// rangePage is how many groups, of up to a megabyte each, one call reads.
+	rangePage = 8
+	// minPause and maxPause bound the wait before a failed call is repeated.
+	minPause = 100 * time.Millisecond
+	maxPause = 2 * time.Second
 )
 
 // Hooks are told about shards; they must not block for long.
@@ -42,7 +45,7 @@
 	Won  func(shard int, token int64)
 	Lost func(shard int)
 	// RunAgain runs an idempotent request whose owner was lost.
-	RunAgain func(shard int, entry ledger.Entry, claim *wire.Record)
+	RunAgain func(entry ledger.Entry, claim *wire.Record)
 	// Note records a change of state and its cause.
 	Note func(kind, cause string, subjects ...string)
 }
@@ -54,12 +57,12 @@
 	timer  timer.Service
 	hooks  Hooks
 	shards int
+	terms  lease.Terms
 
 	mu     sync.Mutex
 	keeper *lease.Keeper
 	open   map[int]*openShard
-	owners map[int]lease.Owner
-	ownRev time.Time
+	owners *owners
 	subs   []*timer.Subscription
 }
 
@@ -72,6 +75,8 @@
 	shard   *ledger.Shard
 	serial  ledger.Ticket
 	waiting map[ledger.Ticket]chan reply
+	// failures counts the store calls that failed in a row.
+	failures int
 }
 
 type reply struct {
@@ -83,19 +88,17 @@
 func New(host string, s store.Store, t timer.Service, shards int, terms lease.Terms, hooks Hooks) *Recorder {
 	return &Recorder{
 		host: host, store: s, timer: t, hooks: hooks, shards: shards,
-		keeper: lease.NewKeeper(host, shards, terms),
-		open:   make(map[int]*openShard), owners: make(map[int]lease.Owner),
+		terms: terms, keeper: lease.NewKeeper(host, shards, terms),
+		open: make(map[int]*openShard), owners: newOwners(),
 	}
 }
 
 // Start subscribes the recorder to the timer.
 func (r *Recorder) Start() {
 	r.subs = []*timer.Subscription{
-		r.timer.Every(ownersEvery, func(time.Time) { go r.readOwners() }),
 		r.timer.Every(leaseTick, func(time.Time) { r.tickLease() }),
 		r.timer.Every(shardTick, func(time.Time) { r.tickShards() }),
 	}
-	go r.readOwners()
 }
 
 // Shards returns the number of shards of the deployment.
@@ -108,8 +111,7 @@
 	if _, ok := r.open[shard]; ok {
 		return r.host, true
 	}
-	owner, ok := r.owners[shard]
-	return owner.Host, ok
+	return r.owners.host(shard)
 }
 
 // Held returns the shards that this host holds.
@@ -143,42 +145,25 @@
 	}
 }
 
-// readOwners reads who holds which shard.
-func (r *Recorder) readOwners() {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	sent := r.timer.Now()
-	entries, _, err := r.store.Range(ctx, "shard/", store.PrefixEnd("shard/"), 0)
-	if err != nil {
-		return
-	}
-	owners := make(map[int]lease.Owner, len(entries))
-	for _, entry := range entries {
-		var shard int
-		if _, err := fmt.Sscanf(entry.Key, "shard/%d", &shard); err == nil {
-			owners[shard] = lease.Owner{Host: string(entry.Value), Token: entry.CreateRevision}
-		}
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if sent.After(r.ownRev) {
-		r.owners, r.ownRev = owners, sent
-	}
-}
-
 func (r *Recorder) tickLease() {
 	live := r.hooks.Live()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ownRev.IsZero() {
+	now := r.timer.Now()
+	if !r.owners.complete {
+		if r.owners.begin(now) {
+			go r.readOwners()
+		}
 		return
 	}
-	for _, action := range r.keeper.Tick(r.timer.Now(), live, r.owners) {
+	for _, action := range r.keeper.Tick(now, live, r.owners.known) {
 		switch action.Kind {
 		case lease.Grant:
 			go r.grant()
 		case lease.Renew:
 			go r.renew(action.Session)
+		case lease.Check:
+			go r.check(action.Shard)
 		case lease.Acquire:
 			go r.acquire(action.Session, action.Shard)
 		case lease.Lost:
@@ -193,7 +178,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	sent := r.timer.Now()
-	id, err := r.store.Grant(ctx, lease.DefaultTerms.TTL)
+	id, err := r.store.Grant(ctx, r.terms.TTL)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.keeper.Granted(sent, id, err)
@@ -222,16 +207,22 @@
 	})
 	var token int64
 	if err == nil || errors.Is(err, store.ErrUnclear) {
+		// Whoever has it, the key is read: as our token or as the owner.
 		entry, ok, getErr := r.store.Get(ctx, key)
 		if getErr == nil && ok && string(entry.Value) == r.host && entry.Lease == session {
 			token = entry.CreateRevision
 		}
+		if getErr == nil {
+			r.learned(shard, entry, ok)
+		}
 	}
 	if token == 0 {
 		r.acquired(session, shard, 0, nil)
 		return
 	}
-	r.acquired(session, shard, token, r.load(ctx, shard, token))
+	loading, stop := context.WithTimeout(context.Background(), loadTimeout)
+	defer stop()
+	r.acquired(session, shard, token, r.load(loading, shard, token))
 }
 
 // load reads a shard's groups; nil says that it could not.
@@ -251,7 +242,7 @@
 	}
 	return &openShard{
 		number: shard, token: token, waiting: make(map[ledger.Ticket]chan reply),
-		shard: ledger.Open(uuid.NewString(), r.timer.Now(), groups),
+		shard: ledger.Open(ledger.Options{Writer: uuid.NewString(), Host: r.host}, r.timer.Now(), groups),
 	}
 }
 
@@ -264,7 +255,7 @@
 		r.mu.Lock()
 		token = 0
 	}
-	r.keeper.Acquired(session, shard, token)
+	r.keeper.Acquired(r.timer.Now(), session, shard, token)
 	_, held := r.keeper.Holds(r.timer.Now(), shard)
 	if held && o != nil {
 		r.open[shard] = o
@@ -324,7 +315,7 @@
 	r.drop(shard, token)
 	r.mu.Lock()
 	delete(r.open, shard)
-	delete(r.owners, shard)
+	r.owners.forget(shard)
 	r.keeper.Released(shard)
 	r.mu.Unlock()
 	r.hooks.Note("shard handed over", "another host is preferred", zone.ShardName(shard))
@@ -351,110 +342,6 @@
 	}
 }
 
-// apply carries out a shard's actions; the caller holds o.mu.
-func (r *Recorder) apply(o *openShard, actions []ledger.Action) {
-	for _, action := range actions {
-		switch action.Kind {
-		case ledger.ReplyTo:
-			if waiter, ok := o.waiting[action.Ticket]; ok {
-				delete(o.waiting, action.Ticket)
-				waiter <- reply{action.Failure, action.Found}
-			}
-		case ledger.CommitGroup:
-			go r.commit(o, action.Group)
-		case ledger.ReadGroup:
-			go r.readBack(o, action.Group)
-		case ledger.RunAgain:
-			go r.runAgain(o, action.Found)
-		case ledger.CloseShard:
-			go r.lose(o.number, o.token, "store refused the fencing token")
-		}
-	}
-}
-
-func (r *Recorder) commit(o *openShard, group *wire.Group) {
-	value, err := ledger.Encode(group)
-	if err != nil {
-		r.lose(o.number, o.token, err.Error())
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	key := ledger.GroupKey(o.number, group.GetSequence())
-	outcome, err := r.store.Commit(ctx, store.Txn{
-		Compares: []store.Compare{
-			{Key: zone.ShardName(o.number), Target: store.CreateRevision, Revision: o.token},
-			{Key: key, Target: store.CreateRevision},
-		},
-		Puts: []store.Put{{Key: key, Value: value}},
-	})
-	committed := ledger.Written
-	switch {
-	case errors.Is(err, store.ErrUnavailable):
-		committed = ledger.NotWritten
-		time.Sleep(writePause)
-	case err != nil:
-		committed = ledger.Unclear
-		time.Sleep(writePause)
-	case !outcome.Succeeded:
-		committed = ledger.Refused
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	r.apply(o, o.shard.Committed(r.timer.Now(), committed))
-}
-
-func (r *Recorder) readBack(o *openShard, group *wire.Group) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	found, err := r.readGroup(ctx, o.number, group.GetSequence())
-	holder, ok, holderErr := r.store.Get(ctx, zone.ShardName(o.number))
-	read := ledger.ReadResult{
-		Failed:      err != nil || holderErr != nil,
-		Writer:      found.GetWriter(),
-		HolderValid: ok && holder.CreateRevision == o.token,
-	}
-	if read.Failed {
-		time.Sleep(writePause)
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	r.apply(o, o.shard.ReadBack(r.timer.Now(), read))
-}
-
-// readGroup returns a group, nil if there is none.
-func (r *Recorder) readGroup(ctx context.Context, shard int, sequence int64) (*wire.Group, error) {
-	entry, ok, err := r.store.Get(ctx, ledger.GroupKey(shard, sequence))
-	if err != nil || !ok {
-		return nil, err
-	}
-	return ledger.Decode(entry.Value)
-}
-
-func (r *Recorder) runAgain(o *openShard, entry ledger.Entry) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	claim, failure := r.record(ctx, o.number, entry.ClaimSequence, entry.Key)
-	if failure == nil {
-		r.hooks.RunAgain(o.number, entry, claim)
-	}
-}
-
-// record returns the last record of a key in a group.
-func (r *Recorder) record(ctx context.Context, shard int, sequence int64, key string) (*wire.Record, *result.Error) {
-	group, err := r.readGroup(ctx, shard, sequence)
-	if err != nil {
-		return nil, result.New(result.StoreUnavailable, "%v", err).WithRetry(time.Second)
-	}
-	records := group.GetRecords()
-	for i := len(records) - 1; i >= 0; i-- {
-		if records[i].GetKey() == key {
-			return records[i], nil
-		}
-	}
-	return nil, result.New(result.Gone, "record of %q is gone", key)
-}
-
 // Stop ends the recorder at once, as a crash would: nothing is handed over.
 func (r *Recorder) Stop() {
 	for _, sub := range r.subs {
--- a/internal/record/recorder/serve.go
+++ b/internal/record/recorder/serve.go
@@ -14,7 +14,7 @@
 	if failure != nil {
 		return &wire.ClaimReply{Failure: wire.FailureOf(failure)}
 	}
-	found, failure := r.ask(ctx, o, func(t ledger.Ticket) []ledger.Action {
+	found, failure := r.ask(ctx, o, in.GetKey(), func(t ledger.Ticket) []ledger.Action {
 		return o.shard.Claim(r.timer.Now(), t, in)
 	})
 	if failure != nil {
@@ -23,7 +23,7 @@
 	if found.State == ledger.Claimed && found.Attempt == in.GetAttempt() {
 		return &wire.ClaimReply{}
 	}
-	entry, failure := r.entry(ctx, o.number, found)
+	entry, failure := r.entry(ctx, o, found)
 	return &wire.ClaimReply{Existing: entry, Failure: wire.FailureOf(failure)}
 }
 
@@ -31,7 +31,7 @@
 func (r *Recorder) Finish(ctx context.Context, in *wire.FinishRequest) *wire.FinishReply {
 	o, failure := r.shard(int(in.GetShard()))
 	if failure == nil {
-		_, failure = r.ask(ctx, o, func(t ledger.Ticket) []ledger.Action {
+		_, failure = r.ask(ctx, o, in.GetKey(), func(t ledger.Ticket) []ledger.Action {
 			return o.shard.Finish(r.timer.Now(), t, in)
 		})
 	}
@@ -44,17 +44,21 @@
 	if failure != nil {
 		return &wire.LookupReply{Failure: wire.FailureOf(failure)}
 	}
-	o.mu.Lock()
-	found, ok := o.shard.Lookup(in.GetKey())
-	o.mu.Unlock()
-	if !ok {
-		failure = result.New(result.NotFound, "no request with key %q", in.GetKey())
+	found, failure := r.lookup(ctx, o, in.GetKey())
+	if failure != nil {
 		return &wire.LookupReply{Failure: wire.FailureOf(failure)}
 	}
-	entry, failure := r.entry(ctx, o.number, found)
+	entry, failure := r.entry(ctx, o, found)
 	return &wire.LookupReply{Entry: entry, Failure: wire.FailureOf(failure)}
 }
 
+// lookup returns the state of a key once that is durable.
+func (r *Recorder) lookup(ctx context.Context, o *openShard, key string) (ledger.Entry, *result.Error) {
+	return r.ask(ctx, o, key, func(t ledger.Ticket) []ledger.Action {
+		return o.shard.Lookup(t, key)
+	})
+}
+
 // shard returns a shard that this host may act on now.
 func (r *Recorder) shard(number int) (*openShard, *result.Error) {
 	r.mu.Lock()
@@ -67,7 +71,7 @@
 }
 
 // ask gives a message to the shard and waits for its reply.
-func (r *Recorder) ask(ctx context.Context, o *openShard, message func(ledger.Ticket) []ledger.Action) (ledger.Entry, *result.Error) {
+func (r *Recorder) ask(ctx context.Context, o *openShard, key string, message func(ledger.Ticket) []ledger.Action) (ledger.Entry, *result.Error) {
 	waiter := make(chan reply, 1)
 	o.mu.Lock()
 	o.serial++
@@ -82,26 +86,42 @@
 	}
 	o.mu.Lock()
 	delete(o.waiting, ticket)
+	o.shard.Forget(ticket, key)
 	o.mu.Unlock()
 	return ledger.Entry{}, result.New(result.StoreUnavailable, "the store did not confirm the record in time").WithRan(result.RanMaybe)
 }
 
 // entry returns what readers see of a key; a final state's answer is read
-// from its group.
-func (r *Recorder) entry(ctx context.Context, shard int, found ledger.Entry) (*wire.Entry, *result.Error) {
-	entry := &wire.Entry{
-		Key: found.Key, Attempt: found.Attempt, State: int32(found.State), Fingerprint: []byte(found.Fingerprint),
-	}
+// from its groups. A record that was moved in between is looked up again.
+func (r *Recorder) entry(ctx context.Context, o *openShard, found ledger.Entry) (*wire.Entry, *result.Error) {
 	if found.State == ledger.Claimed {
-		return entry, nil
+		return entryOf(found), nil
+	}
+	record, failure := r.record(ctx, o.number, found)
+	if failure != nil && failure.Code() == result.Gone {
+		later, missing := r.lookup(ctx, o, found.Key)
+		if missing != nil {
+			return nil, missing.WithRan(result.RanMaybe)
+		}
+		found = later
+		if found.State == ledger.Claimed {
+			return entryOf(found), nil
+		}
+		record, failure = r.record(ctx, o.number, found)
 	}
-	record, failure := r.record(ctx, shard, found.Sequence, found.Key)
 	if failure != nil {
 		return nil, failure
 	}
+	entry := entryOf(found)
 	entry.Status = record.GetStatus()
 	entry.ContentType = record.GetContentType()
 	entry.Answer = record.GetAnswer()
 	entry.Failure = record.GetFailure()
 	return entry, nil
 }
+
+func entryOf(found ledger.Entry) *wire.Entry {
+	return &wire.Entry{
+		Key: found.Key, Attempt: found.Attempt, State: int32(found.State), Fingerprint: []byte(found.Fingerprint),
+	}
+}
--- a/internal/serving/caller/front.go
+++ b/internal/serving/caller/front.go
@@ -76,12 +76,19 @@
 	mu   sync.Mutex
 	gate *limit.Gate
 
+	// late holds the outcomes that could not be recorded yet.
+	late *late
+
 	stopping atomic.Bool
 	active   sync.WaitGroup
 }
 
 // New returns a front without routes; Register adds them to a server.
-func New(p Parts) *Front { return &Front{p: p, gate: limit.NewGate(p.Host)} }
+func New(p Parts) *Front {
+	f := &Front{p: p, gate: limit.NewGate(p.Host)}
+	f.late = newLate(p.Timer, p.Records, p.Note)
+	return f
+}
 
 // Register adds the callers' routes to h.
 func (f *Front) Register(h *server.Hertz) {
@@ -109,6 +116,7 @@
 	done := make(chan struct{})
 	go func() {
 		f.active.Wait()
+		f.late.wait(ctx)
 		close(done)
 	}()
 	select {
--- a/internal/serving/caller/run.go
+++ b/internal/serving/caller/run.go
@@ -51,6 +51,9 @@
 // answer, be it of this run or of an earlier one.
 func (f *Front) recorded(ctx context.Context, c *call, s *services.Service, r *request.Request) (whole, *result.Error) {
 	key := recordKey(c.organisation.Name, r.Key())
+	if f.late.full() {
+		return whole{}, result.New(result.StoreUnavailable, "too many outcomes wait for the store").WithRetry(time.Second)
+	}
 	fingerprint := r.Fingerprint()
 	existing, failure := f.p.Records.Claim(ctx, &wire.ClaimRequest{
 		Key: key, Attempt: c.id, Owner: f.p.Host, Fingerprint: fingerprint[:], Idempotent: r.Idempotent(),
@@ -58,6 +61,7 @@
 		KeepMs: s.Keep().Milliseconds(),
 	})
 	if failure != nil {
+		f.abandon(key, c.id, failure)
 		return whole{}, failure
 	}
 	if existing != nil {
@@ -70,11 +74,29 @@
 // recordKey makes callers' keys of different organisations distinct.
 func recordKey(organisation, key string) string { return organisation + "/" + key }
 
+// abandon gives up a claim whose fate is unclear: the request was not sent and
+// never will be under this attempt, so the record can say that it did not run.
+func (f *Front) abandon(key, attempt string, failure *result.Error) {
+	if failure.Ran() == result.RanNo {
+		return
+	}
+	f.late.add(&wire.FinishRequest{
+		Key: key, Attempt: attempt, State: int32(ledger.NotRun),
+		Failure: wire.FailureOf(result.New(result.StoreUnavailable, "the claim was not confirmed in time")),
+	})
+}
+
+// RunClaimed runs r, whose key is claimed by attempt, and records its outcome.
+func (f *Front) RunClaimed(ctx context.Context, key, attempt string, r *request.Request) {
+	w, failure := runWhole(ctx, f.p.Runner, r)
+	_ = f.finish(key, attempt, w, failure)
+}
+
 const finishTimeout = 10 * time.Second
 
 // finish records the outcome of a claimed run and returns the failure to
-// answer with. An answer that can't be recorded is still given: it is the one
-// answer, only its reading afterwards has to wait.
+// answer with. An answer that can't be recorded now is still given: it is the
+// one answer, and its record is tried again in the background.
 func (f *Front) finish(key, attempt string, w whole, failure *result.Error) *result.Error {
 	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
 	defer cancel()
@@ -84,6 +106,9 @@
 	}
 	if err := f.p.Records.Finish(ctx, in); err != nil {
 		f.p.Note("record delayed", err.Error(), attempt, key)
+		if unsettled(err) {
+			f.late.add(in)
+		}
 	}
 	return failure
 }
