--- a/internal/record/ledger/write.go
+++ b/internal/record/ledger/write.go
@@ -50,7 +50,7 @@
 
 // add makes records, the parts of one, the key's state and puts them into the
 // pending items; ticket 0 is nobody.
-func (s *Shard) add(now time.Time, ticket Ticket, records []*wire.Record) *Entry {
+func (s *Shard) add(now time.Time, ticket Ticket, records []*wire.Record) {
 	record := records[0]
 	e, ok := s.entries[record.GetKey()]
 	if !ok {
@@ -64,7 +64,6 @@
 	}
 	s.push(now, e, records)
 	s.enqueue(e)
-	return e
 }
 
 // push appends one write of e to the pending items.
