Resume yielded answers exactly once and free slots of slow readers

Change: a chunk is accepted under the lock that a yield is told under; what is not accepted reaches nobody. A call that has every token but not its end is resumed for one token, which is dropped, and the usage is corrected.

--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -233,6 +233,7 @@
 	}
 	h.stopPeers(ctx)
 	h.supervisor.Stop(ctx)
+	h.keepers.Close()
 	h.pool.Close()
 	h.log.Info("host stopped")
 }
@@ -248,6 +249,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	h.supervisor.Stop(ctx)
+	h.keepers.Close()
 	h.pool.Close()
 }
 
--- a/internal/serving/engine/run.go
+++ b/internal/serving/engine/run.go
@@ -23,8 +23,10 @@
 	Transcript *Transcript
 	// Fresh asks for a new connection.
 	Fresh bool
-	// Produced is called with the tokens of each chunk.
-	Produced func(tokens int)
+	// Accept adds a chunk to the transcript and reports whether the stream may
+	// go on; a chunk that is not accepted reaches nobody. It is never nil for
+	// an engine's answer.
+	Accept func(chunk []byte) bool
 }
 
 // Run sends the attempt and gives the answer's events, but not Finished, to
@@ -76,15 +78,18 @@
 		return refusal(head, body)
 	}
 	_, resumed := a.Transcript.Text()
+	spent := a.Transcript.Spent(a.Request.Body())
 	if err := sink(request.Event{Kind: request.Started, Status: head.Status, ContentType: head.ContentType, Backend: a.Backend.Name}); err != nil {
 		return err
 	}
 	return readEvents(body, func(data []byte) error {
-		tokens := a.Transcript.Add(data)
-		if a.Produced != nil && tokens > 0 {
-			a.Produced(tokens)
+		if spent {
+			data = withoutText(data)
 		}
-		return sink(request.Event{Kind: request.Data, Data: correctUsage(data, resumed)})
+		if !a.Accept(data) {
+			return result.New(result.Cancelled, "cancelled for an online request").WithRan(result.RanYes)
+		}
+		return sink(request.Event{Kind: request.Data, Data: correctUsage(data, resumed, spent)})
 	})
 }
 
--- a/internal/serving/engine/transcript.go
+++ b/internal/serving/engine/transcript.go
@@ -104,8 +104,12 @@
 
 func resumeBody(body []byte, t *Transcript) ([]byte, error) {
 	var err error
-	if limit := gjson.GetBytes(body, "max_tokens"); limit.Exists() {
-		if body, err = sjson.SetBytes(body, "max_tokens", limit.Int()-int64(t.tokens)); err != nil {
+	for _, path := range tokenLimits {
+		limit := gjson.GetBytes(body, path)
+		if !limit.Exists() {
+			continue
+		}
+		if body, err = sjson.SetBytes(body, path, max(1, limit.Int()-int64(t.tokens))); err != nil {
 			return nil, err
 		}
 	}
@@ -122,13 +126,51 @@
 	return sjson.SetBytes(body, "continue_final_message", true)
 }
 
+// tokenLimits are the fields that bound the length of an answer.
+var tokenLimits = []string{"max_tokens", "max_completion_tokens"}
+
+// Spent reports whether every token that the body allows was produced though
+// the engine's end of the answer is missing. Such a call is resumed for one
+// token, which is dropped, to learn the end and the usage.
+func (t *Transcript) Spent(body []byte) bool {
+	for _, path := range tokenLimits {
+		limit := gjson.GetBytes(body, path)
+		if limit.Exists() && int64(t.tokens) >= limit.Int() {
+			return t.tokens > 0
+		}
+	}
+	return false
+}
+
+// withoutText empties the text of choice 0.
+func withoutText(chunk []byte) []byte {
+	for _, path := range []string{"choices.0.delta.content", "choices.0.text"} {
+		if gjson.GetBytes(chunk, path).String() == "" {
+			continue
+		}
+		if edited, err := sjson.SetBytes(chunk, path, ""); err == nil {
+			chunk = edited
+		}
+	}
+	return chunk
+}
+
 // correctUsage counts the resumed tokens of a usage chunk as produced, not as
-// prompt.
-func correctUsage(chunk []byte, resumed int) []byte {
+// prompt; dropped says that one produced token reached nobody.
+func correctUsage(chunk []byte, resumed int, dropped bool) []byte {
 	if resumed == 0 || !gjson.GetBytes(chunk, "usage.completion_tokens").Exists() {
 		return chunk
 	}
-	for path, change := range map[string]int64{"usage.completion_tokens": int64(resumed), "usage.prompt_tokens": -int64(resumed)} {
+	extra := int64(0)
+	if dropped {
+		extra = 1
+	}
+	changes := map[string]int64{
+		"usage.completion_tokens": int64(resumed) - extra,
+		"usage.prompt_tokens":     -int64(resumed),
+		"usage.total_tokens":      -extra,
+	}
+	for path, change := range changes {
 		value := gjson.GetBytes(chunk, path).Int() + change
 		if edited, err := sjson.SetBytes(chunk, path, value); err == nil {
 			chunk = edited
--- a/internal/serving/keeper/set.go
+++ b/internal/serving/keeper/set.go
@@ -5,6 +5,8 @@
 	"sort"
 	"sync"
 
+	"github.com/panjf2000/ants/v2"
+
 	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/wire"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
@@ -32,15 +34,38 @@
 	timer    timer.Service
 	executor Executor
 	policy   NewPolicy
+	// online and batch run the attempts of all keepers.
+	online *ants.Pool
+	batch  *ants.Pool
 
 	mu      sync.Mutex
 	text    *services.Text
 	keepers map[string]*Keeper
 }
 
+// maxAttempts bounds the attempts of one urgency side by side on a host.
+const maxAttempts = 1 << 16
+
 // NewSet returns a set without keepers.
 func NewSet(t timer.Service, executor Executor, policy NewPolicy) *Set {
-	return &Set{timer: t, executor: executor, policy: policy, keepers: make(map[string]*Keeper)}
+	return &Set{
+		timer: t, executor: executor, policy: policy, keepers: make(map[string]*Keeper),
+		online: newPool(), batch: newPool(),
+	}
+}
+
+func newPool() *ants.Pool {
+	pool, err := ants.NewPool(maxAttempts, ants.WithNonblocking(true))
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return pool
+}
+
+// Close ends the pools' idle workers; attempts in progress go on.
+func (s *Set) Close() {
+	s.online.Release()
+	s.batch.Release()
 }
 
 // SetText takes a new services text: keepers get their new number of slots,
@@ -74,7 +99,7 @@
 	}
 	k, kept := s.keepers[backend]
 	if !kept {
-		k = New(s.timer, s.executor, *b, s.policy(b, service.QueueLimit))
+		k = New(s.timer, s.executor, Pools{Online: s.online, Batch: s.batch}, *b, s.policy(b, service.QueueLimit))
 		s.keepers[backend] = k
 	}
 	share := 1
@@ -85,10 +110,12 @@
 	return k.Run(ctx, r, service, share, sink)
 }
 
-// Tick lets every queue refuse what waited too long.
+// Tick lets every queue refuse what waited too long and asks engines for
+// their load when it is time.
 func (s *Set) Tick() {
 	for _, k := range s.list() {
 		k.Tick()
+		k.Poll()
 	}
 }
 
--- a/internal/serving/queue/slots.go
+++ b/internal/serving/queue/slots.go
@@ -28,7 +28,9 @@
 	current    int
 	// changed is when current last changed or a fault was last seen.
 	changed time.Time
-	gap     mean
+	// queued counts the reports in a row of requests that wait inside.
+	queued int
+	gap    mean
 	// best is the least mean gap seen with enough samples, zero before.
 	best time.Duration
 }
@@ -51,9 +53,14 @@
 }
 
 // Reported takes the back end's own, late report on how many requests wait
-// inside of it.
+// inside of it. One report may have caught a yield in progress; two in a row
+// are a fault.
 func (s *Slots) Reported(now time.Time, waiting int) {
-	if waiting > 0 {
+	if waiting <= 0 {
+		s.queued = 0
+		return
+	}
+	if s.queued++; s.queued > 1 {
 		s.shrink(now)
 	}
 }
--- a/internal/serving/queue/urgent_test.go
+++ b/internal/serving/queue/urgent_test.go
@@ -286,6 +286,10 @@
 	It("shrinks once a report lag while the engine queues inside and grows back slowly", func() {
 		s := queue.NewSlots(8)
 		now := epoch
+		s.Reported(now.Add(-2*time.Second), 3)
+		s.Reported(now.Add(-time.Second), 0)
+		s.Reported(now.Add(-time.Second), 3)
+		Expect(s.Current()).To(Equal(8))
 		s.Reported(now, 3)
 		s.Reported(now.Add(time.Second), 3)
 		Expect(s.Current()).To(Equal(7))
