--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -68,6 +68,8 @@
 	http       *server.Hertz
 	grpc       *grpc.Server
 	listener   net.Listener
+	// identity is nil for plain TCP between hosts.
+	identity *tls.Config
 
 	// text is nil until the first revision is known; it never goes back.
 	text   atomic.Pointer[services.Text]
@@ -93,7 +95,11 @@
 	}, seed)
 	s = store.NewMetered(s, t, storeRates, func() int { return len(h.live()) })
 	h.store = s
-	var config *tls.Config
+	config, renewal, err := identityConfig(settings.TLS, t, h.note)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	h.identity, h.subs = config, append(h.subs, renewal)
 	h.pool = peer.NewPool(config)
 	h.keepers = keeper.NewSet(t, engine.NewClient(t), queuePolicy(settings.Policy))
 	h.dispatcher = dispatch.New(t, (*fleetView)(h), h.keepers, h.pool, h.text.Load, settings.Zone, seed, dispatch.Policies{
@@ -122,7 +128,7 @@
 		return trace.Wrap(err)
 	}
 	h.listener = listener
-	h.grpc = peer.NewServer(nil)
+	h.grpc = peer.NewServer(h.identity)
 	wire.RegisterPeerServer(h.grpc, &peerServer{host: h})
 	callers, err := net.Listen("tcp", h.settings.CallerAddress)
 	if err != nil {
@@ -133,12 +139,12 @@
 	h.supervisor.Start(&part{name: "peer server", run: h.servePeers})
 	h.supervisor.Start(&part{name: "caller server", run: h.serveCallers})
 	h.recorder.Start()
-	h.subs = []*timer.Subscription{
+	h.subs = append(h.subs,
 		h.timer.Every(member.Interval, func(now time.Time) { h.beat(now) }),
 		h.timer.Every(keeperTick, func(time.Time) { h.keepers.Tick() }),
 		h.timer.Every(textEvery, func(time.Time) { go h.pollText() }),
 		h.timer.Every(flushEvery, func(time.Time) { go h.flushCauses() }),
-	}
+	)
 	if h.settings.HostListURL != "" {
 		h.subs = append(h.subs, h.timer.Every(hostListEvery, func(time.Time) { go h.readHostList() }))
 		go h.readHostList()
@@ -163,7 +169,11 @@
 func (h *Host) servePeers(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, h.grpc.Stop)
 	defer stop()
-	return h.grpc.Serve(h.listener)
+	if err := h.grpc.Serve(h.listener); err != nil {
+		return trace.Wrap(err)
+	}
+	<-ctx.Done()
+	return nil
 }
 
 func (h *Host) serveCallers(ctx context.Context) error {
--- /dev/null
+++ b/internal/fleet/peer/tls_test.go
@@ -0,0 +1,135 @@
+package peer_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupquay/kingcupquay/internal/fleet/peer"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/wire"
+	"github.com/kingcupquay/kingcupquay/internal/serving/request"
+)
+
+// authority signs the certificates of test hosts.
+type authority struct {
+	key         *ecdsa.PrivateKey
+	certificate *x509.Certificate
+}
+
+func newAuthority(name string) *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	Expect(err).NotTo(HaveOccurred())
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, IsCA: true, BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageCertSign, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	Expect(err).NotTo(HaveOccurred())
+	certificate, err := x509.ParseCertificate(der)
+	Expect(err).NotTo(HaveOccurred())
+	return &authority{key: key, certificate: certificate}
+}
+
+// issue writes a host's certificate, key and authority into dir.
+func (a *authority) issue(dir string) peer.Files {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	Expect(err).NotTo(HaveOccurred())
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: "entry host"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	Expect(err).NotTo(HaveOccurred())
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	Expect(err).NotTo(HaveOccurred())
+	files := peer.Files{
+		Certificate: filepath.Join(dir, "host.pem"), Key: filepath.Join(dir, "key.pem"), Authority: filepath.Join(dir, "authority.pem"),
+	}
+	write(files.Certificate, "CERTIFICATE", der)
+	write(files.Key, "EC PRIVATE KEY", keyDER)
+	write(files.Authority, "CERTIFICATE", a.certificate.Raw)
+	return files
+}
+
+func write(name, kind string, der []byte) {
+	Expect(os.WriteFile(name, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600)).To(Succeed())
+}
+
+type beatServer struct{ wire.UnimplementedPeerServer }
+
+func (beatServer) Beat(context.Context, *wire.Heartbeat) (*wire.Heartbeat, error) {
+	return &wire.Heartbeat{Host: "answer"}, nil
+}
+
+// serve runs a peer server with that identity and returns its address.
+func serve(config *tls.Config) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	server := peer.NewServer(config)
+	wire.RegisterPeerServer(server, beatServer{})
+	go func() { _ = server.Serve(listener) }()
+	DeferCleanup(server.Stop)
+	return listener.Addr().String()
+}
+
+func beat(ctx context.Context, config *tls.Config, address string) error {
+	pool := peer.NewPool(config)
+	defer pool.Close()
+	client, err := pool.Peer(address, request.Online)
+	Expect(err).NotTo(HaveOccurred())
+	_, err = client.Beat(ctx, &wire.Heartbeat{})
+	return err
+}
+
+var _ = Describe("connections between hosts", func() {
+	It("stand only between hosts of one authority", func(ctx SpecContext) {
+		ours, theirs := newAuthority("ours"), newAuthority("theirs")
+		server, err := peer.LoadIdentity(ours.issue(GinkgoT().TempDir()))
+		Expect(err).NotTo(HaveOccurred())
+		friend, err := peer.LoadIdentity(ours.issue(GinkgoT().TempDir()))
+		Expect(err).NotTo(HaveOccurred())
+		stranger, err := peer.LoadIdentity(theirs.issue(GinkgoT().TempDir()))
+		Expect(err).NotTo(HaveOccurred())
+		address := serve(server.Config())
+		Expect(beat(ctx, friend.Config(), address)).To(Succeed())
+		Expect(beat(ctx, stranger.Config(), address)).NotTo(Succeed())
+		Expect(beat(ctx, nil, address)).NotTo(Succeed())
+	})
+
+	It("follow a renewal of the files, and keep the old ones while the new are broken", func(ctx SpecContext) {
+		before, after := newAuthority("before"), newAuthority("after")
+		dir := GinkgoT().TempDir()
+		files := before.issue(dir)
+		server, err := peer.LoadIdentity(files)
+		Expect(err).NotTo(HaveOccurred())
+		address := serve(server.Config())
+		old, err := peer.LoadIdentity(before.issue(GinkgoT().TempDir()))
+		Expect(err).NotTo(HaveOccurred())
+		renewed, err := peer.LoadIdentity(after.issue(GinkgoT().TempDir()))
+		Expect(err).NotTo(HaveOccurred())
+
+		Expect(os.WriteFile(files.Certificate, []byte("half"), 0o600)).To(Succeed())
+		Expect(os.Chtimes(files.Certificate, time.Time{}, time.Now().Add(time.Minute))).To(Succeed())
+		Expect(server.Reload()).NotTo(Succeed())
+		Expect(beat(ctx, old.Config(), address)).To(Succeed())
+
+		after.issue(dir)
+		Expect(os.Chtimes(files.Key, time.Time{}, time.Now().Add(2*time.Minute))).To(Succeed())
+		Expect(server.Reload()).To(Succeed())
+		Expect(beat(ctx, renewed.Config(), address)).To(Succeed())
+		Expect(beat(ctx, old.Config(), address)).NotTo(Succeed())
+	})
+})
--- a/internal/operator/command/load.go
+++ b/internal/operator/command/load.go
@@ -25,6 +25,8 @@
 		return s.loadAdded(load.AddedOptions{Calls: *calls, Callers: max(1, *callers), Tokens: *tokens})
 	}
 
+	s.addUploadCommand(group, actions)
+
 	harm := group.Command("harm", "What batch does to online callers, by queue policy.")
 	duration := harm.Flag("duration", "Time of each run.").Default("15s").Duration()
 	share := harm.Flag("share", "Mean online load as a part of the slots.").Default("0.4").Float64()
@@ -35,6 +37,32 @@
 	}
 }
 
+// addUploadCommand adds the measurement of a large file at a running host.
+func (s *shell) addUploadCommand(group *kingpin.CmdClause, actions map[string]func() error) {
+	upload := group.Command("upload", "Time and memory that a large batch file takes at a running host.")
+	server := upload.Flag("server", "Base address of a host.").Default("http://127.0.0.1:8080").String()
+	token := upload.Flag("token", "Bearer token.").Envar("KINGCUPQUAY_TOKEN").String()
+	items := upload.Flag("items", "Lines of the file.").Default("150000").Int()
+	size := upload.Flag("item-bytes", "Length of each prompt.").Default("530").Int()
+	actions[upload.FullCommand()] = func() error {
+		return s.loadUpload(load.UploadOptions{Server: *server, Token: *token, Items: *items, ItemBytes: *size})
+	}
+}
+
+func (s *shell) loadUpload(o load.UploadOptions) error {
+	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
+	defer cancel()
+	u, err := load.MeasureUpload(ctx, o)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return s.print(u, []string{"SENT MB", "SECONDS", "READ MB", "SECONDS", "HOST MB BEFORE", "HOST MB PEAK"}, [][]string{{
+		fmt.Sprintf("%.1f", float64(u.Bytes)/(1<<20)), fmt.Sprintf("%.2f", u.Seconds),
+		fmt.Sprintf("%.1f", float64(u.ReadBytes)/(1<<20)), fmt.Sprintf("%.2f", u.ReadSeconds),
+		fmt.Sprintf("%.1f", u.MemoryBefore), fmt.Sprintf("%.1f", u.MemoryPeak),
+	}})
+}
+
 const loadTimeout = 10 * time.Minute
 
 func (s *shell) loadAdded(o load.AddedOptions) error {
--- a/internal/operator/result/code.go
+++ b/internal/operator/result/code.go
@@ -112,7 +112,7 @@
 	{DeadlinePassed, 504, "deadline passed"},
 	{BackendCrashed, 502, "back end crashed"},
 	{Cancelled, 499, "cancelled"},
-	{BackendRefused, 502, "back end refused the request"},
+	{BackendRefused, 400, "back end refused the request"},
 	{ServicesInvalid, 400, "services text invalid"},
 	{RevisionConflict, 409, "revision conflict"},
 	{Internal, 500, "internal fault"},
--- a/internal/serving/caller/completions.go
+++ b/internal/serving/caller/completions.go
@@ -86,14 +86,24 @@
 	if !ok {
 		return nil, result.New(result.UnknownModel, "no model or service %q", model.String())
 	}
-	field := "messages"
+	if failure := checkPrompt(path, body); failure != nil {
+		return nil, failure
+	}
+	return service, nil
+}
+
+// checkPrompt checks the field that holds what the model shall answer.
+func checkPrompt(path string, body []byte) *result.Error {
 	if path == "/v1/completions" {
-		field = "prompt"
+		if prompt := gjson.GetBytes(body, "prompt"); prompt.Type != gjson.String && !prompt.IsArray() {
+			return result.New(result.InvalidField, "prompt must be a string or an array")
+		}
+		return nil
 	}
-	if !gjson.GetBytes(body, field).Exists() {
-		return nil, result.New(result.InvalidField, "%s is missing", field)
+	if !gjson.GetBytes(body, "messages").IsArray() {
+		return result.New(result.InvalidField, "messages must be an array")
 	}
-	return service, nil
+	return nil
 }
 
 // EngineOptions returns the fields of a request for an engine service.
