Bound a crashing request body to two servers of a zone

Cause: a body that crashes its server was retried by the dispatcher, by the batch job without end, and by its caller at every host.

Change: after a crash the bodies that ran there are suspects, told to all live hosts before the failure is reported; a suspect runs by permit of the zone's home host, one run a body and one suspect a server; success clears it, a second crash condemns it for an hour (code 2006, not run). Operators list and lift; a lift is audited first. Heartbeats repeat new records.

With the second crash's rule removed the test fails as it should.

Conclusion: the bound holds for sends one after another within a zone; copies in flight at once before the first crash are not called back.

--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -37,6 +37,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/dispatch"
 	"github.com/kingcupquay/kingcupquay/internal/serving/engine"
 	"github.com/kingcupquay/kingcupquay/internal/serving/keeper"
+	"github.com/kingcupquay/kingcupquay/internal/serving/quarantine"
 	"github.com/kingcupquay/kingcupquay/internal/serving/route"
 )
 
@@ -60,6 +61,7 @@
 	pool       *peer.Pool
 	keepers    *keeper.Set
 	dispatcher *dispatch.Dispatcher
+	guard      *quarantine.Guard
 	recorder   *recorder.Recorder
 	jobs       *job.Manager
 	holders    *holders
@@ -102,7 +104,8 @@
 	h.identity, h.subs = config, append(h.subs, renewal)
 	h.pool = peer.NewPool(config)
 	h.keepers = keeper.NewSet(t, engine.NewClient(t), queuePolicy(settings.Policy))
-	h.dispatcher = dispatch.New(t, (*fleetView)(h), h.keepers, h.pool, h.text.Load, settings.Zone, seed, dispatch.Policies{
+	h.guard = quarantine.NewGuard(t, (*quarantinePeers)(h), h.note)
+	h.dispatcher = dispatch.New(t, (*fleetView)(h), h.keepers, h.guard, h.pool, h.text.Load, settings.Zone, seed, dispatch.Policies{
 		Routing: route.Policy(settings.Routing), Retries: dispatch.Retries(settings.Retries),
 	}, h.ring.Note)
 	h.recorder = recorder.New(settings.Name, s, t, settings.Shards, lease.DefaultTerms, recorder.Hooks{
@@ -203,6 +206,7 @@
 	h.front.Register(s)
 	admin.New(admin.Parts{
 		Timer: h.timer, Store: h.store, Text: h.text.Load, Adopt: h.adopt, Status: h.status, Why: h.why, Note: h.ring.Note,
+		Quarantine: h.guard,
 	}).Register(s)
 	s.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.String(http.StatusOK, "ok\n") })
 	s.GET("/readyz", h.readyz)
@@ -310,6 +314,10 @@
 	known := h.view.Hosts()
 	h.mu.Unlock()
 	h.dispatcher.Reported(loads)
+	h.addQuarantine(message)
+	for _, b := range beats {
+		b.Message.Quarantine = message.Quarantine
+	}
 	for _, b := range beats {
 		go h.sendBeat(b.Address, b.Message)
 	}
@@ -341,6 +349,7 @@
 	h.mu.Lock()
 	h.view.Heard(h.timer.Now(), beat)
 	h.mu.Unlock()
+	h.learnQuarantine(beat)
 	h.dispatcher.Reported(beat.GetLoads())
 	for _, other := range beat.GetOthers() {
 		h.dispatcher.Reported(other.GetLoads())
--- a/internal/fleet/host/peers.go
+++ b/internal/fleet/host/peers.go
@@ -22,6 +22,7 @@
 	failure := s.host.keepers.Run(stream.Context(), in.GetBackend(), r, func(e request.Event) error {
 		return stream.Send(wire.EventMessage(e))
 	})
+	s.host.crashSeen(stream.Context(), r, in.GetBackend(), failure)
 	return stream.Send(wire.EventMessage(request.Event{Kind: request.Finished, Err: failure}))
 }
 
--- a/internal/operator/admin/console.go
+++ b/internal/operator/admin/console.go
@@ -54,6 +54,8 @@
 	Status func() []HostStatus
 	Why    func(ctx context.Context, subject string) Story
 	Note   func(kind, cause string, subjects ...string)
+	// Quarantine holds what is held against request bodies.
+	Quarantine Quarantine
 }
 
 // Console answers operators.
@@ -69,6 +71,8 @@
 	h.GET("/operator/text", o.handle(o.showText))
 	h.PUT("/operator/text", o.handle(o.applyText))
 	h.GET("/operator/history", o.handle(o.history))
+	h.GET("/operator/quarantine", o.handle(o.listQuarantine))
+	h.DELETE("/operator/quarantine/:fingerprint", o.handle(o.liftQuarantine))
 	h.GET("/operator/status", o.handle(o.status))
 	h.GET("/operator/why/*subject", o.handle(o.why))
 }
--- /dev/null
+++ b/internal/operator/command/quarantine.go
@@ -0,0 +1,44 @@
+package command
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/kingcupquay/kingcupquay/internal/operator/admin"
+)
+
+// addQuarantineCommands adds the commands on request bodies that are held back.
+func (s *shell) addQuarantineCommands(app *kingpin.Application, actions map[string]func() error) {
+	group := app.Command("quarantine", "Work on request bodies that crashed servers.")
+	list := s.remote(group.Command("list", "Print the suspects and the condemned."))
+	actions[list.FullCommand()] = s.listQuarantine
+
+	lift := s.remote(group.Command("lift", "Let a request body run again."))
+	fingerprint := lift.Arg("fingerprint", "Fingerprint as printed by list.").Required().String()
+	actions[lift.FullCommand()] = func() error { return s.liftQuarantine(*fingerprint) }
+}
+
+func (s *shell) listQuarantine() error {
+	var list []admin.QuarantinedBody
+	if err := s.get("/operator/quarantine", &list); err != nil {
+		return err
+	}
+	rows := make([][]string, 0, len(list))
+	for _, b := range list {
+		rows = append(rows, []string{b.Fingerprint, b.State, b.Service, strings.Join(b.Servers, ","), b.Until.Format(time.RFC3339)})
+	}
+	return s.print(list, []string{"FINGERPRINT", "STATE", "SERVICE", "SERVERS", "UNTIL"}, rows)
+}
+
+func (s *shell) liftQuarantine(fingerprint string) error {
+	if _, err := s.call(http.MethodDelete, "/operator/quarantine/"+url.PathEscape(fingerprint), "", nil); err != nil {
+		return err
+	}
+	fmt.Fprintf(s.out, "lifted %s\n", fingerprint)
+	return nil
+}
--- a/internal/serving/dispatch/dispatcher.go
+++ b/internal/serving/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
 	"github.com/kingcupquay/kingcupquay/internal/operator/services"
 	"github.com/kingcupquay/kingcupquay/internal/serving/engine"
+	"github.com/kingcupquay/kingcupquay/internal/serving/quarantine"
 	"github.com/kingcupquay/kingcupquay/internal/serving/request"
 	"github.com/kingcupquay/kingcupquay/internal/serving/retry"
 	"github.com/kingcupquay/kingcupquay/internal/serving/route"
@@ -44,6 +46,7 @@
 	timer timer.Service
 	fleet Fleet
 	local Local
+	guard Guard
 	pool  *peer.Pool
 	text  func() *services.Text
 	note  func(kind, cause string, subjects ...string)
@@ -53,6 +56,19 @@
 	retry  retry.Policy
 }
 
+// Guard keeps request bodies that crash servers from running again.
+type Guard interface {
+	// Check refuses a body that must not run at all.
+	Check(r *request.Request) *result.Error
+	// Admit lets a request run at a back end or refuses it with Overloaded,
+	// where another back end or moment may do, or with Quarantined.
+	Admit(ctx context.Context, r *request.Request, backend string) (permitted bool, failure *result.Error)
+	// Ended takes the end of an admitted run.
+	Ended(ctx context.Context, r *request.Request, backend string, permitted bool, failure *result.Error)
+}
+
+var _ Guard = (*quarantine.Guard)(nil)
+
 // Retries names a policy for retries.
 type Retries string
 
@@ -69,10 +85,10 @@
 }
 
 // New returns a dispatcher for a host in zone.
-func New(t timer.Service, fleet Fleet, local Local, pool *peer.Pool, text func() *services.Text,
+func New(t timer.Service, fleet Fleet, local Local, guard Guard, pool *peer.Pool, text func() *services.Text,
 	zone string, seed uint64, policies Policies, note func(kind, cause string, subjects ...string)) *Dispatcher {
 	d := &Dispatcher{
-		timer: t, fleet: fleet, local: local, pool: pool, text: text, note: note,
+		timer: t, fleet: fleet, local: local, guard: guard, pool: pool, text: text, note: note,
 		router: route.NewRouter(zone, seed, policies.Routing), retry: retry.NewBudgeted(seed),
 	}
 	if policies.Retries == ImmediateRetries {
@@ -122,6 +138,9 @@
 	if !ok {
 		return result.New(result.UnknownService, "no service %q", r.Service())
 	}
+	if failure := d.guard.Check(r); failure != nil {
+		return failure
+	}
 	a := &answer{request: r, now: d.timer.Now, transcript: engine.NewTranscript(r), sink: sink}
 	d.mu.Lock()
 	d.retry.Fresh()
@@ -180,26 +199,57 @@
 	}
 }
 
+// admitTries is how many back ends are looked at for one attempt.
+const admitTries = 3
+
 // attempt sends the request to one back end.
 func (d *Dispatcher) attempt(ctx context.Context, a *answer, avoid []string) *result.Error {
-	d.mu.Lock()
-	backend, failure := d.router.Pick(d.timer.Now(), a.request, avoid)
-	if failure == nil {
-		d.router.Sent(d.timer.Now(), backend.Name, a.request.Urgency())
-	}
-	d.mu.Unlock()
+	backend, permitted, failure := d.admit(ctx, a, avoid)
 	if failure != nil {
 		return failure
 	}
 	a.backend, a.attempted, a.refused = backend.Name, time.Time{}, false
+	if permitted {
+		bounded, cancel := context.WithTimeout(ctx, quarantine.PermitFor)
+		defer cancel()
+		ctx = bounded
+	}
 	failure = d.send(ctx, a, &backend)
 	d.ended(a, backend.Name, failure)
+	d.guard.Ended(ctx, a.request, backend.Name, permitted, failure)
 	if lostServer(failure) {
 		d.note("attempt failed", failure.Error(), a.request.ID(), backend.Name, a.request.Service())
 	}
 	return failure
 }
 
+// admit picks a back end that the guard lets the request run at; Sent was
+// told to the router.
+func (d *Dispatcher) admit(ctx context.Context, a *answer, avoid []string) (services.Backend, bool, *result.Error) {
+	var last *result.Error
+	for range admitTries {
+		d.mu.Lock()
+		backend, failure := d.router.Pick(d.timer.Now(), a.request, avoid)
+		if failure == nil {
+			d.router.Sent(d.timer.Now(), backend.Name, a.request.Urgency())
+		}
+		d.mu.Unlock()
+		if failure != nil {
+			return backend, false, failure
+		}
+		permitted, failure := d.guard.Admit(ctx, a.request, backend.Name)
+		if failure == nil {
+			return backend, permitted, nil
+		}
+		d.ended(a, backend.Name, failure)
+		if failure.Code() != result.Overloaded {
+			return backend, false, failure
+		}
+		last, avoid = failure, append(slices.Clone(avoid), backend.Name)
+	}
+	return services.Backend{}, false, last
+}
+
 // ended tells the router how the attempt went.
 func (d *Dispatcher) ended(a *answer, backend string, failure *result.Error) {
 	now := d.timer.Now()
