Split the batch job into a plan, a shard and a worker

Cause: goroutines and decisions of a job were mixed in one file, so that neither could be tested alone.

--- a/internal/batch/chunk/file.go
+++ b/internal/batch/chunk/file.go
@@ -55,6 +55,8 @@
 	Bytes        int64     `json:"bytes"`
 	Lines        int       `json:"lines"`
 	Chunks       int       `json:"chunks"`
+	// Starts holds the number of the first line of each chunk, from 0.
+	Starts []int `json:"starts,omitempty"`
 	// Digest is the SHA-256 sum of the lines in hexadecimal.
 	Digest string `json:"digest"`
 }
@@ -102,6 +104,9 @@
 			return err
 		}
 	}
+	if w.buffer.Len() == 0 {
+		w.manifest.Starts = append(w.manifest.Starts, w.manifest.Lines)
+	}
 	w.buffer.Write(line)
 	w.buffer.WriteByte('\n')
 	w.manifest.Lines++
--- /dev/null
+++ b/internal/batch/job/durable.go
@@ -0,0 +1,184 @@
+package job
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/kingcupquay/kingcupquay/internal/batch/chunk"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/zone"
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/record/store"
+)
+
+const (
+	removeTimeout = 30 * time.Second
+	// removeKeys bounds the keys that one transaction deletes.
+	removeKeys = 100
+)
+
+// load reads the jobs of a shard and the revision of its last checkpoint.
+func load(ctx context.Context, s store.Store, shard int) ([]Loaded, int64, error) {
+	last, _, err := s.Get(ctx, writeKey(shard))
+	if err != nil {
+		return nil, 0, err
+	}
+	entries, _, err := store.RangeAll(ctx, s, Prefix(shard), rangePage)
+	if err != nil {
+		return nil, 0, err
+	}
+	var jobs []Loaded
+	for _, entry := range entries {
+		record, err := DecodeRecord(entry.Value)
+		if err != nil {
+			continue
+		}
+		one := Loaded{Record: record}
+		if !record.State.Final() {
+			if one.Done, err = loadProgress(ctx, s, record); err != nil {
+				return nil, 0, err
+			}
+		}
+		jobs = append(jobs, one)
+	}
+	return jobs, last.ModRevision, nil
+}
+
+func loadProgress(ctx context.Context, s store.Store, record *Record) (bitmap, error) {
+	entry, _, err := s.Get(ctx, progressKey(record.ID))
+	if err != nil {
+		return nil, err
+	}
+	return decodeProgress(entry.Value, record.Total)
+}
+
+// txnOf builds the compare-and-swap of a checkpoint: the shard's token, its
+// previous checkpoint and the absence of what is new are compared.
+func txnOf(shard int, token int64, c *Checkpoint) store.Txn {
+	txn := store.Txn{
+		Compares: []store.Compare{
+			{Key: zone.ShardName(shard), Target: store.CreateRevision, Revision: token},
+			{Key: writeKey(shard), Target: store.ModRevision, Revision: c.After},
+		},
+		Puts: []store.Put{{Key: writeKey(shard), Value: []byte(c.ID)}},
+	}
+	for i := range c.Jobs {
+		addJob(&txn, shard, &c.Jobs[i])
+	}
+	return txn
+}
+
+func addJob(txn *store.Txn, shard int, w *JobWrite) {
+	r := &w.Record
+	txn.Puts = append(txn.Puts, store.Put{Key: Key(shard, r.ID), Value: encodeRecord(r)})
+	if w.New {
+		txn.Compares = append(txn.Compares, store.Compare{Key: Key(shard, r.ID), Target: store.CreateRevision})
+		txn.Puts = append(txn.Puts, store.Put{Key: indexKey(r), Value: []byte(r.ID)})
+	}
+	switch {
+	case r.State.Final():
+		txn.Deletes = append(txn.Deletes, progressKey(r.ID))
+	case w.taken > 0:
+		txn.Puts = append(txn.Puts, store.Put{Key: progressKey(r.ID), Value: chunk.Pack(w.Done)})
+	}
+	if len(w.Output) > 0 {
+		putChunk(txn, chunk.Key(r.OutputFile(), r.OutputChunks-1), w.Output)
+	}
+	if len(w.Errors) > 0 {
+		putChunk(txn, chunk.Key(r.ErrorFile(), r.ErrorChunks-1), w.Errors)
+	}
+}
+
+func putChunk(txn *store.Txn, key string, lines []byte) {
+	txn.Compares = append(txn.Compares, store.Compare{Key: key, Target: store.CreateRevision})
+	txn.Puts = append(txn.Puts, store.Put{Key: key, Value: chunk.Pack(lines)})
+}
+
+// readLast returns the shard's last checkpoint and whether the token stands.
+func readLast(ctx context.Context, s store.Store, shard int, token int64) (store.Entry, bool, error) {
+	holder, ok, err := s.Get(ctx, zone.ShardName(shard))
+	if err != nil {
+		return store.Entry{}, false, err
+	}
+	last, _, err := s.Get(ctx, writeKey(shard))
+	return last, ok && holder.CreateRevision == token, err
+}
+
+// removeJob deletes an ended job's results, then the job itself.
+func removeJob(ctx context.Context, s store.Store, shard int, token int64, r *Record) error {
+	keys := make([]string, 0, r.OutputChunks+r.ErrorChunks+2)
+	for n := range r.OutputChunks {
+		keys = append(keys, chunk.Key(r.OutputFile(), n))
+	}
+	for n := range r.ErrorChunks {
+		keys = append(keys, chunk.Key(r.ErrorFile(), n))
+	}
+	keys = append(keys, indexKey(r), Key(shard, r.ID))
+	for len(keys) > 0 {
+		n := min(len(keys), removeKeys)
+		outcome, err := s.Commit(ctx, store.Txn{
+			Compares: []store.Compare{{Key: zone.ShardName(shard), Target: store.CreateRevision, Revision: token}},
+			Deletes:  keys[:n],
+		})
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if !outcome.Succeeded {
+			return trace.CompareFailed("shard %d is not held", shard)
+		}
+		keys = keys[n:]
+	}
+	return nil
+}
+
+// Load reads a job's record from the store.
+func Load(ctx context.Context, s store.Store, shard int, id string) (*Record, *result.Error) {
+	entry, ok, err := s.Get(ctx, Key(shard, id))
+	if err != nil {
+		return nil, result.New(result.StoreUnavailable, "%v", err).WithRetry(time.Second)
+	}
+	if !ok {
+		return nil, result.New(result.NotFound, "no job %s", id)
+	}
+	record, err := DecodeRecord(entry.Value)
+	if err != nil {
+		return nil, result.New(result.Internal, "job %s: %v", id, err)
+	}
+	return record, nil
+}
+
+// List returns up to limit of an organisation's jobs after the job named
+// after, newest first, and whether there are more.
+func List(ctx context.Context, s store.Store, shards int, organisation, after string, limit int) ([]*Record, bool, *result.Error) {
+	from := indexPrefix(organisation)
+	end := store.PrefixEnd(from)
+	if after != "" {
+		last, failure := Load(ctx, s, zone.Shard(after, shards), after)
+		if failure != nil {
+			return nil, false, failure
+		}
+		if last.Organisation != organisation {
+			return nil, false, result.New(result.NotFound, "no job %s", after)
+		}
+		from = indexKey(last) + "\x00"
+	}
+	entries, _, err := s.Range(ctx, from, end, limit+1)
+	if err != nil {
+		return nil, false, result.New(result.StoreUnavailable, "%v", err).WithRetry(time.Second)
+	}
+	list := make([]*Record, 0, limit)
+	for _, entry := range entries[:min(limit, len(entries))] {
+		id := string(entry.Value)
+		record, failure := Load(ctx, s, zone.Shard(id, shards), id)
+		if failure != nil && failure.Code() != result.NotFound {
+			return nil, false, failure
+		}
+		if failure == nil {
+			list = append(list, record)
+		}
+	}
+	sort.SliceStable(list, func(i, j int) bool { return list[i].Created.After(list[j].Created) })
+	return list, len(entries) > limit, nil
+}
--- a/internal/batch/job/manager.go
+++ b/internal/batch/job/manager.go
@@ -3,15 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"sort"
 	"sync"
 	"time"
 
 	"github.com/panjf2000/ants/v2"
 
-	"github.com/kingcupquay/kingcupquay/internal/batch/chunk"
+	"github.com/kingcupquay/kingcupquay/internal/batch/item"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
-	"github.com/kingcupquay/kingcupquay/internal/fleet/zone"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
 )
@@ -20,244 +18,190 @@
 	// poolSize bounds the items in progress on one host.
 	poolSize  = 4096
 	rangePage = 100
+	tickEvery = 50 * time.Millisecond
+	shareTick = 250 * time.Millisecond
 )
 
+// Caller runs one item to its end.
+type Caller interface {
+	// Call runs an item; it returns soon after ctx ends.
+	Call(ctx context.Context, id string, j *Record, i *item.Item) Answer
+	// Slots returns how many items this host may have in progress.
+	Slots() int
+}
+
+// Holder tells whether this host may still act on a shard.
+type Holder interface {
+	// Token returns the fencing token of a shard held here.
+	Token(shard int) (int64, bool)
+}
+
+// Parts are what a manager is built on.
+type Parts struct {
+	Store  store.Store
+	Timer  timer.Service
+	Caller Caller
+	Holder Holder
+	Shards int
+	// Note records a change of state and its cause.
+	Note func(kind, cause string, subjects ...string)
+}
+
 // Manager runs the jobs of the shards that this host holds.
 type Manager struct {
-	store  store.Store
-	timer  timer.Service
-	caller Caller
-	holder Holder
-	shards int
-	pool   *ants.Pool
+	p    Parts
+	pool *ants.Pool
+	done chan struct{}
+	subs []*timer.Subscription
 
 	mu sync.Mutex
-	// open holds the shards whose jobs are loaded, runs the jobs in progress.
-	open map[int]bool
-	runs map[string]*Run
+	// open holds the shards whose jobs are loaded.
+	open  map[int]*worker
+	width Width
 }
 
 // NewManager returns a manager without jobs.
-func NewManager(s store.Store, t timer.Service, caller Caller, holder Holder, shards int) (*Manager, error) {
+func NewManager(p Parts) (*Manager, error) {
 	pool, err := ants.NewPool(poolSize, ants.WithNonblocking(true))
 	if err != nil {
 		return nil, err
 	}
-	return &Manager{
-		store: s, timer: t, caller: caller, holder: holder, shards: shards, pool: pool,
-		open: make(map[int]bool), runs: make(map[string]*Run),
-	}, nil
+	m := &Manager{p: p, pool: pool, open: make(map[int]*worker), done: make(chan struct{})}
+	m.subs = []*timer.Subscription{
+		p.Timer.Every(tickEvery, func(now time.Time) { m.tick(now) }),
+		p.Timer.Every(shareTick, func(now time.Time) { m.share(now) }),
+	}
+	return m, nil
 }
 
-// Open loads the jobs of a shard that this host has taken and goes on with
-// those that are not final.
-func (m *Manager) Open(ctx context.Context, shard int, token int64) error {
-	entries, _, err := store.RangeAll(ctx, m.store, Prefix(shard), rangePage)
-	if err != nil {
-		return err
+// Stop ends the manager at once, as a crash would: nothing is written.
+func (m *Manager) Stop() {
+	for _, sub := range m.subs {
+		sub.Cancel()
 	}
-	for _, entry := range entries {
-		record, err := DecodeRecord(entry.Value)
-		if err != nil || record.State.Final() {
-			continue
-		}
-		if err := m.resume(ctx, shard, token, record); err != nil {
-			return err
-		}
+	for _, w := range m.workers() {
+		w.abandon()
 	}
+	m.pool.Release()
+}
+
+func (m *Manager) workers() []*worker {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.open[shard] = true
-	return nil
+	list := make([]*worker, 0, len(m.open))
+	for _, w := range m.open {
+		list = append(list, w)
+	}
+	return list
 }
 
-func (m *Manager) resume(ctx context.Context, shard int, token int64, record *Record) error {
-	done := newBitmap(record.Total)
-	entry, ok, err := m.store.Get(ctx, progressKey(record.ID))
-	if err != nil {
-		return err
-	}
-	if ok {
-		stored, err := chunk.Unpack(entry.Value)
-		if err != nil {
-			return err
-		}
-		copy(done, stored)
+func (m *Manager) tick(now time.Time) {
+	for _, w := range m.workers() {
+		w.tick(now)
 	}
-	m.start(shard, token, record, done)
-	return nil
 }
 
-// Close stops the jobs of a shard without ending them; its next holder goes on.
-func (m *Manager) Close(shard int) {
-	m.mu.Lock()
-	var runs []*Run
-	for _, r := range m.runs {
-		if r.shard == shard {
-			runs = append(runs, r)
-		}
+// share divides this host's items in progress among its jobs.
+func (m *Manager) share(now time.Time) {
+	workers := m.workers()
+	var demands []Demand
+	for _, w := range workers {
+		demands = append(demands, w.demands()...)
 	}
-	delete(m.open, shard)
+	m.mu.Lock()
+	total := m.width.Limit(min(m.p.Caller.Slots(), poolSize))
 	m.mu.Unlock()
-	for _, r := range runs {
-		r.cancel(errMoved)
-		<-r.ended
-		r.checkpointAsync()
-		r.writing.Lock()
-		r.writing.Unlock() //nolint:staticcheck // waits for the last checkpoint
+	shares := Shares(now, total, demands)
+	for _, w := range workers {
+		w.setWindows(shares)
 	}
 }
 
-func (m *Manager) start(shard int, token int64, record *Record, done bitmap) {
-	ctx, cancel := context.WithCancelCause(context.Background())
-	r := &Run{
-		store: m.store, timer: m.timer, caller: m.caller, holder: m.holder, pool: m.pool,
-		shard: shard, token: token, job: *record, record: record, durable: done, seen: append(bitmap(nil), done...),
-		cancel: cancel, ended: make(chan struct{}),
-	}
+func (m *Manager) returned(now time.Time, failure *result.Error) {
 	m.mu.Lock()
-	m.runs[record.ID] = r
-	m.mu.Unlock()
-	go func() {
-		r.work(ctx)
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		if m.runs[r.job.ID] == r {
-			delete(m.runs, r.job.ID)
-		}
-	}()
-	if r.job.State == Cancelling {
-		cancel(errCancelled)
-	}
+	defer m.mu.Unlock()
+	m.width.Returned(now, failure)
 }
 
-// Create records a new job and starts it. A job with the same id is returned
-// as it stands, so that a caller that resends gets the same job.
-func (m *Manager) Create(ctx context.Context, shard int, record *Record) (*Record, *result.Error) {
-	token, failure := m.token(shard)
-	if failure != nil {
-		return nil, failure
-	}
-	if existing, failure := m.Get(ctx, shard, record.ID); failure == nil {
-		return existing, nil
-	} else if failure.Code() != result.NotFound {
-		return nil, failure
+// Open loads the jobs of a shard that this host has taken and goes on with
+// those that are not final.
+func (m *Manager) Open(ctx context.Context, shard int, token int64) error {
+	jobs, revision, err := load(ctx, m.p.Store, shard)
+	if err != nil {
+		return err
 	}
-	txn := store.Txn{
-		Compares: []store.Compare{
-			{Key: zone.ShardName(shard), Target: store.CreateRevision, Revision: token},
-			{Key: Key(shard, record.ID), Target: store.CreateRevision},
-		},
-		Puts: []store.Put{{Key: Key(shard, record.ID), Value: encodeRecord(record)}},
+	w := &worker{
+		m: m, number: shard, token: token, shard: OpenShard(token, revision, jobs),
+		waiting: make(map[Ticket]chan reply), running: make(map[string]map[int]context.CancelFunc),
+		closed: make(chan struct{}),
 	}
-	outcome, err := m.store.Commit(ctx, txn)
-	if err != nil || !outcome.Succeeded {
-		return m.createdAnyway(ctx, shard, token, record)
+	m.mu.Lock()
+	m.open[shard] = w
+	m.mu.Unlock()
+	for _, one := range jobs {
+		if !one.Record.State.Final() {
+			m.p.Note("job taken over", "this host took its shard", one.Record.ID)
+		}
 	}
-	m.start(shard, token, record, newBitmap(record.Total))
-	return record, nil
+	w.tick(m.p.Timer.Now())
+	return nil
 }
 
-// createdAnyway settles a creation of unclear outcome by reading it back.
-func (m *Manager) createdAnyway(ctx context.Context, shard int, token int64, record *Record) (*Record, *result.Error) {
-	stored, failure := m.Get(ctx, shard, record.ID)
-	if failure != nil {
-		return nil, result.New(result.StoreUnavailable, "job not accepted; send it again").WithRetry(time.Second)
-	}
+// Close stops the jobs of a shard without ending them and returns when their
+// last checkpoint is written, or the shard is not held any more.
+func (m *Manager) Close(shard int) {
 	m.mu.Lock()
-	_, running := m.runs[record.ID]
+	w, ok := m.open[shard]
 	m.mu.Unlock()
-	if !running && !stored.State.Final() {
-		m.start(shard, token, stored, newBitmap(stored.Total))
+	if !ok {
+		return
 	}
-	return stored, nil
-}
-
-func (m *Manager) token(shard int) (int64, *result.Error) {
-	token, ok := m.holder.Token(shard)
+	w.close()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !ok || !m.open[shard] {
-		return 0, result.New(result.LeaseLost, "shard %d is not held here", shard).WithRetry(time.Second)
+	if m.open[shard] == w {
+		delete(m.open, shard)
 	}
-	return token, nil
 }
 
-// Get returns a job as it stands.
-func (m *Manager) Get(ctx context.Context, shard int, id string) (*Record, *result.Error) {
+func (m *Manager) worker(shard int) (*worker, *result.Error) {
+	token, ok := m.p.Holder.Token(shard)
 	m.mu.Lock()
-	r, ok := m.runs[id]
-	m.mu.Unlock()
-	if ok {
-		record := r.Record()
-		return &record, nil
+	defer m.mu.Unlock()
+	w := m.open[shard]
+	if !ok || w == nil || w.token != token {
+		return nil, result.New(result.LeaseLost, "shard %d is not held here", shard).WithRetry(time.Second)
 	}
-	return Load(ctx, m.store, shard, id)
+	return w, nil
 }
 
-// Load reads a job's record from the store.
-func Load(ctx context.Context, s store.Store, shard int, id string) (*Record, *result.Error) {
-	entry, ok, err := s.Get(ctx, Key(shard, id))
-	if err != nil {
-		return nil, result.New(result.StoreUnavailable, "%v", err).WithRetry(time.Second)
-	}
-	if !ok {
-		return nil, result.New(result.NotFound, "no job %s", id)
-	}
-	record, err := DecodeRecord(entry.Value)
-	if err != nil {
-		return nil, result.New(result.Internal, "job %s: %v", id, err)
+// Create records a new job and starts it. A job with the same id is returned
+// as it stands, so that a caller that resends gets the same job.
+func (m *Manager) Create(ctx context.Context, shard int, record *Record) (*Record, *result.Error) {
+	w, failure := m.worker(shard)
+	if failure != nil {
+		return nil, failure
 	}
-	return record, nil
+	return w.ask(ctx, func(now time.Time, ticket Ticket) []Action { return w.shard.Create(now, ticket, *record) })
 }
 
 // Cancel stops a job for good. It returns once the wish is durable.
 func (m *Manager) Cancel(ctx context.Context, shard int, id string) (*Record, *result.Error) {
-	if _, failure := m.token(shard); failure != nil {
+	w, failure := m.worker(shard)
+	if failure != nil {
 		return nil, failure
 	}
-	m.mu.Lock()
-	r, ok := m.runs[id]
-	m.mu.Unlock()
-	if !ok {
-		return Load(ctx, m.store, shard, id)
-	}
-	r.markCancelling()
-	r.cancel(errCancelled)
-	record := r.Record()
-	return &record, nil
+	return w.ask(ctx, func(now time.Time, ticket Ticket) []Action { return w.shard.Cancel(now, ticket, id) })
 }
 
-// markCancelling makes the wish durable unless the job has ended already.
-func (r *Run) markCancelling() {
-	r.writing.Lock()
-	defer r.writing.Unlock()
-	r.mu.Lock()
-	final := r.record.State.Final()
-	if !final {
-		r.record.State = Cancelling
-	}
-	r.mu.Unlock()
-	if !final {
-		r.writeAll("", "")
-	}
-}
-
-// List returns an organisation's jobs, newest first.
-func List(ctx context.Context, s store.Store, organisation string) ([]*Record, *result.Error) {
-	entries, _, err := store.RangeAll(ctx, s, "job/", rangePage)
-	if err != nil {
-		return nil, result.New(result.StoreUnavailable, "%v", err).WithRetry(time.Second)
-	}
-	var list []*Record
-	for _, entry := range entries {
-		record, err := DecodeRecord(entry.Value)
-		if err == nil && record.Organisation == organisation {
-			list = append(list, record)
+// Get returns a job as it stands.
+func (m *Manager) Get(ctx context.Context, shard int, id string) (*Record, *result.Error) {
+	if w, failure := m.worker(shard); failure == nil {
+		if record, ok := w.get(id); ok {
+			return &record, nil
 		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Created.After(list[j].Created) })
-	return list, nil
+	return Load(ctx, m.p.Store, shard, id)
 }
 
 // Serve carries out one action that another host forwarded to the holder.
@@ -284,8 +228,10 @@
 
 // Runs reports whether the job is in progress on this host.
 func (m *Manager) Runs(id string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	_, ok := m.runs[id]
-	return ok
+	for _, w := range m.workers() {
+		if w.runs(id) {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -111,7 +111,9 @@
 	h.recorder = recorder.New(settings.Name, s, t, settings.Shards, lease.DefaultTerms, recorder.Hooks{
 		Live: h.live, Won: h.shardWon, Lost: h.shardLost, RunAgain: h.runAgain, Note: h.note,
 	})
-	jobs, err := job.NewManager(s, t, &itemCaller{host: h}, h.recorder, settings.Shards)
+	jobs, err := job.NewManager(job.Parts{
+		Store: s, Timer: t, Caller: &itemCaller{host: h}, Holder: h.recorder, Shards: settings.Shards, Note: h.note,
+	})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -119,7 +121,7 @@
 	h.holders = &holders{recorder: h.recorder, jobs: jobs, pool: h.pool, address: h.peerAddress, self: settings.Name}
 	h.front = caller.New(caller.Parts{
 		Host: settings.Name, Timer: t, Text: h.text.Load, Runner: h.dispatcher, Records: h.holders, Jobs: h.holders,
-		Store: s, Hosts: h.live, Note: h.ring.Note,
+		Store: s, Shards: settings.Shards, Hosts: h.live, Note: h.ring.Note,
 	})
 	return h, nil
 }
@@ -241,6 +243,7 @@
 	h.beat(h.timer.Now())
 	h.front.Stop(ctx)
 	h.recorder.Leave(ctx)
+	h.jobs.Stop()
 	h.flushCauses()
 	for _, sub := range h.subs {
 		sub.Cancel()
@@ -259,6 +262,7 @@
 		sub.Cancel()
 	}
 	h.recorder.Stop()
+	h.jobs.Stop()
 	h.grpc.Stop()
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
--- /dev/null
+++ b/internal/fleet/host/items.go
@@ -0,0 +1,96 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/kingcupquay/kingcupquay/internal/batch/item"
+	"github.com/kingcupquay/kingcupquay/internal/batch/job"
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/operator/services"
+	"github.com/kingcupquay/kingcupquay/internal/serving/caller"
+	"github.com/kingcupquay/kingcupquay/internal/serving/request"
+)
+
+// itemsPerSlot is how many items a host has in progress per slot of the back
+// ends, so that no slot stays idle between two items.
+const itemsPerSlot = 2
+
+// itemCaller runs the items of jobs as batch requests of this host.
+type itemCaller struct {
+	host *Host
+}
+
+var _ job.Caller = (*itemCaller)(nil)
+
+// Call runs one item.
+func (c *itemCaller) Call(ctx context.Context, id string, j *job.Record, i *item.Item) job.Answer {
+	text := c.host.text.Load()
+	if text == nil {
+		return refused(result.New(result.StoreUnavailable, "no services text yet"))
+	}
+	if i.URL() != j.Endpoint {
+		return refused(result.New(result.InvalidItem, "url %s is not the job's endpoint", i.URL()))
+	}
+	service, o, failure := itemOptions(text, i)
+	if failure != nil {
+		return refused(failure)
+	}
+	if organisation, ok := text.Organisation(j.Organisation); !ok || !organisation.Allows(service.Name) {
+		return refused(result.New(result.ServiceForbidden, "organisation %s may not call %s", j.Organisation, service.Name))
+	}
+	o.ID, o.Organisation, o.Urgency, o.Due = id, j.Organisation, request.Batch, j.Due
+	status, _, body, failure := caller.RunWhole(ctx, c.host.dispatcher, request.New(o))
+	return job.Answer{
+		Response: item.Response{StatusCode: status, RequestID: id, Body: jsonBody(body)}, Failure: failure, Weight: service.Weight,
+	}
+}
+
+func refused(failure *result.Error) job.Answer { return job.Answer{Failure: failure} }
+
+// itemOptions returns the service of an item and the request for it. An item
+// may run again after the loss of its host, so its service must be idempotent.
+func itemOptions(text *services.Text, i *item.Item) (*services.Service, request.Options, *result.Error) {
+	if !strings.HasPrefix(i.URL(), "/services/") {
+		service, failure := caller.ServiceOf(text, i.URL(), i.Body())
+		if failure != nil {
+			return nil, request.Options{}, failure
+		}
+		return service, caller.EngineOptions(service, i.URL(), i.Body()), nil
+	}
+	service, path, ok := caller.PlainEndpoint(text, i.URL())
+	if !ok {
+		return nil, request.Options{}, result.New(result.UnknownService, "no plain service at %s", i.URL())
+	}
+	if !service.Idempotent {
+		return nil, request.Options{}, result.New(result.InvalidItem, "service %s is not idempotent", service.Name)
+	}
+	return service, caller.PlainOptions(service, http.MethodPost, path, i.Body()), nil
+}
+
+// jsonBody returns a body as JSON: one that is not becomes a string.
+func jsonBody(body []byte) json.RawMessage {
+	if json.Valid(body) {
+		return body
+	}
+	text, err := json.Marshal(string(body))
+	if err != nil {
+		return nil
+	}
+	return text
+}
+
+// Slots returns how many items this host may have in progress.
+func (c *itemCaller) Slots() int {
+	text := c.host.text.Load()
+	if text == nil {
+		return itemsPerSlot
+	}
+	slots := 0
+	for _, b := range text.Backends() {
+		slots += b.Slots
+	}
+	return slots * itemsPerSlot
+}
--- a/internal/fleet/host/records.go
+++ b/internal/fleet/host/records.go
@@ -134,7 +134,7 @@
 
 // Act carries out an action on a job at its holder.
 func (h *holders) Act(ctx context.Context, action, id string, body []byte) (*job.Record, *result.Error) {
-	shard := job.Shard(id, h.recorder.Shards())
+	shard := zone.Shard(id, h.recorder.Shards())
 	var record *job.Record
 	failure := h.exchange(ctx, shard, func(ctx context.Context) *result.Error {
 		var failure *result.Error
--- a/internal/fleet/host/shards.go
+++ b/internal/fleet/host/shards.go
@@ -2,35 +2,26 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
-	"github.com/kingcupquay/kingcupquay/internal/batch/item"
-	"github.com/kingcupquay/kingcupquay/internal/batch/job"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/wire"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/zone"
-	"github.com/kingcupquay/kingcupquay/internal/operator/result"
 	"github.com/kingcupquay/kingcupquay/internal/record/ledger"
-	"github.com/kingcupquay/kingcupquay/internal/serving/caller"
 	"github.com/kingcupquay/kingcupquay/internal/serving/request"
 )
 
-const (
-	openTimeout = 10 * time.Second
-	// windowExtra is how many items a job has waiting per slot in use.
-	windowExtra = 2
-)
+// openTimeout bounds one try to read the jobs of a shard.
+const openTimeout = 10 * time.Second
 
-// shardWon opens the jobs of a shard that this host has taken.
+// shardWon opens the jobs of a shard that this host has taken; it tries as
+// long as the shard is held.
 func (h *Host) shardWon(shard int, token int64) {
-	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
-	defer cancel()
 	for {
-		err := h.jobs.Open(ctx, shard, token)
+		err := h.openJobs(shard, token)
 		if err == nil {
 			return
 		}
-		if _, held := h.recorder.Token(shard); !held || ctx.Err() != nil {
+		if current, held := h.recorder.Token(shard); !held || current != token {
 			h.note("jobs not opened", err.Error(), zone.ShardName(shard))
 			return
 		}
@@ -38,6 +29,12 @@
 	}
 }
 
+func (h *Host) openJobs(shard int, token int64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+	defer cancel()
+	return h.jobs.Open(ctx, shard, token)
+}
+
 // shardLost stops the jobs of a shard.
 func (h *Host) shardLost(shard int) { h.jobs.Close(shard) }
 
@@ -54,48 +51,5 @@
 	h.front.RunClaimed(ctx, entry.Key, entry.Attempt, r)
 }
 
-// itemCaller runs the items of jobs as batch requests of this host.
-type itemCaller struct {
-	host *Host
-}
-
-var _ job.Caller = (*itemCaller)(nil)
-
-// Call runs one item.
-func (c *itemCaller) Call(ctx context.Context, id string, j *job.Record, i *item.Item) (item.Response, *result.Error) {
-	text := c.host.text.Load()
-	if text == nil {
-		return item.Response{}, result.New(result.StoreUnavailable, "no services text yet")
-	}
-	if i.URL() != j.Endpoint {
-		return item.Response{}, result.New(result.InvalidItem, "url %s is not the job's endpoint", i.URL())
-	}
-	service, failure := caller.ServiceOf(text, i.URL(), i.Body())
-	if failure != nil {
-		return item.Response{}, failure
-	}
-	if o, ok := text.Organisation(j.Organisation); !ok || !o.Allows(service.Name) {
-		return item.Response{}, result.New(result.ServiceForbidden, "organisation %s may not call %s", j.Organisation, service.Name)
-	}
-	o := caller.EngineOptions(service, i.URL(), i.Body())
-	o.ID, o.Organisation, o.Urgency, o.Due = id, j.Organisation, request.Batch, j.Due
-	_, _, body, failure := caller.RunWhole(ctx, c.host.dispatcher, request.New(o))
-	return item.Response{StatusCode: http.StatusOK, RequestID: id, Body: body}, failure
-}
-
-// Window returns how many items of the job may be in progress: what the
-// engines have slots for, and a few that wait so that no slot stays idle.
-func (c *itemCaller) Window(*job.Record) int {
-	text := c.host.text.Load()
-	if text == nil {
-		return windowExtra
-	}
-	slots := 0
-	for _, b := range text.Backends() {
-		slots += b.Slots
-	}
-	return slots * windowExtra
-}
-
 // RunsJob reports whether the job is in progress on this host.
 func (h *Host) RunsJob(id string) bool { return h.jobs.Runs(id) }
--- a/internal/serving/caller/batches.go
+++ b/internal/serving/caller/batches.go
@@ -6,11 +6,13 @@
 	"encoding/hex"
 	"encoding/json"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/kingcupquay/kingcupquay/internal/batch/chunk"
 	"github.com/kingcupquay/kingcupquay/internal/batch/job"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/operator/services"
 )
 
 const (
@@ -50,8 +52,8 @@
 	if err != nil || window <= 0 || window > maxWindow {
 		return result.New(result.InvalidField, "completion_window must be a duration up to %s, as in 24h", maxWindow)
 	}
-	if in.Endpoint != "/v1/chat/completions" && in.Endpoint != "/v1/completions" {
-		return result.New(result.InvalidField, "endpoint must be /v1/chat/completions or /v1/completions")
+	if failure := batchEndpoint(c.text, in.Endpoint); failure != nil {
+		return failure
 	}
 	manifest, failure := chunk.Open(ctx, f.p.Store, in.InputFileID)
 	if failure != nil {
@@ -64,6 +66,7 @@
 		ID: jobID(c.organisation.Name, key, manifest.Digest, &in), Organisation: c.organisation.Name,
 		InputFile: in.InputFileID, Endpoint: in.Endpoint, Window: in.CompletionWindow, Metadata: in.Metadata,
 		State: job.InProgress, Created: c.now, Due: c.now.Add(window), Chunks: manifest.Chunks, Total: manifest.Lines,
+		Starts: manifest.Starts,
 	}
 	encoded, err := json.Marshal(record)
 	if err != nil {
@@ -76,6 +79,39 @@
 	return c.json(batchView(created))
 }
 
+// batchEndpoint checks that the items of a job may be repeated: those of a
+// plain service only if it is idempotent.
+func batchEndpoint(text *services.Text, endpoint string) *result.Error {
+	if endpoint == "/v1/chat/completions" || endpoint == "/v1/completions" {
+		return nil
+	}
+	service, _, ok := PlainEndpoint(text, endpoint)
+	if !ok {
+		return result.New(result.InvalidField,
+			"endpoint must be /v1/chat/completions, /v1/completions or /services/NAME/PATH of a plain service")
+	}
+	if !service.Idempotent {
+		return result.New(result.InvalidField,
+			"service %s is not idempotent; a batch may repeat its items, so call the service directly", service.Name)
+	}
+	return nil
+}
+
+// PlainEndpoint returns the plain service of an endpoint /services/NAME/PATH
+// and the path at its back ends.
+func PlainEndpoint(text *services.Text, endpoint string) (*services.Service, string, bool) {
+	rest, ok := strings.CutPrefix(endpoint, "/services/")
+	name, path, found := strings.Cut(rest, "/")
+	if !ok || !found {
+		return nil, "", false
+	}
+	service, ok := text.Service(name)
+	if !ok || service.Kind != services.PlainKind {
+		return nil, "", false
+	}
+	return service, "/" + path, true
+}
+
 // jobID is the same for the same job, whichever host takes it.
 func jobID(organisation, key, digest string, in *createBatchBody) string {
 	metadata, _ := json.Marshal(in.Metadata)
@@ -129,20 +165,12 @@
 		}
 		limit = n
 	}
-	records, failure := job.List(ctx, f.p.Store, c.organisation.Name)
+	records, more, failure := job.List(ctx, f.p.Store, f.p.Shards, c.organisation.Name, c.http.Query("after"), limit)
 	if failure != nil {
 		return failure
 	}
-	if after := c.http.Query("after"); after != "" {
-		for i, record := range records {
-			if record.ID == after {
-				records = records[i+1:]
-				break
-			}
-		}
-	}
-	page := listBody[batchBody]{Object: "list", Data: []batchBody{}, HasMore: len(records) > limit}
-	for _, record := range records[:min(limit, len(records))] {
+	page := listBody[batchBody]{Object: "list", Data: []batchBody{}, HasMore: more}
+	for _, record := range records {
 		page.Data = append(page.Data, batchView(record))
 	}
 	if n := len(page.Data); n > 0 {
--- a/internal/serving/caller/front.go
+++ b/internal/serving/caller/front.go
@@ -65,8 +65,10 @@
 	Records Records
 	Jobs    Jobs
 	Store   store.Store
-	Hosts   func() []string
-	Note    func(kind, cause string, subjects ...string)
+	// Shards is the number of shards of the deployment.
+	Shards int
+	Hosts  func() []string
+	Note   func(kind, cause string, subjects ...string)
 }
 
 // Front answers callers.
