--- a/internal/batch/job/durable.go
+++ b/internal/batch/job/durable.go
@@ -46,12 +46,12 @@
 	return jobs, last.ModRevision, nil
 }
 
-func loadProgress(ctx context.Context, s store.Store, record *Record) (bitmap, error) {
+func loadProgress(ctx context.Context, s store.Store, record *Record) ([]byte, error) {
 	entry, _, err := s.Get(ctx, progressKey(record.ID))
 	if err != nil {
 		return nil, err
 	}
-	return decodeProgress(entry.Value, record.Total)
+	return DecodeProgress(entry.Value, record.Total)
 }
 
 // txnOf builds the compare-and-swap of a checkpoint: the shard's token, its
--- a/internal/batch/job/record.go
+++ b/internal/batch/job/record.go
@@ -123,12 +123,25 @@
 	if r.ID == "" || r.Total < 0 || r.Total > chunk.MaxLines || r.Chunks < 0 || r.Chunks > r.Total {
 		return nil, errRecord
 	}
-	if len(r.Starts) != 0 && len(r.Starts) != r.Chunks {
+	if len(r.Starts) != 0 && !r.startsValid() {
 		return nil, errRecord
 	}
 	return r, nil
 }
 
+// startsValid reports whether the starts rise from 0, one for each chunk.
+func (r *Record) startsValid() bool {
+	if len(r.Starts) != r.Chunks || r.Starts[0] != 0 {
+		return false
+	}
+	for i := 1; i < len(r.Starts); i++ {
+		if r.Starts[i] <= r.Starts[i-1] || r.Starts[i] >= r.Total {
+			return false
+		}
+	}
+	return true
+}
+
 // bitmap is a set of item numbers.
 type bitmap []byte
 
@@ -140,8 +153,8 @@
 
 func (b bitmap) remove(i int) { b[i/8] &^= 1 << (i % 8) }
 
-// decodeProgress reads a job's set of done items; any bytes are safe to pass.
-func decodeProgress(value []byte, total int) (bitmap, error) {
+// DecodeProgress reads a job's set of done items; any bytes are safe to pass.
+func DecodeProgress(value []byte, total int) ([]byte, error) {
 	done := newBitmap(total)
 	if value == nil {
 		return done, nil
--- a/internal/batch/job/shard.go
+++ b/internal/batch/job/shard.go
@@ -442,7 +442,7 @@
 		delete(s.plans, id)
 		s.ended[id] = &w.Record
 		actions = append(actions, Action{Kind: End, Job: id, Record: &w.Record})
-	} else if p.final == Cancelled && w.Record.State != Cancelling {
+	} else if p.phase == ended || (p.final == Cancelled && w.Record.State != Cancelling) {
 		p.urgent = true
 		return nil
 	}
