Prove the record protocol under paired faults and keep split answers

Cause: groups that held the first parts of an answer were counted as free and deleted before the last part was durable; a claim was told "may have run" during an outage although it was certainly not durable; a second run lost with its host waited for its whole time again.

Change: parts are held until their answer is whole; during an outage a refused write withdraws its claims at once; a new holder settles its predecessor's second runs after the grace.

--- a/internal/record/ledger/clean.go
+++ b/internal/record/ledger/clean.go
@@ -92,6 +92,27 @@
 	}
 }
 
+// hold keeps a group that has parts of e's latest record, which is not durable
+// as a whole yet.
+func (l *groupLog) hold(e *Entry, sequence int64) {
+	if g, ok := l.groups[sequence]; ok && e.partial < sequence {
+		g.live++
+		g.split = true
+		e.partial = sequence
+	}
+}
+
+// unhold ends all holds for e.
+func (l *groupLog) unhold(e *Entry) {
+	for sequence := e.newFirst; e.partial > 0 && sequence <= e.partial; sequence++ {
+		if g, ok := l.groups[sequence]; ok {
+			g.live--
+			l.freed = append(l.freed, sequence)
+		}
+	}
+	e.partial = 0
+}
+
 // sweep marks groups dead that were freed of their last live record.
 func (l *groupLog) sweep() {
 	for _, sequence := range l.freed {
--- a/internal/record/ledger/entry.go
+++ b/internal/record/ledger/entry.go
@@ -61,6 +61,8 @@
 	write     uint64
 	unwritten int
 	newFirst  int64
+	// partial is the last group held for parts of the latest record.
+	partial int64
 	// bytes is the size of the latest record, held that of the durable one.
 	bytes, held int
 	// queued is the entry's time in the schedule, zero if it is not there.
--- a/internal/record/ledger/shard.go
+++ b/internal/record/ledger/shard.go
@@ -115,6 +115,9 @@
 	// flight is the group being written; nil if none.
 	flight     *flight
 	lastCommit time.Time
+	// down says that the store refused a group until its claims were withdrawn,
+	// and none was written since.
+	down bool
 	// probe is the earliest time of a new claim after an outage was seen.
 	probe  time.Time
 	log    groupLog
@@ -142,7 +145,8 @@
 		s.replay(group, firsts)
 	}
 	for _, e := range s.entries {
-		if e.State == Claimed && e.overdue.Before(now.Add(openGrace)) {
+		if e.State == Claimed && (e.Runs > 0 || e.overdue.Before(now.Add(openGrace))) {
+			// A second run was the former holder's, which is gone.
 			e.overdue = now.Add(openGrace)
 		}
 		s.enqueue(e)
@@ -340,6 +344,7 @@
 	}
 	count := (len(answer) + maxPartBytes - 1) / maxPartBytes
 	parts := make([]*wire.Record, count)
+	record.Answer = nil
 	for i := range parts {
 		part := proto.CloneOf(record)
 		part.Answer = answer[i*maxPartBytes : min((i+1)*maxPartBytes, len(answer))]
--- /dev/null
+++ b/internal/record/ledger/shard_test.go
@@ -0,0 +1,442 @@
+package ledger_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/kingcupquay/kingcupquay/internal/fleet/wire"
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/record/ledger"
+	"github.com/kingcupquay/kingcupquay/internal/record/store"
+)
+
+// naive runs every message in order, in one process that never fails.
+type naive struct{ keys map[string]*naiveKey }
+
+type naiveKey struct {
+	attempt, fingerprint string
+	state                ledger.State
+	idempotent           bool
+	overdue, expire      time.Time
+}
+
+const (
+	naiveMargin = 2 * time.Second
+	naiveKeep   = 90*time.Second + 500*time.Millisecond
+)
+
+func (n *naive) settle(now time.Time) {
+	for key, k := range n.keys {
+		if k.state == ledger.Claimed && !now.Before(k.overdue) {
+			k.state, k.expire = ledger.MayHaveRun, now.Add(naiveKeep)
+		}
+		if k.state != ledger.Claimed && !now.Before(k.expire) {
+			delete(n.keys, key)
+		}
+	}
+}
+
+// reopen gives owners time to report to the new holder.
+func (n *naive) reopen(now time.Time) {
+	for _, k := range n.keys {
+		if grace := now.Add(5 * time.Second); k.state == ledger.Claimed && k.overdue.Before(grace) {
+			k.overdue = grace
+		}
+	}
+}
+
+func (n *naive) claim(now time.Time, key, attempt, fingerprint string, idempotent bool, wait time.Duration) (result.Code, *naiveKey) {
+	k, ok := n.keys[key]
+	if ok && k.fingerprint != fingerprint {
+		return result.KeyReused, nil
+	}
+	again := ok && k.attempt != attempt && (k.state == ledger.NotRun || (k.idempotent && (k.state == ledger.Failed || k.state == ledger.MayHaveRun)))
+	if ok && !again {
+		return result.OK, k
+	}
+	k = &naiveKey{attempt: attempt, fingerprint: fingerprint, state: ledger.Claimed, idempotent: idempotent, overdue: now.Add(wait + naiveMargin)}
+	n.keys[key] = k
+	return result.OK, k
+}
+
+func (n *naive) finish(now time.Time, key, attempt string, state ledger.State) (result.Code, *naiveKey) {
+	k, ok := n.keys[key]
+	if !ok {
+		return result.NotFound, nil
+	}
+	own := k.attempt == attempt
+	takes := k.state == ledger.Claimed && (own || k.idempotent && state == ledger.Done)
+	takes = takes || k.state == ledger.MayHaveRun && (state == ledger.Done && (own || k.idempotent) || state == ledger.Failed && own)
+	if takes {
+		k.attempt, k.state, k.expire = attempt, state, now.Add(naiveKeep)
+	}
+	return result.OK, k
+}
+
+// ask gives one message to the only holder and returns its answer.
+func (w *world) ask(message func(h *holder, t ledger.Ticket) []ledger.Action) answer {
+	h := w.holders[len(w.holders)-1]
+	h.serial++
+	ticket := h.serial
+	h.queue = append(h.queue, message(h, ticket)...)
+	w.drain(h)
+	for range 200 {
+		if a, ok := h.answers[ticket]; ok {
+			return a
+		}
+		h.queue = append(h.queue, h.shard.Tick(w.clock.Now())...)
+		w.drain(h)
+		w.clock.Advance(time.Millisecond * 10)
+	}
+	panic("no answer")
+}
+
+func same(t *rapid.T, a answer, code result.Code, k *naiveKey) {
+	if a.failure != nil || code != result.OK {
+		if a.failure == nil || a.failure.Code() != code {
+			t.Fatalf("failure %v, the naive version says %v", a.failure, code)
+		}
+		return
+	}
+	if a.found.State != k.state || a.found.Attempt != k.attempt {
+		t.Fatalf("%v by %s, the naive version says %v by %s", a.found.State, a.found.Attempt, k.state, k.attempt)
+	}
+}
+
+func TestShardAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w, n := newSteadyWorld(), &naive{keys: make(map[string]*naiveKey)}
+		for range rapid.IntRange(1, 60).Draw(t, "messages") {
+			// Whole seconds keep what falls due away from the milliseconds that
+			// the shard takes to write.
+			w.clock.Advance(start.Add(w.clock.Now().Sub(start).Truncate(time.Second) + time.Second).Sub(w.clock.Now()))
+			w.clock.Advance(time.Duration(rapid.IntRange(0, 40).Draw(t, "wait")) * time.Second)
+			if rapid.IntRange(0, 9).Draw(t, "reopen") == 0 {
+				w.reopen()
+				n.reopen(w.clock.Now())
+			}
+			n.settle(w.clock.Now())
+			w.idle()
+			now := w.clock.Now()
+			key := fmt.Sprintf("k%d", rapid.IntRange(0, 3).Draw(t, "key"))
+			attempt := fmt.Sprintf("a%d", rapid.IntRange(0, 3).Draw(t, "attempt"))
+			switch rapid.IntRange(0, 2).Draw(t, "kind") {
+			case 0:
+				fingerprint := rapid.SampledFrom([]string{"f", "f", "f", "g"}).Draw(t, "fingerprint")
+				idempotent := key == "k0"
+				a := w.ask(func(h *holder, ticket ledger.Ticket) []ledger.Action {
+					return h.shard.Claim(now, ticket, &wire.ClaimRequest{
+						Key: key, Attempt: attempt, Fingerprint: []byte(fingerprint), Idempotent: idempotent,
+						DeadlineInMs: 20_500, KeepMs: naiveKeep.Milliseconds(),
+					})
+				})
+				code, k := n.claim(now, key, attempt, fingerprint, idempotent, 20*time.Second+500*time.Millisecond)
+				same(t, a, code, k)
+			case 1:
+				state := ledger.State(rapid.IntRange(int(ledger.Done), int(ledger.MayHaveRun)).Draw(t, "state"))
+				a := w.ask(func(h *holder, ticket ledger.Ticket) []ledger.Action {
+					return h.shard.Finish(now, ticket, finishOf(key, attempt, state))
+				})
+				code, k := n.finish(now, key, attempt, state)
+				same(t, a, code, k)
+			default:
+				a := w.ask(func(h *holder, ticket ledger.Ticket) []ledger.Action { return h.shard.Lookup(ticket, key) })
+				k, ok := n.keys[key]
+				code := result.OK
+				if !ok {
+					code = result.NotFound
+				}
+				same(t, a, code, k)
+			}
+		}
+	})
+}
+
+// idle ticks the shard until nothing waits for the store.
+func (w *world) idle() {
+	h := w.holders[len(w.holders)-1]
+	for first := true; first || !h.shard.Idle(); first = false {
+		h.queue = append(h.queue, h.shard.Tick(w.clock.Now())...)
+		w.drain(h)
+		w.clock.Advance(10 * time.Millisecond)
+	}
+}
+
+// reopen lets a new holder open the shard from the store.
+func (w *world) reopen() {
+	h := w.holders[len(w.holders)-1]
+	h.dead = true
+	_ = w.kv.Revoke(ctx, h.session)
+	w.take()
+}
+
+func (w *world) claimAndFinish(key string, body []byte) answer {
+	now := w.clock.Now()
+	a := w.ask(func(h *holder, t ledger.Ticket) []ledger.Action {
+		return h.shard.Claim(now, t, &wire.ClaimRequest{
+			Key: key, Attempt: "of " + key, Fingerprint: []byte("f"), DeadlineInMs: 1000, KeepMs: time.Hour.Milliseconds(),
+		})
+	})
+	Expect(a.failure).To(BeNil())
+	return w.ask(func(h *holder, t ledger.Ticket) []ledger.Action {
+		return h.shard.Finish(now, t, &wire.FinishRequest{Key: key, Attempt: "of " + key, State: int32(ledger.Done), Answer: body})
+	})
+}
+
+var _ = Describe("the log of groups", func() {
+	It("stays in proportion to its live records", func() {
+		w := newSteadyWorld()
+		h := w.holders[0]
+		for i := range 700 {
+			w.claimAndFinish(fmt.Sprintf("k%d", i), []byte("answer"))
+			w.clock.Advance(time.Second)
+			h.queue = append(h.queue, h.shard.Tick(w.clock.Now())...)
+			w.drain(h)
+		}
+		entries, _, _ := store.RangeAll(ctx, w.kv, ledger.GroupPrefix(0), 64)
+		Expect(len(entries)).To(BeNumerically("<", 200))
+		Expect(h.shard.Groups()).To(Equal(len(entries)))
+		before := h.shard.Len()
+		w.reopen()
+		Expect(w.holders[1].shard.Len()).To(Equal(before))
+		for _, i := range []int{0, 350, 699} {
+			found, record := w.lookup(fmt.Sprintf("k%d", i))
+			Expect(found.State).To(Equal(ledger.Done))
+			Expect(string(record.GetAnswer())).To(Equal("answer"))
+		}
+		w.clock.Advance(2 * time.Hour)
+		w.reopen()
+		w.run(w.clock.Now().Sub(start)+10*time.Second, fineStep)
+		Expect(w.holders[2].shard.Len()).To(BeZero())
+		entries, _, _ = store.RangeAll(ctx, w.kv, ledger.GroupPrefix(0), 64)
+		Expect(len(entries)).To(BeNumerically("<", 40))
+	})
+
+	It("splits large answers and never writes a value over the limit", func() {
+		w := newSteadyWorld()
+		large := make([]byte, 3<<20+17)
+		for i := range large {
+			large[i] = byte(i * 2654435761 >> 13)
+		}
+		Expect(w.claimAndFinish("large", large).found.State).To(Equal(ledger.Done))
+		found, record := w.lookup("large")
+		Expect(found.Sequence - found.First).To(BeNumerically(">=", 4))
+		Expect(record.GetAnswer()).To(HaveLen(len(large)))
+		Expect(bytes.Equal(record.GetAnswer(), large)).To(BeTrue())
+		w.reopen()
+		_, record = w.lookup("large")
+		Expect(bytes.Equal(record.GetAnswer(), large)).To(BeTrue())
+		Expect(w.maxValue).To(BeNumerically("<=", store.MaxValueBytes))
+	})
+
+	It("records that an answer was too large to keep", func() {
+		w := newSteadyWorld()
+		found := w.claimAndFinish("huge", make([]byte, 9<<20)).found
+		Expect(found.State).To(Equal(ledger.Failed))
+		_, record := w.lookup("huge")
+		Expect(record.GetFailure().GetRan()).To(Equal(string(result.RanYes)))
+	})
+
+	It("settles a lost part of a split answer as may have run", func() {
+		commits := 0
+		w := newWorld(func(int) mishap {
+			commits++
+			if commits == 4 {
+				return crashBefore
+			}
+			return none
+		})
+		w.take()
+		h := w.holders[0]
+		a := w.ask(func(h *holder, t ledger.Ticket) []ledger.Action {
+			return h.shard.Claim(w.clock.Now(), t, &wire.ClaimRequest{Key: "k", Attempt: "a", DeadlineInMs: 1000, KeepMs: time.Hour.Milliseconds()})
+		})
+		Expect(a.failure).To(BeNil())
+		in := &wire.FinishRequest{Key: "k", Attempt: "a", State: int32(ledger.Done), Answer: make([]byte, 2<<20)}
+		h.queue = append(h.queue, h.shard.Finish(w.clock.Now(), 77, in)...)
+		w.run(30*time.Second, fineStep)
+		Expect(h.dead).To(BeTrue())
+		found, _ := w.lookup("k")
+		Expect(found.State).To(Equal(ledger.MayHaveRun))
+	})
+})
+
+var _ = Describe("an outage of an hour", func() {
+	It("keeps memory and store calls bounded, takes outcomes and settles afterwards", func() {
+		down := false
+		w := newWorld(func(int) mishap {
+			if down {
+				return refuse
+			}
+			return none
+		})
+		w.take()
+		h := w.holders[0]
+		for i := range 40 {
+			key := fmt.Sprintf("k%d", i)
+			a := w.ask(func(h *holder, t ledger.Ticket) []ledger.Action {
+				return h.shard.Claim(w.clock.Now(), t, &wire.ClaimRequest{Key: key, Attempt: key, DeadlineInMs: 7200_000, KeepMs: 9e9})
+			})
+			Expect(a.failure).To(BeNil())
+		}
+		down = true
+		body := []byte(strings.Repeat("x", 100<<10))
+		refused, peak := 0, 0
+		for i := range 3600 {
+			w.step(time.Second)
+			if i < 40 {
+				key := fmt.Sprintf("k%d", i)
+				h.serial++
+				h.queue = append(h.queue, h.shard.Finish(w.clock.Now(), h.serial, &wire.FinishRequest{Key: key, Attempt: key, State: int32(ledger.Done), Answer: body})...)
+			}
+			h.serial++
+			ticket := h.serial
+			h.queue = append(h.queue, h.shard.Claim(w.clock.Now(), ticket, &wire.ClaimRequest{Key: fmt.Sprintf("n%d", i), Attempt: "n", KeepMs: 1000})...)
+			w.drain(h)
+			if a, ok := h.answers[ticket]; ok {
+				Expect(a.failure.Ran()).To(Equal(result.RanNo))
+				Expect(a.failure.RetryAfter()).To(BeNumerically(">", 0))
+				refused++
+			}
+			peak = max(peak, h.shard.PendingBytes())
+		}
+		Expect(refused).To(BeNumerically(">", 3590))
+		Expect(peak).To(BeNumerically("<", 8<<20))
+		down = false
+		w.run(w.clock.Now().Sub(start)+10*time.Second, fineStep)
+		Expect(h.shard.Idle()).To(BeTrue())
+		for i := range 40 {
+			found, record := w.lookup(fmt.Sprintf("k%d", i))
+			Expect(found.State).To(Equal(ledger.Done))
+			Expect(record.GetAnswer()).To(HaveLen(len(body)))
+		}
+	})
+})
+
+var _ = Describe("a lookup", func() {
+	It("of an answer in a pending group waits until that is durable", func() {
+		w := newSteadyWorld()
+		h := w.holders[0]
+		claim := &wire.ClaimRequest{Key: "k", Attempt: "a", DeadlineInMs: 1000, KeepMs: time.Hour.Milliseconds()}
+		w.ask(func(h *holder, t ledger.Ticket) []ledger.Action { return h.shard.Claim(w.clock.Now(), t, claim) })
+		h.queue = append(h.queue, h.shard.Finish(w.clock.Now(), 70, finishOf("k", "a", ledger.Done))...)
+		h.queue = append(h.queue, h.shard.Lookup(71, "k")...)
+		w.drain(h)
+		Expect(h.answers).NotTo(HaveKey(ledger.Ticket(71)))
+		w.run(time.Second, fineStep)
+		Expect(h.answers[71].found.State).To(Equal(ledger.Done))
+	})
+})
+
+func FuzzDecode(f *testing.F) {
+	value, err := ledger.Encode(&wire.Group{Writer: "w/1", Sequence: 1, Records: []*wire.Record{
+		{Key: "k", Attempt: "a", State: 1, Parts: 2, Request: &wire.RunRequest{Body: []byte("b")}},
+	}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(value)
+	f.Add(value[:len(value)/2])
+	f.Add([]byte{})
+	f.Add([]byte("not a frame"))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		group, err := ledger.Decode(value)
+		if err != nil {
+			return
+		}
+		s := ledger.Open(ledger.Options{Writer: "w", Host: "h"}, start, []*wire.Group{group})
+		s.Tick(start.Add(time.Minute))
+	})
+}
+
+// words returns n bytes that compress about as well as English text.
+func words(random *rand.Rand, n int) []byte {
+	var text []byte
+	for len(text) < n {
+		text = fmt.Appendf(text, "%s ", strconv.FormatUint(random.Uint64N(40_000), 36))
+	}
+	return text[:n]
+}
+
+func BenchmarkGroup(b *testing.B) {
+	for _, size := range []int{1, 16, 256, 2048} {
+		b.Run(fmt.Sprintf("records=%d", size), func(b *testing.B) {
+			clock := start
+			s := ledger.Open(ledger.Options{Writer: "w", Host: "h"}, clock, nil)
+			written, calls, serial := 0, 0, 0
+			random := rand.New(rand.NewPCG(1, 2))
+			bodies := make([][]byte, 4096)
+			for i := range bodies {
+				bodies[i] = words(random, 512)
+			}
+			for b.Loop() {
+				clock = clock.Add(100 * time.Millisecond)
+				var actions []ledger.Action
+				for range size {
+					serial++
+					actions = append(actions, s.Claim(clock, ledger.Ticket(serial), &wire.ClaimRequest{
+						Key: fmt.Sprintf("organisation/%032d", serial), Attempt: fmt.Sprintf("req-%032d", serial),
+						Owner: "host-1", Fingerprint: make([]byte, 32), DeadlineInMs: 10, KeepMs: 1,
+						Idempotent: true, Request: &wire.RunRequest{Body: bodies[serial%len(bodies)]},
+					})...)
+				}
+				actions = append(actions, s.Tick(clock.Add(50*time.Millisecond))...)
+				for _, action := range actions {
+					if action.Kind != ledger.CommitGroup {
+						continue
+					}
+					value, err := ledger.Encode(action.Group)
+					if err != nil {
+						b.Fatal(err)
+					}
+					written += len(value)
+					calls++
+					for _, reply := range s.Committed(clock, ledger.Written) {
+						if reply.Kind == ledger.ReplyTo {
+							key := reply.Found
+							s.Finish(clock, 0, &wire.FinishRequest{Key: key.Key, Attempt: key.Attempt, State: int32(ledger.NotRun)})
+						}
+					}
+				}
+			}
+			b.ReportMetric(float64(written)/float64(calls), "bytes/call")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(serial), "ns/claim")
+		})
+	}
+}
+
+func BenchmarkOpen(b *testing.B) {
+	const groups, records = 100, 1000
+	list := make([]*wire.Group, groups)
+	for i := range list {
+		list[i] = &wire.Group{Sequence: int64(i + 1)}
+		for j := range records {
+			list[i].Records = append(list[i].Records, &wire.Record{
+				Key: fmt.Sprintf("organisation/%036d", i*records+j), Attempt: fmt.Sprintf("req-%036d", i*records+j),
+				State: int32(ledger.Done), Fingerprint: make([]byte, 32), Owner: "host-1",
+				AtMs: start.UnixMilli(), KeepMs: time.Hour.Milliseconds(),
+			})
+		}
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := ledger.Open(ledger.Options{Writer: "w", Host: "h"}, start, list)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	for b.Loop() {
+		ledger.Open(ledger.Options{Writer: "w", Host: "h"}, start, list)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(kept.Len()), "heap-bytes/key")
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*kept.Len()), "ns/key")
+}
--- a/internal/record/ledger/write.go
+++ b/internal/record/ledger/write.go
@@ -69,6 +69,7 @@
 // push appends one write of e to the pending items.
 func (s *Shard) push(now time.Time, e *Entry, records []*wire.Record) {
 	s.serial++
+	s.log.unhold(e)
 	e.write, e.unwritten, e.bytes = s.serial, len(records), 0
 	if len(s.pending) == 0 {
 		s.pendingSince = now
@@ -160,7 +161,8 @@
 		return s.settled(now)
 	case NotWritten:
 		var actions []Action
-		if s.stalled(now) {
+		if s.down || s.stalled(now) {
+			s.down = true
 			actions = s.withdraw(now, !s.flight.uncertain)
 		}
 		if s.flight != nil {
@@ -203,7 +205,7 @@
 // settled makes the group in flight durable and answers who waited for it.
 func (s *Shard) settled(now time.Time) []Action {
 	f := s.flight
-	s.flight, s.probe = nil, time.Time{}
+	s.flight, s.probe, s.down = nil, time.Time{}, false
 	sequence := f.group.GetSequence()
 	s.log.add(sequence)
 	s.log.remove(f.deletes)
@@ -226,8 +228,10 @@
 	}
 	e.unwritten--
 	if e.unwritten > 0 {
+		s.log.hold(e, sequence)
 		return nil
 	}
+	s.log.unhold(e)
 	s.locate(e, sequence)
 	delete(s.undo, e.Key)
 	var actions []Action
