--- a/internal/serving/queue/estimate.go
+++ b/internal/serving/queue/estimate.go
@@ -5,6 +5,8 @@
 const (
 	// meanShift makes one observation a sixteenth of a mean.
 	meanShift = 16
+	// deviations is how many mean deviations a cautious estimate adds.
+	deviations = 2
 	// minSamples is how many observations a mean needs to be relied on.
 	minSamples = 8
 	// retryUnknown is the retry time before any service time is known.
@@ -13,21 +15,25 @@
 	maxRetry     = time.Minute
 )
 
-// mean is an exponentially weighted mean of durations.
+// mean is an exponentially weighted mean of durations with their mean
+// deviation, as in Jacobson's round-trip estimator (SIGCOMM 1988).
 type mean struct {
-	value   time.Duration
-	samples int
+	value     time.Duration
+	deviation time.Duration
+	samples   int
 }
 
 func (m *mean) add(d time.Duration) {
 	m.samples++
-	if m.samples <= meanShift {
-		m.value += (d - m.value) / time.Duration(m.samples)
-		return
-	}
-	m.value += (d - m.value) / meanShift
+	part := time.Duration(min(m.samples, meanShift))
+	off := d - m.value
+	m.value += off / part
+	m.deviation += (off.Abs() - m.deviation) / part
 }
 
+// high is a duration that few observations exceed.
+func (m *mean) high() time.Duration { return m.value + deviations*m.deviation }
+
 func (m *mean) known() bool { return m != nil && m.samples >= minSamples }
 
 // estimate holds how long online entries keep a slot, in all and by weight: a
@@ -64,7 +70,7 @@
 		return true
 	}
 	m := s.byWeight[e.Weight]
-	return m.known() && now.Add(wait+m.value).After(e.Deadline)
+	return m.known() && now.Add(wait+m.high()).After(e.Deadline)
 }
 
 // retry returns when a queue of that length will have been served.
--- a/internal/serving/queue/reference_test.go
+++ b/internal/serving/queue/reference_test.go
@@ -106,15 +106,17 @@
 
 // mean is the weighted mean of the service times that count, and whether
 // there are enough of them.
-func (r *reference) mean(counts func(service) bool) (time.Duration, bool) {
-	value, n := time.Duration(0), 0
+func (r *reference) mean(counts func(service) bool) (value, deviation time.Duration, known bool) {
+	n := 0
 	for _, s := range r.served {
 		if counts(s) {
 			n++
-			value += (s.took - value) / time.Duration(min(n, 16))
+			off := s.took - value
+			value += off / time.Duration(min(n, 16))
+			deviation += (off.Abs() - deviation) / time.Duration(min(n, 16))
 		}
 	}
-	return value, n >= 8
+	return value, deviation, n >= 8
 }
 
 // wait is how long e waits for a slot.
@@ -134,7 +136,7 @@
 		all += share
 	}
 	fair := (r.backlog(of(e))*all + e.Share - 1) / e.Share
-	mean, known := r.mean(func(service) bool { return true })
+	mean, _, known := r.mean(func(service) bool { return true })
 	if !known {
 		return 0
 	}
@@ -145,8 +147,8 @@
 	if e.Deadline.IsZero() {
 		return false
 	}
-	mean, known := r.mean(func(s service) bool { return s.weight == e.Weight })
-	return now.After(e.Deadline) || (known && now.Add(wait+mean).After(e.Deadline))
+	mean, deviation, known := r.mean(func(s service) bool { return s.weight == e.Weight })
+	return now.After(e.Deadline) || (known && now.Add(wait+mean+2*deviation).After(e.Deadline))
 }
 
 func (r *reference) drop(id queue.ID) {
@@ -287,6 +289,11 @@
 	for r.occupied() > r.slots && yield() {
 	}
 	for len(r.lane(request.Online)) > 0 {
+		if e := r.head(request.Online); len(r.lane(request.Online)) > 1 && r.hopeless(now, e, 0) {
+			r.drop(e.ID)
+			actions = append(actions, queue.Action{Kind: queue.Refuse, ID: e.ID})
+			continue
+		}
 		if r.occupied() > r.slots || (r.occupied() == r.slots && !yield()) {
 			break
 		}
--- a/internal/serving/queue/urgent.go
+++ b/internal/serving/queue/urgent.go
@@ -18,6 +18,8 @@
 	batchPerOnline = 4
 )
 
+const waitedTooLong = "waited too long for a slot to meet the deadline"
+
 // Urgent is the Policy of production: online before batch always, batch
 // yields its slot to a waiting online request, organisations of equal standing
 // share by weight, and a full queue refuses the lowest weight first.
@@ -110,13 +112,19 @@
 	return Action{Kind: Refuse, ID: e.ID, Err: err}
 }
 
-// fill starts what fits and asks batch to yield for what does not.
+// fill starts what fits and asks batch to yield for what does not. An entry
+// that can't meet its deadline any more takes no slot from others; the last one
+// is started all the same, so that service times go on being observed.
 func (q *Urgent) fill(now time.Time) []Action {
 	var actions []Action
 	for q.occupied() > q.slots && q.victims.size() > 0 {
 		actions = append(actions, q.yield())
 	}
 	for q.online.size > 0 {
+		if e := q.online.head(); q.online.size > 1 && q.estimate.hopeless(now, e, 0) {
+			actions = append(actions, q.refuse(q.online, e, result.DeadlineTooShort, waitedTooLong))
+			continue
+		}
 		if q.occupied() >= q.slots {
 			if q.occupied() > q.slots || q.victims.size() == 0 {
 				break
@@ -238,7 +246,7 @@
 		if !q.estimate.hopeless(now, e, 0) {
 			break
 		}
-		actions = append(actions, q.refuse(q.online, e, result.DeadlineTooShort, "waited too long for a slot to meet the deadline"))
+		actions = append(actions, q.refuse(q.online, e, result.DeadlineTooShort, waitedTooLong))
 	}
 	return actions
 }
