Bound silence before the first token by its own limit, drop idle keepers

Cause: engines send the head of an answer before they begin, and from then on the wait for the first token was held to the shorter limit between tokens; that limit was checked at the pace of the longer one. The bound of a back end's queue was that of the service whose request came first. A host that had kept a back end once reported its empty queue for good, beside the report of the keeper of now.

Change: the first byte of the body ends the first limit; checks follow the shorter of both. The largest limit of the services that a back end answers bounds its queue. A keeper without requests for 10 s is dropped and no longer reported. Counters of starts, yields, refusals by code, withdrawals, silent connections and changes of slots.

Conclusion: a long prefill is not taken for a silent connection any more.

--- a/internal/serving/engine/client.go
+++ b/internal/serving/engine/client.go
@@ -56,7 +56,9 @@
 	URL         string
 	ContentType string
 	Body        []byte
-	// FirstByte and Progress bound the silence of the connection.
+	// FirstByte bounds the time to the first byte of the answer's body, for
+	// engines send its head before they begin; Progress bounds the silence
+	// after it. Zero is unbounded.
 	FirstByte time.Duration
 	Progress  time.Duration
 	// Fresh asks for a new connection.
@@ -74,7 +76,7 @@
 func (c *Client) Do(ctx context.Context, call Call, read func(Answer, io.Reader) error) *result.Error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := newWatchdog(c.timer, call.FirstByte, func() { cancel(errSilent) })
+	watch := newWatchdog(c.timer, call, func() { cancel(errSilent) })
 	defer watch.stop()
 	body := &sentReader{reader: bytes.NewReader(call.Body)}
 	req, err := http.NewRequestWithContext(ctx, call.Method, call.URL, body)
@@ -94,7 +96,6 @@
 		return c.sendError(ctx, err, body.sent.Load() || dialed(err))
 	}
 	defer func() { _ = resp.Body.Close() }()
-	watch.reset(call.Progress)
 	head := Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type")}
 	err = read(head, &watchedReader{reader: resp.Body, watch: watch, limit: call.Progress})
 	return readError(ctx, err)
@@ -164,11 +165,16 @@
 
 const watchdogChecks = 4
 
-func newWatchdog(t timer.Service, limit time.Duration, fire func()) *watchdog {
+func newWatchdog(t timer.Service, call Call, fire func()) *watchdog {
 	w := &watchdog{timer: t, fire: fire}
-	w.reset(limit)
-	period := max(limit/watchdogChecks, time.Millisecond)
-	w.sub = t.Every(period, w.check)
+	w.reset(call.FirstByte)
+	least := call.FirstByte
+	if call.Progress > 0 && (least <= 0 || call.Progress < least) {
+		least = call.Progress
+	}
+	if least > 0 {
+		w.sub = t.Every(max(least/watchdogChecks, time.Millisecond), w.check)
+	}
 	return w
 }
 
--- /dev/null
+++ b/internal/serving/keeper/counters.go
@@ -0,0 +1,23 @@
+package keeper
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+)
+
+// Counters of this host's keepers.
+var (
+	starts       = metrics.NewCounter(`kingcupquay_queue_starts_total`)
+	yieldsTold   = metrics.NewCounter(`kingcupquay_queue_yields_total`)
+	withdrawals  = metrics.NewCounter(`kingcupquay_queue_withdrawals_total`)
+	freshTries   = metrics.NewCounter(`kingcupquay_silent_connections_total`)
+	slotChanges  = metrics.NewCounter(`kingcupquay_slot_changes_total`)
+	pollFailures = metrics.NewCounter(`kingcupquay_load_poll_failures_total`)
+)
+
+func countRefusal(code result.Code) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`kingcupquay_queue_refusals_total{code="%d"}`, int(code))).Inc()
+}
--- a/internal/serving/keeper/keeper.go
+++ b/internal/serving/keeper/keeper.go
@@ -124,6 +124,7 @@
 // resize gives the policy the current number of slots; the caller holds k.mu.
 func (k *Keeper) resize() {
 	if k.slots.Current() != k.policy.Counts().Slots {
+		slotChanges.Inc()
 		k.apply(k.policy.Resize(k.timer.Now(), k.slots.Current()))
 	}
 }
@@ -155,12 +156,15 @@
 		}
 		switch action.Kind {
 		case queue.Start:
+			starts.Inc()
 			close(r.started)
 		case queue.Refuse:
+			countRefusal(action.Err.Code())
 			r.refusal = action.Err
 			close(r.started)
 			delete(k.runs, action.ID)
 		case queue.Yield:
+			yieldsTold.Inc()
 			r.yielded = true
 			if r.yield != nil && !r.ending {
 				r.yield()
@@ -188,6 +192,7 @@
 			a.yields++
 			a.restart()
 		case !fresh && retryOnFresh(r, failure, a.transcript):
+			freshTries.Inc()
 			fresh = true
 		default:
 			return failure
@@ -235,6 +240,7 @@
 			k.apply(k.policy.Finished(k.timer.Now(), id))
 		}
 	default:
+		withdrawals.Inc()
 		k.apply(k.policy.Withdraw(k.timer.Now(), id))
 	}
 	delete(k.runs, id)
--- a/internal/serving/keeper/poll.go
+++ b/internal/serving/keeper/poll.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/kingcupquay/kingcupquay/internal/operator/services"
@@ -17,8 +16,6 @@
 	pollTimeout = time.Second
 )
 
-var pollFailures = metrics.NewCounter(`kingcupquay_load_poll_failures_total`)
-
 // polls says when the load of a back end is asked for next. It is guarded by
 // the keeper's lock.
 type polls struct {
--- a/internal/serving/keeper/set.go
+++ b/internal/serving/keeper/set.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
+	"time"
 
 	"github.com/panjf2000/ants/v2"
 
@@ -28,8 +30,23 @@
 	return queue.NewNaive(b.Slots, limit)
 }
 
+// idleFor is how long a keeper without requests is kept.
+const idleFor = 10 * time.Second
+
+// kept is a keeper with what the set knows about it.
+type kept struct {
+	*Keeper
+	// users counts the requests at the keeper; it is dropped only at zero, for
+	// a back end must not have two queues here.
+	users int
+	// idle is when users fell to zero.
+	idle time.Time
+}
+
 // Set holds the keepers of the back ends that this host keeps. A keeper is
-// made when the first request for its back end comes in.
+// made when the first request for its back end comes in and dropped after some
+// time without any, so that a host stops reporting the load of a back end
+// that another host keeps now.
 type Set struct {
 	timer    timer.Service
 	executor Executor
@@ -40,7 +57,7 @@
 
 	mu      sync.Mutex
 	text    *services.Text
-	keepers map[string]*Keeper
+	keepers map[string]*kept
 }
 
 // maxAttempts bounds the attempts of one urgency side by side on a host.
@@ -49,7 +66,7 @@
 // NewSet returns a set without keepers.
 func NewSet(t timer.Service, executor Executor, policy NewPolicy) *Set {
 	return &Set{
-		timer: t, executor: executor, policy: policy, keepers: make(map[string]*Keeper),
+		timer: t, executor: executor, policy: policy, keepers: make(map[string]*kept),
 		online: newPool(), batch: newPool(),
 	}
 }
@@ -97,22 +114,63 @@
 		s.mu.Unlock()
 		return result.New(result.NoBackend, "back end %s is not in the services text", backend)
 	}
-	k, kept := s.keepers[backend]
-	if !kept {
-		k = New(s.timer, s.executor, Pools{Online: s.online, Batch: s.batch}, *b, s.policy(b, service.QueueLimit))
-		s.keepers[backend] = k
-	}
+	k := s.join(b)
 	share := 1
 	if o, ok := s.text.Organisation(r.Organisation()); ok {
 		share = o.Share
 	}
 	s.mu.Unlock()
+	defer s.leave(k)
 	return k.Run(ctx, r, service, share, sink)
 }
 
+// join returns the keeper of b with one more user; the caller holds s.mu.
+func (s *Set) join(b *services.Backend) *kept {
+	k, ok := s.keepers[b.Name]
+	if !ok {
+		pools := Pools{Online: s.online, Batch: s.batch}
+		k = &kept{Keeper: New(s.timer, s.executor, pools, *b, s.policy(b, queueLimit(s.text, b)))}
+		s.keepers[b.Name] = k
+	}
+	k.users++
+	return k
+}
+
+func (s *Set) leave(k *kept) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k.users--
+	k.idle = s.timer.Now()
+}
+
+// dropIdle forgets the keepers that nobody has used for a while.
+func (s *Set) dropIdle(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, k := range s.keepers {
+		if k.users == 0 && now.Sub(k.idle) >= idleFor {
+			delete(s.keepers, name)
+		}
+	}
+}
+
+// queueLimit returns the largest limit of the services that b answers, so that
+// the queue of a back end does not depend on whose request came first.
+func queueLimit(text *services.Text, b *services.Backend) int {
+	limit := 1
+	for i := range text.Services() {
+		s := &text.Services()[i]
+		if slices.Contains(b.Services, s.Name) || (s.Kind == services.EngineKind && slices.Contains(b.Models, s.Model)) {
+			limit = max(limit, s.QueueLimit)
+		}
+	}
+	return limit
+}
+
 // Tick lets every queue refuse what waited too long and asks engines for
 // their load when it is time.
 func (s *Set) Tick() {
+	s.dropIdle(s.timer.Now())
 	for _, k := range s.list() {
 		k.Tick()
 		k.Poll()
@@ -124,7 +182,7 @@
 	defer s.mu.Unlock()
 	list := make([]*Keeper, 0, len(s.keepers))
 	for _, k := range s.keepers {
-		list = append(list, k)
+		list = append(list, k.Keeper)
 	}
 	return list
 }
