Count one long gap between tokens at four times its target at most

Cause: a reader far behind holds its stream back, and the one long gap that follows took slots from the whole back end.

Change: of one gap at most four times the target, or the best mean seen, counts.

Conclusion: slots shrink only when many gaps are long.

--- a/internal/serving/queue/slots.go
+++ b/internal/serving/queue/slots.go
@@ -16,6 +16,9 @@
 	// gapGrowth is how often the best seen mean may be exceeded beyond it.
 	gapTarget = 36 * time.Millisecond
 	gapGrowth = 2
+	// gapMost is how much of one gap counts, in what is good enough: a single
+	// long one is that stream's, not the back end's.
+	gapMost = 4
 )
 
 // Slots decides how many requests a back end is given side by side: as many as
@@ -67,7 +70,7 @@
 
 // Gap takes the time between two tokens of one stream.
 func (s *Slots) Gap(now time.Time, gap time.Duration) {
-	s.gap.add(gap)
+	s.gap.add(min(gap, gapMost*max(gapTarget, s.best)))
 	if !s.gap.known() {
 		return
 	}
--- a/internal/serving/queue/urgent_test.go
+++ b/internal/serving/queue/urgent_test.go
@@ -311,6 +311,7 @@
 		for range 20 {
 			s.Gap(epoch, 20*time.Millisecond)
 		}
+		s.Gap(epoch, time.Minute)
 		Expect(s.Current()).To(Equal(8))
 		for range 40 {
 			s.Gap(epoch, 60*time.Millisecond)
