Report a reader that left after the engine was done

Cause: an answer counted as delivered once the engine had ended, though its reader had refused an event of it, and a batch answer that yielded at that moment was run once more for nobody.

Change: a reader that left ends the request as cancelled. The test failed first (no error was returned).

Conclusion: only what was read to its end is reported as whole.

--- a/internal/serving/keeper/answer.go
+++ b/internal/serving/keeper/answer.go
@@ -20,7 +20,9 @@
 	events []request.Event
 	// started says that Started was given to the reader.
 	started bool
-	yields  int
+	// left is why the reader takes no more events, nil while it does.
+	left   error
+	yields int
 }
 
 func newAnswer(r *request.Request, sink request.Sink) *answer {
--- a/internal/serving/keeper/keeper.go
+++ b/internal/serving/keeper/keeper.go
@@ -186,6 +186,8 @@
 			Request: r, Backend: &k.backend, Service: service, Transcript: a.transcript, Fresh: fresh,
 		}, a)
 		switch {
+		case a.left != nil:
+			return result.New(result.Cancelled, "caller left: %v", a.left).WithRan(result.RanYes)
 		case failure == nil || a.transcript.Finished():
 			return a.flush()
 		case yielded && ctx.Err() == nil:
@@ -269,7 +271,7 @@
 		k.finish(id)
 		return result.New(result.Overloaded, "host runs too many attempts").WithRetry(time.Second), false
 	}
-	if err := events.drain(a.take); err != nil {
+	if a.left = events.drain(a.take); a.left != nil {
 		cancel()
 	}
 	<-done
--- a/internal/serving/keeper/keeper_test.go
+++ b/internal/serving/keeper/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"runtime"
 	"sync"
@@ -152,6 +153,18 @@
 		Eventually(done, patience).Should(BeClosed())
 	})
 
+	It("reports a reader that left, also when the engine was done before", func() {
+		f := new(fake)
+		k, _ := newKeeper(f, pools, 1)
+		failure := k.Run(ctx, call("left", request.Online, `{}`), new(services.Service), 1, func(request.Event) error {
+			Eventually(func() int { return k.Counts().Running }, patience).Should(BeZero())
+			return errors.New("left")
+		})
+		Expect(failure).NotTo(BeNil())
+		Expect(failure.Code()).To(Equal(result.Cancelled))
+		Expect(f.runs("left")).To(Equal(1))
+	})
+
 	It("runs online requests when the pool of batch is full", func() {
 		k, _ := newKeeper(new(fake), keeper.Pools{Online: goPool{}, Batch: fullPool{}}, 1)
 		batch := run(ctx, k, call("batch", request.Batch, `{}`))
