Measure the data path's cost and the idle share with the real step

Change: load tokens; load harm passes the policy and divides by the mean gap seen; shorter answers for more calls per run.

--- a/internal/operator/command/load.go
+++ b/internal/operator/command/load.go
@@ -26,12 +26,13 @@
 	}
 
 	s.addUploadCommand(group, actions)
+	s.addTokensCommand(group, actions)
 
 	harm := group.Command("harm", "What batch does to online callers, by queue policy.")
-	duration := harm.Flag("duration", "Time of each run.").Default("15s").Duration()
+	duration := harm.Flag("duration", "Time of each run.").Default("30s").Duration()
 	share := harm.Flag("share", "Mean online load as a part of the slots.").Default("0.4").Float64()
 	seed := harm.Flag("seed", "Seed of the arrivals.").Default("1").Uint64()
-	step := harm.Flag("step", "Engine's time for one token.").Default("20ms").Duration()
+	step := harm.Flag("step", "Engine's time for one token.").Default("10ms").Duration()
 	actions[harm.FullCommand()] = func() error {
 		return s.loadHarm(load.HarmOptions{Duration: *duration, Share: *share, Seed: *seed, Step: *step})
 	}
@@ -63,6 +64,32 @@
 	}})
 }
 
+// addTokensCommand adds the measurement of the data path's cost.
+func (s *shell) addTokensCommand(group *kingpin.CmdClause, actions map[string]func() error) {
+	tokens := group.Command("tokens", "Processor time that a running host spends on streamed answers.")
+	var o load.TokensOptions
+	tokens.Flag("server", "Base address of a host.").Default("http://127.0.0.1:8080").StringVar(&o.Server)
+	tokens.Flag("token", "Bearer token.").Envar("KINGCUPQUAY_TOKEN").StringVar(&o.Token)
+	tokens.Flag("model", "Model or service to call.").Default("village-requests-chat").StringVar(&o.Model)
+	tokens.Flag("streams", "Streams side by side.").Default("32").IntVar(&o.Streams)
+	tokens.Flag("calls", "Calls of each stream.").Default("20").IntVar(&o.Calls)
+	tokens.Flag("length", "Tokens of each answer.").Default("100").IntVar(&o.Length)
+	actions[tokens.FullCommand()] = func() error { return s.loadTokens(o) }
+}
+
+func (s *shell) loadTokens(o load.TokensOptions) error {
+	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
+	defer cancel()
+	t, err := load.MeasureTokens(ctx, o)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return s.print(t, []string{"CALLS", "FAILED", "TOKENS/S", "CPU US/CALL", "CPU US/TOKEN", "HOST MB"}, [][]string{{
+		strconv.Itoa(t.Calls), strconv.Itoa(t.Failed), fmt.Sprintf("%.0f", t.TokensPerSecond),
+		fmt.Sprintf("%.0f", t.CPUMicrosPerCall), fmt.Sprintf("%.1f", t.CPUMicrosPerTok), fmt.Sprintf("%.1f", t.MemoryMB),
+	}})
+}
+
 const loadTimeout = 10 * time.Minute
 
 func (s *shell) loadAdded(o load.AddedOptions) error {
--- a/internal/operator/load/harm.go
+++ b/internal/operator/load/harm.go
@@ -43,7 +43,7 @@
 }
 
 const (
-	onlineTokens = 40
+	onlineTokens = 20
 	batchTokens  = 20
 	batchItems   = 50_000
 	// burstEvery and burstLength shape the arrivals: bursts at twice the rate.
@@ -105,7 +105,9 @@
 		First: online.first.percentiles(), Between: online.between.percentiles(),
 	}
 	if batch {
-		idle := elapsed.Seconds()/o.Step.Seconds()*float64(size.Slots*size.Engines) - float64(online.tokens)
+		// The stand-ins' real step is a little longer than asked for.
+		step := online.between.Mean() / float64(time.Second/time.Microsecond)
+		idle := elapsed.Seconds()/step*float64(size.Slots*size.Engines) - float64(online.tokens)
 		run.BatchItemsPerSecond = float64(job.completed(ctx)-itemsBefore) / elapsed.Seconds()
 		run.IdleUsed = float64(d.Tokens()-tokensBefore-int64(online.tokens)) / idle
 	}
--- a/internal/operator/load/upload.go
+++ b/internal/operator/load/upload.go
@@ -95,6 +95,12 @@
 
 // memory reads one of the host's metrics, in megabytes.
 func (c *client) memory(ctx context.Context, name string) (float64, error) {
+	bytes, err := c.metric(ctx, name)
+	return bytes / (1 << 20), err
+}
+
+// metric reads one of the host's metrics.
+func (c *client) metric(ctx context.Context, name string) (float64, error) {
 	resp, err := c.send(ctx, http.MethodGet, "/metrics", "", nil)
 	if err != nil {
 		return 0, err
@@ -102,9 +108,9 @@
 	defer func() { _ = resp.Body.Close() }()
 	scanner := bufio.NewScanner(resp.Body)
 	for scanner.Scan() {
-		var bytes float64
-		if _, err := fmt.Sscanf(scanner.Text(), name+" %g", &bytes); err == nil {
-			return bytes / (1 << 20), nil
+		var value float64
+		if _, err := fmt.Sscanf(scanner.Text(), name+" %g", &value); err == nil {
+			return value, nil
 		}
 	}
 	return 0, trace.NotFound("host has no metric %s", name)
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -182,7 +182,7 @@
 		d.settings = append(d.settings, &host.Settings{
 			Name: name, Zone: d.zone(i), CallerAddress: callers, PeerAddress: peers,
 			PlatformEndpoints: []string{d.platform.Endpoint()}, HostListURL: d.platform.Endpoint() + "/hosts",
-			Shards: shards, StopSeconds: 60,
+			Shards: shards, StopSeconds: 60, Policy: d.o.Policy,
 		})
 		list = append(list, platform.HostEntry{Name: name, Zone: d.zone(i), Address: peers})
 	}
