Spread the services text by a watch, a tree and heartbeats

Cause: watchers polled the store each second and read the whole text; peers fetched whole texts only by heartbeat. Change: package spread, a pure node: two watchers a zone on the store's watch with a read every 3 s against silent watches and compaction, pushes down a tree of fan-out 8, heartbeat revisions as repair. Hosts send deltas, or the sections that the other lacks. A restarted host listens 0.7 s before it takes the highest revision offered.

--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -74,8 +74,8 @@
 	identity *tls.Config
 
 	// text is nil until the first revision is known; it never goes back.
-	text   atomic.Pointer[services.Text]
-	adopts sync.Mutex
+	text  atomic.Pointer[services.Text]
+	texts *texts
 
 	mu   sync.Mutex
 	view *member.View
@@ -102,6 +102,7 @@
 		return nil, trace.Wrap(err)
 	}
 	h.identity, h.subs = config, append(h.subs, renewal)
+	h.texts = newTexts(h)
 	h.pool = peer.NewPool(config)
 	h.keepers = keeper.NewSet(t, engine.NewClient(t), queuePolicy(settings.Policy))
 	h.guard = quarantine.NewGuard(t, (*quarantinePeers)(h), h.note)
@@ -147,14 +148,14 @@
 	h.subs = append(h.subs,
 		h.timer.Every(member.Interval, func(now time.Time) { h.beat(now) }),
 		h.timer.Every(keeperTick, func(time.Time) { h.keepers.Tick() }),
-		h.timer.Every(textEvery, func(time.Time) { go h.pollText() }),
+		h.timer.Every(textTick, h.texts.tick),
 		h.timer.Every(flushEvery, func(time.Time) { go h.flushCauses() }),
 	)
 	if h.settings.HostListURL != "" {
 		h.subs = append(h.subs, h.timer.Every(hostListEvery, func(time.Time) { go h.readHostList() }))
 		go h.readHostList()
 	}
-	go h.pollText()
+	h.texts.tick(h.timer.Now())
 	h.log.Info("host started", "zone", h.settings.Zone, "callers", h.settings.CallerAddress)
 	h.ring.Note("host started", "process was started", h.settings.Name)
 	return nil
@@ -207,7 +208,7 @@
 	)
 	h.front.Register(s)
 	admin.New(admin.Parts{
-		Timer: h.timer, Store: h.store, Text: h.text.Load, Adopt: h.adopt, Status: h.status, Why: h.why, Note: h.ring.Note,
+		Timer: h.timer, Store: h.store, Text: h.text.Load, Adopt: h.texts.accepted, Status: h.status, Why: h.why, Note: h.ring.Note,
 		Quarantine: h.guard,
 	}).Register(s)
 	s.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.String(http.StatusOK, "ok\n") })
@@ -248,6 +249,7 @@
 	for _, sub := range h.subs {
 		sub.Cancel()
 	}
+	h.texts.stop()
 	h.stopPeers(ctx)
 	h.supervisor.Stop(ctx)
 	h.keepers.Close()
@@ -261,6 +263,7 @@
 	for _, sub := range h.subs {
 		sub.Cancel()
 	}
+	h.texts.stop()
 	h.recorder.Stop()
 	h.jobs.Stop()
 	h.grpc.Stop()
@@ -358,9 +361,7 @@
 	for _, other := range beat.GetOthers() {
 		h.dispatcher.Reported(other.GetLoads())
 	}
-	if text := h.text.Load(); text == nil || beat.GetRevision() > text.Revision() {
-		go h.fetchText(beat.GetAddress())
-	}
+	h.texts.offered(beat.GetHost(), beat.GetRevision())
 }
 
 func (h *Host) readHostList() {
--- a/internal/fleet/host/peers.go
+++ b/internal/fleet/host/peers.go
@@ -59,13 +59,14 @@
 	return s.host.view.Message(s.host.timer.Now()), nil
 }
 
-// Text returns the services text in force here.
+// Text returns the services text in force here, or what a host lacks of it.
 func (s *peerServer) Text(_ context.Context, in *wire.TextRequest) (*wire.TextReply, error) {
-	text := s.host.text.Load()
-	if text == nil || text.Revision() <= in.GetNewerThan() {
-		return &wire.TextReply{}, nil
-	}
-	return &wire.TextReply{Revision: text.Revision(), Source: text.Source()}, nil
+	return s.host.texts.reply(in), nil
+}
+
+// Offer takes a revision that another host pushes.
+func (s *peerServer) Offer(_ context.Context, in *wire.TextOffer) (*wire.TextState, error) {
+	return &wire.TextState{Revision: s.host.texts.offer(in)}, nil
 }
 
 // Causes returns the events about a subject in this host's ring.
--- a/internal/operator/revision/document.go
+++ b/internal/operator/revision/document.go
@@ -58,13 +58,15 @@
 // Load returns the current document and the store's revision of its last
 // change; the document's revision is 0 if there is none.
 func Load(ctx context.Context, s store.Store) (Document, int64, *result.Error) {
-	return LoadWith(ctx, s, nil)
+	return LoadNewer(ctx, s, -1, func() *Sections { return nil })
 }
 
-// LoadWith is Load that takes the sections that cached has from there.
-func LoadWith(ctx context.Context, s store.Store, cached *Sections) (Document, int64, *result.Error) {
+// LoadNewer is Load for a reader that has a revision: a document that is not
+// newer comes without its source, and the sections of a newer one are taken
+// from cached where it has them.
+func LoadNewer(ctx context.Context, s store.Store, than int64, cached func() *Sections) (Document, int64, *result.Error) {
 	for range loadAttempts {
-		d, modRevision, whole, failure := loadOnce(ctx, s, cached)
+		d, modRevision, whole, failure := loadOnce(ctx, s, than, cached)
 		if failure != nil || whole {
 			return d, modRevision, failure
 		}
@@ -78,7 +80,7 @@
 
 // loadOnce reads the document and its sections; whole is false if a section
 // was deleted in between.
-func loadOnce(ctx context.Context, s store.Store, cached *Sections) (d Document, modRevision int64, whole bool, failure *result.Error) {
+func loadOnce(ctx context.Context, s store.Store, than int64, cached func() *Sections) (d Document, modRevision int64, whole bool, failure *result.Error) {
 	entry, ok, err := s.Get(ctx, CurrentKey)
 	if err != nil {
 		return d, 0, false, unavailable(err)
@@ -89,7 +91,11 @@
 	if err := json.Unmarshal(entry.Value, &d); err != nil {
 		return d, 0, false, result.New(result.Internal, "stored services text: %v", err)
 	}
-	whole, failure = fill(ctx, s, &d, cached)
+	if d.Revision <= than {
+		d.Source = ""
+		return d, entry.ModRevision, true, nil
+	}
+	whole, failure = fill(ctx, s, &d, cached())
 	return d, entry.ModRevision, whole, failure
 }
 
--- a/internal/operator/revision/section.go
+++ b/internal/operator/revision/section.go
@@ -25,9 +25,11 @@
 	sectionPage    = 8
 )
 
-// Sections holds the parts of a text by their name, so that a reader fetches
-// only what changed. It is immutable.
+// Sections holds the parts of a long text by their name, so that a reader
+// fetches only what changed. A short text has none. It is immutable; nil is
+// empty.
 type Sections struct {
+	names  []string
 	byName map[string][]byte
 }
 
@@ -38,12 +40,18 @@
 		return c
 	}
 	for _, section := range cut(source) {
-		c.byName[sectionName(section)] = section
+		name := sectionName(section)
+		c.names = append(c.names, name)
+		c.byName[name] = section
 	}
 	return c
 }
 
-func (c *Sections) get(name string) ([]byte, bool) {
+// Names returns the names of all sections in the order of the text.
+func (c *Sections) Names() []string { return c.names }
+
+// Get returns the section of that name.
+func (c *Sections) Get(name string) ([]byte, bool) {
 	if c == nil {
 		return nil, false
 	}
@@ -85,7 +93,7 @@
 // readSections joins the named sections; ok is false if one is missing.
 func readSections(ctx context.Context, s store.Store, names []string, cached *Sections) (source []byte, ok bool, err error) {
 	for _, name := range names {
-		section, ok := cached.get(name)
+		section, ok := cached.Get(name)
 		if !ok {
 			entry, exists, err := s.Get(ctx, sectionPrefix+name)
 			if err != nil || !exists {
