Send waiting work away from leaving back ends, never unsay a run

Cause: requests that waited at the keeper of a leaving back end were still sent to it; a back end in the platform's host list was taken for an entry host; a request that had yielded, or gone silent once, and then was refused by the queue ended as "not run" although it had run.

Change: a keeper of a leaving back end refuses what waits and what comes as not run (code 2007), which the dispatcher moves outside of the retry budget; lines of the host list that name back ends go to router and keeper; a keeper keeps the strongest claim of a request's turns.

No speed was measured.

Conclusion: a leaving back end gets nothing new from the next reading of the text or list on, and what runs there ends there.

--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -380,9 +380,7 @@
 	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
 		return
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.view.Listed(h.timer.Now(), list)
+	h.listed(h.timer.Now(), list)
 }
 
 // status describes the fleet as this host sees it.
--- a/internal/serving/dispatch/dispatcher.go
+++ b/internal/serving/dispatch/dispatcher.go
@@ -104,6 +104,13 @@
 	d.router.SetText(text)
 }
 
+// Left tells whether the platform lists a back end as leaving.
+func (d *Dispatcher) Left(backend string, leaving bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router.Left(backend, leaving)
+}
+
 // Reported takes keepers' reports.
 func (d *Dispatcher) Reported(loads []*wire.Load) {
 	d.mu.Lock()
--- a/internal/serving/dispatch/dispatcher_test.go
+++ b/internal/serving/dispatch/dispatcher_test.go
@@ -70,6 +70,8 @@
 	started  bool
 	ran      []string
 	clock    *timer.Manual
+	// status is that of whole answers, 0 for 200.
+	status int
 }
 
 var _ dispatch.Local = (*fakeLocal)(nil)
@@ -82,7 +84,7 @@
 		}
 		return l.failures[n-1]
 	}
-	return sinkErr(sink(request.Event{Kind: request.Started, Status: 200, Backend: backend}))
+	return sinkErr(sink(request.Event{Kind: request.Started, Status: max(200, l.status), Backend: backend}))
 }
 
 func sinkErr(err error) *result.Error {
@@ -185,6 +187,25 @@
 		Expect(local.ran).To(HaveLen(1))
 	})
 
+	It("moves a request that a leaving back end sends away, also a non-idempotent one", func() {
+		local := &fakeLocal{failures: []*result.Error{result.New(result.Stopping, "leaving")}}
+		Expect(run(&fakeFleet{}, local, false)).To(BeNil())
+		Expect(local.ran).To(HaveLen(2))
+		Expect(local.ran[0]).NotTo(Equal(local.ran[1]))
+	})
+
+	It("gives a server that answered 503 no more work", func() {
+		local := &fakeLocal{clock: timer.NewManual(time.Unix(1_700_000_000, 0)), status: 503}
+		d := newDispatcher(&fakeFleet{}, local)
+		sink := func(request.Event) error { return nil }
+		for i := range 3 {
+			r := request.New(request.Options{ID: "r", Service: "tanks", Path: "/", Body: []byte{byte(i)}})
+			Expect(d.Run(context.Background(), r, sink)).To(BeNil())
+		}
+		out := local.ran[0]
+		Expect(local.ran[1:]).NotTo(ContainElement(out))
+	})
+
 	It("crashes at most two servers with one body over retries and resends, then refuses it", func() {
 		var failures []*result.Error
 		for range 100 {
--- a/internal/serving/keeper/keeper.go
+++ b/internal/serving/keeper/keeper.go
@@ -80,7 +80,9 @@
 	slots  *queue.Slots
 	serial queue.ID
 	runs   map[queue.ID]*run
-	polls  polls
+	// leaving says that the back end gets no new work.
+	leaving bool
+	polls   polls
 }
 
 // run is one request's turn at the keeper, from its offer to its end; a
@@ -101,7 +103,7 @@
 // New returns the keeper of backend with an empty queue.
 func New(t timer.Service, executor Executor, pools Pools, backend services.Backend, policy queue.Policy) *Keeper {
 	return &Keeper{
-		timer: t, executor: executor, pools: pools, backend: backend, policy: policy,
+		timer: t, executor: executor, pools: pools, backend: backend, policy: policy, leaving: backend.Leaving,
 		slots: queue.NewSlots(backend.Slots), runs: make(map[queue.ID]*run), polls: newPolls(backend.Name),
 	}
 }
@@ -177,14 +179,19 @@
 // It reports every event but Finished to sink and returns how it ended.
 func (k *Keeper) Run(ctx context.Context, r *request.Request, service *services.Service, share int, sink request.Sink) *result.Error {
 	a := newAnswer(r, sink)
+	// ran is what earlier turns did; a refusal of a later one does not undo it.
+	ran := result.RanNo
 	for fresh := false; ; {
 		id, one := k.offer(r, share, a)
 		if failure := k.await(ctx, id, one); failure != nil {
-			return failure
+			return failure.WithRan(most(ran, failure.Ran()))
 		}
 		failure, yielded := k.attempt(ctx, id, one, engine.Attempt{
 			Request: r, Backend: &k.backend, Service: service, Transcript: a.transcript, Fresh: fresh,
 		}, a)
+		if failure != nil {
+			ran = most(ran, failure.Ran())
+		}
 		switch {
 		case a.left != nil:
 			return result.New(result.Cancelled, "caller left: %v", a.left).WithRan(result.RanYes)
@@ -197,7 +204,7 @@
 			freshTries.Inc()
 			fresh = true
 		default:
-			return failure
+			return failure.WithRan(ran)
 		}
 	}
 }
@@ -216,6 +223,11 @@
 	defer k.mu.Unlock()
 	k.serial++
 	one := &run{started: make(chan struct{})}
+	if k.leaving {
+		one.refusal = k.left()
+		close(one.started)
+		return k.serial, one
+	}
 	k.runs[k.serial] = one
 	_, produced := a.transcript.Text()
 	now := k.timer.Now()
--- a/internal/serving/keeper/set.go
+++ b/internal/serving/keeper/set.go
@@ -98,6 +98,7 @@
 			continue
 		}
 		k.Resize(b.Slots)
+		k.SetLeaving(b.Leaving)
 	}
 }
 
--- a/internal/serving/retry/policy.go
+++ b/internal/serving/retry/policy.go
@@ -19,7 +19,10 @@
 	// budgetShare is how many retries each fresh request pays for.
 	budgetShare = 0.09
 	// budgetMax bounds the retries saved up.
-	budgetMax       = 10
+	budgetMax = 10
+	// minMoves is how often a request may be sent away by leaving back ends,
+	// also where the service allows no retries.
+	minMoves        = 2
 	shortestBackoff = 20 * time.Millisecond
 	longestBackoff  = 2 * time.Second
 )
@@ -62,6 +65,9 @@
 
 // Next returns a random wait below a ceiling that doubles with each attempt.
 func (p *Budgeted) Next(now time.Time, f Failure) (time.Duration, bool) {
+	if moved(f) && Allowed(f) {
+		return 0, true
+	}
 	if !Allowed(f) || p.budget < 1 {
 		return 0, false
 	}
@@ -91,10 +97,21 @@
 	return 0, true
 }
 
+// moved reports whether a request that waited is sent away by a back end that
+// leaves. The next attempt is the first that any back end sees, so it costs no
+// budget.
+func moved(f Failure) bool {
+	return f.Err.Code() == result.Stopping && f.Err.Ran() == result.RanNo
+}
+
 // Allowed reports whether another attempt could help and breaks no promise:
 // the request is idempotent, or no byte of it was sent.
 func Allowed(f Failure) bool {
-	if f.Attempts > f.Limit {
+	limit := f.Limit
+	if moved(f) {
+		limit = max(limit, minMoves)
+	}
+	if f.Attempts > limit {
 		return false
 	}
 	switch f.Err.Code() {
--- a/internal/serving/retry/policy_test.go
+++ b/internal/serving/retry/policy_test.go
@@ -88,5 +88,7 @@
 	Entry("not idempotent and never sent", retry.Failure{Err: result.New(result.NoBackend, ""), Attempts: 1, Limit: 1}, true),
 	Entry("at its limit", retry.Failure{Err: failed, Idempotent: true, Attempts: 2, Limit: 1}, false),
 	Entry("past its deadline", retry.Failure{Err: failed, Idempotent: true, Attempts: 1, Limit: 1, Deadline: start}, false),
+	Entry("moved by a leaving back end", retry.Failure{Err: result.New(result.Stopping, ""), Attempts: 1}, true),
+	Entry("moved too often", retry.Failure{Err: result.New(result.Stopping, ""), Attempts: 3}, false),
 	Entry("quarantined", retry.Failure{Err: result.New(result.Quarantined, ""), Idempotent: true, Attempts: 1, Limit: 1}, false),
 )
--- a/internal/serving/route/router.go
+++ b/internal/serving/route/router.go
@@ -83,7 +83,7 @@
 		if !ok || s.backend.Address != b.Address {
 			s = &server{}
 		}
-		s.backend, s.leaving = b, b.Leaving
+		s.backend = b
 		r.byName[b.Name] = s
 	}
 	r.models, r.plain = make(map[string]*pool), make(map[string]*pool)
@@ -112,10 +112,11 @@
 	}
 }
 
-// Left marks a back end as leaving or staying.
+// Left tells whether the platform lists a back end as leaving; the services
+// text says so on its own.
 func (r *Router) Left(backend string, leaving bool) {
 	if s, ok := r.byName[backend]; ok {
-		s.leaving = leaving || s.backend.Leaving
+		s.leaving = leaving
 	}
 }
 
--- a/internal/serving/route/server.go
+++ b/internal/serving/route/server.go
@@ -41,7 +41,8 @@
 	// its value when load came: the part that load can contain.
 	sent         [2]int
 	sentAtReport [2]int
-	leaving      bool
+	// leaving says that the platform lists the server as leaving.
+	leaving bool
 	// failures counts failed connections in a row. While it is not 0, the
 	// server gets nothing before downUntil, and one request at a time after.
 	failures  int
@@ -59,7 +60,7 @@
 
 // usable reports whether the server may get a request now.
 func (s *server) usable(now time.Time, avoid []string) bool {
-	if s.leaving || now.Before(s.downUntil) {
+	if s.leaving || s.backend.Leaving || now.Before(s.downUntil) {
 		return false
 	}
 	for _, name := range avoid {
