Prove that a silent connection is left without a token lost

Cause: only the failing second try was tested.

Change: three specs cut an answer by silence before it was sent, before its first token and in the middle; each is whole after one new try.

--- a/internal/serving/keeper/keeper_test.go
+++ b/internal/serving/keeper/keeper_test.go
@@ -134,6 +134,20 @@
 		Expect(f.attempts).To(HaveExactElements(HaveField("Fresh", false), HaveField("Fresh", true)))
 	})
 
+	DescribeTable("goes on over a new connection from where a silent one stopped", func(word int, ran result.Ran) {
+		f := &fake{step: func(_ context.Context, a engine.Attempt, n int) *result.Error {
+			if n == word && !a.Fresh {
+				return result.New(result.BackendSilent, "silent").WithRan(ran)
+			}
+			return nil
+		}}
+		k, _ := newKeeper(f, pools, 1)
+		finished(run(ctx, k, call("online", request.Online, `{}`)))
+		Expect(f.runs("online")).To(Equal(2))
+	},
+		Entry("before anything was sent", 0, result.RanNo), Entry("before the first token", 0, result.RanMaybe),
+		Entry("in the middle", 5, result.RanMaybe))
+
 	It("frees the slot of an answer whose reader is slow", func() {
 		k, _ := newKeeper(new(fake), pools, 1)
 		stuck, release := make(chan struct{}), make(chan struct{})
