Prove that callers that leave, resend or race get the truth

Cause: the thin path had no proof for resends across hosts, for lost answers of calls that may not be repeated, or for callers that leave. Change: end-to-end specs for each. Figures: 40 keys sent to 3 hosts at once, 120 calls: each of the 40 ran once; all specs pass under -race. Conclusion: the claims hold across hosts.

--- /dev/null
+++ b/internal/standin/deployment/caller_test.go
@@ -0,0 +1,149 @@
+package deployment_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"github.com/kingcupquay/kingcupquay/internal/operator/examples"
+	"github.com/kingcupquay/kingcupquay/internal/standin/deployment"
+	"github.com/kingcupquay/kingcupquay/internal/standin/engine"
+)
+
+// post sends a call of the Agency's caller and returns status and body.
+func post(ctx context.Context, url, key, body string) (int, string) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer "+examples.AgencyCallerToken)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(answer)
+}
+
+func running(d *deployment.Deployment) int {
+	sum := 0
+	for _, e := range d.Engines() {
+		sum += e.Load().Running
+	}
+	return sum
+}
+
+var _ = Describe("a caller", func() {
+	It("that leaves frees its slot", func(ctx SpecContext) {
+		o := deployment.Small()
+		o.Step = 50 * time.Millisecond
+		d := start(o)
+		client := clientOf(d, 1)
+		params := chat("a story nobody reads")
+		params.MaxTokens = openai.Int(10_000)
+		leaving, leave := context.WithCancel(ctx)
+		stream := client.Chat.Completions.NewStreaming(leaving, params)
+		Expect(stream.Next()).To(BeTrue())
+		Expect(running(d)).To(Equal(1))
+		leave()
+		Eventually(func() int { return running(d) }, patience).Should(BeZero())
+	})
+
+	It("gets a text completion", func(ctx SpecContext) {
+		d := start(deployment.Small())
+		client := clientOf(d, 0)
+		answer, err := client.Completions.New(ctx, openai.CompletionNewParams{
+			Model: "village-requests-chat", Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String("the road to Robe")},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Choices[0].Text).To(Equal(engine.Answer("the road to Robe", 0)))
+	})
+
+	It("that sends a key again, whole or streamed, gets the recorded answer", func(ctx SpecContext) {
+		d := start(deployment.Small())
+		prompt := "which village is next?"
+		var first *openai.ChatCompletion
+		for host := range 3 {
+			client := clientOf(d, host)
+			answer, err := client.Chat.Completions.New(ctx, chat(prompt), option.WithHeader("Idempotency-Key", "once"))
+			Expect(err).NotTo(HaveOccurred())
+			if first == nil {
+				first = answer
+			}
+			Expect(answer.ID).To(Equal(first.ID))
+			Expect(answer.Choices[0].Message.Content).To(Equal(engine.Answer(prompt, 0)))
+		}
+		runs := 0
+		for _, e := range d.Engines() {
+			runs += e.Runs(prompt)
+		}
+		Expect(runs).To(Equal(1))
+	})
+
+	It("with the same key at every host at once makes a call that may not be repeated run once", func(ctx SpecContext) {
+		d := start(deployment.Small())
+		const keys, tries = 40, 3
+		var group sync.WaitGroup
+		wrong := make(chan string, keys*tries)
+		for key := range keys {
+			body := fmt.Sprintf(`{"household":%d}`, key)
+			for try := range tries {
+				group.Add(1)
+				go func() {
+					defer group.Done()
+					status, answer := post(ctx, d.URL(try)+"/services/tank-requests/new", fmt.Sprintf("tank-%d", key), body)
+					var echo struct {
+						Echo string `json:"echo"`
+					}
+					if status != http.StatusOK || json.Unmarshal([]byte(answer), &echo) != nil || echo.Echo != body {
+						wrong <- fmt.Sprintf("status %d: %s", status, answer)
+					}
+				}()
+			}
+		}
+		group.Wait()
+		close(wrong)
+		for text := range wrong {
+			Fail(text)
+		}
+		total := 0
+		for _, s := range d.Services() {
+			for body, n := range s.Counts() {
+				Expect(n).To(Equal(1), body)
+				total += n
+			}
+		}
+		Expect(total).To(Equal(keys))
+	})
+
+	It("of a call whose answer was lost learns that it may have run, and it is not sent again", func(ctx SpecContext) {
+		d := start(deployment.Small())
+		for _, s := range d.Services() {
+			s.SetCutAfter(true)
+		}
+		status, answer := post(ctx, d.URL(0)+"/services/tank-requests/new", "lost", "one tank")
+		Expect(status).To(BeNumerically(">=", 400))
+		Expect(answer).To(ContainSubstring(`"ran":"maybe"`))
+		for _, s := range d.Services() {
+			s.SetCutAfter(false)
+		}
+		_, answer = post(ctx, d.URL(2)+"/services/tank-requests/new", "lost", "one tank")
+		Expect(answer).To(ContainSubstring(`"ran":"maybe"`))
+		Expect(d.Services()[0].Count("one tank") + d.Services()[1].Count("one tank")).To(Equal(1))
+	})
+})
