Prove leases, the store client and records through outages

Cause: a failed write was reported to its shard only after a pause of up to 2 s, so that callers timed out with "may have run" during an outage in which it was certain that nothing was written; leases, the store's client and the budget had no tests.

Change: failures are reported at once and the pause comes before the next call; a claim that certainly is not durable is refused after 2 s.

--- a/internal/fleet/host/records.go
+++ b/internal/fleet/host/records.go
@@ -18,6 +18,9 @@
 const (
 	holderRetry   = 100 * time.Millisecond
 	holderTimeout = 5 * time.Second
+	// outageTimeout is when a store that takes no records is no longer waited
+	// for, if that is certain.
+	outageTimeout = 2 * time.Second
 )
 
 // holders finds the holder of a shard and speaks to it, wherever it is.
@@ -41,7 +44,7 @@
 	remote func(context.Context, wire.PeerClient) (*result.Error, error)) *result.Error {
 	ctx, cancel := context.WithTimeout(ctx, holderTimeout)
 	defer cancel()
-	ran := result.RanNo
+	ran, begin := result.RanNo, time.Now()
 	for {
 		failure, reached := h.once(ctx, shard, local, remote)
 		if failure == nil || (failure.Code() != result.LeaseLost && failure.Code() != result.StoreUnavailable) {
@@ -54,6 +57,9 @@
 			ran = result.RanMaybe
 		}
 		last := result.New(result.StoreUnavailable, "%s", failure.Message()).WithRetry(time.Second)
+		if failure.Code() == result.StoreUnavailable && ran == result.RanNo && time.Since(begin) > outageTimeout {
+			return last
+		}
 		select {
 		case <-ctx.Done():
 			return last.WithRan(ran)
--- /dev/null
+++ b/internal/record/lease/keeper_test.go
@@ -0,0 +1,385 @@
+package lease_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/zone"
+	"github.com/kingcupquay/kingcupquay/internal/record/lease"
+	"github.com/kingcupquay/kingcupquay/internal/record/store"
+	"github.com/kingcupquay/kingcupquay/internal/standin/platform"
+)
+
+const tick = 250 * time.Millisecond
+
+var ctx = context.Background()
+
+// node is one host's keeper with what it knows of the owners.
+type node struct {
+	name   string
+	keeper *lease.Keeper
+	owners map[int]lease.Owner
+	dead   bool
+	// until is the end of a pause.
+	until time.Time
+	// blocked says that the store refuses this host's acquires.
+	blocked bool
+	lost    int
+	pending []lease.Action
+	// delay is how long each store call of the host takes.
+	delay time.Duration
+	ready time.Time
+}
+
+// fleet connects keepers with the stand-in store, without goroutines.
+type fleet struct {
+	clock  *timer.Manual
+	kv     *platform.KV
+	shards int
+	nodes  []*node
+	// peak is the most acquires of one host in one tick.
+	peak     int
+	acquires int
+	// double is set when two hosts hold a shard by their own clocks.
+	double bool
+}
+
+func newFleet(hosts, shards int) *fleet {
+	clock := timer.NewManual(time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC))
+	f := &fleet{clock: clock, kv: platform.NewKV(clock), shards: shards}
+	for i := range hosts {
+		f.add(fmt.Sprintf("host-%d", i))
+	}
+	return f
+}
+
+func (f *fleet) add(name string) *node {
+	n := &node{name: name, keeper: lease.NewKeeper(name, f.shards, lease.DefaultTerms), owners: make(map[int]lease.Owner)}
+	entries, _, _ := f.kv.Range(ctx, "shard/", store.PrefixEnd("shard/"), 0)
+	for _, entry := range entries {
+		var shard int
+		_, _ = fmt.Sscanf(entry.Key, "shard/%d", &shard)
+		n.owners[shard] = lease.Owner{Host: string(entry.Value), Token: entry.CreateRevision}
+	}
+	f.nodes = append(f.nodes, n)
+	return n
+}
+
+func (f *fleet) live() []string {
+	var names []string
+	for _, n := range f.nodes {
+		if !n.dead {
+			names = append(names, n.name)
+		}
+	}
+	return names
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.clock.Now().Add(d); f.clock.Now().Before(end); {
+		f.clock.Advance(tick)
+		f.step()
+	}
+}
+
+func (f *fleet) step() {
+	now, live := f.clock.Now(), f.live()
+	for _, n := range f.nodes {
+		if n.dead || now.Before(n.until) {
+			continue
+		}
+		actions := n.keeper.Tick(now, live, n.owners)
+		if len(n.pending) == 0 {
+			n.ready = now.Add(n.delay)
+		}
+		n.pending = append(n.pending, actions...)
+		if now.Before(n.ready) {
+			continue
+		}
+		due := n.pending
+		n.pending = nil
+		acquires := 0
+		for _, a := range due {
+			if a.Kind == lease.Acquire {
+				acquires++
+			}
+			f.act(n, a)
+		}
+		f.acquires += acquires
+		f.peak = max(f.peak, acquires)
+	}
+	f.check()
+}
+
+// check looks for shards that two hosts would act on, paused ones included:
+// by its own clock a paused host acts the moment it wakes up.
+func (f *fleet) check() {
+	for shard := range f.shards {
+		holders := 0
+		for _, n := range f.nodes {
+			if _, ok := n.keeper.Holds(f.clock.Now(), shard); ok && !n.dead {
+				holders++
+			}
+		}
+		f.double = f.double || holders > 1
+	}
+}
+
+func (f *fleet) act(n *node, a lease.Action) {
+	sent := f.clock.Now().Add(-n.delay)
+	switch a.Kind {
+	case lease.Grant:
+		id, err := f.kv.Grant(ctx, lease.DefaultTerms.TTL)
+		n.keeper.Granted(sent, id, err)
+	case lease.Renew:
+		_, err := f.kv.KeepAlive(ctx, a.Session)
+		n.lost += len(n.keeper.Renewed(sent, a.Session, errors.Is(err, store.ErrLeaseNotFound), err))
+	case lease.Check:
+		f.read(n, a.Shard)
+	case lease.Acquire:
+		f.acquire(n, a)
+	case lease.Lost:
+		n.lost++
+	case lease.Release:
+		_, _ = f.kv.Commit(ctx, store.Txn{
+			Compares: []store.Compare{{Key: zone.ShardName(a.Shard), Revision: a.Token}},
+			Deletes:  []string{zone.ShardName(a.Shard)},
+		})
+		delete(n.owners, a.Shard)
+		n.keeper.Released(a.Shard)
+	}
+}
+
+func (f *fleet) acquire(n *node, a lease.Action) {
+	var token int64
+	if !n.blocked {
+		_, _ = f.kv.Commit(ctx, store.Txn{
+			Compares: []store.Compare{{Key: zone.ShardName(a.Shard)}},
+			Puts:     []store.Put{{Key: zone.ShardName(a.Shard), Value: []byte(n.name), Lease: a.Session}},
+		})
+		if entry, ok := f.read(n, a.Shard); ok && entry.Lease == a.Session {
+			token = entry.CreateRevision
+		}
+	}
+	n.keeper.Acquired(f.clock.Now(), a.Session, a.Shard, token)
+}
+
+func (f *fleet) read(n *node, shard int) (store.Entry, bool) {
+	entry, ok, err := f.kv.Get(ctx, zone.ShardName(shard))
+	if err != nil {
+		return entry, false
+	}
+	delete(n.owners, shard)
+	if ok {
+		n.owners[shard] = lease.Owner{Host: string(entry.Value), Token: entry.CreateRevision}
+	}
+	return entry, ok
+}
+
+// held returns how many shards live hosts may act on, and the most of one.
+func (f *fleet) held() (sum, most int) {
+	for _, n := range f.nodes {
+		count := 0
+		for _, shard := range n.keeper.Held() {
+			if _, ok := n.keeper.Holds(f.clock.Now(), shard); ok && !n.dead && !f.clock.Now().Before(n.until) {
+				count++
+			}
+		}
+		sum += count
+		most = max(most, count)
+	}
+	return sum, most
+}
+
+// untilAllHeld returns how long it takes until every shard is held.
+func (f *fleet) untilAllHeld() time.Duration {
+	begin := f.clock.Now()
+	for range 1000 {
+		if sum, _ := f.held(); sum == f.shards {
+			break
+		}
+		f.run(tick)
+	}
+	return f.clock.Now().Sub(begin)
+}
+
+var _ = Describe("a fleet of keepers", func() {
+	It("spreads shards evenly and keeps them still", func() {
+		f := newFleet(7, 64)
+		f.run(20 * time.Second)
+		sum, most := f.held()
+		Expect(sum).To(Equal(64))
+		Expect(most).To(BeNumerically("<=", 20))
+		Expect(f.peak).To(BeNumerically("<=", 4))
+		before := f.acquires
+		f.run(5 * time.Minute)
+		Expect(f.acquires).To(Equal(before))
+		Expect(f.double).To(BeFalse())
+	})
+
+	It("takes over a lost host's shards within the lease time and 2 s", func() {
+		for victim := range 7 {
+			f := newFleet(7, 64)
+			f.run(20*time.Second + time.Duration(victim)*700*time.Millisecond)
+			f.nodes[victim].dead = true
+			Expect(f.untilAllHeld()).To(BeNumerically("<=", lease.DefaultTerms.TTL+2*time.Second))
+			Expect(f.double).To(BeFalse())
+		}
+	})
+
+	It("moves shards to a new host and back without two holders", func() {
+		f := newFleet(6, 64)
+		f.run(20 * time.Second)
+		n := f.add("host-new")
+		f.run(20 * time.Second)
+		Expect(len(n.keeper.Held())).To(BeNumerically(">", 3))
+		n.keeper.Leave()
+		f.run(5 * time.Second)
+		Expect(n.keeper.Held()).To(BeEmpty())
+		n.dead = true
+		Expect(f.untilAllHeld()).To(BeNumerically("<=", 5*time.Second))
+		Expect(f.double).To(BeFalse())
+	})
+
+	It("finds out by its own clock that it was paused past its lease", func() {
+		f := newFleet(3, 12)
+		f.run(20 * time.Second)
+		n := f.nodes[0]
+		shards := n.keeper.Held()
+		n.until = f.clock.Now().Add(11 * time.Second)
+		f.clock.Advance(9 * time.Second)
+		for _, shard := range shards {
+			_, ok := n.keeper.Holds(f.clock.Now(), shard)
+			Expect(ok).To(BeFalse())
+		}
+		f.run(4 * time.Second)
+		Expect(n.lost).To(Equal(len(shards)))
+		f.run(20 * time.Second)
+		sum, _ := f.held()
+		Expect(sum).To(Equal(12))
+		Expect(f.double).To(BeFalse())
+	})
+
+	It("does not thrash while the store is slow", func() {
+		f := newFleet(7, 64)
+		f.run(20 * time.Second)
+		before := f.acquires
+		for _, n := range f.nodes {
+			n.delay = 2 * time.Second
+		}
+		f.run(2 * time.Minute)
+		sum, _ := f.held()
+		Expect(sum).To(Equal(64))
+		Expect(f.acquires).To(Equal(before))
+	})
+
+	It("survives an outage longer than the lease without two holders", func() {
+		f := newFleet(7, 64)
+		f.run(20 * time.Second)
+		f.kv.SetFaults(func(string) platform.Fault { return platform.Refuse })
+		f.run(30 * time.Second)
+		sum, _ := f.held()
+		Expect(sum).To(BeZero())
+		f.kv.SetFaults(nil)
+		Expect(f.untilAllHeld()).To(BeNumerically("<=", 15*time.Second))
+		Expect(f.double).To(BeFalse())
+	})
+
+	It("settles lost replies of grants, renewals and acquires", func() {
+		f := newFleet(3, 12)
+		calls := 0
+		f.kv.SetFaults(func(op string) platform.Fault {
+			calls++
+			if op != "get" && calls%3 == 0 {
+				return platform.LoseReply
+			}
+			return platform.NoFault
+		})
+		f.run(2 * time.Minute)
+		sum, _ := f.held()
+		Expect(sum).To(Equal(12))
+		Expect(f.double).To(BeFalse())
+	})
+
+	It("lets the second host take a shard that the first can't take", func() {
+		f := newFleet(3, 12)
+		f.nodes[0].blocked = true
+		f.run(10 * time.Second)
+		sum, _ := f.held()
+		Expect(sum).To(Equal(12))
+		holders := make(map[int]string)
+		for _, n := range f.nodes {
+			for _, shard := range n.keeper.Held() {
+				holders[shard] = n.name
+			}
+		}
+		f.run(30 * time.Second)
+		for _, n := range f.nodes {
+			for _, shard := range n.keeper.Held() {
+				Expect(holders[shard]).To(Equal(n.name))
+			}
+		}
+		Expect(f.double).To(BeFalse())
+	})
+
+	It("costs little while nothing changes", func() {
+		f := newFleet(7, 64)
+		f.run(30 * time.Second)
+		before := f.kv.Calls()
+		f.run(100 * time.Second)
+		after := f.kv.Calls()
+		perHost := func(op string) float64 { return float64(after[op]-before[op]) / 7 / 100 }
+		Expect(perHost("keepalive")).To(BeNumerically("<=", 0.34))
+		Expect(perHost("txn")).To(BeZero())
+		Expect(perHost("get")).To(BeNumerically("<=", 0.6))
+	})
+})
+
+var _ = Describe("WaitOut", func() {
+	It("covers the former holder's validity and its orders in transit", func() {
+		now := time.Unix(0, 0)
+		terms := lease.DefaultTerms
+		k := lease.NewKeeper("former", 1, terms)
+		k.Tick(now, []string{"former"}, nil)
+		k.Granted(now, 7, nil)
+		k.Tick(now, []string{"former"}, nil)
+		k.Acquired(now, 7, 0, 1)
+		until := lease.WaitOut(now, terms, time.Second)
+		_, held := k.Holds(until.Add(-time.Second-2*terms.Margin), 0)
+		Expect(held).To(BeFalse())
+		Expect(until).To(Equal(now.Add(terms.TTL + terms.Margin + time.Second)))
+	})
+})
+
+func BenchmarkKeeperTick(b *testing.B) {
+	const hosts, shards = 1900, 4096
+	live := make([]string, hosts)
+	owners := make(map[int]lease.Owner)
+	for i := range live {
+		live[i] = fmt.Sprintf("host-%d", i)
+	}
+	for i := range shards {
+		owners[i] = lease.Owner{Host: live[i%hosts], Token: 1}
+	}
+	now := time.Unix(0, 0)
+	k := lease.NewKeeper(live[0], shards, lease.DefaultTerms)
+	k.Tick(now, live, owners)
+	k.Granted(now, 1, nil)
+	b.Run("steady", func(b *testing.B) {
+		for b.Loop() {
+			k.Tick(now, live, owners)
+		}
+	})
+	b.Run("hosts changed", func(b *testing.B) {
+		for i := 0; b.Loop(); i++ {
+			k.Tick(now, live[:hosts-1-i%2], owners)
+		}
+	})
+}
--- /dev/null
+++ b/internal/record/lease/suite_test.go
@@ -0,0 +1,13 @@
+package lease_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestLease(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "lease")
+}
--- a/internal/record/ledger/shard_test.go
+++ b/internal/record/ledger/shard_test.go
@@ -271,6 +271,33 @@
 	})
 })
 
+var _ = Describe("a busy shard", func() {
+	It("writes at most 20 groups a second whatever the load", func() {
+		for _, perStep := range []int{1, 30, 300} {
+			w := newSteadyWorld()
+			h := w.holders[0]
+			begin, claimed := w.commits, 0
+			for step := range 200 {
+				for i := range perStep {
+					h.serial++
+					h.queue = append(h.queue, h.shard.Claim(w.clock.Now(), h.serial, &wire.ClaimRequest{
+						Key: fmt.Sprintf("k%d-%d", step, i), Attempt: "a", DeadlineInMs: 60_000, KeepMs: 1000,
+					})...)
+				}
+				h.queue = append(h.queue, h.shard.Tick(w.clock.Now())...)
+				w.drain(h)
+				w.clock.Advance(10 * time.Millisecond)
+			}
+			for _, a := range h.answers {
+				Expect(a.failure).To(BeNil())
+				claimed++
+			}
+			Expect(w.commits - begin).To(BeNumerically("<=", 41))
+			Expect(claimed).To(BeNumerically(">=", 190*perStep))
+		}
+	})
+})
+
 var _ = Describe("an outage of an hour", func() {
 	It("keeps memory and store calls bounded, takes outcomes and settles afterwards", func() {
 		down := false
@@ -369,7 +396,7 @@
 }
 
 func BenchmarkGroup(b *testing.B) {
-	for _, size := range []int{1, 16, 256, 2048} {
+	for _, size := range []int{1, 16, 256, 1024, 4096} {
 		b.Run(fmt.Sprintf("records=%d", size), func(b *testing.B) {
 			clock := start
 			s := ledger.Open(ledger.Options{Writer: "w", Host: "h"}, clock, nil)
@@ -379,38 +406,48 @@
 			for i := range bodies {
 				bodies[i] = words(random, 512)
 			}
+			// handle carries out the actions: each claim that is durable is
+			// finished, which makes a second record.
+			handle := func(actions []ledger.Action) {
+				for len(actions) > 0 {
+					action := actions[0]
+					actions = actions[1:]
+					switch {
+					case action.Kind == ledger.CommitGroup:
+						value, err := ledger.Encode(action.Group)
+						if err != nil {
+							b.Fatal(err)
+						}
+						written += len(value)
+						calls++
+						actions = append(actions, s.Committed(clock, ledger.Written)...)
+					case action.Kind == ledger.ReplyTo && action.Failure != nil:
+						b.Fatal(action.Failure)
+					case action.Kind == ledger.ReplyTo && action.Found.State == ledger.Claimed:
+						found := action.Found
+						actions = append(actions, s.Finish(clock, action.Ticket, &wire.FinishRequest{
+							Key: found.Key, Attempt: found.Attempt, State: int32(ledger.Done), Answer: bodies[(int(action.Ticket)+2048)%len(bodies)],
+						})...)
+					}
+				}
+			}
 			for b.Loop() {
-				clock = clock.Add(100 * time.Millisecond)
-				var actions []ledger.Action
 				for range size {
 					serial++
-					actions = append(actions, s.Claim(clock, ledger.Ticket(serial), &wire.ClaimRequest{
+					handle(s.Claim(clock, ledger.Ticket(serial), &wire.ClaimRequest{
 						Key: fmt.Sprintf("organisation/%032d", serial), Attempt: fmt.Sprintf("req-%032d", serial),
 						Owner: "host-1", Fingerprint: make([]byte, 32), DeadlineInMs: 10, KeepMs: 1,
 						Idempotent: true, Request: &wire.RunRequest{Body: bodies[serial%len(bodies)]},
-					})...)
+					}))
 				}
-				actions = append(actions, s.Tick(clock.Add(50*time.Millisecond))...)
-				for _, action := range actions {
-					if action.Kind != ledger.CommitGroup {
-						continue
-					}
-					value, err := ledger.Encode(action.Group)
-					if err != nil {
-						b.Fatal(err)
-					}
-					written += len(value)
-					calls++
-					for _, reply := range s.Committed(clock, ledger.Written) {
-						if reply.Kind == ledger.ReplyTo {
-							key := reply.Found
-							s.Finish(clock, 0, &wire.FinishRequest{Key: key.Key, Attempt: key.Attempt, State: int32(ledger.NotRun)})
-						}
-					}
+				for first := true; first || !s.Idle(); first = false {
+					clock = clock.Add(50 * time.Millisecond)
+					handle(s.Tick(clock))
 				}
 			}
+			b.ReportMetric(float64(2*serial)/float64(calls), "records/call")
 			b.ReportMetric(float64(written)/float64(calls), "bytes/call")
-			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(serial), "ns/claim")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(serial), "ns/request")
 		})
 	}
 }
--- a/internal/record/recorder/recorder.go
+++ b/internal/record/recorder/recorder.go
@@ -34,7 +34,7 @@
 	rangePage = 8
 	// minPause and maxPause bound the wait before a failed call is repeated.
 	minPause = 100 * time.Millisecond
-	maxPause = 2 * time.Second
+	maxPause = time.Second
 )
 
 // Hooks are told about shards; they must not block for long.
--- a/internal/record/recorder/write.go
+++ b/internal/record/recorder/write.go
@@ -43,16 +43,27 @@
 	return ok && token == o.token
 }
 
-// pause waits before a failed call is repeated, longer with each failure.
+// pause waits before a call that follows failed ones, longer with each. The
+// failure itself was reported without delay.
 func (o *openShard) pause() {
 	o.mu.Lock()
-	wait := min(minPause<<min(o.failures, 8), maxPause)
-	o.failures++
+	failures := o.failures
 	o.mu.Unlock()
-	time.Sleep(wait)
+	if failures > 0 {
+		time.Sleep(min(minPause<<min(failures-1, 8), maxPause))
+	}
+}
+
+// called counts failed calls in a row; the caller holds o.mu.
+func (o *openShard) called(ok bool) {
+	o.failures++
+	if ok {
+		o.failures = 0
+	}
 }
 
 func (r *Recorder) commit(o *openShard, group *wire.Group, deletes []int64) {
+	o.pause()
 	if !r.holds(o) {
 		r.lose(o.number, o.token, "lease lapsed")
 		return
@@ -74,14 +85,9 @@
 	case !outcome.Succeeded:
 		committed = ledger.Refused
 	}
-	if err != nil {
-		o.pause()
-	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if err == nil {
-		o.failures = 0
-	}
+	o.called(err == nil)
 	r.apply(o, o.shard.Committed(r.timer.Now(), committed))
 }
 
@@ -104,6 +110,7 @@
 }
 
 func (r *Recorder) readBack(o *openShard, group *wire.Group) {
+	o.pause()
 	if !r.holds(o) {
 		r.lose(o.number, o.token, "lease lapsed")
 		return
@@ -117,11 +124,9 @@
 		Writer:      found.GetWriter(),
 		HolderValid: ok && holder.CreateRevision == o.token,
 	}
-	if read.Failed {
-		o.pause()
-	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.called(!read.Failed)
 	r.apply(o, o.shard.ReadBack(r.timer.Now(), read))
 }
 
