Find a shard's new holder without reading the store first

Cause: while a shard had no holder, each host with traffic for it read its key four times a second; at 1,900 hosts one lost host would have used up the store's reads. The budget's share was worked out from the live hosts at each call.

Change: after a failed message the next goes to the host that should hold the shard by the live hosts; the key is read with a pause that doubles from 0.5 to 8 s. The share is worked out once a second. Groups, records and bytes written are counted.

--- a/internal/fleet/host/records.go
+++ b/internal/fleet/host/records.go
@@ -51,7 +51,7 @@
 			return failure
 		}
 		if failure.Code() == result.LeaseLost {
-			h.recorder.Refresh(ctx, shard)
+			h.recorder.Missed(ctx, shard)
 		}
 		if reached && failure.Ran() != result.RanNo {
 			ran = result.RanMaybe
--- a/internal/record/recorder/owners.go
+++ b/internal/record/recorder/owners.go
@@ -13,8 +13,10 @@
 const (
 	// firstReadRetry is the time between two tries of the first read.
 	firstReadRetry = time.Second
-	// refreshEvery bounds how often one shard's holder is read on demand.
-	refreshEvery = 250 * time.Millisecond
+	// minRefresh and maxRefresh bound the time between two reads of one
+	// shard's holder on demand; it doubles while nothing changes.
+	minRefresh = 500 * time.Millisecond
+	maxRefresh = 8 * time.Second
 	// ownersPage is how many shard keys one call reads.
 	ownersPage = 1024
 )
@@ -27,20 +29,40 @@
 	// complete is set after the first read of all shards.
 	complete bool
 	tried    time.Time
-	read     map[int]time.Time
+	misses   map[int]*miss
+}
+
+// miss is a shard whose known holder did not serve.
+type miss struct {
+	// guess says that the next message goes to the host that should have it.
+	guess bool
+	// next is the earliest time of the next read, wait the time after that.
+	next time.Time
+	wait time.Duration
 }
 
 func newOwners() *owners {
-	return &owners{known: make(map[int]lease.Owner), read: make(map[int]time.Time)}
+	return &owners{known: make(map[int]lease.Owner), misses: make(map[int]*miss)}
 }
 
-func (o *owners) host(shard int) (string, bool) {
-	owner, ok := o.known[shard]
-	return owner.Host, ok
+// host returns the holder to try, empty for the host that should have it.
+func (o *owners) host(shard int) string {
+	if m, ok := o.misses[shard]; ok && m.guess {
+		return ""
+	}
+	return o.known[shard].Host
 }
 
 func (o *owners) forget(shard int) { delete(o.known, shard) }
 
+// set takes a holder as it was read.
+func (o *owners) set(shard int, owner lease.Owner) {
+	if owner != o.known[shard] {
+		delete(o.misses, shard)
+	}
+	o.known[shard] = owner
+}
+
 // begin reports whether the first read is due, and notes that it starts.
 func (o *owners) begin(now time.Time) bool {
 	if !o.tried.IsZero() && now.Sub(o.tried) < firstReadRetry {
@@ -50,12 +72,20 @@
 	return true
 }
 
-// due reports whether a shard may be read on demand, and notes that it is.
-func (o *owners) due(now time.Time, shard int) bool {
-	if last, ok := o.read[shard]; ok && now.Sub(last) < refreshEvery {
+// missed notes that the holder tried last did not serve, and reports whether
+// the store is to be asked.
+func (o *owners) missed(now time.Time, shard int) bool {
+	m, ok := o.misses[shard]
+	if !ok {
+		m = &miss{wait: minRefresh}
+		o.misses[shard] = m
+	}
+	m.guess = !m.guess
+	if now.Before(m.next) {
 		return false
 	}
-	o.read[shard] = now
+	m.next = now.Add(m.wait)
+	m.wait = min(2*m.wait, maxRefresh)
 	return true
 }
 
@@ -78,11 +108,13 @@
 	r.owners.complete = true
 }
 
-// Refresh reads a shard's holder again after the known one did not serve; it
-// returns at once if that was done a moment ago.
-func (r *Recorder) Refresh(ctx context.Context, shard int) {
+// Missed says that the holder that Owner returned did not serve. The next one
+// is the host that should hold the shard by the live hosts, so that most of a
+// fleet finds a new holder without a read of the store; now and then the store
+// is asked as well.
+func (r *Recorder) Missed(ctx context.Context, shard int) {
 	r.mu.Lock()
-	due := r.owners.due(r.timer.Now(), shard)
+	due := r.owners.missed(r.timer.Now(), shard)
 	r.mu.Unlock()
 	if due {
 		r.readOwner(ctx, shard)
@@ -114,6 +146,6 @@
 		return
 	}
 	if entry.CreateRevision >= known.Token {
-		r.owners.known[shard] = lease.Owner{Host: string(entry.Value), Token: entry.CreateRevision}
+		r.owners.set(shard, lease.Owner{Host: string(entry.Value), Token: entry.CreateRevision})
 	}
 }
--- a/internal/record/recorder/recorder.go
+++ b/internal/record/recorder/recorder.go
@@ -104,14 +104,19 @@
 // Shards returns the number of shards of the deployment.
 func (r *Recorder) Shards() int { return r.shards }
 
-// Owner returns the host that holds a shard, as last read from the store.
+// Owner returns the host that is believed to hold a shard.
 func (r *Recorder) Owner(shard int) (string, bool) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if _, ok := r.open[shard]; ok {
+	_, open := r.open[shard]
+	host := r.owners.host(shard)
+	r.mu.Unlock()
+	if open {
 		return r.host, true
 	}
-	return r.owners.host(shard)
+	if host == "" {
+		host = zone.First(r.hooks.Live(), zone.ShardName(shard))
+	}
+	return host, host != ""
 }
 
 // Held returns the shards that this host holds.
--- a/internal/record/recorder/write.go
+++ b/internal/record/recorder/write.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/kingcupquay/kingcupquay/internal/fleet/wire"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/zone"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
@@ -12,6 +14,12 @@
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
 )
 
+var (
+	groupsWritten  = metrics.NewCounter("kingcupquay_record_groups_written_total")
+	recordsWritten = metrics.NewCounter("kingcupquay_record_records_written_total")
+	bytesWritten   = metrics.NewCounter("kingcupquay_record_bytes_written_total")
+)
+
 // apply carries out a shard's actions; the caller holds o.mu.
 func (r *Recorder) apply(o *openShard, actions []ledger.Action) {
 	for _, action := range actions {
@@ -85,6 +93,11 @@
 	case !outcome.Succeeded:
 		committed = ledger.Refused
 	}
+	if committed == ledger.Written {
+		groupsWritten.Inc()
+		recordsWritten.Add(len(group.GetRecords()))
+		bytesWritten.Add(len(value))
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.called(err == nil)
--- a/internal/record/store/metered.go
+++ b/internal/record/store/metered.go
@@ -19,6 +19,9 @@
 // burstTime is how much of its rate an idle bucket saves up.
 const burstTime = 2 * time.Second
 
+// shareEvery is the time between two looks at the number of hosts.
+const shareEvery = time.Second
+
 // Bucket is a token bucket that keeps a share for urgent calls: background
 // calls may take the level down to half, urgent ones down to nothing. It reads
 // no clock.
@@ -90,10 +93,12 @@
 	total Rates
 	hosts func() int
 
-	mu     sync.Mutex
-	share  int
-	reads  *Bucket
-	writes *Bucket
+	mu sync.Mutex
+	// share is the number of hosts that share the budget, as of sharedAt.
+	share    int
+	sharedAt time.Time
+	reads    *Bucket
+	writes   *Bucket
 }
 
 var _ Store = (*Metered)(nil)
@@ -122,19 +127,33 @@
 // take takes one token and returns the wait until there is one.
 func (m *Metered) take(ctx context.Context, write bool) time.Duration {
 	background, _ := ctx.Value(backgroundKey{}).(bool)
+	now := m.timer.Now()
+	m.divide(now)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if write {
+		return m.writes.Take(now, background)
+	}
+	return m.reads.Take(now, background)
+}
+
+// divide works out the host's share of the budget, once in shareEvery.
+func (m *Metered) divide(now time.Time) {
+	m.mu.Lock()
+	due := m.sharedAt.IsZero() || now.Sub(m.sharedAt) >= shareEvery
+	m.mu.Unlock()
+	if !due {
+		return
+	}
 	share := max(1, m.hosts())
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.timer.Now()
+	m.sharedAt = now
 	if share != m.share {
 		m.share = share
 		m.reads.SetRate(now, m.total.Reads/float64(share))
 		m.writes.SetRate(now, m.total.Writes/float64(share))
 	}
-	if write {
-		return m.writes.Take(now, background)
-	}
-	return m.reads.Take(now, background)
 }
 
 // admit waits for the budget.
