--- /dev/null
+++ b/internal/record/recorder/recorder_test.go
@@ -0,0 +1,150 @@
+package recorder_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/wire"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/zone"
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/record/lease"
+	"github.com/kingcupquay/kingcupquay/internal/record/ledger"
+	"github.com/kingcupquay/kingcupquay/internal/record/recorder"
+	"github.com/kingcupquay/kingcupquay/internal/standin/platform"
+)
+
+const (
+	shards = 4
+	// longTTL outlasts any stall of the test's machine, shortTTL is waited for.
+	longTTL  = 30 * time.Second
+	shortTTL = 5 * time.Second
+	// patience bounds every wait; it is no statement on speed.
+	patience = 30 * time.Second
+)
+
+// fleet is the recorders of some hosts on one store.
+type fleet struct {
+	kv *platform.KV
+
+	mu   sync.Mutex
+	live []string
+}
+
+func (f *fleet) setLive(names ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.live = names
+}
+
+func (f *fleet) start(name string, ttl time.Duration) *recorder.Recorder {
+	terms := lease.DefaultTerms
+	terms.TTL, terms.Margin, terms.Renew = ttl, time.Second, 500*time.Millisecond
+	terms.Settle, terms.Check = 100*time.Millisecond, 100*time.Millisecond
+	r := recorder.New(name, f.kv, timer.Real{}, shards, terms, recorder.Hooks{
+		Live: func() []string {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return append([]string(nil), f.live...)
+		},
+		Won: func(int, int64) {}, Lost: func(int) {}, Note: func(string, string, ...string) {},
+		RunAgain: func(ledger.Entry, *wire.Record) {},
+	})
+	r.Start()
+	DeferCleanup(r.Stop)
+	return r
+}
+
+func claimOf(key, attempt string) *wire.ClaimRequest {
+	return &wire.ClaimRequest{
+		Shard: int32(zone.Shard(key, shards)), Key: key, Attempt: attempt, Owner: "owner", Fingerprint: []byte("f"),
+		DeadlineInMs: 60_000, KeepMs: time.Hour.Milliseconds(),
+	}
+}
+
+func finishOf(key, attempt string, answer []byte) *wire.FinishRequest {
+	return &wire.FinishRequest{
+		Shard: int32(zone.Shard(key, shards)), Key: key, Attempt: attempt, State: int32(ledger.Done), Status: 200, Answer: answer,
+	}
+}
+
+func lookup(ctx context.Context, r *recorder.Recorder, key string) *wire.LookupReply {
+	return r.Lookup(ctx, &wire.LookupRequest{Key: key, Shard: int32(zone.Shard(key, shards))})
+}
+
+var _ = Describe("recorders", func() {
+	var f *fleet
+	BeforeEach(func() {
+		f = &fleet{kv: platform.NewKV(timer.Real{})}
+		f.setLive("a")
+	})
+
+	It("grant one of many claims of a key, and hand its answer over", func(ctx SpecContext) {
+		a := f.start("a", longTTL)
+		Eventually(a.Held, patience).Should(HaveLen(shards))
+		granted := make(chan string, 50)
+		var wg sync.WaitGroup
+		for i := range 50 {
+			wg.Go(func() {
+				attempt := fmt.Sprintf("attempt-%d", i)
+				if reply := a.Claim(ctx, claimOf("k", attempt)); reply.GetFailure() == nil && reply.GetExisting() == nil {
+					granted <- attempt
+				}
+			})
+		}
+		wg.Wait()
+		Expect(granted).To(HaveLen(1))
+		answer := bytes.Repeat([]byte("0123456789abcdef"), 200_000)
+		Expect(a.Finish(ctx, finishOf("k", <-granted, answer)).GetFailure()).To(BeNil())
+
+		b := f.start("b", longTTL)
+		f.setLive("b")
+		Eventually(b.Held, patience).Should(HaveLen(shards))
+		reply := lookup(ctx, b, "k")
+		Expect(reply.GetFailure()).To(BeNil())
+		Expect(bytes.Equal(reply.GetEntry().GetAnswer(), answer)).To(BeTrue())
+		Expect(lookup(ctx, a, "k").GetFailure().Err().Code()).To(Equal(result.LeaseLost))
+	}, SpecTimeout(2*patience))
+
+	It("refuse to act past their lease, and the next holder reads all", func(ctx SpecContext) {
+		a := f.start("a", shortTTL)
+		Eventually(a.Held, patience).Should(HaveLen(shards))
+		Expect(a.Claim(ctx, claimOf("k", "one")).GetFailure()).To(BeNil())
+		a.Stop()
+		b := f.start("b", longTTL)
+		f.setLive("b")
+		Eventually(b.Held, patience).Should(HaveLen(shards))
+		failure := a.Finish(ctx, finishOf("k", "one", nil)).GetFailure().Err()
+		Expect(failure.Code()).To(Equal(result.LeaseLost))
+		Expect(b.Claim(ctx, claimOf("k", "two")).GetExisting().GetAttempt()).To(Equal("one"))
+		Expect(b.Finish(ctx, finishOf("k", "one", []byte("late"))).GetFailure()).To(BeNil())
+		Expect(string(lookup(ctx, b, "k").GetEntry().GetAnswer())).To(Equal("late"))
+	}, SpecTimeout(2*patience))
+
+	It("settle writes whose replies are lost", func(ctx SpecContext) {
+		a := f.start("a", longTTL)
+		Eventually(a.Held, patience).Should(HaveLen(shards))
+		var mu sync.Mutex
+		calls := 0
+		f.kv.SetFaults(func(op string) platform.Fault {
+			mu.Lock()
+			defer mu.Unlock()
+			if calls++; op == "txn" && calls%2 == 0 {
+				return platform.LoseReply
+			}
+			return platform.NoFault
+		})
+		for i := range 10 {
+			key := fmt.Sprintf("k%d", i)
+			Expect(a.Claim(ctx, claimOf(key, "one")).GetFailure()).To(BeNil())
+			Expect(a.Finish(ctx, finishOf(key, "one", []byte(key))).GetFailure()).To(BeNil())
+			Expect(string(lookup(ctx, a, key).GetEntry().GetAnswer())).To(Equal(key))
+		}
+	}, SpecTimeout(2*patience))
+})
