Call a 503 of the store unclear unless it says otherwise

Cause: every 503 to a write counted as certainly without effect, but the v3 API also answers 503 when a request timed out inside the service or met a change of its leader, and such a write may still take effect; a claim could have been refused as not run and then be durable.

Change: only 503s that say that the call was not begun, and 429, are certain; every other error is unclear and settled by reading back.

--- a/internal/record/store/client.go
+++ b/internal/record/store/client.go
@@ -101,14 +101,29 @@
 	return fmt.Errorf("%w: %w", ErrUnclear, err)
 }
 
+// certainRefusals are texts of a 503 that say that the call was not begun. Any
+// other 503, as for a request that timed out inside the service or met a
+// change of its leader, may come after the write took effect.
+var certainRefusals = [][]byte{
+	[]byte(ErrUnavailable.Error()),
+	[]byte("no leader"),
+	[]byte("too many requests"),
+}
+
 func statusError(status int, body []byte) error {
-	if status == http.StatusNotFound {
+	switch status {
+	case http.StatusNotFound:
 		return ErrLeaseNotFound
-	}
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+	case http.StatusTooManyRequests:
 		return fmt.Errorf("%w: status %d: %s", ErrUnavailable, status, bytes.TrimSpace(body))
+	case http.StatusServiceUnavailable:
+		for _, text := range certainRefusals {
+			if bytes.Contains(body, text) {
+				return fmt.Errorf("%w: status %d: %s", ErrUnavailable, status, bytes.TrimSpace(body))
+			}
+		}
 	}
-	return fmt.Errorf("%w: status %d", ErrUnclear, status)
+	return fmt.Errorf("%w: status %d: %s", ErrUnclear, status, bytes.TrimSpace(body))
 }
 
 // Get returns the entry of key.
--- a/internal/record/store/client_test.go
+++ b/internal/record/store/client_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"reflect"
 	"testing"
 	"time"
@@ -149,6 +151,26 @@
 	})
 })
 
+var _ = DescribeTable("a write that is answered with an error", func(status int, body string, want error) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, body, status)
+	}))
+	DeferCleanup(server.Close)
+	client, err := store.NewClient([]string{server.URL})
+	Expect(err).NotTo(HaveOccurred())
+	_, err = client.Commit(context.Background(), store.Txn{Puts: []store.Put{{Key: "k"}}})
+	Expect(err).To(MatchError(want))
+},
+	Entry("refused by the service", 503, "platform store unavailable", store.ErrUnavailable),
+	Entry("without a leader", 503, `{"error":"etcdserver: no leader","code":14}`, store.ErrUnavailable),
+	Entry("over the rate", 429, "slow down", store.ErrUnavailable),
+	Entry("timed out inside the service", 503, `{"error":"etcdserver: request timed out","code":14}`, store.ErrUnclear),
+	Entry("met a change of the leader", 503, `{"error":"etcdserver: leader changed","code":14}`, store.ErrUnclear),
+	Entry("failed in a gateway", 502, "bad gateway", store.ErrUnclear),
+	Entry("slow gateway", 504, "timeout", store.ErrUnclear),
+	Entry("a fault of the service", 500, "", store.ErrUnclear),
+)
+
 func FuzzMessages(f *testing.F) {
 	for _, seed := range []string{
 		`{}`, `{"header":{"revision":"7"},"kvs":[{"key":"aw==","value":"dg==","create_revision":"3","mod_revision":"4"}]}`,
