Spread liveness by digests at a flat cost per host

Cause: a heartbeat carried the whole state of 12 others to four hosts each half second; a host was called lost after 3 s although news of far zones came more rarely; the platform's list revived lost hosts and stuck to restarted ones; a leaving host told a few hosts only. Change: one heartbeat an interval, answered by one, with a digest of sequence numbers and the whole state of one other; news counts as old as it is late; patience grows with the zone and the zones; failed connections are hints until there is news; a leaving host tells its zone at once.

--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -94,7 +94,7 @@
 	h.ring = cause.NewRing(settings.Name, t.Now)
 	h.view = member.NewView(member.Host{
 		Name: settings.Name, Zone: settings.Zone, Address: settings.PeerAddress, Incarnation: t.Now().UnixNano(),
-	}, seed)
+	}, t.Now(), seed)
 	s = store.NewMetered(s, t, storeRates, func() int { return len(h.live()) })
 	h.store = s
 	config, renewal, err := identityConfig(settings.TLS, t, h.note)
@@ -238,10 +238,9 @@
 	h.ready.Store(false)
 	h.note("host stopping", "stop was asked for", h.settings.Name)
 	h.mu.Lock()
-	self := h.view.Self()
-	h.view.SetSelf(self.Revision, true, self.Loads)
+	h.view.Leave()
 	h.mu.Unlock()
-	h.beat(h.timer.Now())
+	h.farewell()
 	h.front.Stop(ctx)
 	h.recorder.Leave(ctx)
 	h.jobs.Stop()
@@ -315,7 +314,7 @@
 	}
 	loads := h.keepers.Loads()
 	h.mu.Lock()
-	h.view.SetSelf(revision, h.view.Self().Leaving, loads)
+	h.view.SetSelf(revision, loads)
 	beats := h.view.Tick(now)
 	message := h.view.Message(now)
 	known := h.view.Hosts()
@@ -337,6 +336,17 @@
 	}
 }
 
+// farewell tells the hosts of the zone at once that this one leaves.
+func (h *Host) farewell() {
+	h.mu.Lock()
+	now := h.timer.Now()
+	beats := append(h.view.Tick(now), h.view.Farewell(now)...)
+	h.mu.Unlock()
+	for _, b := range beats {
+		go h.sendBeat(b.Address, b.Message)
+	}
+}
+
 func (h *Host) sendBeat(address string, message *wire.Heartbeat) {
 	client, err := h.pool.Peer(address, 0)
 	if err != nil {
--- a/internal/fleet/host/unreachable.go
+++ b/internal/fleet/host/unreachable.go
@@ -44,6 +44,7 @@
 	h := (*Host)(f)
 	h.mu.Lock()
 	news := h.unreachable.add(h.timer.Now(), name)
+	h.view.Unreachable(h.timer.Now(), name)
 	h.mu.Unlock()
 	if news {
 		h.ring.Note("peer unreachable", "connection failed", name, h.settings.Name)
--- a/internal/fleet/member/view.go
+++ b/internal/fleet/member/view.go
@@ -3,31 +3,52 @@
 // the outcomes of connections. The opinion is local and may be wrong; nothing
 // that must hold depends on it, only on leases and compare-and-swap.
 //
-// A heartbeat goes to a fixed number of hosts, so that a host's cost does not
-// grow with its zone; it carries rumours about a few others, so that news
-// reaches a zone of n hosts in about log(n) intervals.
+// A heartbeat goes to one host of the zone, now and then also to one of another
+// zone, and is answered by one, so that a host's cost does not grow with its
+// zone. Besides the sender's own state with the loads of its back ends it
+// carries a digest, the latest sequence numbers of hosts of the zone with the
+// freshest first, and the whole state of one other host. News of a live host
+// reaches a zone of n hosts in about log(n) intervals while the digest holds
+// them all; beyond that the time grows with n, and suspicion waits longer.
+//
+// Sequence numbers count intervals of the wall clock, so that they grow over
+// restarts as well, and a late message never looks newer than it is. Silence
+// alone, never a word from another host, makes a host count as lost.
 package member
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
 	"github.com/kingcupquay/kingcupquay/internal/fleet/wire"
+	zones "github.com/kingcupquay/kingcupquay/internal/fleet/zone"
 )
 
 const (
 	// Interval is the time between two heartbeats.
 	Interval = 500 * time.Millisecond
-	// suspectAfter is how long a host may be silent before it counts as lost.
-	suspectAfter = 3 * time.Second
-	// forgetAfter is how long a lost host is remembered.
+	// suspectAfter is how long a host of the own zone may be silent before it
+	// counts as lost, for each maxDigest hosts of the zone.
+	suspectAfter = 4 * time.Second
+	// suspectFar is the same for a host of another zone, times those zones.
+	suspectFar = 4 * time.Second
+	// farShare is how many times slower news of a far zone comes than its own.
+	farShare = 3
+	// hintHold bounds how long one failed connection counts against a host.
+	hintHold = 2 * time.Second
+	// forgetAfter is how long a lost host is remembered that is not listed.
 	forgetAfter = 10 * time.Minute
-	// fanOutZone and fanOutFar are the targets of one heartbeat.
-	fanOutZone = 3
-	fanOutFar  = 1
-	// maxRumours bounds what a heartbeat says about others.
-	maxRumours = 12
+	// farEvery and lostEvery are the heartbeats from one to another zone and
+	// from one to a lost host.
+	farEvery  = 4
+	lostEvery = 5
+	// maxDigest bounds the hosts in a digest.
+	maxDigest = 96
+	// farRumourEvery is the messages from one rumour of another zone to the next.
+	farRumourEvery = 4
 )
 
 // Host is what is known of one entry host.
@@ -42,6 +63,26 @@
 	// Heard is when news with a higher sequence last came, from whomever.
 	Heard time.Time
 	Loads []*wire.Load
+
+	// lag is the least difference seen between this host's count of intervals
+	// and the host's sequence numbers; what is more than that is the news' age.
+	lag int64
+	// state is the sequence number of the whole state that is known; Sequence
+	// may be ahead of it.
+	state int64
+	// hinted is when a connection to the host last failed.
+	hinted time.Time
+	// listed is when the platform last listed the host.
+	listed time.Time
+	// listLeaving is the incarnation that the platform called leaving.
+	listLeaving int64
+	listedGoing bool
+}
+
+// leaving reports whether the host or the platform says that it leaves. What
+// the lagging list says of an earlier incarnation does not count.
+func (h *Host) leaving() bool {
+	return h.Leaving || (h.listedGoing && h.listLeaving == h.Incarnation)
 }
 
 // Listed is one line of the platform's host list.
@@ -56,46 +97,118 @@
 type View struct {
 	self   Host
 	random *rand.Rand
+	// begun is the origin of this host's count of intervals.
+	begun time.Time
 	// hosts never holds the host itself.
 	hosts map[string]*Host
+	// byHash finds hosts by the hash that digests carry.
+	byHash map[uint32]*Host
+	// near and far count the known hosts of the own zone and the other zones.
+	near     int
+	farZones map[string]int
+	messages int
 }
 
 // NewView returns the view of a host that knows nobody yet.
-func NewView(self Host, seed uint64) *View {
-	return &View{self: self, random: rand.New(rand.NewPCG(seed, seed)), hosts: make(map[string]*Host)}
+func NewView(self Host, now time.Time, seed uint64) *View {
+	self.Sequence = self.Incarnation / int64(Interval)
+	return &View{
+		self: self, random: rand.New(rand.NewPCG(seed, seed)), begun: now, hosts: make(map[string]*Host),
+		byHash: make(map[uint32]*Host), farZones: make(map[string]int),
+	}
 }
 
 // Self returns the host's own entry.
 func (v *View) Self() Host { return v.self }
 
 // SetSelf updates what the next heartbeat says of the host itself.
-func (v *View) SetSelf(revision int64, leaving bool, loads []*wire.Load) {
-	v.self.Revision, v.self.Leaving, v.self.Loads = revision, leaving, loads
+func (v *View) SetSelf(revision int64, loads []*wire.Load) {
+	v.self.Revision, v.self.Loads = revision, loads
 }
 
+// Leave makes the host say that it leaves.
+func (v *View) Leave() { v.self.Leaving = true }
+
 // Listed takes the platform's host list. A new host counts as heard now; the
 // list's lag makes it no proof that a known host lives.
 func (v *View) Listed(now time.Time, list []Listed) {
 	for _, one := range list {
 		if one.Name == v.self.Name {
-			v.self.Leaving = v.self.Leaving || one.Leaving
 			continue
 		}
 		h, ok := v.hosts[one.Name]
 		if !ok {
-			h = &Host{Name: one.Name, Zone: one.Zone, Address: one.Address, Heard: now}
-			v.hosts[one.Name] = h
+			h = v.insert(&Host{Name: one.Name, Zone: one.Zone, Address: one.Address, Heard: now})
 		}
-		h.Leaving = h.Leaving || one.Leaving
+		h.listed = now
+		if one.Leaving && !h.listedGoing {
+			h.listLeaving = h.Incarnation
+		}
+		h.listedGoing = one.Leaving
 	}
 }
 
-// Heard takes a heartbeat and the rumours in it.
+func (v *View) insert(h *Host) *Host {
+	v.hosts[h.Name] = h
+	v.byHash[hashOf(h.Name)] = h
+	v.count(h.Zone, 1)
+	return h
+}
+
+// count keeps the number of hosts by zone.
+func (v *View) count(zone string, n int) {
+	if zone == v.self.Zone {
+		v.near += n
+		return
+	}
+	if v.farZones[zone] += n; v.farZones[zone] == 0 {
+		delete(v.farZones, zone)
+	}
+}
+
+func hashOf(name string) uint32 { return uint32(zones.Hash(name)) }
+
+// Unreachable takes a failed connection to a host. It counts against the host
+// until there is news of it, from whomever, and for hintHold at most: the fault
+// may lie in this host's own link.
+func (v *View) Unreachable(now time.Time, name string) {
+	if h, ok := v.hosts[name]; ok {
+		h.hinted = now
+	}
+}
+
+// Heard takes a heartbeat with its digest and the rumours in it.
 func (v *View) Heard(now time.Time, beat *wire.Heartbeat) {
 	v.hear(now, beat)
 	for _, other := range beat.GetOthers() {
 		v.hear(now, other)
 	}
+	ages := beat.GetDigestAges()
+	for i, hash := range beat.GetDigestHosts() {
+		if h, ok := v.byHash[hash]; ok && i < len(ages) {
+			v.noted(now, h, beat.GetSequence()-int64(ages[i]>>1), ages[i]&1 != 0)
+		}
+	}
+}
+
+// noted takes a sequence number of a known host that another host has seen.
+func (v *View) noted(now time.Time, h *Host, sequence int64, leaving bool) {
+	if sequence > h.Sequence {
+		v.advance(now, h, sequence)
+		h.Leaving = leaving
+	}
+}
+
+// advance takes a higher sequence number: the host was alive when it gave it.
+func (v *View) advance(now time.Time, h *Host, sequence int64) {
+	lag := int64(now.Sub(v.begun)/Interval) - sequence
+	if h.Sequence == 0 || lag < h.lag {
+		h.lag = lag
+	}
+	h.Sequence = sequence
+	if at := now.Add(-time.Duration(lag-h.lag) * Interval); at.After(h.Heard) {
+		h.Heard = at
+	}
 }
 
 func (v *View) hear(now time.Time, beat *wire.Heartbeat) {
@@ -104,23 +217,31 @@
 	}
 	h, ok := v.hosts[beat.GetHost()]
 	if !ok {
-		h = &Host{Name: beat.GetHost()}
-		v.hosts[beat.GetHost()] = h
+		h = v.insert(&Host{Name: beat.GetHost(), Zone: beat.GetZone()})
 	}
 	if !newer(beat, h) {
 		return
 	}
-	h.Zone, h.Address = beat.GetZone(), beat.GetAddress()
-	h.Incarnation, h.Sequence = beat.GetIncarnation(), beat.GetSequence()
-	h.Leaving, h.Revision, h.Loads = beat.GetLeaving(), beat.GetRevision(), beat.GetLoads()
-	h.Heard = now
+	if h.Zone != beat.GetZone() {
+		v.count(h.Zone, -1)
+		v.count(beat.GetZone(), 1)
+	}
+	if beat.GetSequence() > h.Sequence {
+		v.advance(now, h, beat.GetSequence())
+	}
+	h.Zone, h.Address, h.Incarnation = beat.GetZone(), beat.GetAddress(), beat.GetIncarnation()
+	h.state = beat.GetSequence()
+	h.Revision, h.Loads = beat.GetRevision(), beat.GetLoads()
+	if h.state == h.Sequence {
+		h.Leaving = beat.GetLeaving()
+	}
 }
 
 func newer(beat *wire.Heartbeat, h *Host) bool {
 	if beat.GetIncarnation() != h.Incarnation {
 		return beat.GetIncarnation() > h.Incarnation
 	}
-	return beat.GetSequence() > h.Sequence
+	return beat.GetSequence() > h.state
 }
 
 // Live returns the names of the hosts believed alive and staying, in order,
@@ -131,7 +252,7 @@
 		names = append(names, v.self.Name)
 	}
 	for _, h := range v.hosts {
-		if alive(now, h) && !h.Leaving && (zone == "" || h.Zone == zone) {
+		if v.alive(now, h) && !h.leaving() && (zone == "" || h.Zone == zone) {
 			names = append(names, h.Name)
 		}
 	}
@@ -139,7 +260,21 @@
 	return names
 }
 
-func alive(now time.Time, h *Host) bool { return now.Sub(h.Heard) <= suspectAfter }
+func (v *View) alive(now time.Time, h *Host) bool {
+	if !h.hinted.Before(h.Heard) && now.Sub(h.hinted) < hintHold {
+		return false
+	}
+	return now.Sub(h.Heard) <= v.patience(h.Zone)
+}
+
+// patience is how long a host of the zone may be silent: news takes longer to
+// come around the larger the zone and the more zones there are.
+func (v *View) patience(zone string) time.Duration {
+	if zone == v.self.Zone {
+		return suspectAfter * time.Duration(1+v.near/maxDigest)
+	}
+	return suspectFar * time.Duration(max(1, len(v.farZones))*(1+farShare*v.farZones[zone]/maxDigest))
+}
 
 // Alive reports whether the host is believed alive, leaving ones included.
 func (v *View) Alive(now time.Time, name string) bool {
@@ -147,7 +282,7 @@
 		return true
 	}
 	h, ok := v.hosts[name]
-	return ok && alive(now, h)
+	return ok && v.alive(now, h)
 }
 
 // Host returns what is known of a host.
@@ -180,31 +315,76 @@
 
 // Tick forgets hosts lost long ago and returns the heartbeats of this interval.
 func (v *View) Tick(now time.Time) []Beat {
-	v.self.Sequence++
+	v.self.Sequence = max(v.self.Sequence+1, now.UnixNano()/int64(Interval))
 	v.self.Heard = now
-	for name, h := range v.hosts {
-		if now.Sub(h.Heard) > forgetAfter {
-			delete(v.hosts, name)
+	for _, h := range v.hosts {
+		if now.Sub(h.Heard) > forgetAfter && now.Sub(h.listed) > forgetAfter {
+			v.forget(h)
 		}
 	}
 	message := v.Message(now)
 	var beats []Beat
-	for _, h := range v.targets() {
+	for _, h := range v.targets(now) {
 		beats = append(beats, Beat{Address: h.Address, Message: message})
 	}
 	return beats
 }
 
-// Message returns the host's heartbeat with rumours about others.
+// Farewell returns a heartbeat for every live host of the own zone and one host
+// of each other zone; a host that leaves sends them once.
+func (v *View) Farewell(now time.Time) []Beat {
+	message := beatOf(v.self)
+	told := make(map[string]bool)
+	var beats []Beat
+	for _, h := range v.shuffled(func(h *Host) bool { return h.Address != "" && v.alive(now, h) }) {
+		if h.Zone == v.self.Zone || !told[h.Zone] {
+			told[h.Zone] = true
+			beats = append(beats, Beat{Address: h.Address, Message: message})
+		}
+	}
+	return beats
+}
+
+func (v *View) forget(h *Host) {
+	delete(v.hosts, h.Name)
+	if v.byHash[hashOf(h.Name)] == h {
+		delete(v.byHash, hashOf(h.Name))
+	}
+	v.count(h.Zone, -1)
+}
+
+// Message returns the host's heartbeat with its digest and one rumour.
 func (v *View) Message(now time.Time) *wire.Heartbeat {
+	v.messages++
 	message := beatOf(v.self)
-	hosts := v.shuffled(func(h *Host) bool { return h.Zone == v.self.Zone && alive(now, h) && h.Sequence > 0 })
-	for _, h := range hosts[:min(len(hosts), maxRumours)] {
-		message.Others = append(message.Others, beatOf(*h))
+	near := v.shuffled(func(h *Host) bool { return h.Zone == v.self.Zone && h.Sequence > 0 && v.alive(now, h) })
+	slices.SortStableFunc(near, func(a, b *Host) int { return b.Heard.Compare(a.Heard) })
+	for _, h := range near[:min(len(near), maxDigest)] {
+		message.DigestHosts = append(message.DigestHosts, hashOf(h.Name))
+		message.DigestAges = append(message.DigestAges, digestAge(v.self.Sequence-h.Sequence, h.Leaving))
+	}
+	rumours := near
+	if v.messages%farRumourEvery == 0 {
+		rumours = v.shuffled(func(h *Host) bool { return h.Zone != v.self.Zone && v.alive(now, h) })
+	}
+	rumours = slices.DeleteFunc(rumours, func(h *Host) bool { return h.state == 0 })
+	if len(rumours) > 0 {
+		other := rumours[v.random.IntN(len(rumours))]
+		rumour := beatOf(*other)
+		rumour.Sequence = other.state
+		message.Others = append(message.Others, rumour)
 	}
 	return message
 }
 
+// digestAge puts the age and whether the host leaves into one number.
+func digestAge(age int64, leaving bool) int32 {
+	if leaving {
+		return int32(age)<<1 | 1
+	}
+	return int32(age) << 1
+}
+
 func beatOf(h Host) *wire.Heartbeat {
 	return &wire.Heartbeat{
 		Host: h.Name, Zone: h.Zone, Address: h.Address, Incarnation: h.Incarnation,
@@ -212,12 +392,33 @@
 	}
 }
 
-// targets picks hosts of the own zone and one of another zone. Lost hosts are
-// among them, so that a healed partition is found.
-func (v *View) targets() []*Host {
-	near := v.shuffled(func(h *Host) bool { return h.Zone == v.self.Zone })
-	far := v.shuffled(func(h *Host) bool { return h.Zone != v.self.Zone })
-	return append(near[:min(len(near), fanOutZone)], far[:min(len(far), fanOutFar)]...)
+// targets picks one live host of the own zone; every few intervals also one of
+// another zone, each zone in turn, and one lost host, so that a healed
+// partition is found at the same flat cost.
+func (v *View) targets(now time.Time) []*Host {
+	n := v.self.Sequence
+	picked := v.pick(func(h *Host) bool { return h.Zone == v.self.Zone && v.alive(now, h) })
+	if zone, ok := v.farZone(n / farEvery); ok && n%farEvery == 0 {
+		picked = append(picked, v.pick(func(h *Host) bool { return h.Zone == zone && v.alive(now, h) })...)
+	}
+	if len(picked) == 0 || n%lostEvery == 0 {
+		picked = append(picked, v.pick(func(h *Host) bool { return !v.alive(now, h) })...)
+	}
+	return picked
+}
+
+func (v *View) farZone(n int64) (string, bool) {
+	if len(v.farZones) == 0 {
+		return "", false
+	}
+	names := slices.Sorted(maps.Keys(v.farZones))
+	return names[n%int64(len(names))], true
+}
+
+// pick returns one host that keep accepts, if there is any.
+func (v *View) pick(keep func(*Host) bool) []*Host {
+	hosts := v.shuffled(func(h *Host) bool { return h.Address != "" && keep(h) })
+	return hosts[:min(1, len(hosts))]
 }
 
 func (v *View) shuffled(keep func(*Host) bool) []*Host {
--- /dev/null
+++ b/internal/fleet/member/view_test.go
@@ -0,0 +1,324 @@
+package member_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/kingcupquay/kingcupquay/internal/fleet/member"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/wire"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// fleet is a number of views that beat by hand.
+type fleet struct {
+	now    time.Time
+	names  []string
+	views  map[string]*member.View
+	dead   map[string]bool
+	cut    func(from, to string) bool
+	random *rand.Rand
+	bytes  int
+	count  int
+}
+
+func hostName(zone, n int) string { return fmt.Sprintf("entry-%d-%d", zone, n) }
+
+func newFleet(zones, hosts int) *fleet {
+	f := &fleet{
+		now: start, views: make(map[string]*member.View), dead: make(map[string]bool),
+		cut: func(string, string) bool { return false }, random: rand.New(rand.NewPCG(1, 2)),
+	}
+	var list []member.Listed
+	for z := range zones {
+		for n := range hosts {
+			name := hostName(z, n)
+			f.names = append(f.names, name)
+			list = append(list, member.Listed{Name: name, Zone: fmt.Sprint("z", z), Address: name})
+		}
+	}
+	for _, one := range list {
+		f.start(one, list)
+	}
+	return f
+}
+
+func (f *fleet) start(one member.Listed, list []member.Listed) {
+	v := member.NewView(member.Host{
+		Name: one.Name, Zone: one.Zone, Address: one.Address, Incarnation: f.now.UnixNano(),
+	}, f.now, f.random.Uint64())
+	v.Listed(f.now, list)
+	var loads []*wire.Load
+	for i := range 6 {
+		loads = append(loads, &wire.Load{Backend: fmt.Sprintf("%s-engine-%d", one.Name[6:], i), Running: 7, Waiting: 12, Slots: 32, Batch: 9})
+	}
+	v.SetSelf(5, loads)
+	f.views[one.Name] = v
+	f.dead[one.Name] = false
+}
+
+// tick lets one interval pass; a heartbeat is answered by one.
+func (f *fleet) tick() {
+	f.now = f.now.Add(member.Interval)
+	for _, name := range f.names {
+		if f.dead[name] {
+			continue
+		}
+		for _, b := range f.views[name].Tick(f.now) {
+			f.send(name, b)
+		}
+	}
+}
+
+func (f *fleet) send(from string, b member.Beat) {
+	f.bytes += proto.Size(b.Message)
+	f.count++
+	if f.dead[b.Address] || f.cut(from, b.Address) {
+		return
+	}
+	f.views[b.Address].Heard(f.now, b.Message)
+	reply := f.views[b.Address].Message(f.now)
+	f.bytes += proto.Size(reply)
+	f.count++
+	if !f.cut(b.Address, from) {
+		f.views[from].Heard(f.now, reply)
+	}
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.tick()
+	}
+}
+
+// wrong counts the live hosts that a live host of the same zone calls lost.
+func (f *fleet) wrong(sameZone bool) int {
+	wrong := 0
+	for _, a := range f.names {
+		for _, b := range f.names {
+			same := f.views[a].Self().Zone == f.views[b].Self().Zone
+			if !f.dead[a] && !f.dead[b] && same == sameZone && !f.views[a].Alive(f.now, b) {
+				wrong++
+			}
+		}
+	}
+	return wrong
+}
+
+// stalest returns the age of the oldest news of a live host that another has.
+func (f *fleet) stalest(sameZone bool) time.Duration {
+	var age time.Duration
+	for _, a := range f.names {
+		for _, b := range f.views[a].Hosts() {
+			if (b.Zone == f.views[a].Self().Zone) == sameZone {
+				age = max(age, f.now.Sub(b.Heard))
+			}
+		}
+	}
+	return age
+}
+
+// lost counts the hosts that call name lost.
+func (f *fleet) lost(name string) int {
+	n := 0
+	for _, a := range f.names {
+		if !f.dead[a] && !f.views[a].Alive(f.now, name) {
+			n++
+		}
+	}
+	return n
+}
+
+var _ = Describe("a fleet of views", func() {
+	DescribeTable("never calls a live host lost, and soon a lost one", func(zones, hosts int) {
+		f := newFleet(zones, hosts)
+		for range 120 {
+			f.tick()
+			Expect(f.wrong(true)).To(BeZero(), "in the zone at %v", f.now.Sub(start))
+			Expect(f.wrong(false)).To(BeZero(), "far at %v", f.now.Sub(start))
+		}
+		victim := hostName(0, 0)
+		f.dead[victim] = true
+		f.run(40 * time.Second)
+		Expect(f.lost(victim)).To(Equal(zones*hosts - 1))
+	}, Entry("3 hosts in 3 zones", 3, 1), Entry("7 hosts a zone", 3, 7), Entry("60 hosts a zone", 1, 60))
+
+	It("finds a zone again that was cut off, at no more messages", func() {
+		f := newFleet(3, 5)
+		f.run(10 * time.Second)
+		f.count = 0
+		f.run(10 * time.Second)
+		usual := f.count
+		zone := func(name string) string { return f.views[name].Self().Zone }
+		f.cut = func(from, to string) bool { return (zone(from) == "z0") != (zone(to) == "z0") }
+		f.run(time.Minute)
+		Expect(f.wrong(true)).To(BeZero())
+		Expect(f.lost(hostName(0, 0))).To(Equal(10))
+		f.cut = func(string, string) bool { return false }
+		f.count = 0
+		f.run(10 * time.Second)
+		Expect(f.count).To(BeNumerically("<", 2*usual))
+		f.run(20 * time.Second)
+		Expect(f.wrong(false)).To(BeZero())
+	})
+
+	It("keeps a host alive that one other can't hear", func() {
+		f := newFleet(1, 7)
+		a, b := hostName(0, 0), hostName(0, 1)
+		f.cut = func(from, to string) bool { return from == b && to == a }
+		f.run(30 * time.Second)
+		Expect(f.wrong(true)).To(BeZero())
+	})
+
+	It("takes a failed connection as a hint for a short while only", func() {
+		f := newFleet(1, 7)
+		f.run(5 * time.Second)
+		a, b := hostName(0, 0), hostName(0, 1)
+		f.views[a].Unreachable(f.now, b)
+		Expect(f.views[a].Alive(f.now, b)).To(BeFalse())
+		f.run(2 * time.Second)
+		Expect(f.views[a].Alive(f.now, b)).To(BeTrue())
+	})
+
+	It("drops a leaving host at once and takes its next start back", func() {
+		f := newFleet(1, 7)
+		f.run(5 * time.Second)
+		a, b := hostName(0, 0), hostName(0, 1)
+		f.views[b].Leave()
+		f.views[b].Tick(f.now)
+		for _, beat := range f.views[b].Farewell(f.now) {
+			f.send(b, beat)
+		}
+		for _, name := range f.names {
+			Expect(f.views[name].Live(f.now, "z0")).NotTo(ContainElement(b))
+		}
+		f.dead[b] = true
+		f.run(5 * time.Second)
+		leaving := []member.Listed{{Name: b, Zone: "z0", Address: b, Leaving: true}}
+		f.views[a].Listed(f.now, leaving)
+		f.start(member.Listed{Name: b, Zone: "z0", Address: b}, []member.Listed{{Name: a, Zone: "z0", Address: a}})
+		f.run(5 * time.Second)
+		f.views[a].Listed(f.now, leaving)
+		Expect(f.views[a].Live(f.now, "z0")).To(ContainElement(b))
+	})
+
+	It("never revives a lost host because the platform still lists it, and forgets it when it does not", func() {
+		f := newFleet(1, 3)
+		f.run(5 * time.Second)
+		a, b := hostName(0, 0), hostName(0, 1)
+		f.dead[b] = true
+		f.run(10 * time.Second)
+		for range 200 {
+			f.run(10 * time.Second)
+			f.views[a].Listed(f.now, []member.Listed{{Name: b, Zone: "z0", Address: b}})
+			Expect(f.views[a].Alive(f.now, b)).To(BeFalse())
+		}
+		f.run(11 * time.Minute)
+		_, known := f.views[a].Host(b)
+		Expect(known).To(BeFalse())
+	})
+})
+
+// word is one heartbeat as it came in.
+type word struct {
+	at          time.Time
+	incarnation int64
+	sequence    int64
+	leaving     bool
+}
+
+// naiveWord returns the latest of the words, and when its host was certainly
+// alive: each newest word counts as old as it is late against the least late.
+func naiveWord(words []word) (word, time.Time) {
+	var last word
+	var at time.Time
+	var least int64
+	for i, w := range words {
+		late := int64(w.at.Sub(start)/member.Interval) - w.sequence
+		if i > 0 && w.sequence <= last.sequence {
+			continue
+		}
+		if i == 0 || late < least {
+			least = late
+		}
+		last = w
+		if alive := w.at.Add(-time.Duration(late-least) * member.Interval); alive.After(at) {
+			at = alive
+		}
+	}
+	return last, at
+}
+
+// TestAgainstNaive gives a view heartbeats late, twice and out of order and
+// compares it with a version that looks through everything it ever heard.
+func TestAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := member.NewView(member.Host{Name: "self", Zone: "z", Incarnation: 1}, start, 1)
+		now := start
+		heard := make(map[string][]word)
+		names := []string{"a", "b", "c"}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			name := rapid.SampledFrom(names).Draw(t, "host")
+			w := word{at: now, sequence: int64(rapid.IntRange(1, 30).Draw(t, "sequence"))}
+			w.incarnation = 1 + w.sequence/10
+			w.leaving = w.sequence%10 >= 8
+			v.Heard(now, &wire.Heartbeat{
+				Host: name, Zone: "z", Address: name, Incarnation: w.incarnation, Sequence: w.sequence, Leaving: w.leaving,
+			})
+			heard[name] = append(heard[name], w)
+			for _, name := range names {
+				last, at := naiveWord(heard[name])
+				want := last.sequence > 0 && now.Sub(at) <= 4*time.Second
+				if got := v.Alive(now, name); got != want {
+					t.Fatalf("host %s: alive %t, naive %t", name, got, want)
+				}
+				known, _ := v.Host(name)
+				if known.Leaving != last.leaving || known.Incarnation != last.incarnation {
+					t.Fatalf("host %s: %+v, naive %+v", name, known, last)
+				}
+			}
+		}
+	})
+}
+
+// BenchmarkZone measures one host's heartbeats: encoded bytes sent a second,
+// processor time an interval, and the time until all know of a loss.
+func BenchmarkZone(b *testing.B) {
+	for _, size := range []struct{ zones, hosts int }{{1, 3}, {3, 7}, {1, 21}, {1, 150}, {2, 150}} {
+		b.Run(fmt.Sprintf("%dx%d", size.zones, size.hosts), func(b *testing.B) {
+			f := newFleet(size.zones, size.hosts)
+			f.run(30 * time.Second)
+			f.bytes, f.count = 0, 0
+			from, hosts, wrong := f.now, float64(size.zones*size.hosts), 0
+			for b.Loop() {
+				f.tick()
+			}
+			seconds := f.now.Sub(from).Seconds() * hosts
+			b.ReportMetric(float64(f.bytes)/seconds, "B/s/host")
+			b.ReportMetric(float64(f.count)/seconds, "messages/s/host")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/hosts, "ns/host/interval")
+			for range 20 {
+				f.tick()
+				wrong += f.wrong(true) + f.wrong(false)
+			}
+			b.ReportMetric(float64(wrong), "wrong")
+			b.ReportMetric(f.stalest(true).Seconds(), "s-stalest-near")
+			b.ReportMetric(f.stalest(false).Seconds(), "s-stalest-far")
+			victim := hostName(0, 0)
+			f.dead[victim] = true
+			from = f.now
+			for f.lost(victim) < int(hosts)-1 {
+				f.tick()
+			}
+			b.ReportMetric(f.now.Sub(from).Seconds(), "s-to-know")
+		})
+	}
+}
