--- a/internal/operator/spread/fleet_test.go
+++ b/internal/operator/spread/fleet_test.go
@@ -113,7 +113,7 @@
 	h.life++
 	h.history = spread.History{}
 	h.node = spread.NewNode(spread.Member{Name: h.name, Zone: h.zone})
-	h.view = member.NewView(member.Host{Name: h.name, Zone: h.zone, Address: h.name, Incarnation: int64(h.life)}, f.random.Uint64())
+	h.view = member.NewView(member.Host{Name: h.name, Zone: h.zone, Address: h.name, Incarnation: int64(h.life)}, f.now, f.random.Uint64())
 	var list []member.Listed
 	for _, other := range f.hosts {
 		list = append(list, member.Listed{Name: other.name, Zone: other.zone, Address: other.name})
@@ -147,7 +147,7 @@
 }
 
 func (f *fleet) beat(h *host) {
-	h.view.SetSelf(h.node.Revision(), false, nil)
+	h.view.SetSelf(h.node.Revision(), nil)
 	for _, b := range h.view.Tick(f.now) {
 		other := f.byName(b.Address)
 		f.deliver(h, other, func() {
