Split the callers' front by what a call asks for

Change: call (one authenticated call and the entrance), answer (whole answers and chunks), endpoint (service and request of a body), bundle (files and jobs); caller keeps online calls, with one admit for both kinds.

--- a/internal/serving/caller/files.go
+++ b/internal/batch/bundle/files.go
@@ -1,4 +1,4 @@
-package caller
+package bundle
 
 import (
 	"bufio"
@@ -19,6 +19,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/batch/item"
 	"github.com/kingcupquay/kingcupquay/internal/batch/job"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/serving/call"
 )
 
 const (
@@ -45,16 +46,16 @@
 }
 
 // uploadFile stores a batch file as it comes in, holding one chunk at a time.
-func (f *Front) uploadFile(ctx context.Context, c *call) *result.Error {
-	kind, params, err := mime.ParseMediaType(string(c.http.ContentType()))
+func (f *Front) uploadFile(ctx context.Context, c *call.Call) *result.Error {
+	kind, params, err := mime.ParseMediaType(string(c.HTTP().ContentType()))
 	if err != nil || kind != "multipart/form-data" {
 		return result.New(result.InvalidHeader, "a file is uploaded as multipart/form-data")
 	}
-	if c.http.Request.Header.ContentLength() > chunk.MaxFileBytes+(64<<10) {
+	if c.HTTP().Request.Header.ContentLength() > chunk.MaxFileBytes+(64<<10) {
 		return result.New(result.BodyTooLarge, "file is over %d bytes", chunk.MaxFileBytes)
 	}
 	u := &upload{front: f, call: c, purpose: purposeBatch}
-	reader := multipart.NewReader(c.http.RequestBodyStream(), params["boundary"])
+	reader := multipart.NewReader(c.HTTP().RequestBodyStream(), params["boundary"])
 	for {
 		part, err := reader.NextPart()
 		if errors.Is(err, io.EOF) {
@@ -73,7 +74,7 @@
 // upload is a file that comes in.
 type upload struct {
 	front   *Front
-	call    *call
+	call    *call.Call
 	purpose string
 	writer  *chunk.Writer
 }
@@ -97,8 +98,8 @@
 // file checks and stores the lines of the file part.
 func (u *upload) file(ctx context.Context, part *multipart.Part) *result.Error {
 	u.writer = chunk.NewWriter(u.front.p.Store, chunk.Manifest{
-		ID: "file-" + uuid.NewString(), Organisation: u.call.organisation.Name, Name: part.FileName(),
-		Purpose: purposeBatch, Created: u.call.now,
+		ID: "file-" + uuid.NewString(), Organisation: u.call.Organisation().Name, Name: part.FileName(),
+		Purpose: purposeBatch, Created: u.call.Now(),
 	})
 	seen := make(map[[16]byte]struct{})
 	scanner := bufio.NewScanner(part)
@@ -147,22 +148,22 @@
 	if failure != nil {
 		return failure
 	}
-	return u.call.json(fileView(manifest))
+	return u.call.Answer(fileView(manifest))
 }
 
 // getFile describes an uploaded file or a job's output.
-func (f *Front) getFile(ctx context.Context, c *call) *result.Error {
+func (f *Front) getFile(ctx context.Context, c *call.Call) *result.Error {
 	m, _, failure := f.openFile(ctx, c)
 	if failure != nil {
 		return failure
 	}
-	return c.json(fileView(m))
+	return c.Answer(fileView(m))
 }
 
 // openFile returns the manifest of a file of the caller's organisation. The
 // files of a job are made up from its record.
-func (f *Front) openFile(ctx context.Context, c *call) (chunk.Manifest, string, *result.Error) {
-	id := c.http.Param("id")
+func (f *Front) openFile(ctx context.Context, c *call.Call) (chunk.Manifest, string, *result.Error) {
+	id := c.HTTP().Param("id")
 	jobID, isOutput := strings.CutSuffix(id, "-output")
 	jobID, isErrors := strings.CutSuffix(jobID, "-errors")
 	var m chunk.Manifest
@@ -182,33 +183,33 @@
 			return m, "", failure
 		}
 	}
-	if m.Organisation != c.organisation.Name {
+	if m.Organisation != c.Organisation().Name {
 		return m, "", result.New(result.NotFound, "no file %s", id)
 	}
 	return m, id, nil
 }
 
 // fileContent sends a file chunk by chunk.
-func (f *Front) fileContent(ctx context.Context, c *call) *result.Error {
+func (f *Front) fileContent(ctx context.Context, c *call.Call) *result.Error {
 	m, id, failure := f.openFile(ctx, c)
 	if failure != nil {
 		return failure
 	}
-	c.http.SetStatusCode(http.StatusOK)
-	c.http.Response.Header.SetContentType("application/jsonl")
-	c.http.Response.HijackWriter(resp.NewChunkedBodyWriter(&c.http.Response, c.http.GetWriter()))
+	c.HTTP().SetStatusCode(http.StatusOK)
+	c.HTTP().Response.Header.SetContentType("application/jsonl")
+	c.HTTP().Response.HijackWriter(resp.NewChunkedBodyWriter(&c.HTTP().Response, c.HTTP().GetWriter()))
 	for number := range m.Chunks {
 		lines, failure := chunk.Read(ctx, f.p.Store, chunk.Key(id, number))
 		if failure != nil {
 			f.p.Note("file cut short", failure.Error(), id)
-			c.http.Response.Header.SetConnectionClose(true)
-			_ = c.http.GetConn().Close()
+			c.HTTP().Response.Header.SetConnectionClose(true)
+			_ = c.HTTP().GetConn().Close()
 			return nil
 		}
-		if _, err := c.http.Write(lines); err != nil {
+		if _, err := c.HTTP().Write(lines); err != nil {
 			return nil
 		}
-		if err := c.http.Flush(); err != nil {
+		if err := c.HTTP().Flush(); err != nil {
 			return nil
 		}
 	}
--- a/internal/serving/caller/batches.go
+++ b/internal/batch/bundle/jobs.go
@@ -1,4 +1,4 @@
-package caller
+package bundle
 
 import (
 	"context"
@@ -6,13 +6,14 @@
 	"encoding/hex"
 	"encoding/json"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/kingcupquay/kingcupquay/internal/batch/chunk"
 	"github.com/kingcupquay/kingcupquay/internal/batch/job"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
 	"github.com/kingcupquay/kingcupquay/internal/operator/services"
+	"github.com/kingcupquay/kingcupquay/internal/serving/call"
+	"github.com/kingcupquay/kingcupquay/internal/serving/endpoint"
 )
 
 const (
@@ -32,8 +33,8 @@
 
 // createBatch accepts a job. A caller that resends a job, meaning the same
 // lines, endpoint, metadata and idempotency key, gets the job it has.
-func (f *Front) createBatch(ctx context.Context, c *call) *result.Error {
-	body, failure := c.readBody(maxBatchBody)
+func (f *Front) createBatch(ctx context.Context, c *call.Call) *result.Error {
+	body, failure := c.ReadBody(maxBatchBody)
 	if failure != nil {
 		return failure
 	}
@@ -41,7 +42,7 @@
 	if err := json.Unmarshal(body, &in); err != nil {
 		return result.New(result.MalformedJSON, "%v", err)
 	}
-	key, failure := c.key()
+	key, failure := c.Key()
 	if failure != nil {
 		return failure
 	}
@@ -52,20 +53,20 @@
 	if err != nil || window <= 0 || window > maxWindow {
 		return result.New(result.InvalidField, "completion_window must be a duration up to %s, as in 24h", maxWindow)
 	}
-	if failure := batchEndpoint(c.text, in.Endpoint); failure != nil {
+	if failure := batchEndpoint(c.Text(), in.Endpoint); failure != nil {
 		return failure
 	}
 	manifest, failure := chunk.Open(ctx, f.p.Store, in.InputFileID)
 	if failure != nil {
 		return failure
 	}
-	if manifest.Organisation != c.organisation.Name {
+	if manifest.Organisation != c.Organisation().Name {
 		return result.New(result.NotFound, "no file %s", in.InputFileID)
 	}
 	record := &job.Record{
-		ID: jobID(c.organisation.Name, key, manifest.Digest, &in), Organisation: c.organisation.Name,
+		ID: jobID(c.Organisation().Name, key, manifest.Digest, &in), Organisation: c.Organisation().Name,
 		InputFile: in.InputFileID, Endpoint: in.Endpoint, Window: in.CompletionWindow, Metadata: in.Metadata,
-		State: job.InProgress, Created: c.now, Due: c.now.Add(window), Chunks: manifest.Chunks, Total: manifest.Lines,
+		State: job.InProgress, Created: c.Now(), Due: c.Now().Add(window), Chunks: manifest.Chunks, Total: manifest.Lines,
 		Starts: manifest.Starts,
 	}
 	encoded, err := json.Marshal(record)
@@ -76,16 +77,16 @@
 	if failure != nil {
 		return failure
 	}
-	return c.json(batchView(created))
+	return c.Answer(batchView(created))
 }
 
 // batchEndpoint checks that the items of a job may be repeated: those of a
 // plain service only if it is idempotent.
-func batchEndpoint(text *services.Text, endpoint string) *result.Error {
-	if endpoint == "/v1/chat/completions" || endpoint == "/v1/completions" {
+func batchEndpoint(text *services.Text, name string) *result.Error {
+	if name == endpoint.Chat || name == endpoint.Text {
 		return nil
 	}
-	service, _, ok := PlainEndpoint(text, endpoint)
+	service, _, ok := endpoint.Plain(text, name)
 	if !ok {
 		return result.New(result.InvalidField,
 			"endpoint must be /v1/chat/completions, /v1/completions or /services/NAME/PATH of a plain service")
@@ -97,21 +98,6 @@
 	return nil
 }
 
-// PlainEndpoint returns the plain service of an endpoint /services/NAME/PATH
-// and the path at its back ends.
-func PlainEndpoint(text *services.Text, endpoint string) (*services.Service, string, bool) {
-	rest, ok := strings.CutPrefix(endpoint, "/services/")
-	name, path, found := strings.Cut(rest, "/")
-	if !ok || !found {
-		return nil, "", false
-	}
-	service, ok := text.Service(name)
-	if !ok || service.Kind != services.PlainKind {
-		return nil, "", false
-	}
-	return service, "/" + path, true
-}
-
 // jobID is the same for the same job, whichever host takes it.
 func jobID(organisation, key, digest string, in *createBatchBody) string {
 	metadata, _ := json.Marshal(in.Metadata)
@@ -124,26 +110,26 @@
 }
 
 // ownJob returns a job of the caller's organisation.
-func (f *Front) ownJob(ctx context.Context, c *call) (*job.Record, *result.Error) {
-	record, failure := f.p.Jobs.Act(ctx, job.ActionGet, c.http.Param("id"), nil)
+func (f *Front) ownJob(ctx context.Context, c *call.Call) (*job.Record, *result.Error) {
+	record, failure := f.p.Jobs.Act(ctx, job.ActionGet, c.HTTP().Param("id"), nil)
 	if failure != nil {
 		return nil, failure
 	}
-	if record.Organisation != c.organisation.Name {
-		return nil, result.New(result.NotFound, "no job %s", c.http.Param("id"))
+	if record.Organisation != c.Organisation().Name {
+		return nil, result.New(result.NotFound, "no job %s", c.HTTP().Param("id"))
 	}
 	return record, nil
 }
 
-func (f *Front) getBatch(ctx context.Context, c *call) *result.Error {
+func (f *Front) getBatch(ctx context.Context, c *call.Call) *result.Error {
 	record, failure := f.ownJob(ctx, c)
 	if failure != nil {
 		return failure
 	}
-	return c.json(batchView(record))
+	return c.Answer(batchView(record))
 }
 
-func (f *Front) cancelBatch(ctx context.Context, c *call) *result.Error {
+func (f *Front) cancelBatch(ctx context.Context, c *call.Call) *result.Error {
 	record, failure := f.ownJob(ctx, c)
 	if failure != nil {
 		return failure
@@ -152,31 +138,31 @@
 	if failure != nil {
 		return failure
 	}
-	f.p.Note("job cancelled", "caller "+c.organisation.Name+" asked for it", record.ID)
-	return c.json(batchView(record))
+	f.p.Note("job cancelled", "caller "+c.Organisation().Name+" asked for it", record.ID)
+	return c.Answer(batchView(record))
 }
 
-func (f *Front) listBatches(ctx context.Context, c *call) *result.Error {
+func (f *Front) listBatches(ctx context.Context, c *call.Call) *result.Error {
 	limit := defaultPageSize
-	if text := c.http.Query("limit"); text != "" {
+	if text := c.HTTP().Query("limit"); text != "" {
 		n, err := strconv.Atoi(text)
 		if err != nil || n < 1 || n > maxPageSize {
 			return result.New(result.InvalidField, "limit must be 1 to %d", maxPageSize)
 		}
 		limit = n
 	}
-	records, more, failure := job.List(ctx, f.p.Store, f.p.Shards, c.organisation.Name, c.http.Query("after"), limit)
+	records, more, failure := job.List(ctx, f.p.Store, f.p.Shards, c.Organisation().Name, c.HTTP().Query("after"), limit)
 	if failure != nil {
 		return failure
 	}
-	page := listBody[batchBody]{Object: "list", Data: []batchBody{}, HasMore: more}
+	page := call.List[batchBody]{Object: "list", Data: []batchBody{}, HasMore: more}
 	for _, record := range records {
 		page.Data = append(page.Data, batchView(record))
 	}
 	if n := len(page.Data); n > 0 {
 		page.FirstID, page.LastID = page.Data[0].ID, page.Data[n-1].ID
 	}
-	return c.json(page)
+	return c.Answer(page)
 }
 
 // batchBody is a job as callers see it.
--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -20,6 +20,7 @@
 	"github.com/gravitational/trace"
 	"google.golang.org/grpc"
 
+	"github.com/kingcupquay/kingcupquay/internal/batch/bundle"
 	"github.com/kingcupquay/kingcupquay/internal/batch/job"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/member"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/peer"
@@ -33,6 +34,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/record/lease"
 	"github.com/kingcupquay/kingcupquay/internal/record/recorder"
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
+	"github.com/kingcupquay/kingcupquay/internal/serving/call"
 	"github.com/kingcupquay/kingcupquay/internal/serving/caller"
 	"github.com/kingcupquay/kingcupquay/internal/serving/dispatch"
 	"github.com/kingcupquay/kingcupquay/internal/serving/engine"
@@ -65,7 +67,9 @@
 	recorder   *recorder.Recorder
 	jobs       *job.Manager
 	holders    *holders
+	entrance   *call.Entrance
 	front      *caller.Front
+	bundles    *bundle.Front
 	ring       *cause.Ring
 	http       *server.Hertz
 	grpc       *grpc.Server
@@ -120,10 +124,11 @@
 	}
 	h.jobs = jobs
 	h.holders = &holders{recorder: h.recorder, jobs: jobs, pool: h.pool, address: h.peerAddress, self: settings.Name}
+	h.entrance = call.NewEntrance(settings.Name, t, h.text.Load)
 	h.front = caller.New(caller.Parts{
-		Host: settings.Name, Timer: t, Text: h.text.Load, Runner: h.dispatcher, Records: h.holders, Jobs: h.holders,
-		Store: s, Shards: settings.Shards, Hosts: h.live, Note: h.ring.Note,
+		Host: settings.Name, Timer: t, Runner: h.dispatcher, Records: h.holders, Hosts: h.live, Note: h.ring.Note,
 	})
+	h.bundles = bundle.New(bundle.Parts{Jobs: h.holders, Store: s, Shards: settings.Shards, Note: h.ring.Note})
 	return h, nil
 }
 
@@ -206,7 +211,8 @@
 		server.WithMaxRequestBodySize(128<<20), server.WithExitWaitTime(time.Second),
 		server.WithUnescapePathValues(true),
 	)
-	h.front.Register(s)
+	h.front.Register(s, h.entrance)
+	h.bundles.Register(s, h.entrance)
 	admin.New(admin.Parts{
 		Timer: h.timer, Store: h.store, Text: h.text.Load, Adopt: h.texts.accepted, Status: h.status, Why: h.why, Note: h.ring.Note,
 		Quarantine: h.guard,
@@ -241,7 +247,8 @@
 	h.view.Leave()
 	h.mu.Unlock()
 	h.farewell()
-	h.front.Stop(ctx)
+	h.entrance.Stop(ctx)
+	h.front.Wait(ctx)
 	h.recorder.Leave(ctx)
 	h.jobs.Stop()
 	h.flushCauses()
--- a/internal/fleet/host/items.go
+++ b/internal/fleet/host/items.go
@@ -10,7 +10,8 @@
 	"github.com/kingcupquay/kingcupquay/internal/batch/job"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
 	"github.com/kingcupquay/kingcupquay/internal/operator/services"
-	"github.com/kingcupquay/kingcupquay/internal/serving/caller"
+	"github.com/kingcupquay/kingcupquay/internal/serving/answer"
+	"github.com/kingcupquay/kingcupquay/internal/serving/endpoint"
 	"github.com/kingcupquay/kingcupquay/internal/serving/request"
 )
 
@@ -42,9 +43,9 @@
 		return refused(result.New(result.ServiceForbidden, "organisation %s may not call %s", j.Organisation, service.Name))
 	}
 	o.ID, o.Organisation, o.Urgency, o.Due = id, j.Organisation, request.Batch, j.Due
-	status, _, body, failure := caller.RunWhole(ctx, c.host.dispatcher, request.New(o))
+	w, failure := answer.Collect(ctx, c.host.dispatcher, request.New(o))
 	return job.Answer{
-		Response: item.Response{StatusCode: status, RequestID: id, Body: jsonBody(body)}, Failure: failure, Weight: service.Weight,
+		Response: item.Response{StatusCode: w.Status, RequestID: id, Body: jsonBody(w.Body)}, Failure: failure, Weight: service.Weight,
 	}
 }
 
@@ -54,20 +55,20 @@
 // may run again after the loss of its host, so its service must be idempotent.
 func itemOptions(text *services.Text, i *item.Item) (*services.Service, request.Options, *result.Error) {
 	if !strings.HasPrefix(i.URL(), "/services/") {
-		service, failure := caller.ServiceOf(text, i.URL(), i.Body())
+		service, failure := endpoint.Service(text, i.URL(), i.Body())
 		if failure != nil {
 			return nil, request.Options{}, failure
 		}
-		return service, caller.EngineOptions(service, i.URL(), i.Body()), nil
+		return service, endpoint.EngineOptions(service, i.URL(), i.Body()), nil
 	}
-	service, path, ok := caller.PlainEndpoint(text, i.URL())
+	service, path, ok := endpoint.Plain(text, i.URL())
 	if !ok {
 		return nil, request.Options{}, result.New(result.UnknownService, "no plain service at %s", i.URL())
 	}
 	if !service.Idempotent {
 		return nil, request.Options{}, result.New(result.InvalidItem, "service %s is not idempotent", service.Name)
 	}
-	return service, caller.PlainOptions(service, http.MethodPost, path, i.Body()), nil
+	return service, endpoint.PlainOptions(service, http.MethodPost, path, i.Body()), nil
 }
 
 // jsonBody returns a body as JSON: one that is not becomes a string.
--- a/internal/fleet/host/records.go
+++ b/internal/fleet/host/records.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/kingcupquay/kingcupquay/internal/batch/bundle"
 	"github.com/kingcupquay/kingcupquay/internal/batch/job"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/peer"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/wire"
@@ -35,7 +36,7 @@
 
 var (
 	_ caller.Records = (*holders)(nil)
-	_ caller.Jobs    = (*holders)(nil)
+	_ bundle.Jobs    = (*holders)(nil)
 )
 
 // exchange gives a message to a shard's holder until one answers. local or
--- a/internal/serving/caller/assemble.go
+++ b/internal/serving/answer/assembler.go
@@ -1,4 +1,6 @@
-package caller
+// Package answer makes whole answers of the events of a run, and chunks of
+// whole answers, in the form that callers' tools know.
+package answer
 
 import (
 	"encoding/json"
--- a/internal/serving/caller/answer.go
+++ b/internal/serving/call/answer.go
@@ -1,4 +1,4 @@
-package caller
+package call
 
 import (
 	"encoding/json"
@@ -24,7 +24,8 @@
 	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
 }
 
-func (c *call) errorJSON(e *result.Error) []byte {
+// ErrorJSON returns the body of an answer with e.
+func (c *Call) ErrorJSON(e *result.Error) []byte {
 	body, _ := json.Marshal(errorBody{errorDetail{
 		Message: e.Error(), Type: e.Code().String(), Code: int(e.Code()), Ran: string(e.Ran()),
 		RequestID: c.id, RetryAfterMS: e.RetryAfter().Milliseconds(),
@@ -32,23 +33,30 @@
 	return body
 }
 
-// fail answers with an error.
-func (c *call) fail(e *result.Error) {
+// Fail answers with an error.
+func (c *Call) Fail(e *result.Error) {
 	if e.RetryAfter() > 0 {
 		seconds := int(math.Ceil(e.RetryAfter().Seconds()))
 		c.http.Response.Header.Set("Retry-After", strconv.Itoa(seconds))
 	}
-	c.http.Data(e.Code().Status(), jsonType, c.errorJSON(e))
+	c.http.Data(e.Code().Status(), JSON, c.ErrorJSON(e))
 }
 
-const jsonType = "application/json"
-
-// json answers 200 with value.
-func (c *call) json(value any) *result.Error {
+// Answer answers 200 with value.
+func (c *Call) Answer(value any) *result.Error {
 	body, err := json.Marshal(value)
 	if err != nil {
 		return result.From(err)
 	}
-	c.http.Data(http.StatusOK, jsonType, body)
+	c.http.Data(http.StatusOK, JSON, body)
 	return nil
 }
+
+// List is the shape of every list.
+type List[T any] struct {
+	Object  string `json:"object"`
+	Data    []T    `json:"data"`
+	FirstID string `json:"first_id,omitempty"`
+	LastID  string `json:"last_id,omitempty"`
+	HasMore bool   `json:"has_more"`
+}
--- /dev/null
+++ b/internal/serving/call/entrance.go
@@ -0,0 +1,86 @@
+package call
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/google/uuid"
+
+	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/operator/services"
+)
+
+// Handler answers one call, or returns the error to answer with.
+type Handler func(ctx context.Context, c *Call) *result.Error
+
+// Entrance authenticates callers and counts the calls in progress.
+type Entrance struct {
+	host  string
+	timer timer.Service
+	text  func() *services.Text
+
+	stopping atomic.Bool
+	active   sync.WaitGroup
+}
+
+// NewEntrance returns the entrance of a host; text returns the services text
+// in force, nil before the first.
+func NewEntrance(host string, t timer.Service, text func() *services.Text) *Entrance {
+	return &Entrance{host: host, timer: t, text: text}
+}
+
+// Handle makes h a handler of the HTTP library.
+func (e *Entrance) Handle(h Handler) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		e.active.Add(1)
+		defer e.active.Done()
+		one := &Call{http: c, id: "req-" + uuid.NewString(), text: e.text(), now: e.timer.Now()}
+		c.Response.Header.Set(requestIDHeader, one.id)
+		failure := e.admit(one)
+		if failure == nil {
+			failure = h(ctx, one)
+		}
+		if failure != nil {
+			one.Fail(failure)
+		}
+	}
+}
+
+func (e *Entrance) admit(c *Call) *result.Error {
+	if e.stopping.Load() {
+		return result.New(result.Stopping, "host %s is stopping", e.host).WithRetry(time.Second)
+	}
+	if c.text == nil {
+		return result.New(result.StoreUnavailable, "no services text yet").WithRetry(time.Second)
+	}
+	token, ok := strings.CutPrefix(string(c.http.GetHeader("Authorization")), "Bearer ")
+	if !ok {
+		return result.New(result.Unauthorized, "no bearer token")
+	}
+	sum := sha256.Sum256([]byte(token))
+	if c.organisation, ok = c.text.Authenticate(hex.EncodeToString(sum[:])); !ok {
+		return result.New(result.Unauthorized, "unknown token")
+	}
+	return nil
+}
+
+// Stop refuses new calls and waits for those in progress until ctx ends.
+func (e *Entrance) Stop(ctx context.Context) {
+	e.stopping.Store(true)
+	done := make(chan struct{})
+	go func() {
+		e.active.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
--- a/internal/serving/caller/completions.go
+++ b/internal/serving/caller/completions.go
@@ -10,58 +10,50 @@
 
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
 	"github.com/kingcupquay/kingcupquay/internal/operator/services"
+	"github.com/kingcupquay/kingcupquay/internal/serving/answer"
+	"github.com/kingcupquay/kingcupquay/internal/serving/call"
+	"github.com/kingcupquay/kingcupquay/internal/serving/endpoint"
 	"github.com/kingcupquay/kingcupquay/internal/serving/request"
 )
 
+// maxBodyBytes bounds a body before its service is known.
+const maxBodyBytes = 8 << 20
+
 // completions answers chat and text completions, whole or streamed.
-func (f *Front) completions(ctx context.Context, c *call) *result.Error {
-	body, failure := c.readBody(defaultBodyBytes)
+func (f *Front) completions(ctx context.Context, c *call.Call) *result.Error {
+	body, failure := c.ReadBody(maxBodyBytes)
 	if failure != nil {
 		return failure
 	}
-	service, failure := ServiceOf(c.text, string(c.http.Path()), body)
+	service, failure := endpoint.Service(c.Text(), string(c.HTTP().Path()), body)
 	if failure != nil {
 		return failure
 	}
 	if len(body) > service.MaxBodyKB<<10 {
 		return result.New(result.BodyTooLarge, "body is over the %d KiB of service %s", service.MaxBodyKB, service.Name)
 	}
-	if failure := c.allow(service); failure != nil {
-		return failure
-	}
-	key, failure := c.key()
+	in, failure := f.admit(c, service)
 	if failure != nil {
 		return failure
 	}
-	deadline, failure := c.deadline(service)
-	if failure != nil {
-		return failure
-	}
-	if service.Durable && key == "" {
-		key = c.id
-	}
-	leave, failure := f.enter(c, service)
-	if failure != nil {
-		return failure
-	}
-	defer leave()
-	o := EngineOptions(service, string(c.http.Path()), body)
-	o.ID, o.Organisation, o.Key, o.Deadline = c.id, c.organisation.Name, key, deadline
+	defer in.leave()
+	o := endpoint.EngineOptions(service, string(c.HTTP().Path()), body)
+	o.ID, o.Organisation, o.Key, o.Deadline = c.ID(), c.Organisation().Name, in.key, in.deadline
 	o.Stream = gjson.GetBytes(body, "stream").Bool()
 	r := request.New(o)
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	ctx, cancel := context.WithDeadline(ctx, in.deadline)
 	defer cancel()
-	if key != "" {
+	if in.key != "" {
 		return f.answerRecorded(ctx, c, service, r)
 	}
 	if o.Stream {
 		return f.stream(ctx, c, r)
 	}
-	w, failure := runWhole(ctx, f.p.Runner, r)
+	w, failure := answer.Collect(ctx, f.p.Runner, r)
 	if failure != nil {
 		return overdue(ctx, failure)
 	}
-	c.http.Data(w.status, w.contentType, w.body)
+	c.HTTP().Data(w.Status, w.ContentType, w.Body)
 	return nil
 }
 
@@ -73,64 +65,19 @@
 	return failure
 }
 
-// ServiceOf resolves the service of an OpenAI-style body.
-func ServiceOf(text *services.Text, path string, body []byte) (*services.Service, *result.Error) {
-	if !gjson.ValidBytes(body) || !gjson.ParseBytes(body).IsObject() {
-		return nil, result.New(result.MalformedJSON, "body is not a JSON object")
-	}
-	model := gjson.GetBytes(body, "model")
-	if model.Type != gjson.String {
-		return nil, result.New(result.InvalidField, "model must be a string")
-	}
-	service, ok := text.ServiceForModel(model.String())
-	if !ok {
-		return nil, result.New(result.UnknownModel, "no model or service %q", model.String())
-	}
-	if failure := checkPrompt(path, body); failure != nil {
-		return nil, failure
-	}
-	return service, nil
-}
-
-// checkPrompt checks the field that holds what the model shall answer.
-func checkPrompt(path string, body []byte) *result.Error {
-	if path == "/v1/completions" {
-		if prompt := gjson.GetBytes(body, "prompt"); prompt.Type != gjson.String && !prompt.IsArray() {
-			return result.New(result.InvalidField, "prompt must be a string or an array")
-		}
-		return nil
-	}
-	if !gjson.GetBytes(body, "messages").IsArray() {
-		return result.New(result.InvalidField, "messages must be an array")
-	}
-	return nil
-}
-
-// EngineOptions returns the fields of a request for an engine service.
-func EngineOptions(s *services.Service, path string, body []byte) request.Options {
-	urgency := request.Online
-	if s.Urgency == "batch" {
-		urgency = request.Batch
-	}
-	return request.Options{
-		Service: s.Name, Model: s.Model, Method: http.MethodPost, Path: path, ContentType: jsonType, Body: body,
-		Urgency: urgency, Weight: s.Weight, Idempotent: true, Engine: true,
-	}
-}
-
 // answerRecorded answers a recorded request whole; a caller that asked for a
 // stream gets the whole answer as one.
-func (f *Front) answerRecorded(ctx context.Context, c *call, s *services.Service, r *request.Request) *result.Error {
+func (f *Front) answerRecorded(ctx context.Context, c *call.Call, s *services.Service, r *request.Request) *result.Error {
 	w, failure := f.recorded(ctx, c, s, r)
 	if failure != nil {
 		return overdue(ctx, failure)
 	}
 	if !r.Stream() {
-		c.http.Data(w.status, w.contentType, w.body)
+		c.HTTP().Data(w.Status, w.ContentType, w.Body)
 		return nil
 	}
 	out := f.openStream(c)
-	if err := out.send(chunkOf(w.body)); err != nil {
+	if err := out.send(answer.Chunk(w.Body)); err != nil {
 		return nil
 	}
 	out.end()
@@ -138,11 +85,11 @@
 }
 
 // stream passes the engine's chunks on as they come.
-func (f *Front) stream(ctx context.Context, c *call, r *request.Request) *result.Error {
+func (f *Front) stream(ctx context.Context, c *call.Call, r *request.Request) *result.Error {
 	wantsUsage := gjson.GetBytes(r.Body(), "stream_options.include_usage").Bool()
 	var out *eventStream
 	failure := f.p.Runner.Run(ctx, r, func(e request.Event) error {
-		if e.Kind != request.Data || (!wantsUsage && isUsage(e.Data)) {
+		if e.Kind != request.Data || (!wantsUsage && answer.IsUsage(e.Data)) {
 			return nil
 		}
 		if out == nil {
@@ -158,27 +105,22 @@
 	case out == nil:
 		return overdue(ctx, failure)
 	default:
-		out.fail(c.errorJSON(overdue(ctx, failure)))
+		out.fail(c.ErrorJSON(overdue(ctx, failure)))
 	}
 	return nil
 }
 
-// isUsage reports whether a chunk carries nothing but the usage.
-func isUsage(chunk []byte) bool {
-	return gjson.GetBytes(chunk, "usage").IsObject() && gjson.GetBytes(chunk, "choices.#").Int() == 0
-}
-
 // eventStream writes server-sent events.
 type eventStream struct {
-	call *call
+	call *call.Call
 }
 
 // openStream sends the head of a streamed answer.
-func (f *Front) openStream(c *call) *eventStream {
-	c.http.SetStatusCode(http.StatusOK)
-	c.http.Response.Header.SetContentType("text/event-stream")
-	c.http.Response.Header.Set("Cache-Control", "no-cache")
-	c.http.Response.HijackWriter(resp.NewChunkedBodyWriter(&c.http.Response, c.http.GetWriter()))
+func (f *Front) openStream(c *call.Call) *eventStream {
+	c.HTTP().SetStatusCode(http.StatusOK)
+	c.HTTP().Response.Header.SetContentType("text/event-stream")
+	c.HTTP().Response.Header.Set("Cache-Control", "no-cache")
+	c.HTTP().Response.HijackWriter(resp.NewChunkedBodyWriter(&c.HTTP().Response, c.HTTP().GetWriter()))
 	return &eventStream{call: c}
 }
 
@@ -187,10 +129,10 @@
 	event = append(event, "data: "...)
 	event = append(event, data...)
 	event = append(event, "\n\n"...)
-	if _, err := s.call.http.Write(event); err != nil {
+	if _, err := s.call.HTTP().Write(event); err != nil {
 		return err
 	}
-	return s.call.http.Flush()
+	return s.call.HTTP().Flush()
 }
 
 func (s *eventStream) end() { _ = s.send([]byte("[DONE]")) }
@@ -200,23 +142,23 @@
 func (s *eventStream) fail(body []byte) { _ = s.send(body) }
 
 // models lists the services and models that the caller may use.
-func (f *Front) models(_ context.Context, c *call) *result.Error {
+func (f *Front) models(_ context.Context, c *call.Call) *result.Error {
 	list := []modelBody{}
-	for i := range c.text.Services() {
-		s := &c.text.Services()[i]
-		if s.Kind == services.EngineKind && c.organisation.Allows(s.Name) {
+	for i := range c.Text().Services() {
+		s := &c.Text().Services()[i]
+		if s.Kind == services.EngineKind && c.Organisation().Allows(s.Name) {
 			list = append(list, modelBody{ID: s.Name, Object: "model", OwnedBy: s.Model})
 		}
 	}
-	return c.json(listBody[modelBody]{Object: "list", Data: list})
+	return c.Answer(call.List[modelBody]{Object: "list", Data: list})
 }
 
-func (f *Front) model(_ context.Context, c *call) *result.Error {
-	s, ok := c.text.ServiceForModel(c.http.Param("id"))
+func (f *Front) model(_ context.Context, c *call.Call) *result.Error {
+	s, ok := c.Text().ServiceForModel(c.HTTP().Param("id"))
 	if !ok {
-		return result.New(result.UnknownModel, "no model or service %q", c.http.Param("id"))
+		return result.New(result.UnknownModel, "no model or service %q", c.HTTP().Param("id"))
 	}
-	return c.json(modelBody{ID: s.Name, Object: "model", OwnedBy: s.Model})
+	return c.Answer(modelBody{ID: s.Name, Object: "model", OwnedBy: s.Model})
 }
 
 type modelBody struct {
@@ -225,12 +167,3 @@
 	Created int64  `json:"created"`
 	OwnedBy string `json:"owned_by"`
 }
-
-// listBody is the shape of every list.
-type listBody[T any] struct {
-	Object  string `json:"object"`
-	Data    []T    `json:"data"`
-	FirstID string `json:"first_id,omitempty"`
-	LastID  string `json:"last_id,omitempty"`
-	HasMore bool   `json:"has_more"`
-}
--- a/internal/serving/caller/run.go
+++ b/internal/serving/caller/run.go
@@ -2,73 +2,39 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/kingcupquay/kingcupquay/internal/fleet/wire"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
 	"github.com/kingcupquay/kingcupquay/internal/operator/services"
 	"github.com/kingcupquay/kingcupquay/internal/record/ledger"
+	"github.com/kingcupquay/kingcupquay/internal/serving/answer"
+	"github.com/kingcupquay/kingcupquay/internal/serving/call"
 	"github.com/kingcupquay/kingcupquay/internal/serving/request"
 )
 
-// whole is a complete answer.
-type whole struct {
-	status      int
-	contentType string
-	body        []byte
-}
-
-// RunWhole runs r and returns its complete answer.
-func RunWhole(ctx context.Context, runner Runner, r *request.Request) (int, string, []byte, *result.Error) {
-	w, failure := runWhole(ctx, runner, r)
-	return w.status, w.contentType, w.body, failure
-}
-
-func runWhole(ctx context.Context, runner Runner, r *request.Request) (whole, *result.Error) {
-	w := whole{status: http.StatusOK, contentType: jsonType}
-	var assembler Assembler
-	failure := runner.Run(ctx, r, func(e request.Event) error {
-		switch {
-		case e.Kind == request.Started && !r.Engine():
-			w.status, w.contentType = e.Status, e.ContentType
-		case e.Kind == request.Data && r.Engine():
-			if failure := assembler.Add(e.Data); failure != nil {
-				return failure
-			}
-		case e.Kind == request.Data:
-			w.body = append(w.body, e.Data...)
-		}
-		return nil
-	})
-	if failure == nil && r.Engine() {
-		w.body, failure = assembler.JSON()
-	}
-	return w, failure
-}
-
 // recorded runs r under a durable claim of its key and returns the recorded
 // answer, be it of this run or of an earlier one.
-func (f *Front) recorded(ctx context.Context, c *call, s *services.Service, r *request.Request) (whole, *result.Error) {
-	key := recordKey(c.organisation.Name, r.Key())
+func (f *Front) recorded(ctx context.Context, c *call.Call, s *services.Service, r *request.Request) (answer.Whole, *result.Error) {
+	key := recordKey(c.Organisation().Name, r.Key())
 	if f.late.full() {
-		return whole{}, result.New(result.StoreUnavailable, "too many outcomes wait for the store").WithRetry(time.Second)
+		return answer.Whole{}, result.New(result.StoreUnavailable, "too many outcomes wait for the store").WithRetry(time.Second)
 	}
 	fingerprint := r.Fingerprint()
 	existing, failure := f.p.Records.Claim(ctx, &wire.ClaimRequest{
-		Key: key, Attempt: c.id, Owner: f.p.Host, Fingerprint: fingerprint[:], Idempotent: r.Idempotent(),
-		Request: wire.RunRequestOf(r, "", c.now), DeadlineInMs: r.Deadline().Sub(c.now).Milliseconds(),
+		Key: key, Attempt: c.ID(), Owner: f.p.Host, Fingerprint: fingerprint[:], Idempotent: r.Idempotent(),
+		Request: wire.RunRequestOf(r, "", c.Now()), DeadlineInMs: r.Deadline().Sub(c.Now()).Milliseconds(),
 		KeepMs: s.Keep().Milliseconds(),
 	})
 	if failure != nil {
-		f.abandon(key, c.id, failure)
-		return whole{}, failure
+		f.abandon(key, c.ID(), failure)
+		return answer.Whole{}, failure
 	}
 	if existing != nil {
 		return f.earlier(ctx, r, key, existing)
 	}
-	w, failure := runWhole(ctx, f.p.Runner, r)
-	return w, f.finish(key, c.id, w, failure)
+	w, failure := answer.Collect(ctx, f.p.Runner, r)
+	return w, f.finish(key, c.ID(), w, failure)
 }
 
 // recordKey makes callers' keys of different organisations distinct.
@@ -88,7 +54,7 @@
 
 // RunClaimed runs r, whose key is claimed by attempt, and records its outcome.
 func (f *Front) RunClaimed(ctx context.Context, key, attempt string, r *request.Request) {
-	w, failure := runWhole(ctx, f.p.Runner, r)
+	w, failure := answer.Collect(ctx, f.p.Runner, r)
 	_ = f.finish(key, attempt, w, failure)
 }
 
@@ -97,12 +63,12 @@
 // finish records the outcome of a claimed run and returns the failure to
 // answer with. An answer that can't be recorded now is still given: it is the
 // one answer, and its record is tried again in the background.
-func (f *Front) finish(key, attempt string, w whole, failure *result.Error) *result.Error {
+func (f *Front) finish(key, attempt string, w answer.Whole, failure *result.Error) *result.Error {
 	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
 	defer cancel()
 	in := &wire.FinishRequest{
 		Key: key, Attempt: attempt, State: int32(stateOf(failure)),
-		Status: int32(w.status), ContentType: w.contentType, Answer: w.body, Failure: wire.FailureOf(failure),
+		Status: int32(w.Status), ContentType: w.ContentType, Answer: w.Body, Failure: wire.FailureOf(failure),
 	}
 	if err := f.p.Records.Finish(ctx, in); err != nil {
 		f.p.Note("record delayed", err.Error(), attempt, key)
@@ -129,15 +95,15 @@
 
 // earlier answers with the outcome of an earlier claim of the key, waiting for
 // it as long as the caller does.
-func (f *Front) earlier(ctx context.Context, r *request.Request, key string, entry *wire.Entry) (whole, *result.Error) {
+func (f *Front) earlier(ctx context.Context, r *request.Request, key string, entry *wire.Entry) (answer.Whole, *result.Error) {
 	for ledger.State(entry.GetState()) == ledger.Claimed {
 		if f.p.Timer.Now().Add(lookupInterval).After(r.Deadline()) {
-			return whole{}, result.New(result.InProgress, "a request with this key is in progress").
+			return answer.Whole{}, result.New(result.InProgress, "a request with this key is in progress").
 				WithRan(result.RanMaybe).WithRetry(time.Second)
 		}
 		select {
 		case <-ctx.Done():
-			return whole{}, result.New(result.Cancelled, "caller left").WithRan(result.RanMaybe)
+			return answer.Whole{}, result.New(result.Cancelled, "caller left").WithRan(result.RanMaybe)
 		case <-time.After(lookupInterval):
 		}
 		if later, failure := f.p.Records.Lookup(ctx, key); failure == nil {
@@ -148,23 +114,23 @@
 }
 
 // wholeOf returns the answer in a final entry.
-func wholeOf(entry *wire.Entry) (whole, *result.Error) {
+func wholeOf(entry *wire.Entry) (answer.Whole, *result.Error) {
 	if ledger.State(entry.GetState()) == ledger.Done {
-		return whole{status: int(entry.GetStatus()), contentType: entry.GetContentType(), body: entry.GetAnswer()}, nil
+		return answer.Whole{Status: int(entry.GetStatus()), ContentType: entry.GetContentType(), Body: entry.GetAnswer()}, nil
 	}
 	if failure := entry.GetFailure().Err(); failure != nil {
-		return whole{}, failure
+		return answer.Whole{}, failure
 	}
-	return whole{}, result.New(result.MayHaveRun, "the request may have run").WithRan(result.RanMaybe)
+	return answer.Whole{}, result.New(result.MayHaveRun, "the request may have run").WithRan(result.RanMaybe)
 }
 
 // getRequest answers with the recorded outcome of a key.
-func (f *Front) getRequest(ctx context.Context, c *call) *result.Error {
-	entry, failure := f.p.Records.Lookup(ctx, recordKey(c.organisation.Name, c.http.Param("key")))
+func (f *Front) getRequest(ctx context.Context, c *call.Call) *result.Error {
+	entry, failure := f.p.Records.Lookup(ctx, recordKey(c.Organisation().Name, c.HTTP().Param("key")))
 	if failure != nil {
 		return failure
 	}
-	return c.json(requestView(c.http.Param("key"), entry))
+	return c.Answer(requestView(c.HTTP().Param("key"), entry))
 }
 
 // requestBody is what readers of a record get.
--- /dev/null
+++ b/internal/serving/endpoint/endpoint.go
@@ -0,0 +1,94 @@
+// Package endpoint tells which service of the services text an endpoint and a
+// body mean, and makes the request for it, the same for online calls and for
+// the items of batch jobs.
+package endpoint
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/tidwall/gjson"
+
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/operator/services"
+	"github.com/kingcupquay/kingcupquay/internal/serving/request"
+)
+
+// The endpoints of model engines.
+const (
+	Chat = "/v1/chat/completions"
+	Text = "/v1/completions"
+)
+
+const contentType = "application/json"
+
+// Service resolves the service of an OpenAI-style body.
+func Service(text *services.Text, path string, body []byte) (*services.Service, *result.Error) {
+	if !gjson.ValidBytes(body) || !gjson.ParseBytes(body).IsObject() {
+		return nil, result.New(result.MalformedJSON, "body is not a JSON object")
+	}
+	model := gjson.GetBytes(body, "model")
+	if model.Type != gjson.String {
+		return nil, result.New(result.InvalidField, "model must be a string")
+	}
+	service, ok := text.ServiceForModel(model.String())
+	if !ok {
+		return nil, result.New(result.UnknownModel, "no model or service %q", model.String())
+	}
+	if failure := checkPrompt(path, body); failure != nil {
+		return nil, failure
+	}
+	return service, nil
+}
+
+// checkPrompt checks the field that holds what the model shall answer.
+func checkPrompt(path string, body []byte) *result.Error {
+	if path == Text {
+		if prompt := gjson.GetBytes(body, "prompt"); prompt.Type != gjson.String && !prompt.IsArray() {
+			return result.New(result.InvalidField, "prompt must be a string or an array")
+		}
+		return nil
+	}
+	if !gjson.GetBytes(body, "messages").IsArray() {
+		return result.New(result.InvalidField, "messages must be an array")
+	}
+	return nil
+}
+
+// EngineOptions returns the fields of a request for an engine service.
+func EngineOptions(s *services.Service, path string, body []byte) request.Options {
+	return request.Options{
+		Service: s.Name, Model: s.Model, Method: http.MethodPost, Path: path, ContentType: contentType, Body: body,
+		Urgency: urgencyOf(s), Weight: s.Weight, Idempotent: true, Engine: true,
+	}
+}
+
+// PlainOptions returns the fields of a request for a plain service.
+func PlainOptions(s *services.Service, method, path string, body []byte) request.Options {
+	return request.Options{
+		Service: s.Name, Method: method, Path: path, ContentType: contentType, Body: body,
+		Urgency: urgencyOf(s), Weight: s.Weight, Idempotent: s.Idempotent,
+	}
+}
+
+// Plain returns the plain service of an endpoint /services/NAME/PATH
+// and the path at its back ends.
+func Plain(text *services.Text, endpoint string) (*services.Service, string, bool) {
+	rest, ok := strings.CutPrefix(endpoint, "/services/")
+	name, path, found := strings.Cut(rest, "/")
+	if !ok || !found {
+		return nil, "", false
+	}
+	service, ok := text.Service(name)
+	if !ok || service.Kind != services.PlainKind {
+		return nil, "", false
+	}
+	return service, "/" + path, true
+}
+
+func urgencyOf(s *services.Service) request.Urgency {
+	if s.Urgency == "batch" {
+		return request.Batch
+	}
+	return request.Online
+}
