Count requests, retries and lost servers in the dispatcher

Cause: the amplification by retries could not be read from a running host.

Change: counters of requests, of attempts after the first, and of servers that were lost under an attempt.

Conclusion: retries over requests in /metrics is the amplification.

--- a/internal/serving/dispatch/dispatcher.go
+++ b/internal/serving/dispatch/dispatcher.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/kingcupquay/kingcupquay/internal/fleet/peer"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/wire"
@@ -25,6 +27,13 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/route"
 )
 
+// Retries over requests is the amplification; the budget bounds it.
+var (
+	requestsTotal = metrics.NewCounter("kingcupquay_dispatch_requests_total")
+	retriesTotal  = metrics.NewCounter("kingcupquay_dispatch_retries_total")
+	lostTotal     = metrics.NewCounter("kingcupquay_dispatch_lost_servers_total")
+)
+
 // Fleet tells which host keeps a back end.
 type Fleet interface {
 	// Keeper returns the name and address of the keeper of a back end.
@@ -150,6 +159,7 @@
 	}
 	a := &answer{request: r, now: d.timer.Now, transcript: engine.NewTranscript(r), sink: sink}
 	d.mu.Lock()
+	requestsTotal.Inc()
 	d.retry.Fresh()
 	d.mu.Unlock()
 	var avoid []string
@@ -167,6 +177,7 @@
 		if !again || !d.sleep(ctx, wait) {
 			return failure.WithRan(ran)
 		}
+		retriesTotal.Inc()
 		avoid = append(avoid, a.backend)
 	}
 }
@@ -225,6 +236,7 @@
 	d.ended(a, backend.Name, failure)
 	d.guard.Ended(ctx, a.request, backend.Name, permitted, failure)
 	if lostServer(failure) {
+		lostTotal.Inc()
 		d.note("attempt failed", failure.Error(), a.request.ID(), backend.Name, a.request.Service())
 	}
 	return failure
