Make the suites' verdicts repeatable, slots polled inline

Cause: the keeper's spec on slots polled on a goroutine and waited to see the number 7. If one report is taken after the read and the next before the next read, the number goes from 8 to 6 between two reads and never comes back to 7 while the engine queues inside.

--- a/internal/serving/keeper/fake_test.go
+++ b/internal/serving/keeper/fake_test.go
@@ -27,6 +27,14 @@
 	return nil
 }
 
+// inlinePool runs each task before Submit returns.
+type inlinePool struct{}
+
+func (inlinePool) Submit(task func()) error {
+	task()
+	return nil
+}
+
 // fullPool takes nothing.
 type fullPool struct{}
 
