Park items whose back ends are gone on gates, release by event

Cause: an item without a back end was tried again every 0.25 to 5 s, each try a start and a look at the router, and the whole window came back at once.

A job's hand-out counts fresh items against the waiting ones, which also stops a full window from being offered again for each retried item.

--- a/internal/batch/job/manager.go
+++ b/internal/batch/job/manager.go
@@ -36,12 +36,20 @@
 	Token(shard int) (int64, bool)
 }
 
+// Gates keeps items that wait for something absent.
+type Gates interface {
+	// Park keeps an item; release is called once, later, from elsewhere.
+	Park(p Parked, release func())
+}
+
 // Parts are what a manager is built on.
 type Parts struct {
 	Store  store.Store
 	Timer  timer.Service
 	Caller Caller
 	Holder Holder
+	// Gates is needed only if Caller's answers say that an item is parked.
+	Gates  Gates
 	Shards int
 	// Note records a change of state and its cause.
 	Note func(kind, cause string, subjects ...string)
--- a/internal/batch/job/plan.go
+++ b/internal/batch/job/plan.go
@@ -23,6 +23,8 @@
 	passMax    = 10 * time.Second
 	// probeInterval is the pace of new items while the waiting ones fill the window.
 	probeInterval = 100 * time.Millisecond
+	// parkedWait is after what time a parked item runs without its release.
+	parkedWait = 10 * time.Minute
 	// reserveItems is how many items a checkpoint allows to start.
 	reserveItems = 4096
 	// maxResultBytes bounds one result line, so that it fits a chunk.
@@ -35,6 +37,19 @@
 	Failure  *result.Error
 	// Weight is the weight of the item's service, zero if not known.
 	Weight int
+	// Parked, if set, is what the item waits for instead of a time.
+	Parked *Parked
+}
+
+// Parked is what an item waits for that is known to be absent.
+type Parked struct {
+	// ID is the id of the item's request.
+	ID   string
+	Gate string
+	// Started is when the run began that found it absent, zero for none.
+	Started time.Time
+	Weight  int
+	Due     time.Time
 }
 
 // phase is where a plan stands between two final states.
@@ -62,6 +77,8 @@
 	wait time.Duration
 	// last is the failure of the last run, nil before it.
 	last *result.Error
+	// parked says that the item waits at a gate.
+	parked bool
 }
 
 // outcome is the result line of one item.
@@ -105,6 +122,8 @@
 	progress bool
 	pause    time.Duration
 	probeAt  time.Time
+	// parked are the items that are to be parked.
+	parked []Action
 
 	pending      []outcome
 	pendingBytes int
@@ -172,12 +191,13 @@
 
 // step hands out what may run now; blocked says that no result fits.
 func (p *Plan) step(now time.Time, blocked bool) []Action {
-	var actions []Action
 	if !p.created {
 		return nil
 	}
+	actions := p.parked
+	p.parked = nil
 	if p.phase == running && !now.Before(p.record.Due) {
-		actions = p.stop(Expired, causeExpired)
+		actions = append(actions, p.stop(Expired, causeExpired)...)
 	}
 	switch p.phase {
 	case running:
@@ -228,8 +248,9 @@
 			actions = append(actions, p.start(t))
 		}
 	}
-	for len(p.running) < p.window && p.phase == running {
-		if len(p.waiting) >= p.window && now.Before(p.probeAt) {
+	// What starts now may all have to wait, so no more of it than may wait.
+	for fresh := 0; len(p.running) < p.window && p.phase == running; fresh++ {
+		if len(p.waiting)+fresh >= p.window && now.Before(p.probeAt) {
 			return actions
 		}
 		line, n, ok := p.next()
@@ -241,7 +262,7 @@
 			p.urgent = true
 			return actions
 		}
-		if len(p.waiting) >= p.window {
+		if len(p.waiting)+fresh >= p.window {
 			p.probeAt = now.Add(probeInterval)
 		}
 		i, failure := item.Parse(line, n+1)
@@ -257,6 +278,7 @@
 func (p *Plan) start(t *trial) Action {
 	p.running[t.number] = t
 	p.touched.add(t.number)
+	t.parked = false
 	return Action{Kind: RunItem, Job: p.record.ID, Number: t.number, Item: t.item}
 }
 
@@ -329,7 +351,7 @@
 		return
 	}
 	for n, t := range p.waiting {
-		if p.deferred > 0 && t.tries == 0 {
+		if p.deferred > 0 && t.tries == 0 && !t.parked {
 			delete(p.waiting, n)
 			p.deferred++
 		}
@@ -427,7 +449,7 @@
 		one.Error.Message = fmt.Sprintf("given up after %d tries: %s", t.tries, one.Error.Message)
 		p.add(now, n, one)
 	default:
-		p.later(now, t)
+		p.later(now, t, a.Parked)
 	}
 }
 
@@ -445,7 +467,7 @@
 
 // later keeps an item for another try, or leaves it to the next pass if too
 // many wait already and it never reached a back end.
-func (p *Plan) later(now time.Time, t *trial) {
+func (p *Plan) later(now time.Time, t *trial, parked *Parked) {
 	if t.tries == 0 && t.last.Ran() == result.RanNo && t.number >= p.inherited {
 		p.touched.remove(t.number)
 	}
@@ -456,9 +478,21 @@
 		p.deferred++
 		return
 	}
+	p.waiting[t.number] = t
+	if parked != nil {
+		t.next, t.wait, t.parked = now.Add(parkedWait), 0, true
+		p.parked = append(p.parked, Action{Kind: Park, Job: p.record.ID, Number: t.number, Parked: parked})
+		return
+	}
 	t.wait = min(max(retryWait, 2*t.wait), retryMax)
 	t.next = now.Add(t.wait)
-	p.waiting[t.number] = t
+}
+
+// unparked lets a parked item run again.
+func (p *Plan) unparked(now time.Time, n int) {
+	if t, ok := p.waiting[n]; ok {
+		t.next = now
+	}
 }
 
 // permanent reports whether trying the item again can't help.
--- a/internal/batch/job/shard.go
+++ b/internal/batch/job/shard.go
@@ -58,6 +58,8 @@
 	End
 	// Closed says that the shard does nothing any more.
 	Closed
+	// Park keeps an item until what it waits for is back, then Unparked.
+	Park
 )
 
 // Ticket names a caller that waits for a reply.
@@ -75,6 +77,7 @@
 	Ticket     Ticket
 	Record     *Record
 	Failure    *result.Error
+	Parked     *Parked
 }
 
 // Checkpoint is one write of a shard; all of it takes effect or nothing.
@@ -293,6 +296,16 @@
 	return p.step(now, s.pendingBytes() >= maxPendingBytes)
 }
 
+// Unparked lets a parked item run again.
+func (s *Shard) Unparked(now time.Time, id string, number int) []Action {
+	p, ok := s.plans[id]
+	if !ok || s.closed || s.closing {
+		return nil
+	}
+	p.unparked(now, number)
+	return p.step(now, s.pendingBytes() >= maxPendingBytes)
+}
+
 // write starts a checkpoint if one is due; flush writes whatever there is.
 func (s *Shard) write(now time.Time, flush bool) []Action {
 	if s.writing != nil || s.abandoned || now.Before(s.nextWrite) {
--- a/internal/batch/job/worker.go
+++ b/internal/batch/job/worker.go
@@ -140,6 +140,8 @@
 			go w.readBack()
 		case ReplyTo:
 			w.reply(a)
+		case Park:
+			w.park(a)
 		case Remove:
 			go w.remove(a.Record)
 		case End:
@@ -194,6 +196,13 @@
 	}
 }
 
+// park hands an item to the gates; the caller holds w.mu.
+func (w *worker) park(a Action) {
+	w.m.p.Gates.Park(*a.Parked, func() {
+		w.feed(func(now time.Time) []Action { return w.shard.Unparked(now, a.Job, a.Number) })
+	})
+}
+
 func (w *worker) forget(a Action) {
 	delete(w.running[a.Job], a.Number)
 	if len(w.running[a.Job]) == 0 {
--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -68,6 +68,7 @@
 	jobs       *job.Manager
 	holders    *holders
 	entrance   *call.Entrance
+	parked     *parked
 	front      *caller.Front
 	bundles    *bundle.Front
 	ring       *cause.Ring
@@ -116,8 +117,9 @@
 	h.recorder = recorder.New(settings.Name, s, t, settings.Shards, lease.DefaultTerms, recorder.Hooks{
 		Live: h.live, Won: h.shardWon, Lost: h.shardLost, RunAgain: h.runAgain, Note: h.note,
 	})
+	h.parked = newParked(h)
 	jobs, err := job.NewManager(job.Parts{
-		Store: s, Timer: t, Caller: &itemCaller{host: h}, Holder: h.recorder, Shards: settings.Shards, Note: h.note,
+		Store: s, Timer: t, Caller: &itemCaller{host: h}, Holder: h.recorder, Gates: h.parked, Shards: settings.Shards, Note: h.note,
 	})
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -154,6 +156,7 @@
 		h.timer.Every(member.Interval, func(now time.Time) { h.beat(now) }),
 		h.timer.Every(keeperTick, func(time.Time) { h.keepers.Tick() }),
 		h.timer.Every(textTick, h.texts.tick),
+		h.timer.Every(parkedTick, h.parked.tick),
 		h.timer.Every(flushEvery, func(time.Time) { go h.flushCauses() }),
 	)
 	if h.settings.HostListURL != "" {
--- a/internal/fleet/host/items.go
+++ b/internal/fleet/host/items.go
@@ -42,11 +42,21 @@
 	if organisation, ok := text.Organisation(j.Organisation); !ok || !organisation.Allows(service.Name) {
 		return refused(result.New(result.ServiceForbidden, "organisation %s may not call %s", j.Organisation, service.Name))
 	}
+	at := job.Parked{ID: id, Weight: service.Weight, Due: j.Due}
+	if at.Gate = c.host.parked.before(text, service, id); at.Gate != "" {
+		waits := result.New(result.NoBackend, "waits at gate %s", at.Gate)
+		return job.Answer{Failure: waits, Weight: service.Weight, Parked: &at}
+	}
+	at.Started = c.host.timer.Now()
 	o.ID, o.Organisation, o.Urgency, o.Due = id, j.Organisation, request.Batch, j.Due
 	w, failure := answer.Collect(ctx, c.host.dispatcher, request.New(o))
-	return job.Answer{
+	ended := job.Answer{
 		Response: item.Response{StatusCode: w.Status, RequestID: id, Body: jsonBody(w.Body)}, Failure: failure, Weight: service.Weight,
 	}
+	if at.Gate = c.host.parked.after(service, failure); at.Gate != "" {
+		ended.Parked = &at
+	}
+	return ended
 }
 
 func refused(failure *result.Error) job.Answer { return job.Answer{Failure: failure} }
--- a/internal/serving/dispatch/dispatcher.go
+++ b/internal/serving/dispatch/dispatcher.go
@@ -131,6 +131,13 @@
 	}
 }
 
+// Health tells how the back ends of a model, or else of a plain service, are.
+func (d *Dispatcher) Health(model, service string) route.Health {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.router.Health(d.timer.Now(), model, service)
+}
+
 // answer is the state of one request across its attempts.
 type answer struct {
 	request    *request.Request
--- /dev/null
+++ b/internal/standin/deployment/parked_test.go
@@ -0,0 +1,41 @@
+package deployment_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupquay/kingcupquay/internal/standin/engine"
+)
+
+var _ = Describe("a batch whose engines are all gone", func() {
+	It("waits for them and then completes, each item with its own answer", func(ctx SpecContext) {
+		d := start(oneZone())
+		client := clientOf(d, 0)
+		for _, e := range d.Engines() {
+			e.Close()
+		}
+		prompt := func(i int) string { return fmt.Sprintf("parked route %d", i) }
+		const n = 300
+		batch := submit(ctx, &client, items(n, prompt))
+		Consistently(statusOf(ctx, &client, batch.ID), time.Second).ShouldNot(Equal("completed"))
+		for i, old := range d.Engines() {
+			e, err := engine.Start(old.Address(), engine.Options{
+				Name: fmt.Sprintf("dispatch-engine-%d", i+1), Models: []string{"dispatch-llm"}, Slots: 8,
+				Step: 5 * time.Millisecond, Prefill: 10 * time.Millisecond,
+			})
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(e.Close)
+		}
+		Eventually(statusOf(ctx, &client, batch.ID), patience).Should(Equal("completed"))
+		done, err := client.Batches.Get(ctx, batch.ID)
+		Expect(err).NotTo(HaveOccurred())
+		found := answers(ctx, &client, done.OutputFileID)
+		Expect(found).To(HaveLen(n))
+		for i := range n {
+			Expect(found[fmt.Sprintf("item-%d", i)]).To(Equal(engine.Answer(prompt(i), 0)))
+		}
+	})
+})
