Place models on engines under a zone's lease

Cause: nothing decided which engine holds which model, adapter and version.

Change: internal/serving/placement orders the difference between the services text and what engines say they hold, run by the one host of a zone that holds placement/ZONE; orders carry the key's create revision. Loads are bounded in all and by artifact, a new version goes to one engine first and never takes the last ready one, lost replies are settled by reading, and engines that ignore fencing numbers wait the former holder out. The stand-in engine loads from a rate-limited stand-in store.

Conclusion: version changes, lost replies and restarts settle in the rapid test; with the order beside the old version taken out, the same test finds a model without a ready engine. Roles and KV cache are missing.

--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -69,6 +69,7 @@
 	holders    *holders
 	entrance   *call.Entrance
 	parked     *parked
+	placer     *placer
 	front      *caller.Front
 	bundles    *bundle.Front
 	ring       *cause.Ring
@@ -117,7 +118,7 @@
 	h.recorder = recorder.New(settings.Name, s, t, settings.Shards, lease.DefaultTerms, recorder.Hooks{
 		Live: h.live, Won: h.shardWon, Lost: h.shardLost, RunAgain: h.runAgain, Note: h.note,
 	})
-	h.parked = newParked(h)
+	h.parked, h.placer = newParked(h), newPlacer(h)
 	jobs, err := job.NewManager(job.Parts{
 		Store: s, Timer: t, Caller: &itemCaller{host: h}, Holder: h.recorder, Gates: h.parked, Shards: settings.Shards, Note: h.note,
 	})
@@ -157,6 +158,7 @@
 		h.timer.Every(keeperTick, func(time.Time) { h.keepers.Tick() }),
 		h.timer.Every(textTick, h.texts.tick),
 		h.timer.Every(parkedTick, h.parked.tick),
+		h.timer.Every(placementTick, h.placer.tick),
 		h.timer.Every(flushEvery, func(time.Time) { go h.flushCauses() }),
 	)
 	if h.settings.HostListURL != "" {
@@ -259,6 +261,7 @@
 		sub.Cancel()
 	}
 	h.texts.stop()
+	h.placer.stop(true)
 	h.stopPeers(ctx)
 	h.supervisor.Stop(ctx)
 	h.keepers.Close()
@@ -273,6 +276,7 @@
 		sub.Cancel()
 	}
 	h.texts.stop()
+	h.placer.stop(false)
 	h.recorder.Stop()
 	h.jobs.Stop()
 	h.grpc.Stop()
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -23,6 +23,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/standin/engine"
 	"github.com/kingcupquay/kingcupquay/internal/standin/platform"
 	"github.com/kingcupquay/kingcupquay/internal/standin/service"
+	"github.com/kingcupquay/kingcupquay/internal/standin/weights"
 )
 
 // Options are the size of a deployment.
@@ -37,6 +38,8 @@
 	Slots   int
 	Step    time.Duration
 	Prefill time.Duration
+	// Weights is where engines load from; nil loads in no time.
+	Weights *weights.Store
 	// Policy is the queue policy of the hosts, empty for the usual one.
 	Policy string
 	// Listen is the caller address of the first host; the others listen on the
@@ -107,6 +110,7 @@
 		e, err := engine.Start("127.0.0.1:0", engine.Options{
 			Name: fmt.Sprintf("dispatch-engine-%d", i+1), Models: []string{"dispatch-llm"}, Slots: d.o.Slots,
 			Step: d.o.Step, Prefill: d.o.Prefill, LoadLag: time.Second, ChecksFencing: i%2 == 0,
+			Weights: d.o.Weights,
 		})
 		if err != nil {
 			return err
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/kingcupquay/kingcupquay/internal/standin/weights"
 )
 
 // Options are the properties of an engine.
@@ -32,6 +34,8 @@
 	ChecksFencing bool
 	// LoadLag is how old a load report is.
 	LoadLag time.Duration
+	// Weights is where models are loaded from; nil loads in no time.
+	Weights *weights.Store
 }
 
 // Load is the engine's report on itself.
@@ -57,7 +61,9 @@
 	silent  bool
 	down    bool
 	fencing int64
+	// models says of each artifact held whether it is ready.
 	models  map[string]bool
+	orders  []Order
 	reports []report
 	tokens  int64
 }
@@ -248,7 +254,7 @@
 		go e.crash()
 		return true
 	}
-	return e.down || !e.models[model]
+	return e.down || !e.holds(model)
 }
 
 // crash cuts all connections and comes back at once.
@@ -368,19 +374,6 @@
 	return true
 }
 
-func (e *Engine) listModels(w http.ResponseWriter, _ *http.Request) {
-	type model struct {
-		ID string `json:"id"`
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	list := make([]model, 0, len(e.models))
-	for name := range e.models {
-		list = append(list, model{name})
-	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"object": "list", "data": list})
-}
-
 // load answers with a report that is LoadLag old.
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
@@ -394,27 +387,3 @@
 	old.Slots = e.o.Slots
 	_ = json.NewEncoder(w).Encode(old)
 }
-
-// Order asks an engine to load or unload a model or to change its role.
-type Order struct {
-	Action  string `json:"action"`
-	Model   string `json:"model"`
-	Fencing int64  `json:"fencing"`
-}
-
-func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
-	var in Order
-	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.o.ChecksFencing && in.Fencing < e.fencing {
-		http.Error(w, "old fencing number", http.StatusConflict)
-		return
-	}
-	e.fencing = max(e.fencing, in.Fencing)
-	e.models[in.Model] = in.Action == "load"
-	w.WriteHeader(http.StatusOK)
-}
