--- a/internal/serving/placement/planner_test.go
+++ b/internal/serving/placement/planner_test.go
@@ -23,7 +23,6 @@
 type fake struct {
 	held    map[string]bool
 	ends    map[string]time.Time
-	replace map[string]bool
 	fencing int64
 	checks  bool
 }
