Keep requests from engines that are not ready with their model

Cause: while an engine loads a new version it holds no model, and a request that reached it failed there first.

Change: the host that places a zone's models names in its heartbeats the engines that are not ready with a model; routers leave them out of the model's pool while another engine is left. The stand-in engine answers 503 for a model that it does not hold, where it cut the connection, which was taken for a crash.

Figures: in the deployment's version change, every online call sent while the engines load is answered (placement_test.go).

Conclusion: a hint, heard directly from the placement host only.

--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -88,6 +88,8 @@
 	subs []*timer.Subscription
 	// unreachable is guarded by mu.
 	unreachable unreachable
+	// readiness is guarded by mu.
+	readiness readiness
 	// ready is set once the host answers callers.
 	ready atomic.Bool
 }
@@ -335,8 +337,10 @@
 	h.mu.Unlock()
 	h.dispatcher.Reported(loads)
 	h.addQuarantine(message)
+	message.Unready = h.placer.unready(now)
+	h.learnReadiness(h.settings.Name, message.Unready)
 	for _, b := range beats {
-		b.Message.Quarantine = message.Quarantine
+		b.Message.Quarantine, b.Message.Unready = message.Quarantine, message.Unready
 	}
 	for _, b := range beats {
 		go h.sendBeat(b.Address, b.Message)
@@ -381,6 +385,7 @@
 	h.view.Heard(h.timer.Now(), beat)
 	h.mu.Unlock()
 	h.learnQuarantine(beat)
+	h.learnReadiness(beat.GetHost(), beat.GetUnready())
 	h.dispatcher.Reported(beat.GetLoads())
 	for _, other := range beat.GetOthers() {
 		h.dispatcher.Reported(other.GetLoads())
--- a/internal/serving/dispatch/dispatcher.go
+++ b/internal/serving/dispatch/dispatcher.go
@@ -131,6 +131,13 @@
 	}
 }
 
+// SetUnready takes, by model, the engines that are not ready with it.
+func (d *Dispatcher) SetUnready(unready map[string][]string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.router.SetUnready(unready)
+}
+
 // Health tells how the back ends of a model, or else of a plain service, are.
 func (d *Dispatcher) Health(model, service string) route.Health {
 	d.mu.Lock()
--- a/internal/serving/placement/planner.go
+++ b/internal/serving/placement/planner.go
@@ -361,3 +361,34 @@
 	}
 	return max(1, min(int(float64(t.wanted)*p.terms.Share), t.wanted-1))
 }
+
+// Unready returns the engines that were read and are not ready with a model
+// that they should hold, or will not be once their order arrives: ENGINE/MODEL,
+// sorted.
+func (p *Planner) Unready() []string {
+	if p.fencing == 0 {
+		return nil
+	}
+	var list []string
+	for _, name := range p.names {
+		e := p.engines[name]
+		for _, want := range e.Want {
+			pair := name + "/" + model(want)
+			if e.known && !e.ready(line(want)) && (len(list) == 0 || list[len(list)-1] != pair) {
+				list = append(list, pair)
+			}
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// ready reports whether the engine stays ready with a version of a line.
+func (e *engine) ready(l string) bool {
+	for id, ready := range e.held {
+		if ready && line(id) == l && !e.taken(id) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/serving/placement/planner_test.go
+++ b/internal/serving/placement/planner_test.go
@@ -231,6 +231,18 @@
 		}
 		Expect(z.whole("m@2")).To(BeTrue())
 	})
+	It("tells which engines are not ready with a model, from the order on", func() {
+		z := newZone(4, "m@1")
+		z.want("m@2")
+		Expect(z.planner.Unready()).To(BeEmpty(), "nothing is read")
+		z.tick()
+		z.tick()
+		Expect(z.planner.Unready()).To(Equal([]string{"e-000/m"}))
+		for range 200 {
+			z.tick()
+		}
+		Expect(z.planner.Unready()).To(BeEmpty())
+	})
 	It("shares the loads between artifacts", func() {
 		z := newZone(32)
 		z.loadFor = time.Minute
--- a/internal/serving/route/health.go
+++ b/internal/serving/route/health.go
@@ -1,6 +1,9 @@
 package route
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Health is what a router knows of all back ends of a model or service.
 type Health uint8
@@ -41,3 +44,22 @@
 	}
 	return health
 }
+
+// SetUnready takes, by model, the engines that are said not to be ready with
+// it. That is a hint: if it leaves no engine for a model, all of them count.
+func (r *Router) SetUnready(unready map[string][]string) {
+	r.unready = unready
+	if r.text != nil {
+		r.pools()
+	}
+}
+
+func (r *Router) readyOnes(model string, servers []*server) []*server {
+	ready := slices.DeleteFunc(slices.Clone(servers), func(s *server) bool {
+		return slices.Contains(r.unready[model], s.backend.Name)
+	})
+	if len(ready) == 0 {
+		return servers
+	}
+	return ready
+}
--- a/internal/serving/route/router.go
+++ b/internal/serving/route/router.go
@@ -64,6 +64,9 @@
 	models map[string]*pool
 	plain  map[string]*pool
 	hints  hints
+	text   *services.Text
+	// unready holds, by model, the engines that are said not to be ready with it.
+	unready map[string][]string
 }
 
 // NewRouter returns the router of a host in zone; it knows no back ends yet.
@@ -86,10 +89,17 @@
 		s.backend = b
 		r.byName[b.Name] = s
 	}
+	r.text = text
+	r.pools()
+}
+
+// pools makes the pools of the text.
+func (r *Router) pools() {
+	text := r.text
 	r.models, r.plain = make(map[string]*pool), make(map[string]*pool)
 	for _, one := range text.Services() {
 		if _, ok := r.models[one.Model]; one.Kind == services.EngineKind && !ok {
-			r.models[one.Model] = newPool(r.zone, r.list(text, text.EnginesFor(one.Model)), true)
+			r.models[one.Model] = newPool(r.zone, r.readyOnes(one.Model, r.list(text, text.EnginesFor(one.Model))), true)
 		}
 		if one.Kind == services.PlainKind {
 			r.plain[one.Name] = newPool(r.zone, r.list(text, text.ServersFor(one.Name)), false)
--- a/internal/standin/deployment/placement_test.go
+++ b/internal/standin/deployment/placement_test.go
@@ -53,10 +53,12 @@
 		changed := strings.ReplaceAll(body.Source, `"model": "dispatch-llm",`, `"model": "dispatch-llm", "version": "2",`)
 		var change admin.ChangeBody
 		Expect(operate(d, 0, http.MethodPut, "/operator/text?revision=1&by=sara", []byte(changed), &change)).To(Succeed())
+		client := clientOf(d, 1)
 		done := time.Now().Add(patience)
 		for holding(after)() < len(engines) && time.Now().Before(done) {
 			Expect(holding(before, after)()).To(BeNumerically(">=", len(engines)-2))
-			time.Sleep(10 * time.Millisecond)
+			_, err := client.Chat.Completions.New(ctx, chat("which tank meanwhile?"))
+			Expect(err).NotTo(HaveOccurred())
 		}
 		Expect(holding(after)()).To(Equal(len(engines)))
 		Expect(o.Weights.Most(after)).To(BeNumerically("<=", 2))
@@ -66,7 +68,6 @@
 				Expect(one.Fencing).To(BeNumerically(">", 0))
 			}
 		}
-		client := clientOf(d, 1)
 		answer, err := client.Chat.Completions.New(ctx, chat("which tank?"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(answer.Choices[0].Message.Content).To(Equal(engine.Answer("which tank?", 0)))
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -235,9 +235,13 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if e.admit(in.Model, in.prompt(), string(body)) {
+	if e.admit(in.prompt(), string(body)) {
 		panic(http.ErrAbortHandler)
 	}
+	if !e.Ready(in.Model) {
+		http.Error(w, "model "+in.Model+" is not loaded", http.StatusServiceUnavailable)
+		return
+	}
 	if !e.acquire(r) {
 		return
 	}
@@ -246,7 +250,7 @@
 }
 
 // admit counts a request and reports whether the engine crashes on it.
-func (e *Engine) admit(model, prompt, body string) bool {
+func (e *Engine) admit(prompt, body string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.seen[prompt]++
@@ -254,7 +258,7 @@
 		go e.crash()
 		return true
 	}
-	return e.down || !e.holds(model)
+	return e.down
 }
 
 // crash cuts all connections and comes back at once.
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -30,9 +30,10 @@
 	return before
 }
 
-// holds reports whether a version of the model or adapter is ready; the caller
-// holds e.mu.
-func (e *Engine) holds(model string) bool {
+// Ready reports whether a version of the model or adapter is ready.
+func (e *Engine) Ready(model string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	for artifact, ready := range e.models {
 		base, _, _ := strings.Cut(artifactLine(artifact), "+")
 		if ready && (artifact == model || artifactLine(artifact) == model || base == model) {
