--- a/internal/standin/deployment/parked_test.go
+++ b/internal/standin/deployment/parked_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -14,12 +15,15 @@
 	It("waits for them and then completes, each item with its own answer", func(ctx SpecContext) {
 		d := start(oneZone())
 		client := clientOf(d, 0)
+		parked := metrics.GetOrCreateCounter("kingcupquay_items_parked_total")
+		before := parked.Get()
 		for _, e := range d.Engines() {
 			e.Close()
 		}
 		prompt := func(i int) string { return fmt.Sprintf("parked route %d", i) }
 		const n = 300
 		batch := submit(ctx, &client, items(n, prompt))
+		Eventually(parked.Get, patience).Should(BeNumerically(">", before))
 		Consistently(statusOf(ctx, &client, batch.ID), time.Second).ShouldNot(Equal("completed"))
 		for i, old := range d.Engines() {
 			e, err := engine.Start(old.Address(), engine.Options{
