--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -103,7 +103,7 @@
 	h.view = member.NewView(member.Host{
 		Name: settings.Name, Zone: settings.Zone, Address: settings.PeerAddress, Incarnation: t.Now().UnixNano(),
 	}, t.Now(), seed)
-	s = store.NewMetered(s, t, storeRates, func() int { return len(h.live()) })
+	s = store.NewMetered(s, t, storeRates, h.storeShares)
 	h.store = s
 	config, renewal, err := identityConfig(settings.TLS, t, h.note)
 	if err != nil {
--- a/internal/record/ledger/shard.go
+++ b/internal/record/ledger/shard.go
@@ -92,6 +92,8 @@
 
 // Shard is the state of one shard of request keys at its holder.
 type Shard struct {
+	// interval is at least shortestInterval.
+	interval time.Duration
 	// writer identifies this holding of the shard; it is unique to it.
 	writer string
 	host   string
@@ -129,6 +131,8 @@
 	// Writer must be unique to this holding of the shard.
 	Writer string
 	Host   string
+	// Interval is the least time between two groups; see CommitInterval.
+	Interval time.Duration
 }
 
 // Open returns the shard as the groups, in sequence order, describe it. Claims
@@ -136,7 +140,7 @@
 // report to the new holder first.
 func Open(o Options, now time.Time, groups []*wire.Group) *Shard {
 	s := &Shard{
-		writer: o.Writer, host: o.Host, next: 1,
+		writer: o.Writer, host: o.Host, next: 1, interval: max(o.Interval, shortestInterval),
 		entries: make(map[string]*Entry), waiting: make(map[string][]Ticket), undo: make(map[string]*Entry),
 		log: newGroupLog(),
 	}
--- a/internal/record/ledger/shard_test.go
+++ b/internal/record/ledger/shard_test.go
@@ -298,6 +298,16 @@
 	})
 })
 
+var _ = Describe("the interval between groups", func() {
+	It("keeps all shards together within the store's writes", func() {
+		for _, shards := range []int{1, 16, 17, 256, 4096} {
+			interval := ledger.CommitInterval(shards)
+			Expect(interval).To(BeNumerically(">=", 50*time.Millisecond))
+			Expect(float64(shards)/interval.Seconds()).To(BeNumerically("<=", 351), "%d shards", shards)
+		}
+	})
+})
+
 var _ = Describe("an outage of an hour", func() {
 	It("keeps memory and store calls bounded, takes outcomes and settles afterwards", func() {
 		down := false
--- a/internal/record/ledger/write.go
+++ b/internal/record/ledger/write.go
@@ -14,8 +14,11 @@
 const (
 	// gatherInterval is how long records wait for others of their group.
 	gatherInterval = 30 * time.Millisecond
-	// commitInterval keeps a shard at no more than 20 writes a second.
-	commitInterval = 50 * time.Millisecond
+	// shortestInterval keeps a shard at no more than 20 writes a second.
+	shortestInterval = 50 * time.Millisecond
+	// groupWrites is what the groups of all shards together may write a
+	// second, when none is full.
+	groupWrites = 350
 	// maxGroupBytes bounds the uncompressed records of one group.
 	maxGroupBytes = 768 << 10
 	// recordOverhead is what a record adds to its own size.
@@ -82,12 +85,24 @@
 	}
 }
 
-// flush starts the write of the pending items when it is due.
+// CommitInterval returns the least time between two groups of one shard in a
+// deployment with that many, so that busy shards together stay within the
+// store's writes.
+func CommitInterval(shards int) time.Duration {
+	return max(shortestInterval, time.Duration(shards)*time.Second/groupWrites)
+}
+
+// flush starts the write of the pending items when it is due. A full group
+// need not wait for its shard's turn, only for the shortest interval.
 func (s *Shard) flush(now time.Time) []Action {
-	if s.flight != nil || s.closed || now.Sub(s.lastCommit) < commitInterval {
+	full := s.pendingBytes >= maxGroupBytes
+	interval := s.interval
+	if full {
+		interval = shortestInterval
+	}
+	if s.flight != nil || s.closed || now.Sub(s.lastCommit) < interval {
 		return nil
 	}
-	full := s.pendingBytes >= maxGroupBytes
 	waited := len(s.pending) > 0 && now.Sub(s.pendingSince) >= gatherInterval
 	if !full && !waited && len(s.log.dead) < maxDeletes {
 		return nil
--- a/internal/record/recorder/recorder.go
+++ b/internal/record/recorder/recorder.go
@@ -247,7 +247,9 @@
 	}
 	return &openShard{
 		number: shard, token: token, waiting: make(map[ledger.Ticket]chan reply),
-		shard: ledger.Open(ledger.Options{Writer: uuid.NewString(), Host: r.host}, r.timer.Now(), groups),
+		shard: ledger.Open(ledger.Options{
+			Writer: uuid.NewString(), Host: r.host, Interval: ledger.CommitInterval(r.shards),
+		}, r.timer.Now(), groups),
 	}
 }
 
