Read engines' cache events at the keeper, tell others of restarts

Cause: routers understand cache events, but no engine published any and nothing read them.

The keeper of an engine in use reads them with the load, and its own host's router takes them with their age. Other hosts get only the epoch of a cache that began anew, for a minute. Calls to engines carry the prompt's key.

--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -117,6 +117,7 @@
 	h.dispatcher = dispatch.New(t, (*fleetView)(h), h.keepers, h.guard, h.pool, h.text.Load, settings.Zone, seed, dispatch.Policies{
 		Routing: route.Policy(settings.Routing), Retries: dispatch.Retries(settings.Retries),
 	}, h.ring.Note)
+	h.keepers.SetCacheSink(h.dispatcher.Cached)
 	h.recorder = recorder.New(settings.Name, s, t, settings.Shards, lease.DefaultTerms, recorder.Hooks{
 		Live: h.live, Won: h.shardWon, Lost: h.shardLost, RunAgain: h.runAgain, Note: h.note,
 	})
--- a/internal/serving/dispatch/dispatcher.go
+++ b/internal/serving/dispatch/dispatcher.go
@@ -127,6 +127,19 @@
 	for _, load := range loads {
 		d.router.Reported(d.timer.Now(), load.GetBackend(), route.Load{
 			Running: int(load.GetRunning()), Waiting: int(load.GetWaiting()), Batch: int(load.GetBatch()),
+			CacheEpoch: load.GetCacheEpoch(),
+		})
+	}
+}
+
+// Cached takes what an engine that this host keeps told of its prefix cache.
+func (d *Dispatcher) Cached(backend string, report engine.CacheReport) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.timer.Now()
+	for _, e := range report.Events {
+		d.router.Cached(now, route.CacheEvent{
+			Backend: backend, Epoch: report.Epoch, Sequence: e.Sequence, Prefix: e.Prefix, Age: e.Age, Evicted: e.Evicted,
 		})
 	}
 }
--- a/internal/serving/engine/client.go
+++ b/internal/serving/engine/client.go
@@ -63,6 +63,8 @@
 	Progress  time.Duration
 	// Fresh asks for a new connection.
 	Fresh bool
+	// PrefixKey names the prompt's head for the engine's cache, empty for none.
+	PrefixKey string
 }
 
 // Answer is the head of a back end's answer.
@@ -87,6 +89,9 @@
 	if call.ContentType != "" {
 		req.Header.Set("Content-Type", call.ContentType)
 	}
+	if call.PrefixKey != "" {
+		req.Header.Set(prefixHeader, call.PrefixKey)
+	}
 	client := c.pooled
 	if call.Fresh {
 		client = c.fresh
--- a/internal/serving/engine/run.go
+++ b/internal/serving/engine/run.go
@@ -44,7 +44,7 @@
 	if failure != nil {
 		return failure
 	}
-	call.Body = body
+	call.Body, call.PrefixKey = body, prefixKey(a.Request.Prefix())
 	return c.Do(ctx, call, func(head Answer, body io.Reader) error { return copyStream(a, head, body, sink) })
 }
 
--- a/internal/serving/keeper/counters.go
+++ b/internal/serving/keeper/counters.go
@@ -15,6 +15,7 @@
 	withdrawals  = metrics.NewCounter(`kingcupquay_queue_withdrawals_total`)
 	freshTries   = metrics.NewCounter(`kingcupquay_silent_connections_total`)
 	slotChanges  = metrics.NewCounter(`kingcupquay_slot_changes_total`)
+	cacheEvents  = metrics.NewCounter(`kingcupquay_cache_events_total`)
 	pollFailures = metrics.NewCounter(`kingcupquay_load_poll_failures_total`)
 )
 
--- a/internal/serving/keeper/keeper.go
+++ b/internal/serving/keeper/keeper.go
@@ -83,6 +83,7 @@
 	// leaving says that the back end gets no new work.
 	leaving bool
 	polls   polls
+	cache   cache
 }
 
 // run is one request's turn at the keeper, from its offer to its end; a
--- a/internal/serving/keeper/poll.go
+++ b/internal/serving/keeper/poll.go
@@ -63,6 +63,7 @@
 		return
 	}
 	k.Reported(load)
+	k.pollCache(ctx)
 }
 
 func (k *Keeper) asked() {
--- a/internal/serving/keeper/set.go
+++ b/internal/serving/keeper/set.go
@@ -55,6 +55,9 @@
 	online *ants.Pool
 	batch  *ants.Pool
 
+	// cached takes the engines' cache events; it is nil or set before the start.
+	cached CacheSink
+
 	mu      sync.Mutex
 	text    *services.Text
 	keepers map[string]*kept
@@ -131,6 +134,7 @@
 	if !ok {
 		pools := Pools{Online: s.online, Batch: s.batch}
 		k = &kept{Keeper: New(s.timer, s.executor, pools, *b, s.policy(b, queueLimit(s.text, b)))}
+		k.SetCacheSink(s.cached)
 		s.keepers[b.Name] = k
 	}
 	k.users++
@@ -196,6 +200,7 @@
 		loads = append(loads, &wire.Load{
 			Backend: k.backend.Name, Running: int32(c.Running), Waiting: int32(c.Waiting),
 			Slots: int32(c.Slots), Batch: int32(c.BatchRunning + c.BatchWaiting),
+			CacheEpoch: k.NewCacheEpoch(),
 		})
 	}
 	sort.Slice(loads, func(i, j int) bool { return loads[i].GetBackend() < loads[j].GetBackend() })
--- a/internal/serving/route/hint.go
+++ b/internal/serving/route/hint.go
@@ -9,8 +9,8 @@
 const (
 	// hintSlots bounds the prefixes that a router remembers; a power of two.
 	hintSlots = 1 << 14
-	// hintAge is how long a hint counts.
-	hintAge = time.Minute
+	// HintAge is how long a hint counts.
+	HintAge = time.Minute
 )
 
 // hint says that a server holds a prompt prefix in its cache.
@@ -23,6 +23,9 @@
 	at         time.Time
 }
 
+// valid reports whether nothing voided the hint.
+func (h *hint) valid() bool { return h.server != nil && h.generation == h.server.generation }
+
 // hints is a direct-mapped table: a new hint replaces the one in its slot.
 type hints struct {
 	slots []hint
@@ -32,8 +35,13 @@
 
 func (h *hints) slot(prefix uint64) *hint { return &h.slots[zone.Mix(prefix)&(hintSlots-1)] }
 
+// add notes that s held the prefix at a time; later knowledge stays.
 func (h *hints) add(now time.Time, prefix uint64, s *server) {
-	*h.slot(prefix) = hint{prefix: prefix, server: s, generation: s.generation, at: now}
+	one := h.slot(prefix)
+	if one.prefix == prefix && one.valid() && one.at.After(now) {
+		return
+	}
+	*one = hint{prefix: prefix, server: s, generation: s.generation, at: now}
 }
 
 func (h *hints) remove(prefix uint64, s *server) {
@@ -45,7 +53,7 @@
 // find returns the server of a valid hint, or nil.
 func (h *hints) find(now time.Time, prefix uint64) *server {
 	one := h.slot(prefix)
-	if one.server == nil || one.prefix != prefix || one.generation != one.server.generation || now.Sub(one.at) > hintAge {
+	if one.prefix != prefix || !one.valid() || now.Sub(one.at) > HintAge {
 		return nil
 	}
 	return one.server
@@ -54,17 +62,25 @@
 // CacheEvent is what an engine publishes about its prefix cache.
 type CacheEvent struct {
 	Backend string
-	// Sequence grows by one with each event of the engine.
+	// Epoch grows with each start of the engine's cache, 0 if not known.
+	Epoch uint32
+	// Sequence grows by one with each event of the epoch.
 	Sequence uint64
 	Prefix   uint64
-	Evicted  bool
+	// Age is how long ago the event was.
+	Age     time.Duration
+	Evicted bool
 }
 
 // Cached takes a cache event. Events may come late and with gaps: after a gap
 // nothing older is believed of that engine, and a late event is dropped.
 func (r *Router) Cached(now time.Time, e CacheEvent) {
 	s, ok := r.byName[e.Backend]
-	if !ok || (s.sequence != 0 && e.Sequence <= s.sequence) {
+	if !ok || e.Epoch < s.epoch {
+		return
+	}
+	s.began(e.Epoch)
+	if s.sequence != 0 && e.Sequence <= s.sequence {
 		return
 	}
 	if s.sequence != 0 && e.Sequence != s.sequence+1 {
@@ -75,5 +91,15 @@
 		r.hints.remove(e.Prefix, s)
 		return
 	}
-	r.hints.add(now, e.Prefix, s)
+	r.hints.add(now.Add(-e.Age), e.Prefix, s)
+}
+
+// began takes the epoch of the server's cache: nothing from before a new one is
+// believed. Epochs only grow, so an old report that comes late changes nothing.
+func (s *server) began(epoch uint32) {
+	if epoch <= s.epoch {
+		return
+	}
+	s.generation++
+	s.epoch, s.sequence = epoch, 0
 }
--- a/internal/serving/route/router.go
+++ b/internal/serving/route/router.go
@@ -119,6 +119,7 @@
 func (r *Router) Reported(now time.Time, backend string, load Load) {
 	if s, ok := r.byName[backend]; ok {
 		s.load, s.reported, s.sentAtReport = load, now, s.sent
+		s.began(load.CacheEpoch)
 	}
 }
 
--- a/internal/serving/route/server.go
+++ b/internal/serving/route/server.go
@@ -29,6 +29,9 @@
 	Running int
 	Waiting int
 	Batch   int
+	// CacheEpoch is the start of the engine's prefix cache if that is new, 0
+	// otherwise.
+	CacheEpoch uint32
 }
 
 // server is what the router knows of one back end.
@@ -53,8 +56,10 @@
 	mean    time.Duration
 	samples int
 	// generation is the number of times that the cache hints of the server
-	// were forgotten; sequence is the last cache event seen.
+	// were forgotten; epoch and sequence are those of the last cache event
+	// seen.
 	generation uint32
+	epoch      uint32
 	sequence   uint64
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -66,6 +66,8 @@
 	orders  []Order
 	reports []report
 	tokens  int64
+
+	cache promptCache
 }
 
 type report struct {
@@ -88,6 +90,7 @@
 	mux.HandleFunc("POST /v1/completions", e.complete)
 	mux.HandleFunc("GET /v1/models", e.listModels)
 	mux.HandleFunc("GET /load", e.load)
+	mux.HandleFunc("GET /cache/events", e.cacheEvents)
 	mux.HandleFunc("POST /orders", e.order)
 	e.http = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
 	go func() { _ = e.http.Serve(listener) }()
@@ -246,6 +249,7 @@
 		return
 	}
 	defer e.release()
+	e.cache.used(r.Header.Get(prefixHeader))
 	e.stream(w, r, &in)
 }
 
