Count a silence against a server only on a new connection

Cause: a first silence on a call that can't be repeated left the server out, although the connection alone may have been lost on the way.

Change: the keeper marks such a failure as a first silence, hosts carry the mark, and the dispatcher doesn't count it. The keeper's next attempt at that back end then opens a new connection, so that a server that is really silent is still found by calls that can't be repeated.

--- a/internal/fleet/wire/convert.go
+++ b/internal/fleet/wire/convert.go
@@ -20,6 +20,7 @@
 		Message:      e.Message(),
 		Ran:          string(e.Ran()),
 		RetryAfterMs: e.RetryAfter().Milliseconds(),
+		FirstSilence: e.FirstSilence(),
 	}
 }
 
@@ -29,6 +30,9 @@
 		return nil
 	}
 	e := result.New(result.Code(f.GetCode()), "%s", f.GetMessage())
+	if f.GetFirstSilence() {
+		e = e.WithFirstSilence()
+	}
 	return e.WithRan(result.Ran(f.GetRan())).WithRetry(time.Duration(f.GetRetryAfterMs()) * time.Millisecond)
 }
 
--- a/internal/operator/result/error.go
+++ b/internal/operator/result/error.go
@@ -17,6 +17,8 @@
 	ran Ran
 	// retryAfter is zero where a retry can't help.
 	retryAfter time.Duration
+	// first says of a BackendSilent that no new connection was tried.
+	first bool
 }
 
 var _ error = (*Error)(nil)
@@ -40,6 +42,17 @@
 	return &c
 }
 
+// WithFirstSilence returns a copy of e that says that the connection alone may
+// be at fault, since no new one was tried.
+func (e *Error) WithFirstSilence() *Error {
+	c := *e
+	c.first = true
+	return &c
+}
+
+// FirstSilence reports whether the connection alone may be at fault.
+func (e *Error) FirstSilence() bool { return e.first }
+
 // Code returns the numbered code.
 func (e *Error) Code() Code { return e.code }
 
--- a/internal/serving/dispatch/dispatcher.go
+++ b/internal/serving/dispatch/dispatcher.go
@@ -311,14 +311,18 @@
 	d.router.Ended(now, backend, o)
 }
 
-// lostServer reports whether the back end, not the request, is at fault.
+// lostServer reports whether the back end, not the request, is at fault. A
+// first silence may be the connection's fault; the second, on a new
+// connection, is the server's.
 func lostServer(failure *result.Error) bool {
 	if failure == nil {
 		return false
 	}
 	switch failure.Code() {
-	case result.NoBackend, result.BackendCrashed, result.BackendSilent:
+	case result.NoBackend, result.BackendCrashed:
 		return true
+	case result.BackendSilent:
+		return !failure.FirstSilence()
 	}
 	return false
 }
--- a/internal/serving/keeper/keeper.go
+++ b/internal/serving/keeper/keeper.go
@@ -20,6 +20,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
@@ -83,7 +84,10 @@
 	// leaving says that the back end gets no new work.
 	leaving bool
 	polls   polls
-	cache   cache
+	// silent says that the last attempt to end fell silent, so that the next
+	// one needs a new connection to tell the connection from the back end.
+	silent atomic.Bool
+	cache  cache
 }
 
 // run is one request's turn at the keeper, from its offer to its end; a
@@ -182,7 +186,7 @@
 	a := newAnswer(r, sink)
 	// ran is what earlier turns did; a refusal of a later one does not undo it.
 	ran := result.RanNo
-	for fresh := false; ; {
+	for fresh := k.silent.Load(); ; {
 		id, one := k.offer(r, share, a)
 		if failure := k.await(ctx, id, one); failure != nil {
 			return failure.WithRan(most(ran, failure.Ran()))
@@ -193,6 +197,7 @@
 		if failure != nil {
 			ran = most(ran, failure.Ran())
 		}
+		k.silence(failure)
 		switch {
 		case a.left != nil:
 			return result.New(result.Cancelled, "caller left: %v", a.left).WithRan(result.RanYes)
@@ -204,12 +209,22 @@
 		case !fresh && retryOnFresh(r, failure, a.transcript):
 			freshTries.Inc()
 			fresh = true
+		case !fresh && failure.Code() == result.BackendSilent:
+			return failure.WithRan(ran).WithFirstSilence()
 		default:
 			return failure.WithRan(ran)
 		}
 	}
 }
 
+// silence notes whether an attempt fell silent. One that was cancelled tells
+// nothing.
+func (k *Keeper) silence(failure *result.Error) {
+	if failure == nil || failure.Code() != result.Cancelled {
+		k.silent.Store(failure != nil && failure.Code() == result.BackendSilent)
+	}
+}
+
 // retryOnFresh reports whether a silent connection, not the server, may be at
 // fault, so that a new connection is worth a try.
 func retryOnFresh(r *request.Request, failure *result.Error, t *engine.Transcript) bool {
--- a/internal/serving/keeper/keeper_test.go
+++ b/internal/serving/keeper/keeper_test.go
@@ -134,6 +134,28 @@
 		Expect(f.attempts).To(HaveExactElements(HaveField("Fresh", false), HaveField("Fresh", true)))
 	})
 
+	It("asks for a new connection after a silence on a call that can't be repeated", func() {
+		silent := true
+		f := &fake{step: func(context.Context, engine.Attempt, int) *result.Error {
+			if silent {
+				return result.New(result.BackendSilent, "silent").WithRan(result.RanMaybe)
+			}
+			return nil
+		}}
+		k, _ := newKeeper(f, pools, 1)
+		end := func(id string) *result.Error {
+			r := request.New(request.Options{ID: id, Service: "s", Body: []byte(`{}`)})
+			return k.Run(ctx, r, new(services.Service), 1, func(request.Event) error { return nil })
+		}
+		Expect(end("a").FirstSilence()).To(BeTrue())
+		Expect(end("b").FirstSilence()).To(BeFalse())
+		silent = false
+		Expect(end("c")).To(BeNil())
+		silent = true
+		Expect(end("d").FirstSilence()).To(BeTrue())
+		Expect(f.attempts).To(HaveExactElements(HaveField("Fresh", false), HaveField("Fresh", true), HaveField("Fresh", true), HaveField("Fresh", false)))
+	})
+
 	DescribeTable("goes on over a new connection from where a silent one stopped", func(word int, ran result.Ran) {
 		f := &fake{step: func(_ context.Context, a engine.Attempt, n int) *result.Error {
 			if n == word && !a.Fresh {
