Tell callers that leave a remote queue that they did not run

Cause: the dispatcher cancelled the stream to a keeper on another host with its caller, and so never got the keeper's word on what the run did; the answer was "maybe" also for a request that only waited.

Change: the stream outlives the caller. The dispatcher sends Withdraw with the run's number, again while the keeper's host doesn't know the run yet, and waits up to 1 s for the last event. A host that can't be told, or an older one without Withdraw, sees the stream's end as before.

--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -62,6 +62,7 @@
 	supervisor *supervisor.Supervisor
 	pool       *peer.Pool
 	keepers    *keeper.Set
+	remote     remoteRuns
 	dispatcher *dispatch.Dispatcher
 	guard      *quarantine.Guard
 	recorder   *recorder.Recorder
--- a/internal/fleet/host/peers.go
+++ b/internal/fleet/host/peers.go
@@ -19,7 +19,9 @@
 // Run executes one request at a keeper of this host.
 func (s *peerServer) Run(in *wire.RunRequest, stream wire.Peer_RunServer) error {
 	r := in.Request(s.host.timer.Now())
-	failure := s.host.keepers.Run(stream.Context(), in.GetBackend(), r, func(e request.Event) error {
+	ctx, leave := s.host.remote.enter(stream.Context(), runKey{in.GetOrigin(), in.GetRun()})
+	defer leave()
+	failure := s.host.keepers.Run(ctx, in.GetBackend(), r, func(e request.Event) error {
 		return stream.Send(wire.EventMessage(e))
 	})
 	s.host.crashSeen(stream.Context(), r, in.GetBackend(), failure)
--- a/internal/serving/dispatch/dispatcher.go
+++ b/internal/serving/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -60,6 +61,9 @@
 	text  func() *services.Text
 	note  func(kind, cause string, subjects ...string)
 
+	// runs numbers the runs at keepers on other hosts, also across restarts.
+	runs atomic.Int64
+
 	mu     sync.Mutex
 	router *route.Router
 	retry  retry.Policy
@@ -100,6 +104,7 @@
 		timer: t, fleet: fleet, local: local, guard: guard, pool: pool, text: text, note: note,
 		router: route.NewRouter(zone, seed, policies.Routing), retry: retry.NewBudgeted(seed),
 	}
+	d.runs.Store(t.Now().UnixNano())
 	if policies.Retries == ImmediateRetries {
 		d.retry = retry.Immediate{}
 	}
@@ -387,9 +392,14 @@
 	if err != nil {
 		return result.New(result.Overloaded, "host %s: %v", name, err)
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	message := wire.RunRequestOf(r, backend, d.timer.Now())
+	message.Origin, message.Run = d.fleet.Self(), d.runs.Add(1)
+	// The stream outlives the caller, for its last event says what the run did.
+	open, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	stream, err := client.Run(ctx, wire.RunRequestOf(r, backend, d.timer.Now()))
+	stop := context.AfterFunc(ctx, func() { d.withdraw(open, cancel, client, message) })
+	defer stop()
+	stream, err := client.Run(open, message)
 	if err != nil {
 		return d.lost(ctx, name, err)
 	}
--- a/internal/standin/deployment/caller_test.go
+++ b/internal/standin/deployment/caller_test.go
@@ -48,6 +48,19 @@
 	return sum
 }
 
+// record returns what the first host says of a key.
+func record(ctx context.Context, d *deployment.Deployment, key string) string {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.URL(0)+"/v1/requests/"+key, nil)
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer "+examples.AgencyCallerToken)
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return string(body)
+}
+
 var _ = Describe("a caller", func() {
 	It("that leaves frees its slot", func(ctx SpecContext) {
 		o := deployment.Small()
@@ -64,6 +77,33 @@
 		Eventually(func() int { return running(d) }, patience).Should(BeZero())
 	})
 
+	It("that leaves the queue of another host's keeper has not run", func(ctx SpecContext) {
+		o := deployment.Small()
+		o.Engines, o.Slots, o.Step = 1, 1, 20*time.Millisecond
+		d := start(o)
+		params := chat("a story that holds the slot")
+		params.MaxTokens = openai.Int(10_000)
+		holding, release := context.WithCancel(ctx)
+		client := clientOf(d, 0)
+		stream := client.Chat.Completions.NewStreaming(holding, params)
+		Expect(stream.Next()).To(BeTrue())
+		for host := range 3 {
+			key := fmt.Sprintf("left-%d", host)
+			leaving, leave := context.WithCancel(ctx)
+			left := make(chan struct{})
+			go func() {
+				defer close(left)
+				post(leaving, d.URL(host)+"/v1/chat/completions", key, `{"model":"village-requests-chat","messages":[{"role":"user","content":"waits"}]}`)
+			}()
+			Eventually(func() string { return record(ctx, d, key) }, patience).Should(ContainSubstring("claimed"))
+			leave()
+			Eventually(left, patience).Should(BeClosed())
+			Eventually(func() string { return record(ctx, d, key) }, patience).Should(ContainSubstring(`"ran":"no"`))
+		}
+		release()
+		Expect(d.Engines()[0].Runs("waits")).To(BeZero())
+	})
+
 	It("gets a text completion", func(ctx SpecContext) {
 		d := start(deployment.Small())
 		client := clientOf(d, 0)
