Count limits below the number of hosts at a home host

Cause: a limit smaller than the number of live hosts left most hosts with a share of 0, which refused an idle organisation's calls although there was room; a rate below one a second and host made a host wait for minutes.

Change: such a limit is counted by its home host alone. Others ask it for a loan before they let a request in, and return it after; a loan of a lost host ends by itself after the request's deadline. Larger limits are divided as before. The specs on shares now go through the loans and ask for the same sums: the limit exactly, and the rate in the long run.

--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -134,6 +134,7 @@
 	h.entrance = call.NewEntrance(settings.Name, t, h.text.Load)
 	h.front = caller.New(caller.Parts{
 		Host: settings.Name, Timer: t, Runner: h.dispatcher, Records: h.holders, Hosts: h.live, Note: h.ring.Note,
+		Homes: (*homes)(h),
 	})
 	h.bundles = bundle.New(bundle.Parts{Jobs: h.holders, Store: s, Shards: settings.Shards, Note: h.ring.Note})
 	return h, nil
--- a/internal/serving/caller/front.go
+++ b/internal/serving/caller/front.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
@@ -43,7 +44,9 @@
 	Runner  answer.Runner
 	Records Records
 	Hosts   func() []string
-	Note    func(kind, cause string, subjects ...string)
+	// Homes asks the hosts that count small limits.
+	Homes Homes
+	Note  func(kind, cause string, subjects ...string)
 }
 
 // Front answers callers.
@@ -53,6 +56,9 @@
 	mu   sync.Mutex
 	gate *limit.Gate
 
+	// loans numbers what is borrowed from other hosts, also across restarts.
+	loans atomic.Int64
+
 	// late holds the outcomes that could not be recorded yet.
 	late *late
 }
@@ -60,6 +66,7 @@
 // New returns a front without routes; Register adds them to a server.
 func New(p Parts) *Front {
 	f := &Front{p: p, gate: limit.NewGate(p.Host)}
+	f.loans.Store(p.Timer.Now().UnixNano())
 	f.late = newLate(p.Timer, p.Records, p.Note)
 	return f
 }
@@ -105,21 +112,42 @@
 	if s.Durable && a.key == "" {
 		a.key = c.ID()
 	}
-	a.leave, failure = f.enter(c, s)
+	a.leave, failure = f.enter(c, s, a.deadline.Sub(c.Now()))
 	return a, failure
 }
 
 // enter passes the limits; the returned function must be called at the end.
-func (f *Front) enter(c *call.Call, s *services.Service) (func(), *result.Error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.gate.SetHosts(f.p.Hosts())
-	if failure := f.gate.Admit(c.Now(), c.Organisation(), s); failure != nil {
+func (f *Front) enter(c *call.Call, s *services.Service, lasts time.Duration) (func(), *result.Error) {
+	away, failure := f.enterHere(c, s)
+	if failure != nil {
 		return nil, failure
 	}
-	return func() {
+	leave := func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.gate.Leave(c.Organisation(), s)
+	}
+	if len(away) == 0 {
+		return leave, nil
+	}
+	giveBack, failure := f.borrow(away, lasts)
+	if failure != nil {
+		leave()
+		return nil, failure
+	}
+	return func() {
+		leave()
+		giveBack()
 	}, nil
 }
+
+// enterHere passes the limits that this host counts and returns the others.
+func (f *Front) enterHere(c *call.Call, s *services.Service) ([]limit.Limit, *result.Error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gate.SetHosts(f.p.Hosts())
+	if failure := f.gate.Admit(c.Now(), c.Organisation(), s); failure != nil {
+		return nil, failure
+	}
+	return f.gate.Away(c.Organisation(), s), nil
+}
--- a/internal/serving/limit/gate.go
+++ b/internal/serving/limit/gate.go
@@ -6,8 +6,9 @@
 // hosts of the deployment; a count is divided in whole numbers, and rendezvous
 // hashing by the limit's name says which hosts get one of the remainder. So
 // the shares add up to the limit, and a limit smaller than the number of hosts
-// is neither lost nor multiplied. The price: a host with a share of 0 refuses
-// although another would admit; the caller comes back through the balancer.
+// is neither lost nor multiplied. A limit below one for each host is not divided:
+// its home host, the first by the same hashing, counts it alone, and lends the
+// others what they ask for.
 //
 // While hosts disagree on who is live, the sum may differ from the limit.
 package limit
@@ -69,6 +70,11 @@
 	rateShare float64
 	burst     int
 	slots     int
+	// home is the host that counts a small limit, empty if this host counts.
+	home string
+	// loans are the requests of other hosts among active, with when each is
+	// taken back.
+	loans map[Loan]time.Time
 	// newer and older link the buckets by last use.
 	newer *bucket
 	older *bucket
@@ -104,14 +110,15 @@
 // Len returns the number of buckets.
 func (g *Gate) Len() int { return len(g.buckets) }
 
-// Admit lets a request in or refuses it; Leave must follow each admission.
+// Admit lets a request of this host in or refuses it; Leave must follow each
+// admission. Limits that Away lists are not checked here.
 func (g *Gate) Admit(now time.Time, o *services.Organisation, s *services.Service) *result.Error {
 	org := g.bucket(now, key{organisation, o.Name}, o.RequestsPerSecond, o.Concurrency)
-	if err := org.check(); err != nil {
+	if err := org.check(now); err != nil {
 		return err
 	}
 	one := g.bucket(now, key{service, s.Name}, s.RequestsPerSecond, s.Concurrency)
-	if err := one.check(); err != nil {
+	if err := one.check(now); err != nil {
 		return err
 	}
 	org.enter()
@@ -119,7 +126,7 @@
 	return nil
 }
 
-// Leave ends an admitted request.
+// Leave ends an admitted request of this host.
 func (g *Gate) Leave(o *services.Organisation, s *services.Service) {
 	for _, k := range [2]key{{organisation, o.Name}, {service, s.Name}} {
 		if b, ok := g.buckets[k]; ok {
@@ -153,6 +160,13 @@
 // share computes this host's part of a limit.
 func (g *Gate) share(b *bucket, rate float64, concurrency int) {
 	n := max(1, len(g.hosts))
+	b.home = ""
+	if n > 1 && small(rate, concurrency, n) {
+		if b.home = zone.First(g.hosts, b.key.String()); b.home == g.self {
+			b.home = ""
+		}
+		n = 1
+	}
 	rank := 0
 	if n > 1 && (rate > 0 || concurrency > 0) {
 		rank = zone.Rank(g.hosts, g.self, b.key.String())
@@ -212,7 +226,13 @@
 }
 
 // check refuses a request that a limit does not let in.
-func (b *bucket) check() *result.Error {
+func (b *bucket) check(now time.Time) *result.Error {
+	if b.home != "" {
+		return nil
+	}
+	if b.concurrency > 0 && b.active >= b.slots {
+		b.expire(now)
+	}
 	if b.concurrency > 0 && b.active >= b.slots {
 		return result.New(result.ConcurrencyLimited, "%s has %d requests in progress here", b.key, b.active).WithRetry(concurrencyRetry)
 	}
@@ -225,7 +245,7 @@
 
 func (b *bucket) enter() {
 	b.active++
-	if b.rate > 0 {
+	if b.rate > 0 && b.home == "" {
 		b.tokens--
 	}
 }
--- a/internal/serving/limit/gate_test.go
+++ b/internal/serving/limit/gate_test.go
@@ -32,6 +32,27 @@
 	return list
 }
 
+// admitAt lets a request in at one of the hosts, which asks the home hosts of
+// small limits.
+func admitAt(list []*limit.Gate, at int, now time.Time, o *services.Organisation, number int64) *result.Error {
+	g := list[at]
+	if failure := g.Admit(now, o, chat); failure != nil {
+		return failure
+	}
+	loan := limit.Loan{Origin: fmt.Sprint(at), Number: number}
+	for _, l := range g.Away(o, chat) {
+		var home int
+		if _, err := fmt.Sscanf(l.Home, "entry-%d", &home); err != nil {
+			panic(err)
+		}
+		if failure := list[home].Lend(now, l, o.RequestsPerSecond, o.Concurrency, loan, now.Add(time.Minute)); failure != nil {
+			g.Leave(o, chat)
+			return failure
+		}
+	}
+	return nil
+}
+
 // TestSharesAddUp offers more than the limit at every host and counts what all
 // hosts admit, against one gate for the whole deployment.
 func TestSharesAddUp(t *testing.T) {
@@ -46,9 +67,10 @@
 			o.Concurrency = most
 		}
 		admitted := 0
-		for _, g := range gates(n) {
-			for range most + 1 {
-				if g.Admit(start, o, chat) == nil {
+		list := gates(n)
+		for at := range list {
+			for number := range most + 1 {
+				if admitAt(list, at, start, o, int64(number)) == nil {
 					admitted++
 				}
 			}
@@ -65,8 +87,8 @@
 		list := gates(7)
 		admitted := 0
 		for step := range 600 {
-			for _, g := range list {
-				if g.Admit(start.Add(time.Duration(step)*100*time.Millisecond), o, chat) == nil {
+			for at, g := range list {
+				if admitAt(list, at, start.Add(time.Duration(step)*100*time.Millisecond), o, int64(step)) == nil {
 					g.Leave(o, chat)
 					admitted++
 				}
@@ -88,6 +110,32 @@
 		Expect(g.Admit(start.Add(250*time.Millisecond), o, chat)).To(BeNil())
 	})
 
+	It("lets the one request of a small limit in at whichever host it comes to, once", func() {
+		o := &services.Organisation{Name: "agency", Concurrency: 1}
+		list := gates(9)
+		for at := range list {
+			now := start.Add(time.Duration(at) * time.Hour)
+			Expect(admitAt(list, at, now, o, 1)).To(BeNil())
+			for other := range list {
+				failure := admitAt(list, other, now, o, 2)
+				Expect(failure.Code()).To(Equal(result.ConcurrencyLimited))
+				Expect(failure.Ran()).To(Equal(result.RanNo))
+				Expect(failure.RetryAfter()).To(BeNumerically(">", 0))
+			}
+			// Loans of a lost host are taken back; own requests end.
+			if list[at].Leave(o, chat); at%2 == 0 {
+				for _, l := range list[at].Away(o, chat) {
+					for _, g := range list {
+						g.Return(l, limit.Loan{Origin: fmt.Sprint(at), Number: 1})
+						g.Return(l, limit.Loan{Origin: fmt.Sprint(at), Number: 1})
+					}
+				}
+				Expect(admitAt(list, at, now, o, 3)).To(BeNil())
+				list[at].Leave(o, chat)
+			}
+		}
+	})
+
 	It("forgets idle organisations but none that would gain by it", func() {
 		g := limit.NewGate("entry-1")
 		slow := &services.Organisation{Name: "slow", RequestsPerSecond: 0.01}
@@ -144,3 +192,17 @@
 		}
 	}
 }
+
+// BenchmarkLend is what a home host pays for one loan and its return.
+func BenchmarkLend(b *testing.B) {
+	g := limit.NewGate("home")
+	l := limit.Limit{Name: "agency"}
+	until := start.Add(time.Minute)
+	for i := int64(0); b.Loop(); i++ {
+		loan := limit.Loan{Origin: "far", Number: i}
+		if g.Lend(start, l, 0, 50, loan, until) != nil {
+			b.Fatal("refused")
+		}
+		g.Return(l, loan)
+	}
+}
