Relay far zones' news as one summary a zone

Cause: a far host's news came by one heartbeat in four, each far zone in turn, and nobody passed it on; with eleven far zones patience was minutes.

Change: each message carries a summary of the sender's zone and the newest summaries of some far zones: a lower bound of the sequence numbers of all hosts of the zone but the listed ones. It only raises sequence numbers. While summaries fit the known hosts, silence in them counts sooner.

--- a/internal/fleet/member/view.go
+++ b/internal/fleet/member/view.go
@@ -10,6 +10,7 @@
 // freshest first, and the whole state of one other host. News of a live host
 // reaches a zone of n hosts in about log(n) intervals while the digest holds
 // them all; beyond that the time grows with n, and suspicion waits longer.
+// News of far zones is relayed as summaries, one bound for a whole zone.
 //
 // Sequence numbers count intervals of the wall clock, so that they grow over
 // restarts as well, and a late message never looks newer than it is. Silence
@@ -107,6 +108,10 @@
 	near     int
 	farZones map[string]int
 	messages int
+	// zones holds the hosts by the hash of their zone.
+	zones map[uint32]map[string]*Host
+	// summaries holds the newest summary of each far zone by the zone's hash.
+	summaries map[uint32]*summary
 }
 
 // NewView returns the view of a host that knows nobody yet.
@@ -115,6 +120,7 @@
 	return &View{
 		self: self, random: rand.New(rand.NewPCG(seed, seed)), begun: now, hosts: make(map[string]*Host),
 		byHash: make(map[uint32]*Host), farZones: make(map[string]int),
+		zones: make(map[uint32]map[string]*Host), summaries: make(map[uint32]*summary),
 	}
 }
 
@@ -152,6 +158,7 @@
 	v.hosts[h.Name] = h
 	v.byHash[hashOf(h.Name)] = h
 	v.count(h.Zone, 1)
+	v.enter(h)
 	return h
 }
 
@@ -189,6 +196,9 @@
 			v.noted(now, h, beat.GetSequence()-int64(ages[i]>>1), ages[i]&1 != 0)
 		}
 	}
+	for _, s := range beat.GetSummaries() {
+		v.summarized(now, s)
+	}
 }
 
 // noted takes a sequence number of a known host that another host has seen.
@@ -225,6 +235,8 @@
 	if h.Zone != beat.GetZone() {
 		v.count(h.Zone, -1)
 		v.count(beat.GetZone(), 1)
+		v.exit(h)
+		defer v.enter(h)
 	}
 	if beat.GetSequence() > h.Sequence {
 		v.advance(now, h, beat.GetSequence())
@@ -273,7 +285,12 @@
 	if zone == v.self.Zone {
 		return suspectAfter * time.Duration(1+v.near/maxDigest)
 	}
-	return suspectFar * time.Duration(max(1, len(v.farZones))*(1+farShare*v.farZones[zone]/maxDigest))
+	slow := suspectFar * time.Duration(max(1, len(v.farZones))*(1+farShare*v.farZones[zone]/maxDigest))
+	if s, ok := v.summaries[hashOf(zone)]; ok && s.fits {
+		relay := suspectRelay * time.Duration(1+len(v.farZones)/relayZones)
+		return min(slow, relay+suspectSummary*time.Duration(1+v.farZones[zone]/maxDigest))
+	}
+	return slow
 }
 
 // Alive reports whether the host is believed alive, leaving ones included.
@@ -351,6 +368,7 @@
 		delete(v.byHash, hashOf(h.Name))
 	}
 	v.count(h.Zone, -1)
+	v.exit(h)
 }
 
 // Message returns the host's heartbeat with its digest and one rumour.
@@ -363,6 +381,7 @@
 		message.DigestHosts = append(message.DigestHosts, hashOf(h.Name))
 		message.DigestAges = append(message.DigestAges, digestAge(v.self.Sequence-h.Sequence, h.Leaving))
 	}
+	message.Summaries = v.summariesToSend(near)
 	rumours := near
 	if v.messages%farRumourEvery == 0 {
 		rumours = v.shuffled(func(h *Host) bool { return h.Zone != v.self.Zone && v.alive(now, h) })
--- a/internal/fleet/member/view_test.go
+++ b/internal/fleet/member/view_test.go
@@ -150,6 +150,37 @@
 		Expect(f.lost(victim)).To(Equal(zones*hosts - 1))
 	}, Entry("3 hosts in 3 zones", 3, 1), Entry("7 hosts a zone", 3, 7), Entry("60 hosts a zone", 1, 60))
 
+	It("knows a lost host of one of many far zones soon", func() {
+		f := newFleet(12, 8)
+		for range 80 {
+			f.tick()
+			Expect(f.wrong(true) + f.wrong(false)).To(BeZero(), "at %v", f.now.Sub(start))
+		}
+		victim := hostName(0, 0)
+		f.dead[victim] = true
+		f.run(25 * time.Second)
+		Expect(f.lost(victim)).To(Equal(12*8 - 1))
+		Expect(f.wrong(true) + f.wrong(false)).To(BeZero())
+	})
+
+	It("calls no far host lost because its zone has a host unknown here, or one whose clock is ahead", func() {
+		f := newFleet(4, 8)
+		f.run(20 * time.Second)
+		joined := member.Listed{Name: "entry-0-new", Zone: "z0", Address: "entry-0-new"}
+		f.start(joined, []member.Listed{{Name: hostName(0, 1), Zone: "z0", Address: hostName(0, 1)}})
+		for range 120 {
+			f.tick()
+			for _, b := range f.views[joined.Name].Tick(f.now.Add(time.Minute)) {
+				f.send(joined.Name, b)
+			}
+			Expect(f.wrong(true) + f.wrong(false)).To(BeZero(), "at %v", f.now.Sub(start))
+		}
+		victim := hostName(0, 0)
+		f.dead[victim] = true
+		f.run(25 * time.Second)
+		Expect(f.lost(victim)).To(Equal(4*8 - 1))
+	})
+
 	It("finds a zone again that was cut off, at no more messages", func() {
 		f := newFleet(3, 5)
 		f.run(10 * time.Second)
@@ -292,7 +323,7 @@
 // BenchmarkZone measures one host's heartbeats: encoded bytes sent a second,
 // processor time an interval, and the time until all know of a loss.
 func BenchmarkZone(b *testing.B) {
-	for _, size := range []struct{ zones, hosts int }{{1, 3}, {3, 7}, {1, 21}, {1, 150}, {2, 150}} {
+	for _, size := range []struct{ zones, hosts int }{{1, 3}, {3, 7}, {1, 21}, {1, 150}, {2, 150}, {12, 21}, {12, 60}} {
 		b.Run(fmt.Sprintf("%dx%d", size.zones, size.hosts), func(b *testing.B) {
 			f := newFleet(size.zones, size.hosts)
 			f.run(30 * time.Second)
