--- a/internal/fleet/member/view_test.go
+++ b/internal/fleet/member/view_test.go
@@ -154,7 +154,7 @@
 		f := newFleet(12, 8)
 		for range 80 {
 			f.tick()
-			Expect(f.wrong(true) + f.wrong(false)).To(BeZero(), "at %v", f.now.Sub(start))
+			Expect(f.wrong(true)+f.wrong(false)).To(BeZero(), "at %v", f.now.Sub(start))
 		}
 		victim := hostName(0, 0)
 		f.dead[victim] = true
@@ -173,7 +173,7 @@
 			for _, b := range f.views[joined.Name].Tick(f.now.Add(time.Minute)) {
 				f.send(joined.Name, b)
 			}
-			Expect(f.wrong(true) + f.wrong(false)).To(BeZero(), "at %v", f.now.Sub(start))
+			Expect(f.wrong(true)+f.wrong(false)).To(BeZero(), "at %v", f.now.Sub(start))
 		}
 		victim := hostName(0, 0)
 		f.dead[victim] = true
