Name the most likely cause, note changes of state, show a status page

Change: cause.Explain follows links (events, names, the text) and names one root first; hosts are asked for all linked subjects; answers say up to when a silent host is known. New events are noted by pure transition machines and floods of a kind are bounded. Quarantine lifts and job cancels go through revision.Audit.

--- a/internal/batch/bundle/jobs.go
+++ b/internal/batch/bundle/jobs.go
@@ -11,6 +11,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/batch/chunk"
 	"github.com/kingcupquay/kingcupquay/internal/batch/job"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/operator/revision"
 	"github.com/kingcupquay/kingcupquay/internal/operator/services"
 	"github.com/kingcupquay/kingcupquay/internal/serving/call"
 	"github.com/kingcupquay/kingcupquay/internal/serving/endpoint"
@@ -77,6 +78,9 @@
 	if failure != nil {
 		return failure
 	}
+	if !created.Created.Equal(record.Created) {
+		f.p.Note("job sent again", c.Organisation().Name+" sent the same job again; the first one goes on", record.ID)
+	}
 	return c.Answer(batchView(created))
 }
 
@@ -139,6 +143,10 @@
 		return failure
 	}
 	f.p.Note("job cancelled", "caller "+c.Organisation().Name+" asked for it", record.ID)
+	// The job stops whether or not the trail can be written.
+	_ = revision.Audit(ctx, f.p.Store, revision.AuditEntry{
+		At: c.Now(), By: c.Organisation().Name, Action: "job cancelled", Subject: record.ID,
+	})
 	return c.Answer(batchView(record))
 }
 
--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -83,7 +83,9 @@
 
 	mu   sync.Mutex
 	view *member.View
-	subs []*timer.Subscription
+	// hostTransitions is told of each interval's view.
+	hostTransitions cause.HostTransitions
+	subs            []*timer.Subscription
 	// unreachable is guarded by mu.
 	unreachable unreachable
 	// ready is set once the host answers callers.
@@ -99,6 +101,7 @@
 	h.view = member.NewView(member.Host{
 		Name: settings.Name, Zone: settings.Zone, Address: settings.PeerAddress, Incarnation: t.Now().UnixNano(),
 	}, t.Now(), seed)
+	s = &observedStore{Store: s, timer: t, note: h.noteAll}
 	s = store.NewMetered(s, t, storeRates, func() int { return len(h.live()) })
 	h.store = s
 	config, renewal, err := identityConfig(settings.TLS, t, h.note)
@@ -124,7 +127,7 @@
 	}
 	h.jobs = jobs
 	h.holders = &holders{recorder: h.recorder, jobs: jobs, pool: h.pool, address: h.peerAddress, self: settings.Name}
-	h.entrance = call.NewEntrance(settings.Name, t, h.text.Load)
+	h.entrance = call.NewEntrance(settings.Name, t, h.text.Load, h.ring.Note)
 	h.front = caller.New(caller.Parts{
 		Host: settings.Name, Timer: t, Runner: h.dispatcher, Records: h.holders, Hosts: h.live, Note: h.ring.Note,
 	})
@@ -214,7 +217,7 @@
 	h.front.Register(s, h.entrance)
 	h.bundles.Register(s, h.entrance)
 	admin.New(admin.Parts{
-		Timer: h.timer, Store: h.store, Text: h.text.Load, Adopt: h.texts.accepted, Status: h.status, Why: h.why, Note: h.ring.Note,
+		Timer: h.timer, Store: h.store, Text: h.text.Load, Adopt: h.texts.accepted, Status: h.status, Why: h.why, Page: h.page, Note: h.ring.Note,
 		Quarantine: h.guard,
 	}).Register(s)
 	s.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.String(http.StatusOK, "ok\n") })
@@ -326,6 +329,7 @@
 	message := h.view.Message(now)
 	known := h.view.Hosts()
 	h.mu.Unlock()
+	h.noteHosts(now)
 	h.dispatcher.Reported(loads)
 	h.addQuarantine(message)
 	for _, b := range beats {
--- a/internal/fleet/host/peers.go
+++ b/internal/fleet/host/peers.go
@@ -71,6 +71,6 @@
 
 // Causes returns the events about a subject in this host's ring.
 func (s *peerServer) Causes(_ context.Context, in *wire.CausesRequest) (*wire.CausesReply, error) {
-	events, err := json.Marshal(s.host.ring.About(in.GetSubject(), int(in.GetLimit())))
+	events, err := json.Marshal(s.host.ring.AboutAny(append(in.GetSubjects(), in.GetSubject()), int(in.GetLimit())))
 	return &wire.CausesReply{Events: events}, err
 }
--- a/internal/fleet/host/texts.go
+++ b/internal/fleet/host/texts.go
@@ -119,6 +119,7 @@
 	h.dispatcher.SetText(text)
 	h.keepers.SetText(text)
 	h.text.Store(text)
+	h.noteBackends(current, text)
 	h.note("services text in force", "revision "+strconv.FormatInt(text.Revision(), 10), "services", h.settings.Name)
 	t.mu.Lock()
 	if current != nil {
--- /dev/null
+++ b/internal/fleet/host/transitions.go
@@ -0,0 +1,112 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
+	"github.com/kingcupquay/kingcupquay/internal/operator/cause"
+	"github.com/kingcupquay/kingcupquay/internal/operator/services"
+	"github.com/kingcupquay/kingcupquay/internal/record/store"
+)
+
+// noteHosts notes hosts and zones that were lost or came back.
+func (h *Host) noteHosts(now time.Time) {
+	h.mu.Lock()
+	var states []cause.HostState
+	for _, other := range h.view.Hosts() {
+		states = append(states, cause.HostState{
+			Name: other.Name, Zone: other.Zone, Alive: h.view.Alive(now, other.Name), Leaving: other.Leaving,
+		})
+	}
+	notes := h.hostTransitions.Update(states)
+	h.mu.Unlock()
+	h.noteAll(notes)
+}
+
+func (h *Host) noteAll(notes []cause.Note) {
+	for _, n := range notes {
+		h.note(n.Kind, n.Cause, n.Subjects...)
+	}
+}
+
+// noteBackends notes the back ends that a new services text takes away.
+func (h *Host) noteBackends(old, text *services.Text) {
+	if old == nil {
+		return
+	}
+	why := "revision " + strconv.FormatInt(text.Revision(), 10) + " of the services text says so"
+	for i := range old.Backends() {
+		b := &old.Backends()[i]
+		now, ok := text.Backend(b.Name)
+		switch {
+		case !ok:
+			h.note("back end removed", why, append([]string{b.Name}, b.Services...)...)
+		case now.Leaving && !b.Leaving:
+			h.note("back end leaving", why, append([]string{b.Name}, b.Services...)...)
+		}
+	}
+}
+
+// observedStore is the platform's store; it notes when it goes and comes back,
+// when it is slow and when a reply is lost.
+type observedStore struct {
+	store.Store
+	timer timer.Service
+	note  func([]cause.Note)
+
+	mu          sync.Mutex
+	transitions cause.StoreTransitions
+}
+
+var _ store.Store = (*observedStore)(nil)
+
+func (s *observedStore) ended(began time.Time, err error) {
+	outcome, fault := cause.Answered, ""
+	switch {
+	case errors.Is(err, store.ErrUnclear):
+		outcome, fault = cause.ReplyLost, err.Error()
+	case errors.Is(err, store.ErrUnavailable):
+		outcome, fault = cause.Unreachable, err.Error()
+	}
+	now := s.timer.Now()
+	s.mu.Lock()
+	notes := s.transitions.Ended(now, outcome, now.Sub(began), fault)
+	s.mu.Unlock()
+	s.note(notes)
+}
+
+// read is for calls without effect: a lost reply is no more than no answer.
+func (s *observedStore) read(began time.Time, err error) {
+	if errors.Is(err, store.ErrUnclear) {
+		err = store.ErrUnavailable
+	}
+	s.ended(began, err)
+}
+
+// Get returns the entry of key and whether it exists.
+func (s *observedStore) Get(ctx context.Context, key string) (store.Entry, bool, error) {
+	began := s.timer.Now()
+	entry, ok, err := s.Store.Get(ctx, key)
+	s.read(began, err)
+	return entry, ok, err
+}
+
+// Range returns entries in key order.
+func (s *observedStore) Range(ctx context.Context, from, to string, limit int) ([]store.Entry, int64, error) {
+	began := s.timer.Now()
+	entries, revision, err := s.Store.Range(ctx, from, to, limit)
+	s.read(began, err)
+	return entries, revision, err
+}
+
+// Commit runs a transaction.
+func (s *observedStore) Commit(ctx context.Context, txn store.Txn) (store.Outcome, error) {
+	began := s.timer.Now()
+	outcome, err := s.Store.Commit(ctx, txn)
+	s.ended(began, err)
+	return outcome, err
+}
--- a/internal/operator/admin/console.go
+++ b/internal/operator/admin/console.go
@@ -39,9 +39,9 @@
 
 // Story is the answer to a why call.
 type Story struct {
-	Subject string        `json:"subject"`
-	Events  []cause.Event `json:"events"`
-	// Missing names the hosts and stores that could not be asked.
+	cause.Answer
+	// Missing names the hosts and stores that could not be asked, and up to when
+	// their events are known.
 	Missing []string `json:"missing"`
 }
 
@@ -53,6 +53,7 @@
 	Adopt  func(*services.Text)
 	Status func() []HostStatus
 	Why    func(ctx context.Context, subject string) Story
+	Page   func() Page
 	Note   func(kind, cause string, subjects ...string)
 	// Quarantine holds what is held against request bodies.
 	Quarantine Quarantine
@@ -75,6 +76,7 @@
 	h.DELETE("/operator/quarantine/:fingerprint", o.handle(o.liftQuarantine))
 	h.GET("/operator/status", o.handle(o.status))
 	h.GET("/operator/why/*subject", o.handle(o.why))
+	h.GET("/status", o.page)
 }
 
 type handler func(ctx context.Context, c *app.RequestContext, by string) (any, *result.Error)
@@ -159,6 +161,7 @@
 	// The library reuses the body's memory after the answer; the text keeps it.
 	source := bytes.Clone(c.Request.Body())
 	change, failure := o.preview(ctx, from, source)
+	o.noteRace(by, from, failure)
 	change.By = by
 	if dry, _ := strconv.ParseBool(c.Query("dry_run")); dry || failure != nil {
 		change.DryRun = true
@@ -166,6 +169,7 @@
 	}
 	text, failure := revision.Apply(ctx, o.p.Store, o.p.Timer.Now(), by, uuid.NewString(), from, source)
 	if failure != nil {
+		o.noteRace(by, from, failure)
 		return nil, failure
 	}
 	o.p.Adopt(text)
@@ -173,6 +177,15 @@
 	return change, nil
 }
 
+// noteRace notes that another operator was faster.
+func (o *Console) noteRace(by string, from int64, failure *result.Error) {
+	if failure == nil || failure.Code() != result.RevisionConflict {
+		return
+	}
+	winner, _, _ := strings.Cut(failure.Message(), "\n")
+	o.p.Note("change refused", "operator "+by+" changed revision "+strconv.FormatInt(from, 10)+" while "+winner, "services")
+}
+
 // preview checks a change on revision from and tells its effect.
 func (o *Console) preview(ctx context.Context, from int64, source []byte) (ChangeBody, *result.Error) {
 	text, err := services.Check(source, from+1)
--- a/internal/operator/admin/quarantine.go
+++ b/internal/operator/admin/quarantine.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"encoding/hex"
-	"encoding/json"
-	"fmt"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
 	"github.com/kingcupquay/kingcupquay/internal/operator/revision"
-	"github.com/kingcupquay/kingcupquay/internal/record/store"
 	"github.com/kingcupquay/kingcupquay/internal/serving/quarantine"
 )
 
@@ -78,24 +75,7 @@
 	return false
 }
 
-// audit writes an entry that belongs to no change of the services text; its
-// key stands after that of the revision in force.
+// audit writes an entry that belongs to no change of the services text.
 func (o *Console) audit(ctx context.Context, by, action, subject string) *result.Error {
-	now := o.p.Timer.Now()
-	value, err := json.Marshal(revision.AuditEntry{At: now, By: by, Action: action, Subject: subject})
-	if err != nil {
-		return result.From(err)
-	}
-	var number int64
-	if text := o.p.Text(); text != nil {
-		number = text.Revision()
-	}
-	key := fmt.Sprintf("%s%016d/%013d/%s", revision.AuditPrefix, number, now.UnixMilli(), subject)
-	outcome, err := o.p.Store.Commit(ctx, store.Txn{
-		Compares: []store.Compare{{Key: key, Target: store.CreateRevision}}, Puts: []store.Put{{Key: key, Value: value}},
-	})
-	if err != nil || !outcome.Succeeded {
-		return result.New(result.StoreUnavailable, "the audit entry could not be written").WithRetry(time.Second)
-	}
-	return nil
+	return revision.Audit(ctx, o.p.Store, revision.AuditEntry{At: o.p.Timer.Now(), By: by, Action: action, Subject: subject})
 }
--- a/internal/operator/cause/ring.go
+++ b/internal/operator/cause/ring.go
@@ -5,9 +5,12 @@
 package cause
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // ringSize bounds the events that a host keeps.
@@ -36,18 +39,48 @@
 	next int
 	// flushed is the number of events taken by Unflushed and confirmed.
 	flushed int
+	// floods counts the events of each kind in the present second.
+	floods map[string]*flood
+}
+
+// maxPerSecond bounds the events of one kind that are kept in a second.
+const maxPerSecond = 50
+
+// flood is how many events of one kind came in a second.
+type flood struct {
+	second int64
+	count  int
 }
 
 // NewRing returns an empty ring of a host.
 func NewRing(host string, now func() time.Time) *Ring {
-	return &Ring{host: host, now: now}
+	return &Ring{host: host, now: now, floods: make(map[string]*flood)}
 }
 
-// Note adds an event.
+// Note counts an event and adds it, unless too many of its kind came in the
+// same second.
 func (r *Ring) Note(kind, cause string, subjects ...string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("kingcupquay_events_total{kind=%q}", kind)).Inc()
 	e := Event{At: r.now(), Host: r.host, Kind: kind, Cause: cause, Subjects: subjects}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	f, ok := r.floods[kind]
+	if !ok {
+		f = new(flood)
+		r.floods[kind] = f
+	}
+	if second := e.At.Unix(); f.second != second {
+		if more := f.count - maxPerSecond; more > 0 {
+			r.add(Event{At: e.At, Host: r.host, Kind: kind, Cause: fmt.Sprintf("%d more of this kind were not kept", more)})
+		}
+		f.second, f.count = second, 0
+	}
+	if f.count++; f.count <= maxPerSecond {
+		r.add(e)
+	}
+}
+
+func (r *Ring) add(e Event) {
 	if len(r.events) < ringSize {
 		r.events = append(r.events, e)
 	} else {
@@ -56,14 +89,32 @@
 	r.next++
 }
 
-// About returns the latest events about a subject, oldest first.
+// About returns the latest events about a subject, oldest first; "" is all.
 func (r *Ring) About(subject string, limit int) []Event {
+	if subject == "" {
+		return r.latest(limit, func(*Event) bool { return true })
+	}
+	return r.AboutAny([]string{subject}, limit)
+}
+
+// AboutAny returns the latest events about any of the subjects, oldest first.
+func (r *Ring) AboutAny(subjects []string, limit int) []Event {
+	wanted := make(map[string]bool, len(subjects))
+	for _, subject := range subjects {
+		wanted[subject] = true
+	}
+	return r.latest(limit, func(e *Event) bool {
+		return slices.ContainsFunc(e.Subjects, func(subject string) bool { return wanted[subject] })
+	})
+}
+
+func (r *Ring) latest(limit int, keep func(*Event) bool) []Event {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var found []Event
 	for i := r.next - 1; i >= max(0, r.next-ringSize) && len(found) < limit; i-- {
-		if e := r.events[i%ringSize]; subject == "" || slices.Contains(e.Subjects, subject) {
-			found = append(found, e)
+		if e := &r.events[i%ringSize]; keep(e) {
+			found = append(found, *e)
 		}
 	}
 	slices.Reverse(found)
--- a/internal/operator/command/operator.go
+++ b/internal/operator/command/operator.go
@@ -181,14 +181,11 @@
 	if s.output == "json" {
 		return s.print(story, nil, nil)
 	}
-	for _, e := range story.Events {
-		fmt.Fprintf(s.out, "%s  %s: %s, because: %s\n", e.At.Format(time.RFC3339Nano), e.Host, e.Kind, e.Cause)
-	}
-	if len(story.Events) == 0 {
-		fmt.Fprintf(s.out, "nothing is known about %s\n", subject)
+	for _, line := range story.Sentences() {
+		fmt.Fprintln(s.out, line)
 	}
 	for _, missing := range story.Missing {
-		fmt.Fprintf(s.out, "could not reach %s\n", missing)
+		fmt.Fprintf(s.out, "could not be reached: %s\n", missing)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/operator/command/why_test.go
@@ -0,0 +1,267 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"github.com/kingcupquay/kingcupquay/internal/operator/admin"
+	"github.com/kingcupquay/kingcupquay/internal/operator/examples"
+	"github.com/kingcupquay/kingcupquay/internal/operator/revision"
+	"github.com/kingcupquay/kingcupquay/internal/standin/deployment"
+	"github.com/kingcupquay/kingcupquay/internal/standin/platform"
+)
+
+// patience bounds every wait of this suite; it is no statement on speed.
+const patience = 60 * time.Second
+
+// start runs a deployment for one spec.
+func start(o deployment.Options) *deployment.Deployment {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	d, err := deployment.Start(ctx, o)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(d.Close)
+	return d
+}
+
+// oneZone has three hosts and six engines in one zone.
+func oneZone() deployment.Options {
+	o := deployment.Small()
+	o.Zones = 1
+	return o
+}
+
+// operate sends an operator's call to a host and decodes a good answer.
+func operate(d *deployment.Deployment, host int, method, path string, body []byte, out any) error {
+	req, err := http.NewRequest(method, d.URL(host)+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+examples.AgencyOperatorToken)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d: %s", resp.StatusCode, answer)
+	}
+	return json.Unmarshal(answer, out)
+}
+
+// submit uploads the same 2000 items each time and starts a batch on them.
+func submit(ctx context.Context, client *openai.Client) *openai.Batch {
+	var lines bytes.Buffer
+	for i := range 2000 {
+		fmt.Fprintf(&lines, `{"custom_id":"item-%d","method":"POST","url":"/v1/chat/completions","body":{"model":"route-summaries","messages":[{"role":"user","content":"route %d"}]}}`+"\n", i, i)
+	}
+	file, err := client.Files.New(ctx, openai.FileNewParams{
+		File: openai.File(&lines, "items.jsonl", "application/jsonl"), Purpose: openai.FilePurposeBatch,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	batch, err := client.Batches.New(ctx, openai.BatchNewParams{
+		InputFileID: file.ID, Endpoint: openai.BatchNewParamsEndpointV1ChatCompletions,
+		CompletionWindow: openai.BatchNewParamsCompletionWindow24h,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return batch
+}
+
+// ask sends one online chat and returns its request id.
+func ask(d *deployment.Deployment, host int, prompt string, deadline time.Duration) string {
+	body := fmt.Sprintf(`{"model":"village-requests-chat","messages":[{"role":"user","content":%q}]}`, prompt)
+	return send(d, host, "/v1/chat/completions", body, deadline)
+}
+
+// send posts a caller's request and returns its request id.
+func send(d *deployment.Deployment, host int, path, body string, deadline time.Duration) string {
+	req, err := http.NewRequest(http.MethodPost, d.URL(host)+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer "+examples.AgencyCallerToken)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(resp.Body.Close()).To(Succeed())
+	return resp.Header.Get("X-Request-Id")
+}
+
+// cause returns the most likely cause of a subject as a host tells it.
+func causeOf(d *deployment.Deployment, host int, subject string) func() string {
+	return func() string {
+		var story admin.Story
+		if err := operate(d, host, http.MethodGet, "/operator/why/"+subject, nil, &story); err != nil {
+			return err.Error()
+		}
+		return story.Sentences()[0]
+	}
+}
+
+// currentText returns the text in force and its revision.
+func currentText(d *deployment.Deployment) (string, int64) {
+	var body admin.TextBody
+	Expect(operate(d, 0, http.MethodGet, "/operator/text", nil, &body)).To(Succeed())
+	return body.Source, body.Revision
+}
+
+func applyText(d *deployment.Deployment, host int, by string, from int64, source string) error {
+	var change admin.ChangeBody
+	path := fmt.Sprintf("/operator/text?revision=%d&by=%s", from, by)
+	return operate(d, host, http.MethodPut, path, []byte(source), &change)
+}
+
+var _ = Describe("why", func() {
+	It("names the engine that a body crashed", func(ctx SpecContext) {
+		d := start(oneZone())
+		for _, e := range d.Engines() {
+			e.CrashOn("poison")
+		}
+		id := ask(d, 0, "poison", 20*time.Second)
+		Eventually(causeOf(d, 1, id), patience).Should(MatchRegexp(`most likely cause: .*body .*dispatch-engine-\d crashed while it ran the body`))
+	})
+
+	It("names a host that was lost, and what can't be known of it", func(ctx SpecContext) {
+		d := start(deployment.Small())
+		d.Hosts()[1].Kill()
+		Eventually(causeOf(d, 0, "entry-2"), patience).Should(ContainSubstring("host lost (entry-2)"))
+		var story admin.Story
+		Expect(operate(d, 0, http.MethodGet, "/operator/why/entry-2", nil, &story)).To(Succeed())
+		Expect(story.Missing).To(ContainElement(HavePrefix("host entry-2: ")))
+	})
+
+	It("names a zone that was cut off", func(ctx SpecContext) {
+		o := deployment.Small()
+		o.Hosts = 6
+		d := start(o)
+		d.Hosts()[1].Kill()
+		d.Hosts()[4].Kill()
+		Eventually(causeOf(d, 0, "addis-b"), patience).Should(ContainSubstring("zone cut off (addis-b, entry-2, entry-5)"))
+		Expect(causeOf(d, 0, "dispatch-engine-2")()).To(ContainSubstring("zone cut off"))
+	})
+
+	It("names a store that is down, for a request that was refused by it", func(ctx SpecContext) {
+		d := start(deployment.Small())
+		d.KV().SetFaults(func(string) platform.Fault { return platform.Refuse })
+		id := send(d, 0, "/services/tank-requests/new", `{"tank":1}`, 2*time.Second)
+		Eventually(causeOf(d, 0, id), patience).Should(ContainSubstring("platform store unreachable"))
+		d.KV().SetFaults(nil)
+	})
+
+	It("names a store that is slow", func(ctx SpecContext) {
+		d := start(deployment.Small())
+		d.Platform().SetDelay(1500 * time.Millisecond)
+		Eventually(causeOf(d, 0, "platform"), patience).Should(ContainSubstring("platform store slow"))
+		d.Platform().SetDelay(0)
+	})
+
+	It("names a reply of the store that was lost", func(ctx SpecContext) {
+		d := start(deployment.Small())
+		d.KV().SetFaults(func(op string) platform.Fault {
+			if op == "txn" {
+				return platform.LoseReply
+			}
+			return platform.NoFault
+		})
+		send(d, 0, "/services/tank-requests/new", `{"tank":2}`, 2*time.Second)
+		d.KV().SetFaults(nil)
+		Eventually(causeOf(d, 0, "platform"), patience).Should(ContainSubstring("platform reply lost"))
+	})
+
+	It("names the faster of two operators", func(ctx SpecContext) {
+		d := start(deployment.Small())
+		source, number := currentText(d)
+		Expect(applyText(d, 0, "sara", number, strings.Replace(source, `"weight": 5,`, `"weight": 6,`, 1))).To(Succeed())
+		Expect(applyText(d, 1, "abebe", number, strings.Replace(source, `"weight": 5,`, `"weight": 7,`, 1))).NotTo(Succeed())
+		Expect(causeOf(d, 2, "services")()).To(MatchRegexp("change refused .*abebe.*sara"))
+	})
+
+	It("names engines that went silent", func(ctx SpecContext) {
+		d := start(oneZone())
+		for _, e := range d.Engines() {
+			e.SetSilent(true)
+		}
+		id := ask(d, 0, "anyone there?", 25*time.Second)
+		Eventually(causeOf(d, 0, id), patience).Should(ContainSubstring("back end silent"))
+	})
+
+	It("names the change that took out a service's servers", func(ctx SpecContext) {
+		d := start(deployment.Small())
+		source, number := currentText(d)
+		leaving := strings.ReplaceAll(source, `"kind": "plain",
+      "zone"`, `"kind": "plain",
+      "leaving": true,
+      "zone"`)
+		Expect(leaving).NotTo(Equal(source))
+		Expect(applyText(d, 0, "sara", number, leaving)).To(Succeed())
+		Eventually(causeOf(d, 1, "status-lookups"), patience).Should(MatchRegexp("back end leaving .*revision 2 of the services text"))
+	})
+
+	It("names the caller who sent a job again, and the one who cancelled it, and keeps the latter", func(ctx SpecContext) {
+		o := deployment.Small()
+		o.Step *= 20
+		d := start(o)
+		client := openai.NewClient(option.WithBaseURL(d.URL(0)+"/v1"), option.WithAPIKey(examples.AgencyCallerToken), option.WithMaxRetries(0))
+		batch := submit(ctx, &client)
+		Expect(submit(ctx, &client).ID).To(Equal(batch.ID))
+		Eventually(causeOf(d, 1, batch.ID), patience).Should(ContainSubstring("job sent again"))
+		_, err := client.Batches.Cancel(ctx, batch.ID)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(causeOf(d, 1, batch.ID), patience).Should(ContainSubstring("job cancelled"))
+		Expect(causeOf(d, 1, batch.ID+"-000007")()).To(ContainSubstring("job cancelled"))
+		history, failure := revision.History(context.Background(), d.KV(), 1)
+		Expect(failure).To(BeNil())
+		Expect(history[0].Action + " " + history[0].Subject).To(Equal("job cancelled " + batch.ID))
+	})
+
+	It("names a lease that lapsed while its holder could not renew it", func(ctx SpecContext) {
+		d := start(deployment.Small())
+		d.KV().SetFaults(func(op string) platform.Fault {
+			if op == "keepalive" {
+				return platform.Refuse
+			}
+			return platform.NoFault
+		})
+		Eventually(causeOf(d, 0, "shard/0003"), patience).Should(MatchRegexp("shard lost .*lease"))
+		d.KV().SetFaults(nil)
+	})
+})
+
+var _ = Describe("the status page of a host", func() {
+	It("is shown to operators only", func(ctx SpecContext) {
+		d := start(deployment.Small())
+		get := func(password string) (int, string) {
+			req, err := http.NewRequest(http.MethodGet, d.URL(0)+"/status", nil)
+			Expect(err).NotTo(HaveOccurred())
+			req.SetBasicAuth("anyone", password)
+			resp, err := http.DefaultClient.Do(req)
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = resp.Body.Close() }()
+			var body bytes.Buffer
+			_, err = body.ReadFrom(resp.Body)
+			Expect(err).NotTo(HaveOccurred())
+			return resp.StatusCode, body.String()
+		}
+		status, body := get(examples.AgencyOperatorToken)
+		Expect(status).To(Equal(http.StatusOK))
+		for _, part := range []string{"Host entry-1 in zone addis-a", "entry-3", "dispatch-engine-6", "tank-records-2", "host started"} {
+			Expect(body).To(ContainSubstring(part))
+		}
+		status, _ = get(examples.AgencyCallerToken)
+		Expect(status).To(Equal(http.StatusUnauthorized))
+	})
+})
--- a/internal/serving/call/entrance.go
+++ b/internal/serving/call/entrance.go
@@ -25,15 +25,16 @@
 	host  string
 	timer timer.Service
 	text  func() *services.Text
+	note  func(kind, cause string, subjects ...string)
 
 	stopping atomic.Bool
 	active   sync.WaitGroup
 }
 
 // NewEntrance returns the entrance of a host; text returns the services text
-// in force, nil before the first.
-func NewEntrance(host string, t timer.Service, text func() *services.Text) *Entrance {
-	return &Entrance{host: host, timer: t, text: text}
+// in force, nil before the first, and note records a change of state.
+func NewEntrance(host string, t timer.Service, text func() *services.Text, note func(kind, cause string, subjects ...string)) *Entrance {
+	return &Entrance{host: host, timer: t, text: text, note: note}
 }
 
 // Handle makes h a handler of the HTTP library.
@@ -48,11 +49,19 @@
 			failure = h(ctx, one)
 		}
 		if failure != nil {
+			e.noteRefusal(one, failure)
 			one.Fail(failure)
 		}
 	}
 }
 
+// noteRefusal notes a refusal that is not the caller's own fault.
+func (e *Entrance) noteRefusal(c *Call, failure *result.Error) {
+	if failure.Code() >= result.RateLimited && c.organisation != nil {
+		e.note("request refused", failure.Error(), c.id)
+	}
+}
+
 func (e *Entrance) admit(c *Call) *result.Error {
 	if e.stopping.Load() {
 		return result.New(result.Stopping, "host %s is stopping", e.host).WithRetry(time.Second)
