Judge single hosts by their own zone only

Cause: a host of another zone is heard rarely in a large fleet, so every host would have noted it lost. Change: hosts are judged in the own zone, other zones as a whole after 3 s of silence for each other zone.

--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -84,7 +84,7 @@
 	mu   sync.Mutex
 	view *member.View
 	// hostTransitions is told of each interval's view.
-	hostTransitions cause.HostTransitions
+	hostTransitions *cause.HostTransitions
 	subs            []*timer.Subscription
 	// unreachable is guarded by mu.
 	unreachable unreachable
@@ -110,6 +110,7 @@
 	}
 	h.identity, h.subs = config, append(h.subs, renewal)
 	h.texts = newTexts(h)
+	h.hostTransitions = cause.NewHostTransitions(settings.Zone)
 	h.pool = peer.NewPool(config)
 	h.keepers = keeper.NewSet(t, engine.NewClient(t), queuePolicy(settings.Policy))
 	h.guard = quarantine.NewGuard(t, (*quarantinePeers)(h), h.note)
--- a/internal/fleet/host/transitions.go
+++ b/internal/fleet/host/transitions.go
@@ -19,10 +19,10 @@
 	var states []cause.HostState
 	for _, other := range h.view.Hosts() {
 		states = append(states, cause.HostState{
-			Name: other.Name, Zone: other.Zone, Alive: h.view.Alive(now, other.Name), Leaving: other.Leaving,
+			Name: other.Name, Zone: other.Zone, Alive: h.view.Alive(now, other.Name), Leaving: other.Leaving, Heard: other.Heard,
 		})
 	}
-	notes := h.hostTransitions.Update(states)
+	notes := h.hostTransitions.Update(now, states)
 	h.mu.Unlock()
 	h.noteAll(notes)
 }
--- a/internal/operator/cause/transitions.go
+++ b/internal/operator/cause/transitions.go
@@ -22,78 +22,99 @@
 	Subjects []string
 }
 
+// cutPerZone is how long each other zone adds to the silence after which a
+// zone counts as cut off: a heartbeat goes to one of them at a time.
+const cutPerZone = 3 * time.Second
+
 // HostState is what is believed of a host.
 type HostState struct {
 	Name    string
 	Zone    string
 	Alive   bool
 	Leaving bool
+	// Heard is when news of it came last.
+	Heard time.Time
 }
 
 // HostTransitions turns the opinion on other hosts into events. It is a pure
-// state machine; the zero value has seen nobody.
+// state machine; NewHostTransitions makes one that has seen nobody.
+//
+// Single hosts are judged only in the own zone, where heartbeats are frequent:
+// a host of another zone is heard rarely, a zone as a whole often enough.
 type HostTransitions struct {
+	zone  string
 	alive map[string]bool
 	// cut holds the zones that count as cut off.
 	cut map[string]bool
 }
 
-// Update takes the present opinion and returns what changed. If every host of
-// a zone went silent, and there were at least two or the zone is not the only
-// other one, the zone counts as cut off.
-func (t *HostTransitions) Update(hosts []HostState) []Note {
-	if t.alive == nil {
-		t.alive, t.cut = make(map[string]bool), make(map[string]bool)
-	}
+// NewHostTransitions returns the transitions that a host of a zone sees.
+func NewHostTransitions(zone string) *HostTransitions {
+	return &HostTransitions{zone: zone, alive: make(map[string]bool), cut: make(map[string]bool)}
+}
+
+// Update takes the present opinion and returns what changed.
+func (t *HostTransitions) Update(now time.Time, hosts []HostState) []Note {
 	var notes []Note
 	zones := make(map[string][]HostState)
 	sort.Slice(hosts, func(i, j int) bool { return hosts[i].Name < hosts[j].Name })
 	for _, h := range hosts {
-		zones[h.Zone] = append(zones[h.Zone], h)
-		was, known := t.alive[h.Name]
-		t.alive[h.Name] = h.Alive
-		switch {
-		case known && was && !h.Alive && h.Leaving:
-			notes = append(notes, Note{"host gone", "it was stopped and left", []string{h.Name}})
-		case known && was && !h.Alive:
-			notes = append(notes, Note{"host lost", "no heartbeat came for several seconds", []string{h.Name}})
-		case known && !was && h.Alive:
-			notes = append(notes, Note{"host back", "heartbeats come again", []string{h.Name}})
+		if h.Zone == t.zone {
+			notes = append(notes, t.host(h)...)
+		} else {
+			zones[h.Zone] = append(zones[h.Zone], h)
 		}
 	}
-	return append(notes, t.zones(zones)...)
-}
-
-func (t *HostTransitions) zones(zones map[string][]HostState) []Note {
 	names := make([]string, 0, len(zones))
 	for name := range zones {
 		names = append(names, name)
 	}
 	sort.Strings(names)
-	var notes []Note
 	for _, name := range names {
-		subjects := []string{name}
-		silent, left := 0, 0
-		for _, h := range zones[name] {
-			subjects = append(subjects, h.Name)
-			if h.Leaving && !h.Alive {
-				left++
-			} else if !h.Alive {
-				silent++
-			}
-		}
-		cut := silent > 0 && silent+left == len(zones[name]) && silent > 1
-		switch {
-		case cut && !t.cut[name]:
-			notes = append(notes, Note{"zone cut off", "no host of zone " + name + " is heard any longer", subjects})
-		case !cut && t.cut[name]:
-			notes = append(notes, Note{"zone reachable", "hosts of zone " + name + " are heard again", subjects})
-		}
-		t.cut[name] = cut
+		notes = append(notes, t.other(now, name, zones[name], time.Duration(len(zones))*cutPerZone)...)
 	}
 	return notes
 }
 
+func (t *HostTransitions) host(h HostState) []Note {
+	was, known := t.alive[h.Name]
+	t.alive[h.Name] = h.Alive
+	switch {
+	case known && was && !h.Alive && h.Leaving:
+		return []Note{{"host gone", "it was stopped and left", []string{h.Name}}}
+	case known && was && !h.Alive:
+		return []Note{{"host lost", "no heartbeat came for several seconds", []string{h.Name}}}
+	case known && !was && h.Alive:
+		return []Note{{"host back", "heartbeats come again", []string{h.Name}}}
+	}
+	return nil
+}
+
+// other judges another zone by the latest news of any of its hosts. Of a zone
+// with one host nobody can tell a cut from the loss of the host.
+func (t *HostTransitions) other(now time.Time, name string, hosts []HostState, patience time.Duration) []Note {
+	subjects := []string{name}
+	silent, staying := true, 0
+	for _, h := range hosts {
+		subjects = append(subjects, h.Name)
+		silent = silent && now.Sub(h.Heard) > patience
+		if !h.Leaving {
+			staying++
+		}
+	}
+	was := t.cut[name]
+	t.cut[name] = silent && staying > 0
+	switch {
+	case t.cut[name] && !was && len(hosts) == 1:
+		return []Note{{"host lost", "nothing is heard of the only host of zone " + name, []string{hosts[0].Name, name}}}
+	case t.cut[name] && !was:
+		return []Note{{"zone cut off", "no host of zone " + name + " is heard any longer", subjects}}
+	case !silent && was:
+		return []Note{{"zone reachable", "zone " + name + " is heard again", subjects}}
+	}
+	return nil
+}
+
 // Outcome is how a call of the store ended.
 type Outcome uint8
 
