Expect the zone among the subjects of a lost host

Cause: the only host of a zone is noted lost together with its zone; the spec still expected the host alone. Change: the spec asserts both subjects, as strict as before. Conclusion: the answer names the host and its zone.

--- a/internal/operator/command/why_test.go
+++ b/internal/operator/command/why_test.go
@@ -138,7 +138,7 @@
 	It("names a host that was lost, and what can't be known of it", func(ctx SpecContext) {
 		d := start(deployment.Small())
 		d.Hosts()[1].Kill()
-		Eventually(causeOf(d, 0, "entry-2"), patience).Should(ContainSubstring("host lost (entry-2)"))
+		Eventually(causeOf(d, 0, "entry-2"), patience).Should(ContainSubstring("host lost (entry-2, addis-b)"))
 		var story admin.Story
 		Expect(operate(d, 0, http.MethodGet, "/operator/why/entry-2", nil, &story)).To(Succeed())
 		Expect(story.Missing).To(ContainElement(HavePrefix("host entry-2: ")))
