--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -1,3 +1,6 @@
+// Package host assembles the parts of one entry host and runs them as a
+// supervisor tree: it is the only package that knows all the others. Every
+// entry host runs the same parts; roles are taken by rule and given up by rule.
 package host
 
 import (
@@ -24,6 +27,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/batch/job"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/member"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/peer"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/setup"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/supervisor"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/wire"
@@ -31,6 +35,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/operator/admin"
 	"github.com/kingcupquay/kingcupquay/internal/operator/cause"
 	"github.com/kingcupquay/kingcupquay/internal/operator/services"
+	"github.com/kingcupquay/kingcupquay/internal/record/holder"
 	"github.com/kingcupquay/kingcupquay/internal/record/lease"
 	"github.com/kingcupquay/kingcupquay/internal/record/recorder"
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
@@ -54,7 +59,7 @@
 
 // Host is one running entry host.
 type Host struct {
-	settings *Settings
+	settings *setup.Settings
 	log      logr.Logger
 	timer    timer.Service
 	store    store.Store
@@ -67,7 +72,7 @@
 	guard      *quarantine.Guard
 	recorder   *recorder.Recorder
 	jobs       *job.Manager
-	holders    *holders
+	holders    *holder.Client
 	entrance   *call.Entrance
 	parked     *parked
 	placer     *placer
@@ -98,7 +103,7 @@
 }
 
 // New returns a host that is not started; s is the platform's store.
-func New(settings *Settings, log logr.Logger, t timer.Service, s store.Store) (*Host, error) {
+func New(settings *setup.Settings, log logr.Logger, t timer.Service, s store.Store) (*Host, error) {
 	h := &Host{settings: settings, log: log.WithValues("host", settings.Name), timer: t, store: s}
 	seed := xxhash.Sum64String(settings.Name)
 	h.supervisor = supervisor.New(h.log)
@@ -134,7 +139,7 @@
 		return nil, trace.Wrap(err)
 	}
 	h.jobs = jobs
-	h.holders = &holders{recorder: h.recorder, jobs: jobs, pool: h.pool, address: h.peerAddress, self: settings.Name}
+	h.holders = holder.New(h.recorder, jobs, h.pool, h.peerAddress, settings.Name)
 	h.entrance = call.NewEntrance(settings.Name, t, h.text.Load, h.ring.Note)
 	h.front = caller.New(caller.Parts{
 		Host: settings.Name, Timer: t, Runner: h.dispatcher, Records: h.holders, Hosts: h.live, Note: h.ring.Note,
--- a/internal/fleet/host/identity.go
+++ b/internal/fleet/host/identity.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/kingcupquay/kingcupquay/internal/fleet/peer"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/setup"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
 )
 
@@ -15,7 +16,7 @@
 
 // identityConfig returns the TLS configuration between hosts, nil for plain
 // TCP, and the subscription that keeps it up to date.
-func identityConfig(files *TLSFiles, t timer.Service, note func(kind, why string, subjects ...string)) (*tls.Config, *timer.Subscription, error) {
+func identityConfig(files *setup.TLSFiles, t timer.Service, note func(kind, why string, subjects ...string)) (*tls.Config, *timer.Subscription, error) {
 	if files == nil {
 		return nil, nil, nil
 	}
--- a/internal/fleet/host/keepers.go
+++ b/internal/fleet/host/keepers.go
@@ -1,10 +1,13 @@
 package host
 
-import "github.com/kingcupquay/kingcupquay/internal/serving/keeper"
+import (
+	"github.com/kingcupquay/kingcupquay/internal/fleet/setup"
+	"github.com/kingcupquay/kingcupquay/internal/serving/keeper"
+)
 
 // queuePolicy returns the policy with that name in the settings.
 func queuePolicy(name string) keeper.NewPolicy {
-	if name == PolicyNaive {
+	if name == setup.PolicyNaive {
 		return keeper.NaivePolicy
 	}
 	return keeper.UrgentPolicy
--- a/internal/fleet/host/shards.go
+++ b/internal/fleet/host/shards.go
@@ -11,7 +11,11 @@
 )
 
 // openTimeout bounds one try to read the jobs of a shard.
-const openTimeout = 10 * time.Second
+const (
+	openTimeout = 10 * time.Second
+	// openRetry is the time between two tries to open a shard's jobs.
+	openRetry = 100 * time.Millisecond
+)
 
 // shardWon opens the jobs of a shard that this host has taken; it tries as
 // long as the shard is held.
@@ -25,7 +29,7 @@
 			h.note("jobs not opened", err.Error(), zone.ShardName(shard))
 			return
 		}
-		time.Sleep(holderRetry)
+		time.Sleep(openRetry)
 	}
 }
 
--- a/internal/fleet/host/settings.go
+++ b/internal/fleet/setup/settings.go
@@ -1,7 +1,7 @@
-// Package host assembles the parts of one entry host and runs them as a
-// supervisor tree: it is the only package that knows all the others. Every
-// entry host runs the same parts; roles are taken by rule and given up by rule.
-package host
+// Package setup reads and checks the settings of an entry host: the JSON file
+// from which a process learns its own name, zone and addresses, and where the
+// platform is. Everything else stands in the services text.
+package setup
 
 import (
 	"bytes"
@@ -65,14 +65,14 @@
 	PolicyNaive  = "naive"
 )
 
-// ParseSettings checks the JSON form of settings; the error names line, field
+// Parse checks the JSON form of settings; the error names line, field
 // and remedy.
-func ParseSettings(source []byte) (*Settings, error) {
+func Parse(source []byte) (*Settings, error) {
 	s := new(Settings)
 	decoder := json.NewDecoder(bytes.NewReader(source))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(s); err != nil {
-		return nil, settingsError(source, decoder.InputOffset(), err)
+		return nil, decodeError(source, decoder.InputOffset(), err)
 	}
 	if s.Shards == 0 {
 		s.Shards = defaultShards
@@ -86,7 +86,7 @@
 	return s, s.check(source)
 }
 
-func settingsError(source []byte, offset int64, err error) error {
+func decodeError(source []byte, offset int64, err error) error {
 	var syntax *json.SyntaxError
 	var kind *json.UnmarshalTypeError
 	field := "document"
--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 
 	"github.com/kingcupquay/kingcupquay/internal/fleet/host"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/setup"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
 	"github.com/kingcupquay/kingcupquay/internal/standin/deployment"
@@ -139,12 +140,12 @@
 	return zapr.NewLogger(z), nil
 }
 
-func readSettings(file string) (*host.Settings, error) {
+func readSettings(file string) (*setup.Settings, error) {
 	source, err := os.ReadFile(file)
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
-	return host.ParseSettings(source)
+	return setup.Parse(source)
 }
 
 func (s *shell) checkSettings(file string) error {
--- a/internal/fleet/host/records.go
+++ b/internal/record/holder/client.go
@@ -1,4 +1,8 @@
-package host
+// Package holder finds the host that holds a shard and speaks to it, in this
+// process or over the network, until one answers or the caller's time is over.
+// A message whose fate is unclear makes the answer say "may have run", never
+// "not run".
+package holder
 
 import (
 	"context"
@@ -17,15 +21,15 @@
 )
 
 const (
-	holderRetry   = 100 * time.Millisecond
-	holderTimeout = 5 * time.Second
+	retryInterval   = 100 * time.Millisecond
+	exchangeTimeout = 5 * time.Second
 	// outageTimeout is when a store that takes no records is no longer waited
 	// for, if that is certain.
 	outageTimeout = 2 * time.Second
 )
 
-// holders finds the holder of a shard and speaks to it, wherever it is.
-type holders struct {
+// Client speaks to the holders of shards.
+type Client struct {
 	recorder *recorder.Recorder
 	jobs     *job.Manager
 	pool     *peer.Pool
@@ -35,24 +39,30 @@
 }
 
 var (
-	_ caller.Records = (*holders)(nil)
-	_ bundle.Jobs    = (*holders)(nil)
+	_ caller.Records = (*Client)(nil)
+	_ bundle.Jobs    = (*Client)(nil)
 )
 
+// New returns a client; address returns the peer address of a host, self is
+// the name of this one.
+func New(r *recorder.Recorder, jobs *job.Manager, pool *peer.Pool, address func(host string) (string, bool), self string) *Client {
+	return &Client{recorder: r, jobs: jobs, pool: pool, address: address, self: self}
+}
+
 // exchange gives a message to a shard's holder until one answers. local or
 // remote is called; a failure LeaseLost means that the holder has changed.
-func (h *holders) exchange(ctx context.Context, shard int, local func(context.Context) *result.Error,
+func (c *Client) exchange(ctx context.Context, shard int, local func(context.Context) *result.Error,
 	remote func(context.Context, wire.PeerClient) (*result.Error, error)) *result.Error {
-	ctx, cancel := context.WithTimeout(ctx, holderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	ran, begin := result.RanNo, time.Now()
 	for {
-		failure, reached := h.once(ctx, shard, local, remote)
+		failure, reached := c.once(ctx, shard, local, remote)
 		if failure == nil || (failure.Code() != result.LeaseLost && failure.Code() != result.StoreUnavailable) {
 			return failure
 		}
 		if failure.Code() == result.LeaseLost {
-			h.recorder.Missed(ctx, shard)
+			c.recorder.Missed(ctx, shard)
 		}
 		if reached && failure.Ran() != result.RanNo {
 			ran = result.RanMaybe
@@ -64,27 +74,27 @@
 		select {
 		case <-ctx.Done():
 			return last.WithRan(ran)
-		case <-time.After(holderRetry):
+		case <-time.After(retryInterval):
 		}
 	}
 }
 
 // once tries the holder as it is known now; reached says that the message may
 // have come to a holder.
-func (h *holders) once(ctx context.Context, shard int, local func(context.Context) *result.Error,
+func (c *Client) once(ctx context.Context, shard int, local func(context.Context) *result.Error,
 	remote func(context.Context, wire.PeerClient) (*result.Error, error)) (*result.Error, bool) {
-	owner, ok := h.recorder.Owner(shard)
+	owner, ok := c.recorder.Owner(shard)
 	if !ok {
 		return result.New(result.LeaseLost, "no host holds shard %d", shard), false
 	}
-	if owner == h.self {
+	if owner == c.self {
 		return local(ctx), true
 	}
-	address, ok := h.address(owner)
-	if !ok || !h.pool.Ready(ctx, address, request.Online) {
+	address, ok := c.address(owner)
+	if !ok || !c.pool.Ready(ctx, address, request.Online) {
 		return result.New(result.LeaseLost, "host %s of shard %d can't be reached", owner, shard), false
 	}
-	client, err := h.pool.Peer(address, request.Online)
+	client, err := c.pool.Peer(address, request.Online)
 	if err != nil {
 		return result.New(result.LeaseLost, "%v", err), false
 	}
@@ -96,11 +106,11 @@
 }
 
 // Claim records a request before it runs.
-func (h *holders) Claim(ctx context.Context, in *wire.ClaimRequest) (*wire.Entry, *result.Error) {
-	in.Shard = int32(zone.Shard(in.GetKey(), h.recorder.Shards()))
+func (c *Client) Claim(ctx context.Context, in *wire.ClaimRequest) (*wire.Entry, *result.Error) {
+	in.Shard = int32(zone.Shard(in.GetKey(), c.recorder.Shards()))
 	var reply *wire.ClaimReply
-	failure := h.exchange(ctx, int(in.Shard), func(ctx context.Context) *result.Error {
-		reply = h.recorder.Claim(ctx, in)
+	failure := c.exchange(ctx, int(in.Shard), func(ctx context.Context) *result.Error {
+		reply = c.recorder.Claim(ctx, in)
 		return reply.GetFailure().Err()
 	}, func(ctx context.Context, peer wire.PeerClient) (*result.Error, error) {
 		var err error
@@ -114,10 +124,10 @@
 }
 
 // Finish records how an attempt ended.
-func (h *holders) Finish(ctx context.Context, in *wire.FinishRequest) *result.Error {
-	in.Shard = int32(zone.Shard(in.GetKey(), h.recorder.Shards()))
-	return h.exchange(ctx, int(in.Shard), func(ctx context.Context) *result.Error {
-		return h.recorder.Finish(ctx, in).GetFailure().Err()
+func (c *Client) Finish(ctx context.Context, in *wire.FinishRequest) *result.Error {
+	in.Shard = int32(zone.Shard(in.GetKey(), c.recorder.Shards()))
+	return c.exchange(ctx, int(in.Shard), func(ctx context.Context) *result.Error {
+		return c.recorder.Finish(ctx, in).GetFailure().Err()
 	}, func(ctx context.Context, peer wire.PeerClient) (*result.Error, error) {
 		reply, err := peer.Finish(ctx, in)
 		return reply.GetFailure().Err(), err
@@ -125,11 +135,11 @@
 }
 
 // Lookup reads the entry of a key.
-func (h *holders) Lookup(ctx context.Context, key string) (*wire.Entry, *result.Error) {
-	in := &wire.LookupRequest{Key: key, Shard: int32(zone.Shard(key, h.recorder.Shards()))}
+func (c *Client) Lookup(ctx context.Context, key string) (*wire.Entry, *result.Error) {
+	in := &wire.LookupRequest{Key: key, Shard: int32(zone.Shard(key, c.recorder.Shards()))}
 	var reply *wire.LookupReply
-	failure := h.exchange(ctx, int(in.Shard), func(ctx context.Context) *result.Error {
-		reply = h.recorder.Lookup(ctx, in)
+	failure := c.exchange(ctx, int(in.Shard), func(ctx context.Context) *result.Error {
+		reply = c.recorder.Lookup(ctx, in)
 		return reply.GetFailure().Err()
 	}, func(ctx context.Context, peer wire.PeerClient) (*result.Error, error) {
 		var err error
@@ -140,12 +150,12 @@
 }
 
 // Act carries out an action on a job at its holder.
-func (h *holders) Act(ctx context.Context, action, id string, body []byte) (*job.Record, *result.Error) {
-	shard := zone.Shard(id, h.recorder.Shards())
+func (c *Client) Act(ctx context.Context, action, id string, body []byte) (*job.Record, *result.Error) {
+	shard := zone.Shard(id, c.recorder.Shards())
 	var record *job.Record
-	failure := h.exchange(ctx, shard, func(ctx context.Context) *result.Error {
+	failure := c.exchange(ctx, shard, func(ctx context.Context) *result.Error {
 		var failure *result.Error
-		record, failure = h.jobs.Serve(ctx, shard, action, id, body)
+		record, failure = c.jobs.Serve(ctx, shard, action, id, body)
 		return failure
 	}, func(ctx context.Context, peer wire.PeerClient) (*result.Error, error) {
 		reply, err := peer.Job(ctx, &wire.JobRequest{Shard: int32(shard), Action: action, Id: id, Body: body})
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/kingcupquay/kingcupquay/internal/fleet/host"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/setup"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
 	"github.com/kingcupquay/kingcupquay/internal/operator/examples"
 	"github.com/kingcupquay/kingcupquay/internal/operator/revision"
@@ -66,7 +67,7 @@
 	engines  []*engine.Engine
 	services []*service.Service
 	hosts    []*host.Host
-	settings []*host.Settings
+	settings []*setup.Settings
 }
 
 // Start starts all parts and returns when every host is ready or ctx ends.
@@ -183,7 +184,7 @@
 			return err
 		}
 		name := fmt.Sprintf("entry-%d", i+1)
-		d.settings = append(d.settings, &host.Settings{
+		d.settings = append(d.settings, &setup.Settings{
 			Name: name, Zone: d.zone(i), CallerAddress: callers, PeerAddress: peers,
 			PlatformEndpoints: []string{d.platform.Endpoint()}, HostListURL: d.platform.Endpoint() + "/hosts",
 			Shards: shards, StopSeconds: 60, Policy: d.o.Policy,
@@ -206,7 +207,7 @@
 
 // StartHost starts a host with those settings; one that was stopped before may
 // be started again.
-func (d *Deployment) StartHost(settings *host.Settings) (*host.Host, error) {
+func (d *Deployment) StartHost(settings *setup.Settings) (*host.Host, error) {
 	client, err := store.NewClient(settings.PlatformEndpoints)
 	if err != nil {
 		return nil, err
@@ -273,7 +274,7 @@
 func (d *Deployment) Hosts() []*host.Host { return d.hosts }
 
 // Settings returns the settings of the entry hosts.
-func (d *Deployment) Settings() []*host.Settings { return d.settings }
+func (d *Deployment) Settings() []*setup.Settings { return d.settings }
 
 // URL returns the base address for callers of host i.
 func (d *Deployment) URL(i int) string { return "http://" + d.settings[i].CallerAddress }
