Tick a shard fast only while it has records on their way

Cause: every held shard ticked each 10 ms, busy or not; an idle host spends most of its processor time on waking up for timers. Change: a shard ticks after 10 ms while records are pending or in flight, and each 250 ms otherwise.

--- a/internal/record/recorder/recorder.go
+++ b/internal/record/recorder/recorder.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -25,8 +26,11 @@
 )
 
 const (
-	leaseTick   = 250 * time.Millisecond
+	leaseTick = 250 * time.Millisecond
+	// shardTick is the time between two ticks of a shard with records on their
+	// way, restTick of one without.
 	shardTick   = 10 * time.Millisecond
+	restTick    = 250 * time.Millisecond
 	callTimeout = 5 * time.Second
 	// loadTimeout bounds the reading of a shard's groups at take-over.
 	loadTimeout = 20 * time.Second
@@ -52,6 +56,9 @@
 
 // Recorder holds the shards of one host.
 type Recorder struct {
+	// stopped is set by Stop; no tick follows then.
+	stopped atomic.Bool
+
 	host   string
 	store  store.Store
 	timer  timer.Service
@@ -77,6 +84,8 @@
 	waiting map[ledger.Ticket]chan reply
 	// failures counts the store calls that failed in a row.
 	failures int
+	// ticking says that a tick is due after shardTick.
+	ticking bool
 }
 
 type reply struct {
@@ -97,7 +106,7 @@
 func (r *Recorder) Start() {
 	r.subs = []*timer.Subscription{
 		r.timer.Every(leaseTick, func(time.Time) { r.tickLease() }),
-		r.timer.Every(shardTick, func(time.Time) { r.tickShards() }),
+		r.timer.Every(restTick, func(time.Time) { r.tickShards() }),
 	}
 }
 
@@ -351,6 +360,7 @@
 
 // Stop ends the recorder at once, as a crash would: nothing is handed over.
 func (r *Recorder) Stop() {
+	r.stopped.Store(true)
 	for _, sub := range r.subs {
 		sub.Cancel()
 	}
--- a/internal/record/recorder/write.go
+++ b/internal/record/recorder/write.go
@@ -43,6 +43,22 @@
 			go r.lose(o.number, o.token, "store refused the fencing token")
 		}
 	}
+	r.follow(o)
+}
+
+// follow makes a shard tick soon while it has records on their way; the caller
+// holds o.mu.
+func (r *Recorder) follow(o *openShard) {
+	if o.ticking || o.shard.Idle() || r.stopped.Load() {
+		return
+	}
+	o.ticking = true
+	r.timer.After(shardTick, func(now time.Time) {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.ticking = false
+		r.apply(o, o.shard.Tick(now))
+	})
 }
 
 // holds reports whether this host may still act on the shard by its own clock.
