Order claims on what ran, and hash tokens, in one place each

Cause: dispatch and keeper each had the same order of yes, maybe and no; the callers' entrance and the operators' console each hashed the token. Change: result.Ran.Or and services.Text.AuthenticateToken serve both. Conclusion: behaviour stays as it was.

--- a/internal/operator/admin/console.go
+++ b/internal/operator/admin/console.go
@@ -7,8 +7,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -110,8 +108,7 @@
 		return "first operator", nil
 	}
 	token, _ := strings.CutPrefix(string(c.GetHeader("Authorization")), "Bearer ")
-	sum := sha256.Sum256([]byte(token))
-	organisation, ok := text.Authenticate(hex.EncodeToString(sum[:]))
+	organisation, ok := text.AuthenticateToken(token)
 	if !ok || !organisation.Operator {
 		return "", result.New(result.Unauthorized, "not an operator's token")
 	}
--- a/internal/operator/result/code.go
+++ b/internal/operator/result/code.go
@@ -22,6 +22,17 @@
 	RanYes   Ran = "yes"
 )
 
+// Or returns the strongest of two claims on what ran: yes, maybe, no.
+func (r Ran) Or(other Ran) Ran {
+	switch {
+	case r == RanYes || other == RanYes:
+		return RanYes
+	case r == RanMaybe || other == RanMaybe:
+		return RanMaybe
+	}
+	return RanNo
+}
+
 // Result codes. 1xxx: the caller's input; 2xxx: admission; 3xxx: records;
 // 4xxx: back ends; 5xxx: operators; 9xxx: faults of the system itself.
 const (
--- a/internal/operator/services/text.go
+++ b/internal/operator/services/text.go
@@ -8,6 +8,8 @@
 package services
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"time"
 )
 
@@ -199,6 +201,12 @@
 	return find(t.organisations, t.tokens, tokenHash)
 }
 
+// AuthenticateToken returns the organisation that owns a bearer token.
+func (t *Text) AuthenticateToken(token string) (*Organisation, bool) {
+	sum := sha256.Sum256([]byte(token))
+	return t.Authenticate(hex.EncodeToString(sum[:]))
+}
+
 // Allows reports whether organisation o may call the service.
 func (o *Organisation) Allows(service string) bool {
 	if len(o.Services) == 0 {
--- a/internal/serving/call/entrance.go
+++ b/internal/serving/call/entrance.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -73,8 +71,7 @@
 	if !ok {
 		return result.New(result.Unauthorized, "no bearer token")
 	}
-	sum := sha256.Sum256([]byte(token))
-	if c.organisation, ok = c.text.Authenticate(hex.EncodeToString(sum[:])); !ok {
+	if c.organisation, ok = c.text.AuthenticateToken(token); !ok {
 		return result.New(result.Unauthorized, "unknown token")
 	}
 	return nil
--- a/internal/serving/dispatch/dispatcher.go
+++ b/internal/serving/dispatch/dispatcher.go
@@ -201,7 +201,7 @@
 		if failure == nil {
 			return nil
 		}
-		ran = worse(ran, failure.Ran())
+		ran = ran.Or(failure.Ran())
 		if a.started {
 			ran = result.RanYes
 		}
@@ -214,17 +214,6 @@
 	}
 }
 
-// worse keeps the strongest of what two attempts did: yes, maybe, no.
-func worse(a, b result.Ran) result.Ran {
-	switch {
-	case a == result.RanYes || b == result.RanYes:
-		return result.RanYes
-	case a == result.RanMaybe || b == result.RanMaybe:
-		return result.RanMaybe
-	}
-	return result.RanNo
-}
-
 func (d *Dispatcher) next(a *answer, service *services.Service, failure *result.Error, attempts int) (time.Duration, bool) {
 	if a.delivered && (!a.request.Engine() || !a.transcript.Resumable()) {
 		return 0, false
--- a/internal/serving/keeper/keeper.go
+++ b/internal/serving/keeper/keeper.go
@@ -189,13 +189,13 @@
 	for fresh := k.silent.Load(); ; {
 		id, one := k.offer(r, share, a)
 		if failure := k.await(ctx, id, one); failure != nil {
-			return failure.WithRan(most(ran, failure.Ran()))
+			return failure.WithRan(ran.Or(failure.Ran()))
 		}
 		failure, yielded := k.attempt(ctx, id, one, engine.Attempt{
 			Request: r, Backend: &k.backend, Service: service, Transcript: a.transcript, Fresh: fresh,
 		}, a)
 		if failure != nil {
-			ran = most(ran, failure.Ran())
+			ran = ran.Or(failure.Ran())
 		}
 		k.silence(failure)
 		switch {
--- a/internal/serving/keeper/leave.go
+++ b/internal/serving/keeper/leave.go
@@ -31,17 +31,6 @@
 	return result.New(result.Stopping, "back end %s is leaving", k.backend.Name)
 }
 
-// most returns the strongest of two claims on what ran: yes, maybe, no.
-func most(a, b result.Ran) result.Ran {
-	switch {
-	case a == result.RanYes || b == result.RanYes:
-		return result.RanYes
-	case a == result.RanMaybe || b == result.RanMaybe:
-		return result.RanMaybe
-	}
-	return result.RanNo
-}
-
 // SetLeaving tells the keeper of a back end, if there is one here, whether the
 // platform lists the back end as leaving.
 func (s *Set) SetLeaving(backend string, leaving bool) {
