--- /dev/null
+++ b/internal/batch/custody/manager.go
@@ -0,0 +1,223 @@
+// Package custody keeps jobs of opaque items: it accepts them, runs their items
+// in the slots that online requests leave, makes results durable and shows them.
+//
+// Each job has one owner, at first the host that accepted it. What must last
+// stands in the platform's store: the record of the job, its items, its results.
+// Every change rewrites the record on the condition that it is as the owner last
+// wrote it, so an owner that was replaced, however long it was away, can't write
+// any more; taking over is no more than rewriting the record. Any host may read
+// any job, through its owner or, if that is gone, from the store.
+//
+// A write whose answer was lost is sent again under the same conditions. Either
+// it was not done, and now is; or it was, and the record that is in the way is
+// recognised as this process's own.
+package custody
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+
+	"github.com/kingcupquay/kingcupquay/internal/batch/bulk"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/operator/routes"
+	"github.com/kingcupquay/kingcupquay/internal/record/store"
+	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
+	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
+	"github.com/kingcupquay/kingcupquay/internal/serving/placing"
+)
+
+var (
+	acceptedTotal = metrics.NewCounter("kingcupquay_jobs_accepted_total")
+	refusedTotal  = metrics.NewCounter("kingcupquay_jobs_refused_total")
+	listedTotal   = metrics.NewCounter("kingcupquay_jobs_items_listed_total")
+	startedTotal  = metrics.NewCounter("kingcupquay_jobs_items_started_total")
+	yieldedTotal  = metrics.NewCounter("kingcupquay_jobs_items_yielded_total")
+	takenTotal    = metrics.NewCounter("kingcupquay_jobs_taken_over_total")
+	lostTotal     = metrics.NewCounter("kingcupquay_jobs_lost_total")
+)
+
+// View is a piece of a job's list of results.
+type View struct {
+	Total   int           `json:"total"`
+	Next    int           `json:"next"`
+	Results []bulk.Result `json:"results"`
+}
+
+// Peers reaches the owner of a job on another host. A failure with LeaseLost
+// says that the host does not own the job; NoBackend that it can't be reached.
+type Peers interface {
+	Results(ctx context.Context, host, id string, after int, wait time.Duration) (View, *result.Error)
+	Body(ctx context.Context, host, id, item string) ([]byte, *result.Error)
+	End(ctx context.Context, host, id string) *result.Error
+	Adopt(ctx context.Context, host, id string) *result.Error
+	// Alive reports whether a host has been heard of lately.
+	Alive(host string) bool
+	// Absent reports whether the store has no sign of life of a host either.
+	Absent(ctx context.Context, host string) bool
+	// Live returns the hosts that may take over a job, this one among them.
+	Live() []string
+}
+
+// Store is what custody needs of the platform's store.
+type Store interface {
+	store.Store
+	store.Staler
+}
+
+// Options are the parts that a Manager works with.
+type Options struct {
+	// Host is this host's name, Writer unique to this process.
+	Host    string
+	Writer  string
+	Timer   timer.Service
+	Log     logr.Logger
+	Store   Store
+	Servers exchange.Servers
+	List    *backend.Directory
+	Placer  *placing.Placer
+	Config  *routes.Holder
+	Peers   Peers
+	// Accepted is told of each job that this host accepts or takes over.
+	Accepted func(id string)
+}
+
+// held is one job that this host owns.
+type held struct {
+	job *bulk.Job
+	// revision is the store's revision of the record as last written.
+	revision int64
+	runs     map[int]*run
+	// changed is closed and replaced when results are listed or the job ends.
+	changed chan struct{}
+	// since is when the oldest unlisted result was finished, zero for none.
+	since time.Time
+}
+
+// run is one item at a server.
+type run struct {
+	server backend.Server
+	cancel context.CancelFunc
+	// left says that the item was told to leave its slot.
+	left bool
+}
+
+// Manager keeps the jobs of one host. It is safe for concurrent use.
+type Manager struct {
+	Options
+
+	// writes is held while a record is written, before mu.
+	writes sync.Mutex
+
+	mu   sync.Mutex
+	jobs map[string]*held
+	// owners holds what is known of other hosts' jobs.
+	owners map[string]string
+	quotas map[string]quota
+	cold   *shelf
+	// suspects counts the scans in which a host looked gone.
+	suspects map[string]int
+	stopping bool
+
+	kick chan struct{}
+	done chan struct{}
+	wait sync.WaitGroup
+	stop context.CancelFunc
+	ctx  context.Context
+}
+
+// New returns a manager that does nothing until Start.
+func New(o Options) *Manager {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Manager{
+		Options: o, jobs: make(map[string]*held), owners: make(map[string]string), quotas: make(map[string]quota),
+		cold: newShelf(), suspects: make(map[string]int), kick: make(chan struct{}, 1), done: make(chan struct{}), ctx: ctx, stop: cancel,
+	}
+}
+
+const (
+	// scheduleEvery bounds the time between two looks at slots; most looks are
+	// caused by an end or by another host's report.
+	scheduleEvery = 20 * time.Millisecond
+	// flushEvery is the time between two looks at unlisted results.
+	flushEvery = 100 * time.Millisecond
+	// scanEvery is the time between two looks at the records of all jobs.
+	scanEvery = 2 * time.Second
+)
+
+// Start begins to run jobs, those that this host owned before among them.
+func (m *Manager) Start() {
+	loops := []struct {
+		every time.Duration
+		kick  <-chan struct{}
+		work  func()
+	}{
+		{scheduleEvery, m.kick, m.schedule},
+		{flushEvery, nil, m.flush},
+		{scanEvery, nil, m.scan},
+	}
+	m.wait.Add(1)
+	go func() {
+		defer m.wait.Done()
+		m.adoptOwn()
+		for _, l := range loops {
+			m.wait.Add(1)
+			go m.loop(l.every, l.kick, l.work)
+		}
+	}()
+}
+
+func (m *Manager) loop(every time.Duration, kick <-chan struct{}, work func()) {
+	defer m.wait.Done()
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-m.done:
+			return
+		case <-ticker.C:
+		case <-kick:
+		}
+		work()
+	}
+}
+
+// Kick makes the manager look at the slots soon.
+func (m *Manager) Kick() {
+	select {
+	case m.kick <- struct{}{}:
+	default:
+	}
+}
+
+// LearnOwner takes another host's word that it owns jobs.
+func (m *Manager) LearnOwner(host string, ids []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, id := range ids {
+		if _, own := m.jobs[id]; !own {
+			m.owners[id] = host
+		}
+	}
+}
+
+// Stop gives the jobs away and ends all runs.
+func (m *Manager) Stop(ctx context.Context) {
+	m.mu.Lock()
+	m.stopping = true
+	m.mu.Unlock()
+	close(m.done)
+	m.stop()
+	m.wait.Wait()
+	m.flush()
+	m.release(ctx)
+}
+
+func (h *held) notify() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/batch/custody/owning.go
@@ -0,0 +1,332 @@
+package custody
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/kingcupquay/kingcupquay/internal/batch/bulk"
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/record/store"
+)
+
+const (
+	// suspectScans is how many scans in a row a host must look gone before its
+	// jobs are taken over.
+	suspectScans = 1
+	// keepOver is how long a job that is over stays readable.
+	keepOver = 150 * time.Second
+	// recordPage is how many records are read at once.
+	recordPage = 400
+	// adoptRetry is the pause between tries to read this host's own jobs at its
+	// start.
+	adoptRetry = 500 * time.Millisecond
+	// releaseFor bounds the time to give jobs away at a stop.
+	releaseFor = 1500 * time.Millisecond
+)
+
+// records reads the records of all jobs.
+func (m *Manager) records(ctx context.Context) ([]bulk.Record, error) {
+	entries, _, err := store.RangeAll(ctx, m.Store, bulk.RecordPrefix, 0)
+	if err != nil {
+		return nil, err
+	}
+	return m.decode(entries), nil
+}
+
+func (m *Manager) decode(entries []store.Entry) []bulk.Record {
+	records := make([]bulk.Record, 0, len(entries))
+	for _, e := range entries {
+		r, err := bulk.DecodeRecord(e.Value)
+		if err != nil {
+			m.Log.Error(err, "record can't be read", "key", e.Key)
+			continue
+		}
+		records = append(records, r)
+	}
+	return records
+}
+
+// adoptOwn takes back the jobs that this host owned before it was started.
+func (m *Manager) adoptOwn() {
+	for {
+		records, err := m.records(m.ctx)
+		if err == nil {
+			for _, r := range records {
+				if r.Open() && r.Owner == m.Host {
+					m.take(m.ctx, r.ID, m.Host)
+				}
+			}
+			return
+		}
+		m.Log.Info("own jobs not read", "cause", err.Error())
+		select {
+		case <-m.done:
+			return
+		case <-time.After(adoptRetry):
+		}
+	}
+}
+
+// scan looks for jobs whose owner is gone, and removes what is long over.
+func (m *Manager) scan() {
+	entries, err := m.Store.RangeStale(m.ctx, bulk.RecordPrefix)
+	if err != nil {
+		m.Log.V(1).Info("records not read", "cause", err.Error())
+		return
+	}
+	now := m.Timer.Now()
+	gone := make(map[string]bool)
+	for _, r := range m.decode(entries) {
+		m.mu.Lock()
+		_, own := m.jobs[r.ID]
+		if !own {
+			m.owners[r.ID] = r.Owner
+		}
+		m.mu.Unlock()
+		switch {
+		case own || !r.Open():
+			m.clean(r, own, now)
+		case r.Owner == m.Host:
+			m.take(m.ctx, r.ID, m.Host)
+		case r.Owner == "" || m.gone(r.Owner, gone):
+			if m.chosen(r.ID) {
+				m.take(m.ctx, r.ID, r.Owner)
+			}
+		}
+	}
+	m.mu.Lock()
+	for host := range m.suspects {
+		if !gone[host] {
+			delete(m.suspects, host)
+		}
+	}
+	m.mu.Unlock()
+}
+
+// gone reports whether an owner looks gone: no host hears of it, and the store
+// has no sign of life. seen holds this scan's answers.
+func (m *Manager) gone(host string, seen map[string]bool) bool {
+	if is, known := seen[host]; known {
+		return is
+	}
+	seen[host] = false
+	if m.Peers.Alive(host) || !m.Peers.Absent(m.ctx, host) {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.suspects[host]++
+	seen[host] = m.suspects[host] >= suspectScans
+	return seen[host]
+}
+
+// chosen reports whether this host is the one of the live hosts to take a job
+// over: the one with the highest hash of host and job.
+func (m *Manager) chosen(id string) bool {
+	best, most := "", uint64(0)
+	for _, host := range m.Peers.Live() {
+		if h := xxhash.Sum64String(host + "\x00" + id); best == "" || h > most {
+			best, most = host, h
+		}
+	}
+	return best == m.Host
+}
+
+// take makes this host the owner of a job that from owns.
+func (m *Manager) take(ctx context.Context, id, from string) {
+	if err := m.tryTake(ctx, id, from); err != nil {
+		m.Log.Info("job not taken over", "job", id, "from", from, "cause", err.Error())
+	}
+}
+
+var errMoved = errors.New("its record changed meanwhile")
+
+func (m *Manager) tryTake(ctx context.Context, id, from string) error {
+	m.writes.Lock()
+	defer m.writes.Unlock()
+	e, ok, err := m.Store.Get(ctx, bulk.RecordKey(id))
+	if err != nil || !ok {
+		return err
+	}
+	r, err := bulk.DecodeRecord(e.Value)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	_, own := m.jobs[id]
+	m.mu.Unlock()
+	if own || !r.Open() {
+		return nil
+	}
+	if r.Owner != from {
+		return errMoved
+	}
+	revision := e.ModRevision
+	if r.Owner != m.Host || r.Writer != m.Writer {
+		r.Owner, r.Writer = m.Host, m.Writer
+		r.Serial++
+		text, err := r.Encode()
+		if err != nil {
+			return err
+		}
+		outcome, err := m.Store.Commit(ctx, store.Txn{
+			Compares: []store.Compare{{Key: bulk.RecordKey(id), Target: store.ModRevision, Revision: e.ModRevision}},
+			Puts:     []store.Put{{Key: bulk.RecordKey(id), Value: text}},
+		})
+		if err != nil {
+			return err
+		}
+		if !outcome.Succeeded {
+			return errMoved
+		}
+		revision = outcome.Revision
+	}
+	items, results, err := m.load(ctx, r)
+	if err != nil {
+		return err
+	}
+	attempts := 1
+	if config := m.Config.Current(); config != nil {
+		if route, ok := config.Named(r.Route); ok {
+			attempts = route.Attempts
+		}
+	}
+	m.mu.Lock()
+	m.jobs[id] = &held{
+		job: bulk.NewJob(r, items, results, attempts), revision: revision, runs: make(map[int]*run), changed: make(chan struct{}),
+	}
+	delete(m.owners, id)
+	m.mu.Unlock()
+	takenTotal.Inc()
+	m.Log.Info("job taken over", "job", id, "from", from, "listed", r.Listed, "total", r.Total, "revision", revision)
+	m.Accepted(id)
+	m.Kick()
+	return nil
+}
+
+// load reads the items and results of a job.
+func (m *Manager) load(ctx context.Context, r bulk.Record) ([]bulk.Item, []bulk.Result, error) {
+	items, err := loadParts(ctx, m.Store, bulk.BodyPrefix(r.ID), r.BodyParts, bulk.DecodeItems)
+	if err != nil {
+		return nil, nil, err
+	}
+	results, err := loadParts(ctx, m.Store, bulk.ResultPrefix(r.ID), r.ResultParts, bulk.DecodeResults)
+	return items, results, err
+}
+
+var errParts = errors.New("parts of the job are missing")
+
+// loadParts reads the first n parts below a prefix.
+func loadParts[T any](ctx context.Context, s store.Store, prefix string, n int, decode func([]byte) ([]T, error)) ([]T, error) {
+	if n == 0 {
+		return nil, nil
+	}
+	entries, _, err := store.RangeAll(ctx, s, prefix, 0)
+	if err != nil {
+		return nil, err
+	}
+	if len(entries) < n {
+		return nil, errParts
+	}
+	var all []T
+	for _, e := range entries[:n] {
+		list, err := decode(e.Value)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, list...)
+	}
+	return all, nil
+}
+
+// Adopt makes sure that a job that this host owns by its record is run.
+func (m *Manager) Adopt(ctx context.Context, id string) *result.Error {
+	m.mu.Lock()
+	_, own := m.jobs[id]
+	m.mu.Unlock()
+	if own {
+		return nil
+	}
+	if err := m.tryTake(ctx, id, m.Host); err != nil {
+		return result.New(result.LeaseLost, "%v", err)
+	}
+	return nil
+}
+
+// clean forgets and removes a job that has been over for long.
+func (m *Manager) clean(r bulk.Record, own bool, now time.Time) {
+	if r.Open() || now.Sub(r.Accepted) < keepOver || (!own && r.Owner != m.Host) {
+		return
+	}
+	txn := store.Txn{Deletes: []string{bulk.RecordKey(r.ID)}}
+	for i := range min(r.BodyParts, maxDeletes) {
+		txn.Deletes = append(txn.Deletes, bulk.BodyKey(r.ID, i))
+	}
+	for i := range min(r.ResultParts, maxDeletes) {
+		txn.Deletes = append(txn.Deletes, bulk.ResultKey(r.ID, i))
+	}
+	if _, err := m.Store.Commit(m.ctx, txn); err != nil {
+		m.Log.Info("job not removed", "job", r.ID, "cause", err.Error())
+		return
+	}
+	m.mu.Lock()
+	delete(m.jobs, r.ID)
+	delete(m.owners, r.ID)
+	m.mu.Unlock()
+	m.Log.Info("job removed", "job", r.ID, "accepted", r.Accepted)
+}
+
+// maxDeletes bounds the parts of one kind that one transaction removes.
+const maxDeletes = 14
+
+// release gives this host's open jobs to other hosts, so that they need not
+// find out that it is gone.
+func (m *Manager) release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseFor)
+	defer cancel()
+	m.writes.Lock()
+	defer m.writes.Unlock()
+	m.mu.Lock()
+	var group []change
+	for _, h := range m.jobs {
+		if h.job.Over() {
+			continue
+		}
+		after := h.job.Changed(nil)
+		after.Owner, after.Writer = m.heir(after.ID), m.Writer
+		group = append(group, change{h: h, before: h.job.Record(), after: after, revision: h.revision})
+	}
+	m.mu.Unlock()
+	for len(group) > 0 {
+		n := min(len(group), 2*groupJobs)
+		if !m.write(ctx, group[:n]) {
+			return
+		}
+		for _, c := range group[:n] {
+			if c.after.Owner == "" {
+				continue
+			}
+			if failure := m.Peers.Adopt(ctx, c.after.Owner, c.after.ID); failure != nil {
+				m.Log.Info("heir not told", "job", c.after.ID, "heir", c.after.Owner, "cause", failure.Error())
+			}
+		}
+		group = group[n:]
+	}
+}
+
+// heir is the live host that gets a job of this one, empty for none.
+func (m *Manager) heir(id string) string {
+	best, most := "", uint64(0)
+	for _, host := range m.Peers.Live() {
+		if host == m.Host {
+			continue
+		}
+		if h := xxhash.Sum64String(host + "\x00" + id); best == "" || h > most {
+			best, most = host, h
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/fleet/entry/host.go
@@ -0,0 +1,421 @@
+// Package entry is one entry host on the users' platform: it puts the parts
+// together, follows the platform's store, and starts and stops in order.
+//
+// A host serves as soon as it knows a configuration, from the store or from
+// another host, and a server. It asks nobody for leave: occupancy, configuration
+// and jobs are told between hosts by notices, and a host that hears none goes on
+// with what it knows.
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+
+	"github.com/kingcupquay/kingcupquay/internal/batch/custody"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/dial"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/notice"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/setup"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/operator/routes"
+	"github.com/kingcupquay/kingcupquay/internal/record/follow"
+	"github.com/kingcupquay/kingcupquay/internal/record/store"
+	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
+	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
+	"github.com/kingcupquay/kingcupquay/internal/serving/forward"
+	"github.com/kingcupquay/kingcupquay/internal/serving/placing"
+)
+
+// Store is what a host needs of the platform's store.
+type Store interface {
+	store.Store
+	store.Poller
+	store.Staler
+}
+
+// Adapter is the platform's manner of speaking.
+type Adapter struct {
+	Store   Store
+	Servers exchange.Servers
+	// ConfigKey holds the configuration, ServerPrefix the entries of servers.
+	ConfigKey    string
+	ServerPrefix string
+	Config       func(text []byte) (*routes.Config, error)
+	Server       func(e store.Entry) (backend.Server, error)
+	ServerID     func(key string) string
+	Front        func(h *Host) http.Handler
+	Ready        func(ready func() bool) http.Handler
+}
+
+const (
+	// missingGrace is how long a server that an outage of the store took from
+	// the list stays in use.
+	missingGrace = 2 * time.Second
+	// headerTimeout bounds the time for a request's head, idleTimeout the time
+	// that a kept connection may stay unused; both are above what the operator
+	// allows callers.
+	headerTimeout = 20 * time.Second
+	idleTimeout   = 90 * time.Second
+	// drainTime is how long connections are still accepted after the word to
+	// stop: the platform asks once a second and needs two answers.
+	drainTime = 2500 * time.Millisecond
+	// stopMargin is the part of the grace time that is kept for the end itself.
+	stopMargin = 500 * time.Millisecond
+	// jobsTold is how many of its newest jobs a host tells in each notice, for
+	// jobsToldFor.
+	jobsTold    = 24
+	jobsToldFor = 2 * time.Second
+)
+
+// Host is one entry host.
+type Host struct {
+	settings *setup.Entry
+	timer    timer.Service
+	log      logr.Logger
+	adapter  Adapter
+
+	config    routes.Holder
+	list      *backend.Directory
+	placer    *placing.Placer
+	forwarder *forward.Forwarder
+	jobs      *custody.Manager
+	book      *notice.Book
+	notices   *notice.Exchange
+	peers     *peers
+
+	stopping atomic.Bool
+	fetching atomic.Bool
+	servers  []*http.Server
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wait     sync.WaitGroup
+
+	mu sync.Mutex
+	// told are jobs that this host has come to own, with when.
+	told []toldJob
+}
+
+type toldJob struct {
+	id string
+	at time.Time
+}
+
+// New returns a host that does nothing until Start.
+func New(s *setup.Entry, log logr.Logger, t timer.Service, a Adapter) *Host {
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &Host{settings: s, timer: t, log: log, adapter: a, ctx: ctx, cancel: cancel}
+	h.book = notice.NewBook(s.Name, s.PeerAddress, func(host string, live bool) {
+		log.Info("host seen", "host", host, "live", live)
+	})
+	h.placer = placing.New(s.Name, s.Zone, rand.Float64, h.changed)
+	h.list = backend.NewDirectory(missingGrace, func(b backend.Server, state string) {
+		log.Info("server", "server", b.ID, "service", b.Service, "address", b.Address, "zone", b.Zone, "slots", b.Slots, "state", state)
+	})
+	h.forwarder = forward.New(t, log, a.Servers, h.list, h.placer)
+	h.peers = newPeers(h)
+	h.jobs = custody.New(custody.Options{
+		Host: s.Name, Writer: s.Name + "/" + strconv.FormatInt(t.Now().UnixNano(), 36), Timer: t, Log: log, Store: a.Store,
+		Servers: a.Servers, List: h.list, Placer: h.placer, Config: &h.config, Peers: h.peers, Accepted: h.tellJob,
+	})
+	return h
+}
+
+func (h *Host) changed() {
+	if h.notices != nil {
+		h.notices.Changed()
+	}
+}
+
+// Start begins to serve; an error says that an address can't be bound.
+func (h *Host) Start() error {
+	exchange, err := notice.Open(h.timer, h.log, h.book, h.settings.PeerAddress, h.compose, h.heard)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	h.notices = exchange
+	listeners := []struct {
+		address string
+		handler http.Handler
+	}{
+		{h.settings.PeerAddress, h.peers.handler()},
+		{h.settings.CallerAddress, h.adapter.Front(h)},
+		{h.settings.ReadyAddress, h.adapter.Ready(h.Ready)},
+		{h.settings.MetricsAddress, metricsHandler()},
+	}
+	for _, l := range listeners {
+		if l.address == "" {
+			continue
+		}
+		server, err := serve(h.log, l.address, l.handler)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		h.servers = append(h.servers, server)
+	}
+	h.learnSeeds()
+	h.notices.Start()
+	h.follow(h.adapter.ConfigKey, (*configReader)(h))
+	h.follow(h.adapter.ServerPrefix, (*serverReader)(h))
+	h.wait.Add(1)
+	go h.lease()
+	h.jobs.Start()
+	h.timer.Every(missingGrace/4, func(now time.Time) { h.list.Expire(now) })
+	h.log.Info("started", "host", h.settings.Name, "zone", h.settings.Zone, "callers", h.settings.CallerAddress, "peers", h.settings.PeerAddress, "seeds", len(h.settings.Seeds))
+	return nil
+}
+
+// serve listens on address and serves handler.
+func serve(log logr.Logger, address string, handler http.Handler) (*http.Server, error) {
+	config := net.ListenConfig{KeepAliveConfig: dial.KeepAlive(), Control: dial.SetUnacknowledged}
+	listener, err := config.Listen(context.Background(), "tcp4", address)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	go func() {
+		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			log.Error(err, "listener ended", "address", address)
+		}
+	}()
+	return server, nil
+}
+
+func metricsHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+}
+
+// learnSeeds takes the hosts to begin with; their notices go to the port that
+// is the same on all hosts.
+func (h *Host) learnSeeds() {
+	_, port, err := net.SplitHostPort(h.settings.PeerAddress)
+	if err != nil {
+		return
+	}
+	for _, seed := range h.settings.Seeds {
+		ip, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			h.log.Info("seed can't be used", "seed", seed, "cause", err.Error())
+			continue
+		}
+		h.book.Learn(h.timer.Now(), net.JoinHostPort(ip, port))
+	}
+}
+
+func (h *Host) follow(prefix string, reader follow.Reader) {
+	f := follow.New(h.timer, h.log, h.adapter.Store, prefix, reader)
+	h.wait.Add(1)
+	go func() {
+		defer h.wait.Done()
+		f.Run(h.ctx)
+	}()
+}
+
+// Ready reports whether callers may come.
+func (h *Host) Ready() bool {
+	return !h.stopping.Load() && h.config.Current() != nil && h.list.Len() > 0
+}
+
+// Stop ends the host: callers are sent elsewhere, what is in work is answered,
+// jobs go to other hosts.
+func (h *Host) Stop() {
+	began := h.timer.Now()
+	h.stopping.Store(true)
+	h.notices.Changed()
+	h.log.Info("stopping", "host", h.settings.Name)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(h.settings.GraceSeconds*float64(time.Second))-stopMargin)
+	defer cancel()
+	h.jobs.Stop(ctx)
+	select {
+	case <-time.After(drainTime - h.timer.Now().Sub(began)):
+	case <-ctx.Done():
+	}
+	for _, server := range h.servers {
+		if err := server.Shutdown(ctx); err != nil {
+			h.log.Info("requests left at the end", "cause", err.Error())
+		}
+	}
+	h.cancel()
+	h.notices.Close()
+	h.wait.Wait()
+	h.log.Info("stopped", "host", h.settings.Name, "took_ms", h.timer.Now().Sub(began).Milliseconds())
+}
+
+// tellJob notes a job to tell other hosts of.
+func (h *Host) tellJob(id string) {
+	h.mu.Lock()
+	h.told = append(h.told, toldJob{id: id, at: h.timer.Now()})
+	h.mu.Unlock()
+	h.changed()
+}
+
+func (h *Host) newJobs() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.timer.Now()
+	for len(h.told) > 0 && now.Sub(h.told[0].at) > jobsToldFor {
+		h.told = h.told[1:]
+	}
+	var ids []string
+	for i := max(0, len(h.told)-jobsTold); i < len(h.told); i++ {
+		ids = append(ids, h.told[i].id)
+	}
+	return ids
+}
+
+func (h *Host) compose() notice.Notice {
+	loads, backlog := h.placer.Own()
+	return notice.Notice{
+		Host: h.settings.Name, Zone: h.settings.Zone, Address: h.settings.PeerAddress, Config: h.config.Version(),
+		Stopping: h.stopping.Load(), Loads: loads, Backlog: backlog, Jobs: h.newJobs(), Known: h.book.Addresses(),
+	}
+}
+
+// heard takes a notice.
+func (h *Host) heard(n notice.Notice) {
+	h.placer.Report(n.Host, h.timer.Now(), n.Loads, n.Backlog)
+	if len(n.Jobs) > 0 {
+		h.jobs.LearnOwner(n.Host, n.Jobs)
+	}
+	if n.Config > h.config.Version() && h.fetching.CompareAndSwap(false, true) {
+		go func() {
+			defer h.fetching.Store(false)
+			h.fetchConfig(n.Address)
+		}()
+	}
+	h.jobs.Kick()
+}
+
+func (h *Host) fetchConfig(address string) {
+	text, err := h.peers.config(h.ctx, address)
+	if err != nil {
+		h.log.Info("configuration not fetched", "from", address, "cause", err.Error())
+		return
+	}
+	h.offer(text, address)
+}
+
+// offer puts a configuration in force if it is newer than what is.
+func (h *Host) offer(text []byte, from string) {
+	config, err := h.adapter.Config(text)
+	if err != nil {
+		h.log.Error(err, "configuration can't be read", "from", from)
+		return
+	}
+	if h.config.Offer(config) {
+		h.log.Info("configuration in force", "version", config.Version(), "from", from)
+		h.changed()
+	}
+}
+
+// configReader takes the configuration from the store.
+type configReader Host
+
+var _ follow.Reader = (*configReader)(nil)
+
+// Listed takes the configuration that stands in the store.
+func (r *configReader) Listed(entries []store.Entry, _ bool) {
+	for _, e := range entries {
+		r.take(e)
+	}
+}
+
+// Changed takes a new configuration.
+func (r *configReader) Changed(e store.Event, _ bool) {
+	if !e.Deleted {
+		r.take(e.Entry)
+	}
+}
+
+func (r *configReader) take(e store.Entry) {
+	if e.Key == r.adapter.ConfigKey {
+		(*Host)(r).offer(e.Value, "store")
+	}
+}
+
+// serverReader takes the list of servers from the store.
+type serverReader Host
+
+var _ follow.Reader = (*serverReader)(nil)
+
+// Listed takes the whole list.
+func (r *serverReader) Listed(entries []store.Entry, settling bool) {
+	var list []backend.Server
+	for _, e := range entries {
+		s, err := r.adapter.Server(e)
+		if err != nil {
+			r.log.Info("entry names no server", "key", e.Key, "cause", err.Error())
+			continue
+		}
+		list = append(list, s)
+	}
+	r.list.Replace(r.timer.Now(), list, settling)
+}
+
+// Changed takes one changed entry.
+func (r *serverReader) Changed(e store.Event, settling bool) {
+	id := r.adapter.ServerID(e.Key)
+	if e.Deleted {
+		r.list.Remove(r.timer.Now(), id, settling)
+		r.placer.Forget(id)
+		return
+	}
+	s, err := r.adapter.Server(e.Entry)
+	if err != nil {
+		r.log.Info("entry names no server", "key", e.Key, "cause", err.Error())
+		r.list.Remove(r.timer.Now(), id, false)
+		return
+	}
+	r.list.Put(s)
+}
+
+// The methods below are what callers' requests are served with.
+
+// Now is the time that calls are dated with.
+func (h *Host) Now() time.Time { return h.timer.Now() }
+
+// Config is the configuration in force, nil before the first.
+func (h *Host) Config() *routes.Config { return h.config.Current() }
+
+// Stopping reports whether connections should end with their next answer.
+func (h *Host) Stopping() bool { return h.stopping.Load() }
+
+// Serve answers a call; see forward.Forwarder.
+func (h *Host) Serve(ctx context.Context, c *exchange.Call, out forward.Out) (bool, *result.Error) {
+	return h.forwarder.Serve(ctx, c, out)
+}
+
+// Submit accepts a job; see custody.Manager.
+func (h *Host) Submit(ctx context.Context, s custody.Submission) *result.Error {
+	return h.jobs.Submit(ctx, s)
+}
+
+// Results reads a job's results.
+func (h *Host) Results(ctx context.Context, id string, after int, wait time.Duration) (custody.View, *result.Error) {
+	return h.jobs.Results(ctx, id, after, wait, true)
+}
+
+// Body reads the body of an item.
+func (h *Host) Body(ctx context.Context, id, item string) ([]byte, *result.Error) {
+	return h.jobs.Body(ctx, id, item, true)
+}
+
+// End ends a job.
+func (h *Host) End(ctx context.Context, id string) *result.Error {
+	return h.jobs.End(ctx, id, true)
+}
+
+// Refused notes a request that was refused before it became a call.
+func (h *Host) Refused(id, target string, failure *result.Error) {
+	h.log.Info("refused", "request", id, "path", target, "cause", failure.Error(), "config", h.config.Version())
+}
--- /dev/null
+++ b/internal/fleet/notice/notice.go
@@ -0,0 +1,197 @@
+// Package notice carries what hosts tell one another all the time: that they
+// live, which configuration they have, how many requests they have at each
+// server, and which jobs they own.
+//
+// A notice is a datagram; it may be lost, late or out of order. Each one is
+// whole, so the newest wins, and the number that a host counts its notices with
+// shows which that is. A host sends soon after a change and several times in
+// the time after which it would be held gone. Hosts learn of each other from
+// the addresses they start with, from the store, and from one another.
+package notice
+
+import (
+	"encoding/json"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/kingcupquay/kingcupquay/internal/serving/placing"
+)
+
+// Notice is what one host tells.
+type Notice struct {
+	Host string `json:"h"`
+	Zone string `json:"z"`
+	// Address is IP:PORT for notices (UDP) and calls (TCP) of other hosts.
+	Address string `json:"a"`
+	// Start is unique to a start of the host and grows with each; Number grows
+	// with each notice of a start.
+	Start  int64 `json:"s"`
+	Number int64 `json:"n"`
+	// Config is the version of the configuration in force there.
+	Config int64 `json:"c,omitempty"`
+	// Stopping says that the host takes no new jobs and will be gone.
+	Stopping bool                    `json:"x,omitempty"`
+	Loads    map[string]placing.Load `json:"l,omitempty"`
+	Backlog  int                     `json:"b,omitempty"`
+	// Jobs are some jobs that the host has come to own lately.
+	Jobs []string `json:"j,omitempty"`
+	// Known are addresses of other hosts.
+	Known []string `json:"k,omitempty"`
+}
+
+// Encode returns the datagram.
+func (n Notice) Encode() ([]byte, error) {
+	text, err := json.Marshal(n)
+	return text, trace.Wrap(err)
+}
+
+// Decode reads a datagram.
+func Decode(datagram []byte) (Notice, error) {
+	var n Notice
+	if err := json.Unmarshal(datagram, &n); err != nil {
+		return n, trace.BadParameter("notice: %v", err)
+	}
+	if n.Host == "" || n.Address == "" {
+		return n, trace.BadParameter("notice without host or address")
+	}
+	return n, nil
+}
+
+const (
+	// SilentAfter is how long a host that is not heard counts as live; notices
+	// come several times in it.
+	SilentAfter = 1500 * time.Millisecond
+	// forgetAfter is how long a silent address is still told.
+	forgetAfter = 60 * time.Second
+)
+
+// Peer is another host as last heard.
+type Peer struct {
+	Notice
+	Heard time.Time
+}
+
+// Book holds what other hosts told. It is safe for concurrent use.
+type Book struct {
+	self    string
+	address string
+
+	mu    sync.Mutex
+	peers map[string]*Peer
+	// addresses are all that notices go to, with when each was last heard of.
+	addresses map[string]time.Time
+	live      map[string]bool
+	changed   func(host string, live bool)
+}
+
+// NewBook returns a book of a host; changed is told when a host comes to live
+// or falls silent.
+func NewBook(self, address string, changed func(host string, live bool)) *Book {
+	return &Book{
+		self: self, address: address, peers: make(map[string]*Peer), addresses: make(map[string]time.Time),
+		live: make(map[string]bool), changed: changed,
+	}
+}
+
+// Learn adds addresses that notices go to.
+func (b *Book) Learn(now time.Time, addresses ...string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.learn(now, addresses)
+}
+
+func (b *Book) learn(now time.Time, addresses []string) {
+	for _, a := range addresses {
+		if _, known := b.addresses[a]; !known && a != b.address && a != "" {
+			b.addresses[a] = now
+		}
+	}
+}
+
+// Take takes a notice and reports whether it is newer than all before.
+func (b *Book) Take(now time.Time, n Notice) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n.Host == b.self {
+		return false
+	}
+	old, known := b.peers[n.Host]
+	if known && (n.Start < old.Start || (n.Start == old.Start && n.Number <= old.Number)) {
+		return false
+	}
+	if known && old.Address != n.Address {
+		delete(b.addresses, old.Address)
+	}
+	b.peers[n.Host] = &Peer{Notice: n, Heard: now}
+	b.addresses[n.Address] = now
+	b.learn(now, n.Known)
+	if !b.live[n.Host] {
+		b.live[n.Host] = true
+		b.changed(n.Host, true)
+	}
+	return true
+}
+
+// Expire notes the hosts that have fallen silent.
+func (b *Book) Expire(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for host, p := range b.peers {
+		if b.live[host] && now.Sub(p.Heard) > SilentAfter {
+			b.live[host] = false
+			b.changed(host, false)
+		}
+	}
+	for a, heard := range b.addresses {
+		if now.Sub(heard) > forgetAfter {
+			delete(b.addresses, a)
+		}
+	}
+}
+
+// Addresses returns where notices go.
+func (b *Book) Addresses() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := make([]string, 0, len(b.addresses))
+	for a := range b.addresses {
+		list = append(list, a)
+	}
+	sort.Strings(list)
+	return list
+}
+
+// Alive reports whether a host has been heard lately.
+func (b *Book) Alive(host string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return host == b.self || b.live[host]
+}
+
+// Peer returns what a host last told.
+func (b *Book) Peer(host string) (Peer, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p, ok := b.peers[host]
+	if !ok {
+		return Peer{}, false
+	}
+	return *p, true
+}
+
+// Live returns the live hosts that do not stop, in order, without this one.
+func (b *Book) Live() []Peer {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []Peer
+	for host, p := range b.peers {
+		if b.live[host] && !p.Stopping {
+			list = append(list, *p)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Host < list[j].Host })
+	return list
+}
--- /dev/null
+++ b/internal/fleet/notice/sender.go
@@ -0,0 +1,143 @@
+package notice
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+
+	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
+)
+
+const (
+	// spacing is the least time between two notices of a host.
+	spacing = 8 * time.Millisecond
+	// heartbeat is the most.
+	heartbeat = 250 * time.Millisecond
+	// maxDatagram bounds a notice.
+	maxDatagram = 60 << 10
+)
+
+// Exchange sends this host's notices and receives those of others.
+type Exchange struct {
+	timer timer.Service
+	log   logr.Logger
+	book  *Book
+	conn  *net.UDPConn
+	// compose gives the notice to send; Host to Number are filled in here.
+	compose func() Notice
+	// heard takes each notice that is newer than all before from its host.
+	heard func(n Notice)
+	start int64
+
+	changed chan struct{}
+	done    chan struct{}
+	wait    sync.WaitGroup
+}
+
+// Open binds address and returns an exchange that Start runs.
+func Open(t timer.Service, log logr.Logger, book *Book, address string, compose func() Notice, heard func(Notice)) (*Exchange, error) {
+	local, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	conn, err := net.ListenUDP("udp4", local)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	return &Exchange{
+		timer: t, log: log, book: book, conn: conn, compose: compose, heard: heard, start: t.Now().UnixNano(),
+		changed: make(chan struct{}, 1), done: make(chan struct{}),
+	}, nil
+}
+
+// Start begins to send and receive.
+func (e *Exchange) Start() {
+	e.wait.Add(2)
+	go e.receive()
+	go e.send()
+}
+
+// Changed makes a notice leave soon.
+func (e *Exchange) Changed() {
+	select {
+	case e.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Close ends the exchange.
+func (e *Exchange) Close() {
+	close(e.done)
+	_ = e.conn.Close()
+	e.wait.Wait()
+}
+
+func (e *Exchange) send() {
+	defer e.wait.Done()
+	ticker := time.NewTicker(heartbeat)
+	defer ticker.Stop()
+	for number := int64(1); ; number++ {
+		e.tell(number)
+		pause := time.NewTimer(spacing)
+		select {
+		case <-pause.C:
+		case <-e.done:
+			pause.Stop()
+			return
+		}
+		select {
+		case <-e.changed:
+		case <-ticker.C:
+		case <-e.done:
+			return
+		}
+		e.book.Expire(e.timer.Now())
+	}
+}
+
+func (e *Exchange) tell(number int64) {
+	n := e.compose()
+	n.Start, n.Number = e.start, number
+	datagram, err := n.Encode()
+	if err != nil || len(datagram) > maxDatagram {
+		e.log.Info("notice not sent", "bytes", len(datagram), "cause", trace.UserMessage(err))
+		return
+	}
+	for _, address := range e.book.Addresses() {
+		to, err := net.ResolveUDPAddr("udp4", address)
+		if err != nil {
+			e.log.Info("address can't be used", "address", address, "cause", err.Error())
+			continue
+		}
+		// A datagram that can't leave is like one that is lost.
+		if _, err := e.conn.WriteToUDP(datagram, to); err != nil && errors.Is(err, net.ErrClosed) {
+			return
+		}
+	}
+}
+
+func (e *Exchange) receive() {
+	defer e.wait.Done()
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := e.conn.ReadFromUDP(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		one, err := Decode(buffer[:n])
+		if err != nil {
+			e.log.Info("notice dropped", "cause", err.Error())
+			continue
+		}
+		if e.book.Take(e.timer.Now(), one) {
+			e.heard(one)
+		}
+	}
+}
--- a/internal/operator/command/command.go
+++ b/internal/operator/command/command.go
@@ -55,6 +55,7 @@
 	app.HelpFlag.Short('h')
 	actions := make(map[string]func() error)
 	s.addRunCommands(app, actions)
+	s.addPlatformCommands(app, actions)
 	s.addOperatorCommands(app, actions)
 	s.addQuarantineCommands(app, actions)
 	s.addCallerCommands(app, actions)
--- a/internal/record/store/store.go
+++ b/internal/record/store/store.go
@@ -76,6 +76,9 @@
 	Succeeded bool
 	// Revision is the store's revision after the transaction.
 	Revision int64
+	// Current holds the existing keys under conditions when one did not hold,
+	// if the service tells them.
+	Current []Entry
 }
 
 // Event is one change seen by a watch; Deleted has only a key and ModRevision.
@@ -105,6 +108,20 @@
 	Watch(ctx context.Context, prefix string, revision int64, fn func(Event)) error
 }
 
+// Poller waits for changes one call at a time, so that a reader knows how far
+// it has got even while nothing changes.
+type Poller interface {
+	// Poll returns the changes below prefix after a revision, waiting at most
+	// wait for the first, and the revision to go on from.
+	Poll(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error)
+}
+
+// Staler reads at a lower price what may be some seconds old.
+type Staler interface {
+	// RangeStale returns the entries with the prefix.
+	RangeStale(ctx context.Context, prefix string) ([]Entry, error)
+}
+
 // PrefixEnd returns the first key after all keys that begin with prefix.
 func PrefixEnd(prefix string) string {
 	end := []byte(prefix)
--- /dev/null
+++ b/internal/serving/placing/online.go
@@ -0,0 +1,97 @@
+package placing
+
+import (
+	"time"
+
+	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
+)
+
+const (
+	// crossingCost is what another zone costs: a way there and back.
+	crossingCost = 7 * time.Millisecond
+	// crowdCost is what a server with all slots but one taken costs against an
+	// empty one: the chance that another host takes the slot at the same time.
+	crowdCost = 12 * time.Millisecond
+	// yieldCost is how long a batch item takes to leave its slot.
+	yieldCost = 15 * time.Millisecond
+	// drawCost spreads hosts that see the same occupancy over equal servers.
+	drawCost = 3 * time.Millisecond
+	// retryShortest and retryLongest bound the time after which a refused
+	// request is asked to come back; it is drawn between them, so that those
+	// refused together do not return together.
+	retryShortest = 300 * time.Millisecond
+	retryLongest  = 1500 * time.Millisecond
+)
+
+// Choice is the answer of Choose.
+type Choice struct {
+	Server backend.Server
+	// Wait is the time until a slot is expected to be free.
+	Wait time.Duration
+	// Placed says that the request counts at Server until Ended is called.
+	Placed bool
+	// RetryAfter is set if it was not placed.
+	RetryAfter time.Duration
+}
+
+// Choose places an online request on one of the servers, or refuses it if none
+// is expected to have a slot within patience. Servers in avoid are left out.
+func (p *Placer) Choose(now time.Time, servers []backend.Server, avoid map[string]bool, patience time.Duration) Choice {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best Choice
+	bestCost := time.Duration(-1)
+	for _, mayRest := range []bool{false, true} {
+		for _, s := range servers {
+			if avoid[s.ID] {
+				continue
+			}
+			resting, failing := p.resting(now, s.ID)
+			if resting && !mayRest {
+				continue
+			}
+			wait := p.wait(now, s)
+			cost := wait + failing + p.nuisance(now, s)
+			if bestCost < 0 || cost < bestCost {
+				best, bestCost = Choice{Server: s, Wait: wait}, cost
+			}
+		}
+		if bestCost >= 0 {
+			break
+		}
+	}
+	if bestCost < 0 || best.Wait > patience {
+		return Choice{Wait: best.Wait, RetryAfter: p.comeBack()}
+	}
+	best.Placed = true
+	p.add(best.Server.ID, 1, 0)
+	return best
+}
+
+// wait estimates how long a new online request waits for a slot.
+func (p *Placer) wait(now time.Time, s backend.Server) time.Duration {
+	l := p.total(now, s.ID)
+	if l.sum() < s.Slots {
+		return 0
+	}
+	// Batch leaves for online, so only what online alone has too much waits.
+	over := l.Online - s.Slots + 1
+	if over <= 0 {
+		return yieldCost
+	}
+	return yieldCost + p.mean(s.Service)*time.Duration(over)/time.Duration(s.Slots)
+}
+
+// nuisance orders servers that have a slot.
+func (p *Placer) nuisance(now time.Time, s backend.Server) time.Duration {
+	cost := time.Duration(p.draw() * float64(drawCost))
+	cost += crowdCost * time.Duration(min(p.total(now, s.ID).sum(), s.Slots)) / time.Duration(s.Slots)
+	if s.Zone != p.zone {
+		cost += crossingCost
+	}
+	return cost
+}
+
+func (p *Placer) comeBack() time.Duration {
+	return retryShortest + time.Duration(p.draw()*float64(retryLongest-retryShortest))
+}
