Hear of silent changes from other readers, tell owners of ends, survive SIGHUP

Exit 129: SIGHUP was not handled. Change: polls wait 0.35 s a reader and a host that knows more nudges the others; ends travel in notices; settings are read again on SIGHUP or change of the file.

--- a/internal/batch/custody/manager.go
+++ b/internal/batch/custody/manager.go
@@ -84,6 +84,9 @@
 	Peers   Peers
 	// Accepted is told of each job that this host accepts or takes over.
 	Accepted func(id string)
+	// Ended is told of each job that was ended through this host without its
+	// owner's knowledge.
+	Ended func(id string)
 }
 
 // held is one job that this host owns.
@@ -94,6 +97,8 @@
 	runs     map[int]*run
 	// changed is closed and replaced when results are listed or the job ends.
 	changed chan struct{}
+	// looking says that the record is being read for another host's change.
+	looking bool
 	// since is when the oldest unlisted result was finished, zero for none.
 	since time.Time
 }
@@ -205,6 +210,13 @@
 	}
 }
 
+// LearnEnded takes another host's word that jobs were ended.
+func (m *Manager) LearnEnded(ids []string) {
+	for _, id := range ids {
+		m.refresh(id)
+	}
+}
+
 // Stop gives the jobs away and ends all runs.
 func (m *Manager) Stop(ctx context.Context) {
 	m.mu.Lock()
--- a/internal/batch/custody/owning.go
+++ b/internal/batch/custody/owning.go
@@ -87,6 +87,9 @@
 		}
 		m.mu.Unlock()
 		switch {
+		case own && r.Ended:
+			m.refresh(r.ID)
+			m.clean(r, own, now)
 		case own || !r.Open():
 			m.clean(r, own, now)
 		case r.Owner == m.Host:
--- a/internal/batch/custody/reading.go
+++ b/internal/batch/custody/reading.go
@@ -260,4 +260,3 @@
 	}
 	return body, nil
 }
-
--- a/internal/batch/custody/writing.go
+++ b/internal/batch/custody/writing.go
@@ -189,6 +189,7 @@
 			m.Log.Error(err, "record can't be read", "job", c.after.ID)
 			return false
 		case now.Writer == c.after.Writer && now.Serial == c.after.Serial:
+			// Either the write, or what was there before a look.
 			m.wrote([]change{c}, e.ModRevision)
 		case now.Owner != m.Host || now.Listed != c.before.Listed:
 			m.drop(c.h, "owned by "+now.Owner)
@@ -204,6 +205,32 @@
 	return true
 }
 
+// refresh looks whether another host changed the record of a job of this one.
+// Looks at one job are one at a time, and none is needed once it is over.
+func (m *Manager) refresh(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h, own := m.jobs[id]
+	if !own || h.job.Over() || h.looking {
+		return
+	}
+	h.looking = true
+	m.wait.Add(1)
+	go func() {
+		defer m.wait.Done()
+		m.writes.Lock()
+		m.mu.Lock()
+		r := h.job.Record()
+		c := change{h: h, before: r, after: r, revision: h.revision}
+		m.mu.Unlock()
+		m.settle(m.writing(), []change{c})
+		m.writes.Unlock()
+		m.mu.Lock()
+		h.looking = false
+		m.mu.Unlock()
+	}()
+}
+
 // cancelRuns ends the runs of a job that has ended; the caller holds m.mu.
 func (m *Manager) cancelRuns(h *held, ended bool) {
 	if !ended {
@@ -306,6 +333,7 @@
 			Puts:     []store.Put{{Key: bulk.RecordKey(id), Value: text}},
 		})
 		if err == nil && outcome.Succeeded {
+			m.Ended(id)
 			m.Log.Info("job ended for its owner", "job", id, "owner", r.Owner, "revision", outcome.Revision)
 			return nil
 		}
--- a/internal/fleet/disk/host.go
+++ b/internal/fleet/disk/host.go
@@ -26,6 +26,8 @@
 }
 
 const (
+	// diskReaders sets how long a poll waits: an order allows many seconds.
+	diskReaders = 20
 	// answerTries bounds the tries to answer one order.
 	answerTries = 40
 	// answerPause is the pause between them.
@@ -48,7 +50,7 @@
 func New(s *setup.Entry, log logr.Logger, t timer.Service, a Adapter) *Host {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{log: log.WithValues("host", s.Name), adapter: a, ctx: ctx, cancel: cancel}
-	h.follow = follow.New(t, h.log, a.Store, a.OrderKey, h)
+	h.follow = follow.New(t, h.log, a.Store, a.OrderKey, h, func() int { return diskReaders })
 	return h
 }
 
--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -93,6 +93,9 @@
 	book      *notice.Book
 	notices   *notice.Exchange
 	peers     *peers
+	// texts and registry follow the configuration and the list of servers.
+	texts    *follow.Follower
+	registry *follow.Follower
 
 	stopping atomic.Bool
 	fetching atomic.Bool
@@ -102,15 +105,32 @@
 	wait     sync.WaitGroup
 
 	mu sync.Mutex
-	// told are jobs that this host has come to own, with when.
-	told []toldJob
+	// told are jobs that this host has come to own, ended those that were ended
+	// through it.
+	told  recent
+	ended recent
 }
 
-type toldJob struct {
+// recent is a list of jobs that something has happened to, oldest first.
+type recent []recentJob
+
+type recentJob struct {
 	id string
 	at time.Time
 }
 
+// newest drops what is too old to be told and returns the newest of the rest.
+func (r *recent) newest(now time.Time) []string {
+	for len(*r) > 0 && now.Sub((*r)[0].at) > jobsToldFor {
+		*r = (*r)[1:]
+	}
+	var ids []string
+	for _, one := range (*r)[max(0, len(*r)-jobsTold):] {
+		ids = append(ids, one.id)
+	}
+	return ids
+}
+
 // New returns a host that does nothing until Start.
 func New(s *setup.Entry, log logr.Logger, t timer.Service, a Adapter) *Host {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -124,9 +144,13 @@
 	})
 	h.forwarder = forward.New(t, log, a.Servers, h.list, h.placer)
 	h.peers = newPeers(h)
+	readers := func() int { return 1 + len(h.book.Live()) }
+	h.texts = follow.New(t, log, a.Store, a.ConfigKey, (*configReader)(h), readers)
+	h.registry = follow.New(t, log, a.Store, a.ServerPrefix, (*serverReader)(h), readers)
 	h.jobs = custody.New(custody.Options{
 		Host: s.Name, Writer: s.Name + "/" + strconv.FormatInt(t.Now().UnixNano(), 36), Timer: t, Log: log, Store: a.Store,
-		Servers: a.Servers, List: h.list, Placer: h.placer, Config: &h.config, Peers: h.peers, Accepted: h.tellJob,
+		Servers: a.Servers, List: h.list, Placer: h.placer, Config: &h.config, Peers: h.peers,
+		Accepted: func(id string) { h.tell(&h.told, id) }, Ended: func(id string) { h.tell(&h.ended, id) },
 	})
 	return h
 }
@@ -163,10 +187,10 @@
 		}
 		h.servers = append(h.servers, server)
 	}
-	h.learnSeeds()
+	h.learnSeeds(h.settings.Seeds)
 	h.notices.Start()
-	h.follow(h.adapter.ConfigKey, (*configReader)(h))
-	h.follow(h.adapter.ServerPrefix, (*serverReader)(h))
+	h.run(h.texts)
+	h.run(h.registry)
 	h.wait.Add(1)
 	go h.lease()
 	h.jobs.Start()
@@ -197,12 +221,12 @@
 
 // learnSeeds takes the hosts to begin with; their notices go to the port that
 // is the same on all hosts.
-func (h *Host) learnSeeds() {
+func (h *Host) learnSeeds(seeds []string) {
 	_, port, err := net.SplitHostPort(h.settings.PeerAddress)
 	if err != nil {
 		return
 	}
-	for _, seed := range h.settings.Seeds {
+	for _, seed := range seeds {
 		ip, _, err := net.SplitHostPort(seed)
 		if err != nil {
 			h.log.Info("seed can't be used", "seed", seed, "cause", err.Error())
@@ -212,8 +236,7 @@
 	}
 }
 
-func (h *Host) follow(prefix string, reader follow.Reader) {
-	f := follow.New(h.timer, h.log, h.adapter.Store, prefix, reader)
+func (h *Host) run(f *follow.Follower) {
 	h.wait.Add(1)
 	go func() {
 		defer h.wait.Done()
@@ -221,6 +244,12 @@
 	}()
 }
 
+// Reload takes changed settings; addresses stay as they were at the start.
+func (h *Host) Reload(s *setup.Entry) {
+	h.log.Info("settings reloaded", "seeds", len(s.Seeds), "memory_mb", s.MemoryMB, "log_lines", s.LogLines)
+	h.learnSeeds(s.Seeds)
+}
+
 // Ready reports whether callers may come.
 func (h *Host) Ready() bool {
 	return !h.stopping.Load() && h.config.Current() != nil && h.list.Len() > 0
@@ -251,42 +280,37 @@
 	h.log.Info("stopped", "host", h.settings.Name, "took_ms", h.timer.Now().Sub(began).Milliseconds())
 }
 
-// tellJob notes a job to tell other hosts of.
-func (h *Host) tellJob(id string) {
+// tell notes a job to tell other hosts of.
+func (h *Host) tell(list *recent, id string) {
 	h.mu.Lock()
-	h.told = append(h.told, toldJob{id: id, at: h.timer.Now()})
+	*list = append(*list, recentJob{id: id, at: h.timer.Now()})
 	h.mu.Unlock()
 	h.changed()
 }
 
-func (h *Host) newJobs() []string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := h.timer.Now()
-	for len(h.told) > 0 && now.Sub(h.told[0].at) > jobsToldFor {
-		h.told = h.told[1:]
-	}
-	var ids []string
-	for i := max(0, len(h.told)-jobsTold); i < len(h.told); i++ {
-		ids = append(ids, h.told[i].id)
-	}
-	return ids
-}
-
 func (h *Host) compose() notice.Notice {
 	loads, backlog := h.placer.Own()
+	now := h.timer.Now()
+	h.mu.Lock()
+	told, ended := h.told.newest(now), h.ended.newest(now)
+	h.mu.Unlock()
 	return notice.Notice{
 		Host: h.settings.Name, Zone: h.settings.Zone, Address: h.settings.PeerAddress, Config: h.config.Version(),
-		Stopping: h.stopping.Load(), Loads: loads, Backlog: backlog, Jobs: h.newJobs(), Known: h.book.Addresses(),
+		Servers: h.registry.Applied(), Stopping: h.stopping.Load(), Loads: loads, Backlog: backlog, Jobs: told, Ended: ended,
+		Known: h.book.Addresses(),
 	}
 }
 
 // heard takes a notice.
 func (h *Host) heard(n notice.Notice) {
 	h.placer.Report(n.Host, h.timer.Now(), n.Loads, n.Backlog)
+	h.registry.Nudge(n.Servers)
 	if len(n.Jobs) > 0 {
 		h.jobs.LearnOwner(n.Host, n.Jobs)
 	}
+	if len(n.Ended) > 0 {
+		h.jobs.LearnEnded(n.Ended)
+	}
 	if n.Config > h.config.Version() && h.fetching.CompareAndSwap(false, true) {
 		go func() {
 			defer h.fetching.Store(false)
--- a/internal/fleet/notice/notice.go
+++ b/internal/fleet/notice/notice.go
@@ -32,6 +32,11 @@
 	Number int64 `json:"n"`
 	// Config is the version of the configuration in force there.
 	Config int64 `json:"c,omitempty"`
+	// Servers is the store's revision of the newest change of the list of
+	// servers that the host knows.
+	Servers int64 `json:"r,omitempty"`
+	// Ended are jobs that were ended through the host lately.
+	Ended []string `json:"e,omitempty"`
 	// Stopping says that the host takes no new jobs and will be gone.
 	Stopping bool                    `json:"x,omitempty"`
 	Loads    map[string]placing.Load `json:"l,omitempty"`
--- a/internal/operator/command/platform.go
+++ b/internal/operator/command/platform.go
@@ -3,7 +3,10 @@
 import (
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/alecthomas/kingpin/v2"
@@ -75,11 +78,58 @@
 	if err := h.Start(); err != nil {
 		return trace.Wrap(err)
 	}
-	<-interrupted()
+	untilStopped(file, func() {
+		changed, err := readEntry(file, false)
+		if err != nil {
+			log.Error(err, "changed settings not taken", "file", file)
+			return
+		}
+		writer.SetBudget(changed.LogLines)
+		h.Reload(changed)
+	})
 	h.Stop()
 	return nil
 }
 
+// reloadEvery is the time between two looks at the settings file, which may
+// change without a signal.
+const reloadEvery = 2 * time.Second
+
+// untilStopped returns when the process is asked to stop. Until then it calls
+// reload whenever it is told that the settings have changed, or sees it.
+func untilStopped(file string, reload func()) {
+	stop := interrupted()
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	ticker := time.NewTicker(reloadEvery)
+	defer ticker.Stop()
+	last := modified(file)
+	for {
+		select {
+		case <-stop:
+			return
+		case <-hangup:
+			last = modified(file)
+			reload()
+		case <-ticker.C:
+			if now := modified(file); now != last {
+				last = now
+				reload()
+			}
+		}
+	}
+}
+
+// modified returns when a file was changed and its size; both are zero for one
+// that can't be read, as while it is being replaced.
+func modified(file string) [2]int64 {
+	info, err := os.Stat(file)
+	if err != nil {
+		return [2]int64{}
+	}
+	return [2]int64{info.ModTime().UnixNano(), info.Size()}
+}
+
 func (s *shell) disk(file string) error {
 	settings, err := readEntry(file, true)
 	if err != nil {
@@ -92,19 +142,28 @@
 	clock := timer.Real{}
 	writer := lines.NewWriter(clock, s.out, settings.LogLines)
 	defer writer.Close()
-	h := disk.New(settings, lines.Logger(clock, writer), clock, disk.Adapter{
+	log := lines.Logger(clock, writer)
+	h := disk.New(settings, log, clock, disk.Adapter{
 		Store: client, OrderKey: registry.RetirePrefix + settings.Name, AnswerKey: registry.RetireStatusKey(settings.Name), Done: registry.RetireDone(),
 	})
 	if settings.MetricsAddress != "" {
 		go func() {
 			handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 			if err := http.ListenAndServe(settings.MetricsAddress, handler); err != nil {
-				s.exitCode(err)
+				log.Error(err, "listener ended", "address", settings.MetricsAddress)
 			}
 		}()
 	}
 	h.Start()
-	<-interrupted()
+	untilStopped(file, func() {
+		changed, err := readEntry(file, true)
+		if err != nil {
+			log.Error(err, "changed settings not taken", "file", file)
+			return
+		}
+		writer.SetBudget(changed.LogLines)
+		log.Info("settings reloaded", "memory_mb", changed.MemoryMB, "log_lines", changed.LogLines)
+	})
 	h.Stop()
 	return nil
 }
--- a/internal/operator/lines/lines.go
+++ b/internal/operator/lines/lines.go
@@ -35,7 +35,7 @@
 type Writer struct {
 	timer  timer.Service
 	out    io.Writer
-	budget int64
+	budget atomic.Int64
 
 	// second and written are the current second and the lines of it.
 	second  atomic.Int64
@@ -50,19 +50,23 @@
 
 // NewWriter returns a writer to out of at most budget lines a second.
 func NewWriter(t timer.Service, out io.Writer, budget int) *Writer {
-	w := &Writer{timer: t, out: out, budget: int64(budget), queue: make(chan []byte, bufferLines), done: make(chan struct{})}
+	w := &Writer{timer: t, out: out, queue: make(chan []byte, bufferLines), done: make(chan struct{})}
+	w.SetBudget(budget)
 	w.wait.Add(1)
 	go w.drain()
 	return w
 }
 
+// SetBudget changes how many lines a second are written at most.
+func (w *Writer) SetBudget(budget int) { w.budget.Store(int64(budget)) }
+
 // Write takes one line. It never blocks and never fails.
 func (w *Writer) Write(line []byte) (int, error) {
 	now := w.timer.Now().Unix()
 	if old := w.second.Load(); old != now && w.second.CompareAndSwap(old, now) {
 		w.written.Store(0)
 	}
-	if w.written.Add(1) > w.budget {
+	if w.written.Add(1) > w.budget.Load() {
 		w.drop()
 		return len(line), nil
 	}
--- a/internal/record/follow/follow.go
+++ b/internal/record/follow/follow.go
@@ -6,11 +6,19 @@
 // outage of the store, keys may be missing whose writers live; they come back
 // soon. When the history is gone, the whole list is read again, and what it
 // lacks is gone.
+//
+// A poll that waits may hear nothing although something changed, and learns so
+// only from its next call. Polls therefore wait for a time that is short enough
+// for one of several readers to find out soon, and that reader's word (Nudge)
+// makes the others look.
 package follow
 
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -20,9 +28,18 @@
 )
 
 const (
-	// pollWait is how long the store may hold a poll; it is well below the
-	// history that the store keeps.
-	pollWait = 8 * time.Second
+	// pollShare is how long the store may hold a poll for each reader that would
+	// tell this one of a change; pollLeast and pollMost bound the product, the
+	// latter well below the history that the store keeps.
+	pollShare = 350 * time.Millisecond
+	pollLeast = 1200 * time.Millisecond
+	pollMost  = 6 * time.Second
+	// pollSpread is the part of the wait that is drawn, so that readers that
+	// started together do not poll together.
+	pollSpread = 0.4
+	// nudgePatience is how long after another reader's word the store's own
+	// answer is waited for.
+	nudgePatience = 300 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
@@ -52,18 +69,61 @@
 	source Source
 	prefix string
 	reader Reader
-	// revision is how far the reader has got, 0 before the first list.
+	// revision is how far the reader has got, 0 before the first list; listed
+	// says that there was one.
 	revision int64
+	listed   bool
 	// lostAt is when the store was lost, zero while it answers.
 	lostAt time.Time
 	// settled is when keys that an outage took have come back.
 	settled time.Time
 	failed  int
+	// readers tells how many readers would nudge this one, itself included.
+	readers func() int
+
+	// applied is the revision of the newest change that the reader took.
+	applied atomic.Int64
+
+	mu sync.Mutex
+	// wanted is the newest change that another reader told of.
+	wanted int64
+	// waiting says that a look is due after the patience for a nudge.
+	waiting bool
+	// interrupt ends the poll that waits, nil if none does.
+	interrupt context.CancelFunc
 }
 
-// New returns a follower; Run starts it.
-func New(t timer.Service, log logr.Logger, source Source, prefix string, reader Reader) *Follower {
-	return &Follower{timer: t, log: log, source: source, prefix: prefix, reader: reader}
+// New returns a follower; Run starts it. readers tells how many readers of the
+// prefix nudge each other, this one included.
+func New(t timer.Service, log logr.Logger, source Source, prefix string, reader Reader, readers func() int) *Follower {
+	return &Follower{timer: t, log: log, source: source, prefix: prefix, reader: reader, readers: readers}
+}
+
+// Applied returns the revision of the newest change that the reader took.
+func (f *Follower) Applied() int64 { return f.applied.Load() }
+
+// Nudge takes another reader's word that there was a change at a revision. If
+// the store does not tell of it soon, the follower asks.
+func (f *Follower) Nudge(revision int64) {
+	if revision <= f.applied.Load() {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.wanted = max(f.wanted, revision)
+	if f.waiting {
+		return
+	}
+	f.waiting = true
+	f.timer.After(nudgePatience, func(time.Time) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.waiting = false
+		if f.wanted > f.applied.Load() && f.interrupt != nil {
+			f.log.Info("poll behind another reader", "prefix", f.prefix, "applied", f.applied.Load(), "wanted", f.wanted)
+			f.interrupt()
+		}
+	})
 }
 
 // Run follows until ctx ends.
@@ -92,25 +152,60 @@
 		f.regained()
 		f.reader.Listed(entries, f.settling())
 		f.revision = max(1, revision)
+		for _, e := range entries {
+			f.apply(e.ModRevision)
+		}
+		if f.listed {
+			// Something may have been removed; the list is at least this new.
+			f.apply(revision)
+		}
+		f.listed = true
 		return nil
 	}
-	wait := pollWait
-	if f.failed > 0 {
-		// A short call shows soon whether the store is back.
-		wait = time.Millisecond
-	}
-	events, revision, err := f.source.Poll(ctx, f.prefix, f.revision, wait)
+	events, revision, err := f.poll(ctx)
 	if err != nil {
 		return err
 	}
 	f.regained()
 	for _, e := range events {
 		f.reader.Changed(e, f.settling())
+		f.apply(e.ModRevision)
 	}
 	f.revision = revision
 	return nil
 }
 
+func (f *Follower) apply(revision int64) {
+	f.applied.Store(max(f.applied.Load(), revision))
+}
+
+// poll waits for changes until the store answers or a nudge ends the wait. A
+// call that was ended is followed by a short one.
+func (f *Follower) poll(ctx context.Context) ([]store.Event, int64, error) {
+	if f.failed > 0 {
+		// A short call shows soon whether the store is back.
+		return f.source.Poll(ctx, f.prefix, f.revision, time.Millisecond)
+	}
+	polling, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.mu.Lock()
+	f.interrupt = cancel
+	f.mu.Unlock()
+	events, revision, err := f.source.Poll(polling, f.prefix, f.revision, f.wait())
+	f.mu.Lock()
+	f.interrupt = nil
+	f.mu.Unlock()
+	if err != nil && polling.Err() != nil && ctx.Err() == nil {
+		return f.source.Poll(ctx, f.prefix, f.revision, time.Millisecond)
+	}
+	return events, revision, err
+}
+
+func (f *Follower) wait() time.Duration {
+	wait := min(pollMost, max(pollLeast, pollShare*time.Duration(f.readers())))
+	return wait - time.Duration(pollSpread*rand.Float64()*float64(wait))
+}
+
 func (f *Follower) settling() bool { return f.timer.Now().Before(f.settled) }
 
 func (f *Follower) lost(err error) {
