--- a/internal/batch/custody/running.go
+++ b/internal/batch/custody/running.go
@@ -39,11 +39,10 @@
 	}
 	now := m.Timer.Now()
 	m.leave(now)
-	backlog := 0
-	full := make(map[string]map[string]bool)
+	waiting, slack := 0, time.Duration(0)
 	for _, h := range m.byDue() {
-		waiting := h.job.Waiting()
-		if waiting == 0 {
+		n := h.job.Waiting()
+		if n == 0 {
 			continue
 		}
 		record := h.job.Record()
@@ -55,9 +54,13 @@
 			m.abandon(now, h, record.ID)
 			continue
 		}
-		backlog += waiting - m.start(now, h, route, full)
+		if waiting == 0 {
+			slack = record.Due.Sub(now)
+			m.Placer.SetBacklog(now, n, slack)
+		}
+		waiting += n - m.start(now, h, route, n)
 	}
-	m.Placer.SetBacklog(backlog)
+	m.Placer.SetBacklog(now, waiting, slack)
 }
 
 // abandon gives up the items of a job whose route the operator has removed.
@@ -87,33 +90,26 @@
 	return list
 }
 
-// start starts items of one job, at most one a server and round, and returns
-// how many.
-func (m *Manager) start(now time.Time, h *held, route *routes.Route, full map[string]map[string]bool) int {
-	started := 0
-	for {
-		service := route.Pick(0)
-		if full[service] == nil {
-			full[service] = make(map[string]bool)
-		}
-		s, ok := m.Placer.Room(now, m.List.Usable(service), full[service])
-		if !ok {
-			return started
-		}
-		full[service][s.ID] = true
+// start starts items of one job where slots are free and returns how many.
+func (m *Manager) start(now time.Time, h *held, route *routes.Route, waiting int) int {
+	service := route.Pick(0)
+	placed := m.Placer.Rooms(now, m.List.Usable(service), waiting)
+	for n, s := range placed {
 		i, ok := h.job.Next()
 		if !ok {
-			m.Placer.EndedBatch(now, s, placing.Unknown)
-			return started
+			for _, unused := range placed[n:] {
+				m.Placer.EndedBatch(now, unused, placing.Unknown)
+			}
+			return n
 		}
 		ctx, cancel := context.WithCancel(m.ctx)
 		one := &run{server: s, cancel: cancel}
 		h.runs[i] = one
-		started++
 		startedTotal.Inc()
 		m.wait.Add(1)
 		go m.runItem(ctx, h, i, one, route, service)
 	}
+	return len(placed)
 }
 
 // leave cancels items at servers with more requests than slots: those of the
--- a/internal/fleet/notice/notice.go
+++ b/internal/fleet/notice/notice.go
@@ -40,7 +40,7 @@
 	// Stopping says that the host takes no new jobs and will be gone.
 	Stopping bool                    `json:"x,omitempty"`
 	Loads    map[string]placing.Load `json:"l,omitempty"`
-	Backlog  int                     `json:"b,omitempty"`
+	Backlog  placing.Backlog         `json:"b,omitzero"`
 	// Jobs are some jobs that the host has come to own lately.
 	Jobs []string `json:"j,omitempty"`
 	// Known are addresses of other hosts.
--- a/internal/serving/placing/batch.go
+++ b/internal/serving/placing/batch.go
@@ -1,46 +1,100 @@
 package placing
 
 import (
+	"math"
 	"sort"
 	"time"
 
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 )
 
-// Room places one batch item on a server with a free slot, the emptiest first;
-// it counts there until EndedBatch. At most one is placed on a server in a
-// call's list of avoid, which the caller resets each round.
-func (p *Placer) Room(now time.Time, servers []backend.Server, avoid map[string]bool) (backend.Server, bool) {
+const (
+	// reserveShare is how many slots are kept free of new batch items, as a
+	// multiple of the square root of the online requests: as many as online
+	// varies by while its rate stays the same. An item that is placed there
+	// would have to leave at once, and reads its prompt again elsewhere.
+	reserveShare = 0.5
+	// busyShare is the share of the slots that online must take before any is
+	// reserved.
+	busyShare = 0.4
+)
+
+// Rooms places up to most of this host's waiting batch items on free slots and
+// returns their servers; each counts there until EndedBatch. Hosts share the
+// free slots in an order that all of them know: the host whose first item is
+// due first takes the first ones.
+func (p *Placer) Rooms(now time.Time, servers []backend.Server, most int) []backend.Server {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var best backend.Server
-	found, most := false, 0.0
+	slots := p.freeSlots(now, servers)
+	first := p.moreUrgent(now)
+	var placed []backend.Server
+	for i := first; i < len(slots) && len(placed) < most; i++ {
+		placed = append(placed, slots[i])
+		p.addBatch(slots[i].ID, 1)
+	}
+	return placed
+}
+
+// freeSlots lists the slots that batch may take, a server once for each: first
+// those of the servers with the most free slots.
+func (p *Placer) freeSlots(now time.Time, servers []backend.Server) []backend.Server {
+	type room struct {
+		backend.Server
+		free int
+	}
+	var rooms []room
+	all, online, most := 0, 0, 0
 	for _, s := range servers {
-		if avoid[s.ID] {
-			continue
-		}
+		l := p.total(now, s.ID)
+		all += s.Slots
+		online += min(l.Online, s.Slots)
 		if resting, _ := p.resting(now, s.ID); resting {
 			continue
 		}
-		free := s.Slots - p.total(now, s.ID).sum()
-		if free <= 0 {
-			continue
+		if free := s.Slots - l.sum(); free > 0 {
+			rooms = append(rooms, room{s, free})
+			most = max(most, free)
 		}
-		// The draw keeps hosts from filling the same server at once.
-		weight := float64(free) + p.draw()
-		if s.Zone == p.zone {
-			weight += 0.5
-		}
-		if weight > most {
-			best, most, found = s, weight, true
+	}
+	sort.Slice(rooms, func(i, j int) bool { return rooms[i].ID < rooms[j].ID })
+	var slots []backend.Server
+	for level := most; level > 0; level-- {
+		for _, r := range rooms {
+			if r.free >= level {
+				slots = append(slots, r.Server)
+			}
 		}
 	}
-	if found {
-		p.addBatch(best.ID, 1)
+	reserved := 0
+	if float64(online) > busyShare*float64(all) {
+		reserved = int(reserveShare * math.Sqrt(float64(online)))
+	}
+	return slots[:max(0, len(slots)-reserved)]
+}
+
+// moreUrgent returns how many items of other hosts take free slots before this
+// host's.
+func (p *Placer) moreUrgent(now time.Time) int {
+	mine := time.Duration(p.backlog.Slack)*time.Millisecond - now.Sub(p.backlogAt)
+	n := 0
+	for host, r := range p.reports {
+		if now.Sub(r.at) > reportTTL || r.backlog.Items == 0 {
+			continue
+		}
+		theirs := time.Duration(r.backlog.Slack)*time.Millisecond - now.Sub(r.at)
+		// Slacks that differ by less than the hosts' clocks are ordered by name.
+		switch d := theirs - mine; {
+		case d < -slackGrain, d < slackGrain && host < p.host:
+			n += r.backlog.Items
+		}
 	}
-	return best, found
+	return n
 }
 
+// slackGrain is the difference of two slacks that counts.
+const slackGrain = 50 * time.Millisecond
+
 // Surplus returns how many of this host's batch items at each server have to
 // leave because the server has more requests than slots. Hosts share the
 // surplus of a server in one order that all of them know: the host with the
@@ -79,28 +133,3 @@
 	}
 	return n
 }
-
-// Free returns how many slots are free at the servers.
-func (p *Placer) Free(now time.Time, servers []backend.Server) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	free := 0
-	for _, s := range servers {
-		free += max(0, s.Slots-p.total(now, s.ID).sum())
-	}
-	return free
-}
-
-// Hosts returns the names of the hosts whose reports are believed, in order.
-func (p *Placer) Hosts(now time.Time) []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var hosts []string
-	for host, r := range p.reports {
-		if now.Sub(r.at) <= reportTTL {
-			hosts = append(hosts, host)
-		}
-	}
-	sort.Strings(hosts)
-	return hosts
-}
--- a/internal/serving/placing/load_test.go
+++ b/internal/serving/placing/load_test.go
@@ -50,6 +50,8 @@
 	at    time.Duration
 	host  int
 	loads map[string]placing.Load
+
+	backlog placing.Backlog
 }
 
 type world struct {
@@ -64,6 +66,7 @@
 	items    [][]*job
 
 	inTime, late, refused, came int
+	started, yielded            int
 	refusedAfter                []time.Duration
 	batchSlots                  time.Duration
 	onlineSlots                 time.Duration
@@ -98,8 +101,8 @@
 
 // tell sends a host's counts to the others.
 func (w *world) tell(host int) {
-	loads, _ := w.hosts[host].Own(w.clock())
-	w.news = append(w.news, told{at: w.now + hearing, host: host, loads: loads})
+	loads, backlog := w.hosts[host].Own(w.clock())
+	w.news = append(w.news, told{at: w.now + hearing, host: host, loads: loads, backlog: backlog})
 }
 
 func (w *world) hear() {
@@ -111,7 +114,7 @@
 		n++
 		for i, h := range w.hosts {
 			if i != one.host {
-				h.Report(string(rune('A'+one.host)), w.clock(), one.loads, 0)
+				h.Report(string(rune('A'+one.host)), w.clock(), one.loads, one.backlog)
 			}
 		}
 	}
@@ -207,18 +210,16 @@
 						j.gone = true
 						h.EndedBatch(w.clock(), j.server, placing.Unknown)
 						w.drop(j)
+						w.yielded++
 						n, changed = n-1, true
 					}
 				}
 			}
 		}
-		avoid := make(map[string]bool)
-		for {
-			s, ok := h.Room(w.clock(), w.servers, avoid)
-			if !ok {
-				break
-			}
-			avoid[s.ID], changed = true, true
+		h.SetBacklog(w.clock(), 50, time.Duration(i)*time.Second)
+		for _, s := range h.Rooms(w.clock(), w.servers, 50) {
+			changed = true
+			w.started++
 			j := &job{host: i, batch: true, server: s, left: batchTime}
 			w.items[i] = append(w.items[i], j)
 			e := w.engine(s)
@@ -267,9 +268,9 @@
 		beside.play(length, 56, true, true)
 		naive := newWorld(7, 12)
 		naive.play(length, 56, true, false)
-		GinkgoWriter.Printf("in time: alone %.4f, beside batch %.4f, batch that does not yield %.4f; batch slot share %.3f\n",
+		GinkgoWriter.Printf("in time: alone %.4f, beside batch %.4f, batch that does not yield %.4f; batch slot share %.3f, %d started, %d left\n",
 			share(alone.inTime, alone.came), share(beside.inTime, beside.came), share(naive.inTime, naive.came),
-			beside.batchSlots.Seconds()/(96*length.Seconds()-beside.onlineSlots.Seconds()))
+			beside.batchSlots.Seconds()/(96*length.Seconds()-beside.onlineSlots.Seconds()), beside.started, beside.yielded)
 		// The brief: urgent callers are never slowed by bulk work.
 		Expect(share(beside.inTime, beside.came)).To(BeNumerically(">=", 0.99*share(alone.inTime, alone.came)))
 		Expect(share(beside.inTime, beside.came)).To(BeNumerically(">=", 0.99))
--- a/internal/serving/placing/placer_test.go
+++ b/internal/serving/placing/placer_test.go
@@ -30,14 +30,14 @@
 	})
 
 	It("counts what other hosts tell, and forgets hosts that fall silent", func() {
-		p.Report("B", now, map[string]placing.Load{"near": {Online: 2}}, 0)
+		p.Report("B", now, map[string]placing.Load{"near": {Online: 2}}, placing.Backlog{})
 		Expect(pick()).To(Equal("far"))
 		now = now.Add(1600 * time.Millisecond)
 		Expect(pick()).To(Equal("near"))
 	})
 
 	It("refuses when no slot is expected in time, and says when to come back", func() {
-		p.Report("B", now, map[string]placing.Load{"near": {Online: 9}, "far": {Online: 9}}, 0)
+		p.Report("B", now, map[string]placing.Load{"near": {Online: 9}, "far": {Online: 9}}, placing.Backlog{})
 		c := p.Choose(now, both, nil, patience)
 		Expect(c.Placed).To(BeFalse())
 		Expect(c.RetryAfter).To(BeNumerically(">", 0))
@@ -46,18 +46,16 @@
 	})
 
 	It("takes a slot that batch has, since batch leaves", func() {
-		p.Report("B", now, map[string]placing.Load{"near": {Batch: 2}, "far": {Online: 9}}, 0)
+		p.Report("B", now, map[string]placing.Load{"near": {Batch: 2}, "far": {Online: 9}}, placing.Backlog{})
 		Expect(pick()).To(Equal("near"))
 	})
 
 	It("gives no work to a server that could not be reached, for a time that doubles", func() {
 		for _, rest := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second} {
-			s, ok := p.Room(now, []backend.Server{near}, nil)
-			Expect(ok).To(BeTrue())
-			p.EndedBatch(now, s, placing.Unreached)
+			Expect(p.Rooms(now, []backend.Server{near}, 1)).To(HaveLen(1))
+			p.EndedBatch(now, near, placing.Unreached)
 			now = now.Add(rest - time.Millisecond)
-			_, ok = p.Room(now, []backend.Server{near}, nil)
-			Expect(ok).To(BeFalse())
+			Expect(p.Rooms(now, []backend.Server{near}, 1)).To(BeEmpty())
 			c := p.Choose(now, both, nil, patience)
 			Expect(c.Server.ID).To(Equal("far"))
 			p.Ended(now, c, 0, placing.Unknown)
@@ -88,30 +86,48 @@
 		q := placing.New("B", "a", func() float64 { return 0.5 }, func() {})
 		server := backend.Server{ID: "near", Service: "s", Zone: "a", Slots: 4}
 		servers := []backend.Server{server}
-		for range 3 {
-			p.Room(now, servers, nil)
-		}
-		q.Room(now, servers, nil)
+		Expect(p.Rooms(now, servers, 3)).To(HaveLen(3))
+		Expect(q.Rooms(now, servers, 1)).To(HaveLen(1))
 		load := map[string]placing.Load{"near": {Online: 2}}
 		own, _ := p.Own(now)
 		other, _ := q.Own(now)
-		p.Report("B", now, other, 0)
-		q.Report("A", now, own, 0)
-		p.Report("C", now, load, 0)
-		q.Report("C", now, load, 0)
+		p.Report("B", now, other, placing.Backlog{})
+		q.Report("A", now, own, placing.Backlog{})
+		p.Report("C", now, load, placing.Backlog{})
+		q.Report("C", now, load, placing.Backlog{})
 		Expect(p.Surplus(now, servers)).To(Equal(map[string]int{"near": 2}))
 		Expect(q.Surplus(now, servers)).To(BeEmpty())
 	})
 
 	It("places batch only on free slots, and not on a server that rests", func() {
-		p.Report("B", now, map[string]placing.Load{"near": {Online: 1}, "far": {Online: 2}}, 0)
-		s, ok := p.Room(now, both, nil)
-		Expect(ok).To(BeTrue())
-		Expect(s.ID).To(Equal("near"))
-		_, ok = p.Room(now, both, nil)
-		Expect(ok).To(BeFalse())
+		p.Report("B", now, map[string]placing.Load{"near": {Online: 1}, "far": {Online: 2}}, placing.Backlog{})
+		Expect(p.Rooms(now, both, 9)).To(Equal([]backend.Server{near}))
+		Expect(p.Rooms(now, both, 9)).To(BeEmpty())
 		p.EndedBatch(now, near, placing.Unreached)
-		_, ok = p.Room(now, both, nil)
-		Expect(ok).To(BeFalse())
+		Expect(p.Rooms(now, both, 9)).To(BeEmpty())
+	})
+
+	It("shares free slots by due time: no two hosts take the same one", func() {
+		q := placing.New("B", "a", func() float64 { return 0.5 }, func() {})
+		p.SetBacklog(now, 3, 5*time.Second)
+		q.SetBacklog(now, 2, time.Second)
+		_, mine := p.Own(now)
+		_, theirs := q.Own(now)
+		p.Report("B", now, nil, theirs)
+		q.Report("A", now, nil, mine)
+		first, second := q.Rooms(now, both, 2), p.Rooms(now, both, 3)
+		Expect(first).To(HaveLen(2))
+		Expect(second).To(HaveLen(2))
+		count := map[string]int{}
+		for _, s := range append(first, second...) {
+			count[s.ID]++
+		}
+		Expect(count).To(Equal(map[string]int{"near": 2, "far": 2}))
+	})
+
+	It("keeps slots for what online varies by once online is busy", func() {
+		wide := backend.Server{ID: "wide", Service: "s", Zone: "a", Slots: 30}
+		p.Report("B", now, map[string]placing.Load{"wide": {Online: 16}}, placing.Backlog{})
+		Expect(p.Rooms(now, []backend.Server{wide}, 30)).To(HaveLen(12))
 	})
 })
--- a/internal/serving/placing/view.go
+++ b/internal/serving/placing/view.go
@@ -45,8 +45,16 @@
 type report struct {
 	at    time.Time
 	loads map[string]Load
-	// backlog is how many of its batch items wait for a slot.
-	backlog int
+	backlog Backlog
+}
+
+// Backlog is what a host's batch items that wait for a slot need.
+type Backlog struct {
+	// Items is how many wait.
+	Items int `json:"n,omitempty"`
+	// Slack is the time in milliseconds until the first of them is due, counted
+	// from when the backlog was told; it is negative for one that is late.
+	Slack int64 `json:"s,omitempty"`
 }
 
 // tally is this host's requests at one server.
@@ -77,9 +85,10 @@
 	// means holds the mean time an online request takes a slot, by service.
 	means map[string]time.Duration
 	draw  func() float64
-	// backlog is how many of this host's batch items wait for a slot.
-	backlog int
-	changed func()
+	// backlog is this host's, its slack as of backlogAt.
+	backlog   Backlog
+	backlogAt time.Time
+	changed   func()
 }
 
 // New returns a placer for a host; draw gives random numbers in [0, 1), and
@@ -92,28 +101,35 @@
 }
 
 // Report takes another host's counts.
-func (p *Placer) Report(host string, now time.Time, loads map[string]Load, backlog int) {
+func (p *Placer) Report(host string, now time.Time, loads map[string]Load, backlog Backlog) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.reports[host] = report{at: now, loads: loads, backlog: backlog}
 }
 
-// Own returns this host's counts and how many batch items wait here.
-func (p *Placer) Own(now time.Time) (map[string]Load, int) {
+// Own returns this host's counts and its backlog.
+func (p *Placer) Own(now time.Time) (map[string]Load, Backlog) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	loads := make(map[string]Load, len(p.own))
 	for server, t := range p.own {
 		loads[server] = t.load(now)
 	}
-	return loads, p.backlog
+	backlog := p.backlog
+	backlog.Slack -= now.Sub(p.backlogAt).Milliseconds()
+	return loads, backlog
 }
 
-// SetBacklog tells how many of this host's batch items wait for a slot.
-func (p *Placer) SetBacklog(n int) {
+// SetBacklog tells how many of this host's batch items wait for a slot, and how
+// long the first of them has until it is due.
+func (p *Placer) SetBacklog(now time.Time, items int, slack time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.backlog = n
+	appeared := p.backlog.Items == 0 && items > 0
+	p.backlog, p.backlogAt = Backlog{Items: items, Slack: slack.Milliseconds()}, now
+	if appeared {
+		p.changed()
+	}
 }
 
 // total returns what all hosts have at a server, without the expected ends.
