--- a/internal/batch/bulk/job.go
+++ b/internal/batch/bulk/job.go
@@ -10,6 +10,7 @@
 package bulk
 
 import (
+	"sort"
 	"time"
 
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
@@ -55,6 +56,8 @@
 	text []byte
 	last int64
 	any  bool
+	// events counts the events in text.
+	events int64
 	// failures counts answers that were failures of a server's own.
 	failures int
 	// crashes counts runs that ended with their server.
@@ -99,37 +102,70 @@
 // Over reports whether nothing is left to do.
 func (j *Job) Over() bool { return j.record.Ended || len(j.results) == len(j.items) }
 
-// Waiting returns how many items wait.
-func (j *Job) Waiting() int {
+// Candidate is a waiting item as it is weighed against others.
+type Candidate struct {
+	Index int
+	// Events is how many events have been produced of it.
+	Events int64
+}
+
+// Candidates returns the waiting items.
+func (j *Job) Candidates() []Candidate {
 	if j.record.Ended {
-		return 0
+		return nil
 	}
-	n := 0
-	for _, w := range j.items {
+	var list []Candidate
+	for i, w := range j.items {
 		if w.phase == waiting {
-			n++
+			list = append(list, Candidate{Index: i, Events: w.events})
 		}
 	}
-	return n
+	return list
 }
 
-// Next returns a waiting item and marks it as running; items that have begun
-// come first, since they need the least.
-func (j *Job) Next() (int, bool) {
-	best := -1
-	for i, w := range j.items {
-		if w.phase != waiting {
-			continue
+// Start marks a waiting item as running.
+func (j *Job) Start(i int) {
+	if w := j.items[i]; w.phase == waiting {
+		w.phase = running
+	}
+}
+
+// Partial is what has been produced of an item that is not finished.
+type Partial struct {
+	ID     string
+	Last   int64
+	Events int64
+	Text   []byte
+}
+
+// Partials returns what has been produced of unfinished items, the longest
+// first, in at most size bytes.
+func (j *Job) Partials(size int) []Partial {
+	var list []Partial
+	for _, w := range j.items {
+		if w.any && (w.phase == waiting || w.phase == running) {
+			list = append(list, Partial{ID: w.ID, Last: w.last, Events: w.events, Text: w.text})
 		}
-		if best < 0 || w.last > j.items[best].last {
-			best = i
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].Events > list[b].Events })
+	for n, one := range list {
+		if size -= len(one.Text) + 64; size < 0 {
+			return list[:n]
 		}
 	}
-	if best < 0 || j.record.Ended {
-		return 0, false
+	return list
+}
+
+// GoOn takes what another owner had produced of unfinished items.
+func (j *Job) GoOn(partials []Partial) {
+	for _, one := range partials {
+		i, ok := j.index[one.ID]
+		if !ok || j.items[i].phase != waiting {
+			continue
+		}
+		w := j.items[i]
+		w.text, w.last, w.any, w.events = one.Text, one.Last, true, one.Events
 	}
-	j.items[best].phase = running
-	return best, true
 }
 
 // Item returns an item.
@@ -148,6 +184,7 @@
 	}
 	w.text = append(w.text, data...)
 	w.last, w.any = id, true
+	w.events++
 }
 
 // Requeue makes a running item wait again; what was produced is kept.
@@ -160,9 +197,12 @@
 // Restart drops what was produced of an item that can't go on from it.
 func (j *Job) Restart(i int) {
 	w := j.items[i]
-	w.text, w.last, w.any = nil, 0, false
+	w.text, w.last, w.any, w.events = nil, 0, false, 0
 }
 
+// Events returns how many events have been produced of an item.
+func (j *Job) Events(i int) int64 { return j.items[i].events }
+
 // Finish takes the whole answer of a running item.
 func (j *Job) Finish(i int) {
 	w := j.items[i]
--- a/internal/batch/bulk/job_test.go
+++ b/internal/batch/bulk/job_test.go
@@ -20,6 +20,21 @@
 	return list
 }
 
+// next starts the waiting item of which the most has been produced.
+func next(j *bulk.Job) (int, bool) {
+	best, events := -1, int64(-1)
+	for _, c := range j.Candidates() {
+		if c.Events > events {
+			best, events = c.Index, c.Events
+		}
+	}
+	if best < 0 {
+		return 0, false
+	}
+	j.Start(best)
+	return best, true
+}
+
 func newJob(n int) *bulk.Job {
 	r := bulk.Record{ID: "j", Total: n, Tokens: int64(10 * n), Waiting: int64(10 * n), GiveUpAt: time.Unix(1000, 0)}
 	return bulk.NewJob(r, items(n), nil, 3)
@@ -34,7 +49,7 @@
 var _ = Describe("a job", func() {
 	It("shows a result only once it is durable, and keeps its position", func() {
 		j := newJob(2)
-		i, ok := j.Next()
+		i, ok := next(j)
 		Expect(ok).To(BeTrue())
 		j.Append(i, 1, []byte("a"))
 		j.Append(i, 2, []byte("b"))
@@ -46,7 +61,7 @@
 		Expect(j.Record().Waiting).To(Equal(int64(10)))
 		Expect(j.Record().Listed).To(Equal(1))
 		first := j.Results()[0]
-		k, _ := j.Next()
+		k, _ := next(j)
 		j.GiveUp(k)
 		write(j)
 		Expect(j.Results()[0]).To(Equal(first))
@@ -56,20 +71,44 @@
 
 	It("goes on from what was produced when an item has to leave", func() {
 		j := newJob(3)
-		i, _ := j.Next()
+		i, _ := next(j)
 		j.Append(i, 1, []byte("a"))
 		j.Requeue(i)
-		again, _ := j.Next()
+		again, _ := next(j)
 		Expect(again).To(Equal(i))
 		Expect(j.Progress(i).After).To(Equal(int64(1)))
 		j.Restart(i)
 		Expect(j.Progress(i).Set).To(BeFalse())
 	})
 
+	It("lets another owner go on from what was produced of unfinished items", func() {
+		j := newJob(3)
+		for n := range 3 {
+			i, _ := next(j)
+			for id := range int64(n + 1) {
+				j.Append(i, id+1, []byte("text"))
+			}
+			if n == 0 {
+				j.Finish(i)
+			}
+		}
+		text, err := bulk.EncodePartials(j.Partials(1 << 20))
+		Expect(err).NotTo(HaveOccurred())
+		partials, err := bulk.DecodePartials(text)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(partials).To(HaveLen(2))
+		heir := newJob(3)
+		heir.GoOn(partials)
+		Expect(heir.Progress(2).After).To(Equal(int64(3)))
+		Expect(heir.Progress(1).After).To(Equal(int64(2)))
+		Expect(heir.Progress(0).Set).To(BeFalse())
+		Expect(j.Partials(100)).To(HaveLen(1), "what does not fit is produced again")
+	})
+
 	It("gives an item up after as many failures as the route allows, and not before", func() {
 		j := newJob(1)
 		for n := 1; n <= 3; n++ {
-			i, ok := j.Next()
+			i, ok := next(j)
 			Expect(ok).To(BeTrue())
 			Expect(j.Fail(i)).To(Equal(n == 3))
 		}
@@ -79,10 +118,10 @@
 	It("parks an item that crashes servers until its time is over", func() {
 		j := newJob(1)
 		for n := 1; n <= 3; n++ {
-			i, _ := j.Next()
+			i, _ := next(j)
 			Expect(j.Crash(i)).To(Equal(n == 3))
 		}
-		_, ok := j.Next()
+		_, ok := next(j)
 		Expect(ok).To(BeFalse())
 		Expect(j.Unlisted()).To(BeEmpty())
 		Expect(j.Expire(time.Unix(999, 0))).To(BeZero())
@@ -91,11 +130,11 @@
 
 	It("starts nothing and lists nothing new after its end", func() {
 		j := newJob(2)
-		i, _ := j.Next()
+		i, _ := next(j)
 		r := j.Changed(nil)
 		r.Ended = true
 		j.Wrote(r, nil)
-		_, ok := j.Next()
+		_, ok := next(j)
 		Expect(ok).To(BeFalse())
 		_, ok = j.Body(j.Item(i).ID)
 		Expect(ok).To(BeFalse())
@@ -165,7 +204,7 @@
 			}
 			switch rapid.SampledFrom([]string{"next", "finish", "requeue", "fail", "write", "takeover"}).Draw(t, "step") {
 			case "next":
-				if i, ok := j.Next(); ok {
+				if i, ok := next(j); ok {
 					if running[i] {
 						t.Fatalf("item %d started while it runs", i)
 					}
--- a/internal/batch/bulk/record.go
+++ b/internal/batch/bulk/record.go
@@ -57,6 +57,7 @@
 	RecordPrefix = "jobs/record/"
 	bodyPrefix   = "jobs/body/"
 	resultPrefix = "jobs/result/"
+	partsPrefix  = "jobs/partial/"
 	quotaPrefix  = "jobs/quota/"
 )
 
@@ -69,6 +70,10 @@
 // ResultKey is where a part of a job's results stands.
 func ResultKey(id string, part int) string { return fmt.Sprintf("%s%s/%06d", resultPrefix, id, part) }
 
+// PartialKey is where an owner that gives a job away leaves what it had produced
+// of unfinished items.
+func PartialKey(id string) string { return partsPrefix + id }
+
 // BodyPrefix is above all parts of a job's items.
 func BodyPrefix(id string) string { return bodyPrefix + id + "/" }
 
@@ -93,9 +98,9 @@
 	return r, nil
 }
 
-// partBytes is the size at which a part is closed; with the largest body it
+// PartBytes is the size at which a part is closed; with the largest body it
 // stays below what the store takes.
-const partBytes = store.MaxValueBytes / 4 * 3
+const PartBytes = store.MaxValueBytes / 4 * 3
 
 // SplitItems returns items in parts that each fit into one value.
 func SplitItems(items []Item) ([][]byte, error) {
@@ -123,7 +128,7 @@
 		return nil
 	}
 	for _, one := range list {
-		if total > 0 && total+size(one) > partBytes {
+		if total > 0 && total+size(one) > PartBytes {
 			if err := closePart(); err != nil {
 				return nil, err
 			}
@@ -136,6 +141,18 @@
 	return parts, nil
 }
 
+// EncodePartials returns the stored form of unfinished items.
+func EncodePartials(list []Partial) ([]byte, error) {
+	var encoded bytes.Buffer
+	if err := gob.NewEncoder(&encoded).Encode(list); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return encoded.Bytes(), nil
+}
+
+// DecodePartials reads the stored form of unfinished items.
+func DecodePartials(text []byte) ([]Partial, error) { return decode[Partial](text) }
+
 // DecodeItems reads one part of items.
 func DecodeItems(part []byte) ([]Item, error) { return decode[Item](part) }
 
--- a/internal/batch/custody/manager.go
+++ b/internal/batch/custody/manager.go
@@ -126,6 +126,7 @@
 	cold   *shelf
 	// suspects counts the scans in which a host looked gone.
 	suspects map[string]int
+	pace     pace
 	stopping bool
 
 	kick chan struct{}
--- a/internal/batch/custody/owning.go
+++ b/internal/batch/custody/owning.go
@@ -23,6 +23,9 @@
 	// adoptRetry is the pause between tries to read this host's own jobs at its
 	// start.
 	adoptRetry = 500 * time.Millisecond
+	// partialBytes bounds what is left to the next owner of a job of unfinished
+	// items.
+	partialBytes = bulk.PartBytes / 4
 	// releaseFor bounds the time to give jobs away at a stop.
 	releaseFor = 1500 * time.Millisecond
 )
@@ -190,16 +193,17 @@
 	if err != nil {
 		return err
 	}
+	partials := m.partials(ctx, id)
 	attempts := 1
 	if config := m.Config.Current(); config != nil {
 		if route, ok := config.Named(r.Route); ok {
 			attempts = route.Attempts
 		}
 	}
+	job := bulk.NewJob(r, items, results, attempts)
+	job.GoOn(partials)
 	m.mu.Lock()
-	m.jobs[id] = &held{
-		job: bulk.NewJob(r, items, results, attempts), revision: revision, runs: make(map[int]*run), changed: make(chan struct{}),
-	}
+	m.jobs[id] = &held{job: job, revision: revision, runs: make(map[int]*run), changed: make(chan struct{})}
 	delete(m.owners, id)
 	m.mu.Unlock()
 	takenTotal.Inc()
@@ -209,6 +213,23 @@
 	return nil
 }
 
+// partials reads what a former owner left of unfinished items; without it they
+// are produced from the start.
+func (m *Manager) partials(ctx context.Context, id string) []bulk.Partial {
+	e, ok, err := m.Store.Get(ctx, bulk.PartialKey(id))
+	if err != nil || !ok {
+		if err != nil {
+			m.Log.Info("unfinished items not read", "job", id, "cause", err.Error())
+		}
+		return nil
+	}
+	list, err := bulk.DecodePartials(e.Value)
+	if err != nil {
+		m.Log.Error(err, "unfinished items can't be read", "job", id)
+	}
+	return list
+}
+
 // load reads the items and results of a job.
 func (m *Manager) load(ctx context.Context, r bulk.Record) ([]bulk.Item, []bulk.Result, error) {
 	items, err := loadParts(ctx, m.Store, bulk.BodyPrefix(r.ID), r.BodyParts, bulk.DecodeItems)
@@ -263,7 +284,7 @@
 	if r.Open() || now.Sub(r.Accepted) < keepOver || (!own && r.Owner != m.Host) {
 		return
 	}
-	txn := store.Txn{Deletes: []string{bulk.RecordKey(r.ID)}}
+	txn := store.Txn{Deletes: []string{bulk.RecordKey(r.ID), bulk.PartialKey(r.ID)}}
 	for i := range min(r.BodyParts, maxDeletes) {
 		txn.Deletes = append(txn.Deletes, bulk.BodyKey(r.ID, i))
 	}
@@ -299,11 +320,13 @@
 		}
 		after := h.job.Changed(nil)
 		after.Owner, after.Writer = m.heir(after.ID), m.Writer
-		group = append(group, change{h: h, before: h.job.Record(), after: after, revision: h.revision})
+		group = append(group, change{
+			h: h, before: h.job.Record(), after: after, partials: h.job.Partials(partialBytes), revision: h.revision,
+		})
 	}
 	m.mu.Unlock()
 	for len(group) > 0 {
-		n := min(len(group), 2*groupJobs)
+		n := min(len(group), groupJobs)
 		if !m.write(ctx, group[:n]) {
 			return
 		}
--- a/internal/batch/custody/running.go
+++ b/internal/batch/custody/running.go
@@ -39,28 +39,139 @@
 	}
 	now := m.Timer.Now()
 	m.leave(now)
-	waiting, slack := 0, time.Duration(0)
-	for _, h := range m.byDue() {
-		n := h.job.Waiting()
-		if n == 0 {
-			continue
+	queues := make(map[string][]*waiting)
+	for _, h := range m.jobs {
+		m.enqueue(now, config, h, queues)
+	}
+	total, first := 0, hopelessSlack
+	for service, queue := range queues {
+		sortWaiting(queue)
+		first = min(first, queue[0].urgency())
+		m.Placer.SetBacklog(now, m.pressing(queue), queue[0].urgency())
+		total += len(queue) - m.start(service, queue, now)
+	}
+	if total == 0 {
+		first = 0
+	}
+	m.Placer.SetBacklog(now, total, first)
+}
+
+// waiting is one item that waits for a slot.
+type waiting struct {
+	*held
+	index int
+	route *routes.Route
+	// slack is the time by which it can start later and still be in time.
+	slack time.Duration
+	// events is how many have been produced of it.
+	events int64
+}
+
+const (
+	// hopelessSlack is the urgency of what can't be in time any more: it waits
+	// behind everything that can, since being late costs most of its worth once.
+	hopelessSlack = time.Hour
+	// readAfterDue is how long after its due time a result still counts, since
+	// it is read some time later.
+	readAfterDue = 500 * time.Millisecond
+	// itemTimeStart is the assumed time of an item before one has ended.
+	itemTimeStart = 3 * time.Second
+)
+
+// urgency is the slack as other hosts are told it.
+func (w *waiting) urgency() time.Duration {
+	if w.slack < 0 {
+		return hopelessSlack
+	}
+	return w.slack
+}
+
+// sortWaiting puts first what has the least slack but can be in time; of the
+// rest what needs the least.
+func sortWaiting(queue []*waiting) {
+	sort.Slice(queue, func(i, j int) bool {
+		a, b := queue[i], queue[j]
+		if x, y := a.urgency(), b.urgency(); x != y {
+			return x < y
 		}
-		record := h.job.Record()
-		route, ok := config.Match(record.Host, h.job.Item(0).Path)
-		if !ok {
-			route, ok = config.Named(record.Route)
+		if a.events != b.events {
+			return a.events > b.events
 		}
-		if !ok || route.Kind != routes.Batch {
-			m.abandon(now, h, record.ID)
-			continue
+		x, y := a.job.Record(), b.job.Record()
+		if !x.Accepted.Equal(y.Accepted) {
+			return x.Accepted.Before(y.Accepted)
 		}
-		if waiting == 0 {
-			slack = record.Due.Sub(now)
-			m.Placer.SetBacklog(now, n, slack)
+		return x.ID < y.ID || (x.ID == y.ID && a.index < b.index)
+	})
+}
+
+// pressing returns how many of a queue are as urgent as its first: those that
+// can be in time, or all if none can.
+func (m *Manager) pressing(queue []*waiting) int {
+	n := 0
+	for _, w := range queue {
+		if (w.slack < 0) == (queue[0].slack < 0) {
+			n++
 		}
-		waiting += n - m.start(now, h, route, n)
 	}
-	m.Placer.SetBacklog(now, waiting, slack)
+	return n
+}
+
+// enqueue adds a job's waiting items to the queues of their services.
+func (m *Manager) enqueue(now time.Time, config *routes.Config, h *held, queues map[string][]*waiting) {
+	candidates := h.job.Candidates()
+	if len(candidates) == 0 {
+		return
+	}
+	record := h.job.Record()
+	route, ok := config.Match(record.Host, h.job.Item(0).Path)
+	if !ok {
+		route, ok = config.Named(record.Route)
+	}
+	if !ok || route.Kind != routes.Batch {
+		m.abandon(now, h, record.ID)
+		return
+	}
+	service := route.Pick(0)
+	for _, c := range candidates {
+		queues[service] = append(queues[service], &waiting{
+			held: h, index: c.Index, route: route, events: c.Events,
+			slack: record.Due.Add(readAfterDue).Sub(now) - m.pace.left(c.Events),
+		})
+	}
+}
+
+// pace is how long items take, learned from those that ended.
+type pace struct {
+	// events is the mean number of events of an item, each the mean time of one.
+	events float64
+	each   time.Duration
+}
+
+// paceWeight is the weight of the newest item in the means.
+const paceWeight = 0.1
+
+// took takes an item that ended: it had so many events, of which a run made
+// some in a time.
+func (p *pace) took(events, made int64, in time.Duration) {
+	if made <= 0 {
+		return
+	}
+	each := in / time.Duration(made)
+	if p.each == 0 {
+		p.events, p.each = float64(events), each
+		return
+	}
+	p.events += paceWeight * (float64(events) - p.events)
+	p.each += time.Duration(paceWeight * float64(each-p.each))
+}
+
+// left is the time that an item needs of which so many events were produced.
+func (p *pace) left(events int64) time.Duration {
+	if p.each == 0 {
+		return itemTimeStart
+	}
+	return time.Duration(max(1, p.events-float64(events)) * float64(p.each))
 }
 
 // abandon gives up the items of a job whose route the operator has removed.
@@ -72,65 +183,44 @@
 	m.Log.Info("items given up", "job", id, "items", n, "cause", "the operator removed the route", "config", m.Config.Version())
 }
 
-// byDue returns the jobs that have work, the one due first first.
-func (m *Manager) byDue() []*held {
-	var list []*held
-	for _, h := range m.jobs {
-		if !h.job.Over() {
-			list = append(list, h)
-		}
-	}
-	sort.Slice(list, func(i, j int) bool {
-		a, b := list[i].job.Record(), list[j].job.Record()
-		if !a.Due.Equal(b.Due) {
-			return a.Due.Before(b.Due)
-		}
-		return a.ID < b.ID
-	})
-	return list
-}
-
-// start starts items of one job where slots are free and returns how many.
-func (m *Manager) start(now time.Time, h *held, route *routes.Route, waiting int) int {
-	service := route.Pick(0)
-	placed := m.Placer.Rooms(now, m.List.Usable(service), waiting)
+// start starts the first items of a service's queue where slots are free and
+// returns how many.
+func (m *Manager) start(service string, queue []*waiting, now time.Time) int {
+	placed := m.Placer.Rooms(now, m.List.Usable(service), len(queue))
 	for n, s := range placed {
-		i, ok := h.job.Next()
-		if !ok {
-			for _, unused := range placed[n:] {
-				m.Placer.EndedBatch(now, unused, placing.Unknown)
-			}
-			return n
-		}
+		w := queue[n]
+		w.job.Start(w.index)
 		ctx, cancel := context.WithCancel(m.ctx)
 		one := &run{server: s, cancel: cancel}
-		h.runs[i] = one
+		w.runs[w.index] = one
 		startedTotal.Inc()
 		m.wait.Add(1)
-		go m.runItem(ctx, h, i, one, route, service)
+		go m.runItem(ctx, w.held, w.index, one, w.route, service)
 	}
 	return len(placed)
 }
 
-// leave cancels items at servers with more requests than slots: those of the
-// job due last first, of them the one with the least progress.
+// leave cancels items at servers with more requests than slots: first those
+// that can't be in time, then those with the most slack.
 func (m *Manager) leave(now time.Time) {
 	at := make(map[string]backend.Server)
 	type candidate struct {
 		*run
-		due      time.Time
-		progress int64
+		slack  time.Duration
+		events int64
 	}
 	var candidates []candidate
 	leaving := make(map[string]int)
 	for _, h := range m.jobs {
+		due := h.job.Record().Due.Add(readAfterDue)
 		for i, one := range h.runs {
 			at[one.server.ID] = one.server
 			if one.left {
 				leaving[one.server.ID]++
 				continue
 			}
-			candidates = append(candidates, candidate{one, h.job.Record().Due, h.job.Progress(i).After})
+			events := h.job.Events(i)
+			candidates = append(candidates, candidate{one, due.Sub(now) - m.pace.left(events), events})
 		}
 	}
 	if len(at) == 0 {
@@ -145,10 +235,14 @@
 		return
 	}
 	sort.Slice(candidates, func(i, j int) bool {
-		if !candidates[i].due.Equal(candidates[j].due) {
-			return candidates[i].due.After(candidates[j].due)
+		a, b := candidates[i], candidates[j]
+		if (a.slack < 0) != (b.slack < 0) {
+			return a.slack < 0
+		}
+		if a.slack < 0 || a.slack == b.slack {
+			return a.events < b.events
 		}
-		return candidates[i].progress < candidates[j].progress
+		return a.slack > b.slack
 	})
 	for _, c := range candidates {
 		if surplus[c.server.ID] > leaving[c.server.ID] {
@@ -180,7 +274,7 @@
 func (m *Manager) runItem(ctx context.Context, h *held, i int, one *run, route *routes.Route, service string) {
 	defer m.wait.Done()
 	m.mu.Lock()
-	item, resume := h.job.Item(i), h.job.Progress(i)
+	item, resume, before := h.job.Item(i), h.job.Progress(i), h.job.Events(i)
 	record := h.job.Record()
 	m.mu.Unlock()
 	call := &exchange.Call{
@@ -196,6 +290,8 @@
 	delete(h.runs, i)
 	switch end {
 	case whole:
+		events := h.job.Events(i)
+		m.pace.took(events, events-before, now.Sub(call.Received))
 		h.job.Finish(i)
 	case again:
 		h.job.Requeue(i)
--- a/internal/batch/custody/world_test.go
+++ b/internal/batch/custody/world_test.go
@@ -239,7 +239,7 @@
 }
 
 // turn lets manual time pass while a test waits.
-func (f *fleet) turn() { f.clock.Advance(50 * time.Millisecond) }
+func (f *fleet) turn() { f.clock.Advance(10 * time.Millisecond) }
 
 func (f *fleet) eventually(check func(g Gomega)) {
 	GinkgoHelper()
--- a/internal/batch/custody/writing.go
+++ b/internal/batch/custody/writing.go
@@ -31,6 +31,8 @@
 	before bulk.Record
 	after  bulk.Record
 	added  []bulk.Result
+	// partials, if any, are left for the next owner.
+	partials []bulk.Partial
 	// revision is the condition; the record is as it was at it.
 	revision int64
 }
@@ -137,6 +139,13 @@
 		key := bulk.RecordKey(c.after.ID)
 		txn.Compares = append(txn.Compares, store.Compare{Key: key, Target: store.ModRevision, Revision: c.revision})
 		txn.Puts = append(txn.Puts, store.Put{Key: key, Value: text})
+		if len(c.partials) > 0 {
+			text, err := bulk.EncodePartials(c.partials)
+			if err != nil {
+				return txn, err
+			}
+			txn.Puts = append(txn.Puts, store.Put{Key: bulk.PartialKey(c.after.ID), Value: text})
+		}
 		if len(c.added) == 0 {
 			continue
 		}
