--- a/internal/batch/custody/manager.go
+++ b/internal/batch/custody/manager.go
@@ -234,11 +234,23 @@
 	if stopping {
 		return
 	}
+	m.end()
+	m.flush()
+	m.release(ctx)
+}
+
+// Kill ends all runs and gives nothing away, as when the process is killed.
+func (m *Manager) Kill() {
+	m.mu.Lock()
+	m.stopping = true
+	m.mu.Unlock()
+	m.end()
+}
+
+func (m *Manager) end() {
 	close(m.done)
 	m.stop()
 	m.wait.Wait()
-	m.flush()
-	m.release(ctx)
 }
 
 func (h *held) notify() {
--- a/internal/batch/custody/manager_test.go
+++ b/internal/batch/custody/manager_test.go
@@ -201,7 +201,7 @@
 		stopped := make(chan struct{})
 		go func() {
 			defer close(stopped)
-			a.Manager.Stop(ctx)
+			a.Stop(ctx)
 		}()
 		f.eventually(func(g Gomega) { g.Expect(stopped).To(BeClosed()) })
 		close(f.servers.hold)
--- a/internal/batch/custody/owning.go
+++ b/internal/batch/custody/owning.go
@@ -18,8 +18,6 @@
 	suspectScans = 1
 	// keepOver is how long a job that is over stays readable.
 	keepOver = 150 * time.Second
-	// recordPage is how many records are read at once.
-	recordPage = 400
 	// adoptRetry is the pause between tries to read this host's own jobs at its
 	// start.
 	adoptRetry = 500 * time.Millisecond
--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -37,16 +37,9 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/placing"
 )
 
-// Store is what a host needs of the platform's store.
-type Store interface {
-	store.Store
-	store.Poller
-	store.Staler
-}
-
 // Adapter is the platform's manner of speaking.
 type Adapter struct {
-	Store   Store
+	Store   store.Whole
 	Servers exchange.Servers
 	// ConfigKey holds the configuration, ServerPrefix the entries of servers.
 	ConfigKey    string
@@ -100,6 +93,7 @@
 	stopping atomic.Bool
 	fetching atomic.Bool
 	servers  []*http.Server
+	expiry   *timer.Subscription
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wait     sync.WaitGroup
@@ -134,6 +128,7 @@
 // New returns a host that does nothing until Start.
 func New(s *setup.Entry, log logr.Logger, t timer.Service, a Adapter) *Host {
 	ctx, cancel := context.WithCancel(context.Background())
+	a.Store = store.NewCounted(a.Store, t)
 	h := &Host{settings: s, timer: t, log: log, adapter: a, ctx: ctx, cancel: cancel}
 	h.book = notice.NewBook(s.Name, s.PeerAddress, func(host string, live bool) {
 		log.Info("host seen", "host", host, "live", live)
@@ -161,79 +156,91 @@
 	}
 }
 
-// Start begins to serve; an error says that an address can't be bound.
-func (h *Host) Start() error {
-	exchange, err := notice.Open(h.timer, h.log, h.book, h.settings.PeerAddress, h.compose, h.heard)
-	if err != nil {
-		return trace.Wrap(err)
+// Listeners are the open addresses of a host; Metrics may be nil.
+type Listeners struct {
+	Notices                        *net.UDPConn
+	Peers, Callers, Ready, Metrics net.Listener
+}
+
+// Listen opens the addresses that the settings name.
+func Listen(s *setup.Entry) (Listeners, error) {
+	var l Listeners
+	var err error
+	if l.Notices, err = notice.Listen(s.PeerAddress); err != nil {
+		return l, trace.Wrap(err)
 	}
-	h.notices = exchange
-	listeners := []struct {
+	config := net.ListenConfig{KeepAliveConfig: dial.KeepAlive(), Control: dial.SetUnacknowledged}
+	for _, one := range []struct {
+		to      *net.Listener
 		address string
-		handler http.Handler
-	}{
-		{h.settings.PeerAddress, h.peers.handler()},
-		{h.settings.CallerAddress, h.adapter.Front(h)},
-		{h.settings.ReadyAddress, h.adapter.Ready(h.Ready)},
-		{h.settings.MetricsAddress, metricsHandler()},
-	}
-	for _, l := range listeners {
-		if l.address == "" {
+	}{{&l.Peers, s.PeerAddress}, {&l.Callers, s.CallerAddress}, {&l.Ready, s.ReadyAddress}, {&l.Metrics, s.MetricsAddress}} {
+		if one.address == "" {
 			continue
 		}
-		server, err := serve(h.log, l.address, l.handler)
-		if err != nil {
-			return trace.Wrap(err)
+		if *one.to, err = config.Listen(context.Background(), "tcp4", one.address); err != nil {
+			l.Close()
+			return l, trace.ConvertSystemError(err)
+		}
+	}
+	return l, nil
+}
+
+// Close closes what is open.
+func (l Listeners) Close() {
+	if l.Notices != nil {
+		_ = l.Notices.Close()
+	}
+	for _, one := range []net.Listener{l.Peers, l.Callers, l.Ready, l.Metrics} {
+		if one != nil {
+			_ = one.Close()
 		}
-		h.servers = append(h.servers, server)
 	}
-	h.learnSeeds(h.settings.Seeds)
+}
+
+// Start begins to serve at the open addresses, which the host closes.
+func (h *Host) Start(l Listeners) {
+	h.notices = notice.NewExchange(h.timer, h.log, h.book, l.Notices, h.compose, h.heard)
+	h.serve(l.Peers, h.peers.handler())
+	h.serve(l.Callers, h.adapter.Front(h))
+	h.serve(l.Ready, h.adapter.Ready(h.Ready))
+	if l.Metrics != nil {
+		h.serve(l.Metrics, metricsHandler())
+	}
+	h.book.Learn(h.timer.Now(), h.settings.Seeds...)
 	h.notices.Start()
 	h.run(h.texts)
 	h.run(h.registry)
 	h.wait.Add(1)
 	go h.lease()
 	h.jobs.Start()
-	h.timer.Every(expireEvery, func(now time.Time) { h.list.Expire(now) })
+	h.expiry = h.timer.Every(expireEvery, func(now time.Time) { h.list.Expire(now) })
 	h.log.Info("started", "host", h.settings.Name, "zone", h.settings.Zone, "callers", h.settings.CallerAddress, "peers", h.settings.PeerAddress, "seeds", len(h.settings.Seeds))
-	return nil
 }
 
-// serve listens on address and serves handler.
-func serve(log logr.Logger, address string, handler http.Handler) (*http.Server, error) {
-	config := net.ListenConfig{KeepAliveConfig: dial.KeepAlive(), Control: dial.SetUnacknowledged}
-	listener, err := config.Listen(context.Background(), "tcp4", address)
-	if err != nil {
-		return nil, trace.ConvertSystemError(err)
-	}
+func (h *Host) serve(l net.Listener, handler http.Handler) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	h.servers = append(h.servers, server)
 	go func() {
-		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			log.Error(err, "listener ended", "address", address)
+		if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			h.log.Error(err, "listener ended", "address", l.Addr().String())
 		}
 	}()
-	return server, nil
 }
 
-func metricsHandler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+// Kill ends the host at once, as when its process is killed; for tests.
+func (h *Host) Kill() {
+	for _, server := range h.servers {
+		_ = server.Close()
+	}
+	h.expiry.Cancel()
+	h.cancel()
+	h.notices.Close()
+	h.jobs.Kill()
+	h.wait.Wait()
 }
 
-// learnSeeds takes the hosts to begin with; their notices go to the port that
-// is the same on all hosts.
-func (h *Host) learnSeeds(seeds []string) {
-	_, port, err := net.SplitHostPort(h.settings.PeerAddress)
-	if err != nil {
-		return
-	}
-	for _, seed := range seeds {
-		ip, _, err := net.SplitHostPort(seed)
-		if err != nil {
-			h.log.Info("seed can't be used", "seed", seed, "cause", err.Error())
-			continue
-		}
-		h.book.Learn(h.timer.Now(), net.JoinHostPort(ip, port))
-	}
+func metricsHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 }
 
 func (h *Host) run(f *follow.Follower) {
@@ -247,7 +254,7 @@
 // Reload takes changed settings; addresses stay as they were at the start.
 func (h *Host) Reload(s *setup.Entry) {
 	h.log.Info("settings reloaded", "seeds", len(s.Seeds), "memory_mb", s.MemoryMB, "log_lines", s.LogLines)
-	h.learnSeeds(s.Seeds)
+	h.book.Learn(h.timer.Now(), s.Seeds...)
 }
 
 // Ready reports whether callers may come.
@@ -271,6 +278,7 @@
 			h.log.Info("requests left at the end", "cause", err.Error())
 		}
 	}
+	h.expiry.Cancel()
 	h.cancel()
 	h.notices.Close()
 	h.wait.Wait()
--- /dev/null
+++ b/internal/fleet/notice/notice_test.go
@@ -0,0 +1,145 @@
+package notice_test
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupquay/kingcupquay/internal/fleet/notice"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
+	"github.com/kingcupquay/kingcupquay/internal/serving/placing"
+)
+
+var start = time.Unix(1000, 0)
+
+var _ = Describe("a book", func() {
+	var (
+		b    *notice.Book
+		seen []string
+	)
+	BeforeEach(func() {
+		seen = nil
+		b = notice.NewBook("A", "10.0.0.1:1", func(host string, live bool) { seen = append(seen, fmt.Sprint(host, live)) })
+	})
+	from := func(host string, start, number int64) notice.Notice {
+		return notice.Notice{Host: host, Address: "10.0.0.9:1", Start: start, Number: number}
+	}
+
+	It("keeps the newest notice, also over a restart, and never its own", func() {
+		Expect(b.Take(start, from("B", 1, 5))).To(BeTrue())
+		Expect(b.Take(start, from("B", 1, 4))).To(BeFalse())
+		Expect(b.Take(start, from("B", 1, 5))).To(BeFalse())
+		Expect(b.Take(start, from("B", 2, 1))).To(BeTrue())
+		Expect(b.Take(start, from("B", 1, 9))).To(BeFalse())
+		Expect(b.Take(start, from("A", 9, 9))).To(BeFalse())
+	})
+
+	It("tells once when a host comes to live or falls silent", func() {
+		b.Take(start, from("B", 1, 1))
+		b.Take(start, from("B", 1, 2))
+		b.Expire(start.Add(notice.SilentAfter))
+		Expect(b.Alive("B")).To(BeTrue())
+		b.Expire(start.Add(notice.SilentAfter + 1))
+		b.Expire(start.Add(notice.SilentAfter + 2))
+		Expect(b.Alive("B")).To(BeFalse())
+		Expect(b.Live()).To(BeEmpty())
+		Expect(seen).To(Equal([]string{"Btrue", "Bfalse"}))
+	})
+
+	It("sends to seeds and to what others know, but not to itself or for ever", func() {
+		b.Learn(start, "10.0.0.1:1", "10.0.0.2:1")
+		n := from("B", 1, 1)
+		n.Known = []string{"10.0.0.3:1", "10.0.0.1:1"}
+		b.Take(start, n)
+		Expect(b.Addresses()).To(Equal([]string{"10.0.0.2:1", "10.0.0.3:1", "10.0.0.9:1"}))
+		b.Take(start.Add(2*time.Minute), from("B", 1, 2))
+		b.Expire(start.Add(2 * time.Minute))
+		Expect(b.Addresses()).To(Equal([]string{"10.0.0.9:1"}))
+	})
+
+	It("takes a host at another address for the same host", func() {
+		b.Take(start, from("B", 1, 1))
+		moved := from("B", 2, 1)
+		moved.Address = "10.0.0.8:1"
+		b.Take(start, moved)
+		Expect(b.Addresses()).To(Equal([]string{"10.0.0.8:1"}))
+	})
+
+	It("leaves hosts that stop out of those that may take over", func() {
+		n := from("B", 1, 1)
+		n.Stopping = true
+		b.Take(start, n)
+		Expect(b.Alive("B")).To(BeTrue())
+		Expect(b.Live()).To(BeEmpty())
+	})
+})
+
+var _ = Describe("an exchange", func() {
+	It("carries notices both ways, and drops what is none", func() {
+		clock := timer.NewManual(start)
+		type side struct {
+			address string
+			book    *notice.Book
+			ex      *notice.Exchange
+			heard   chan notice.Notice
+		}
+		open := func(name string) *side {
+			conn, err := notice.Listen("127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			address := conn.LocalAddr().String()
+			s := &side{address: address, heard: make(chan notice.Notice, 100)}
+			s.book = notice.NewBook(name, address, func(string, bool) {})
+			s.ex = notice.NewExchange(clock, logr.Discard(), s.book, conn, func() notice.Notice {
+				return notice.Notice{Host: name, Address: address, Loads: map[string]placing.Load{"e": {Online: 2, Ends: []int{5, 9}}}}
+			}, func(n notice.Notice) { s.heard <- n })
+			DeferCleanup(s.ex.Close)
+			return s
+		}
+		a, b := open("A"), open("B")
+		b.ex.Start()
+		a.book.Learn(start, b.address)
+		a.ex.Start()
+		conn, err := net.Dial("udp4", b.address)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = conn.Write([]byte("{nothing"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.Close()).To(Succeed())
+		var n notice.Notice
+		Eventually(func() chan notice.Notice {
+			clock.Advance(10 * time.Millisecond)
+			a.ex.Changed()
+			return b.heard
+		}, 20*time.Second, time.Millisecond).Should(Receive(&n))
+		Expect(n.Loads["e"].Ends).To(Equal([]int{5, 9}))
+		Eventually(func() chan notice.Notice {
+			clock.Advance(10 * time.Millisecond)
+			return a.heard
+		}, 20*time.Second, time.Millisecond).Should(Receive(HaveField("Host", "B")))
+	})
+})
+
+func FuzzDecode(f *testing.F) {
+	n := notice.Notice{Host: "A", Address: "10.0.0.1:1", Loads: map[string]placing.Load{"e": {Online: 1}}}
+	text, err := n.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(text)
+	f.Add([]byte(`{"h":"A","a":"x","l":{"e":null}}`))
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		n, err := notice.Decode(datagram)
+		if err != nil {
+			return
+		}
+		b := notice.NewBook("self", "10.0.0.1:1", func(string, bool) {})
+		b.Take(start, n)
+		if len(b.Live()) > 1 {
+			t.Fatal("one notice made several hosts")
+		}
+	})
+}
--- a/internal/fleet/notice/sender.go
+++ b/internal/fleet/notice/sender.go
@@ -38,20 +38,23 @@
 	wait    sync.WaitGroup
 }
 
-// Open binds address and returns an exchange that Start runs.
-func Open(t timer.Service, log logr.Logger, book *Book, address string, compose func() Notice, heard func(Notice)) (*Exchange, error) {
+// Listen opens the address that notices come in at.
+func Listen(address string) (*net.UDPConn, error) {
 	local, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	conn, err := net.ListenUDP("udp4", local)
-	if err != nil {
-		return nil, trace.ConvertSystemError(err)
-	}
+	return conn, trace.ConvertSystemError(err)
+}
+
+// NewExchange returns an exchange at an open address, which it closes; Start
+// runs it.
+func NewExchange(t timer.Service, log logr.Logger, book *Book, conn *net.UDPConn, compose func() Notice, heard func(Notice)) *Exchange {
 	return &Exchange{
 		timer: t, log: log, book: book, conn: conn, compose: compose, heard: heard, start: t.Now().UnixNano(),
 		changed: make(chan struct{}, 1), done: make(chan struct{}),
-	}, nil
+	}
 }
 
 // Start begins to send and receive.
--- a/internal/fleet/setup/entry.go
+++ b/internal/fleet/setup/entry.go
@@ -21,8 +21,7 @@
 	PeerAddress string `json:"peer_address"`
 	// MetricsAddress is where metrics are read; empty for none.
 	MetricsAddress string `json:"metrics_address"`
-	// Seeds are addresses of some entry hosts; their ports may be others than
-	// those of PeerAddress.
+	// Seeds are the peer addresses of some entry hosts, which may be down.
 	Seeds []string `json:"seeds"`
 	// StoreAddress is the platform's store, IP:PORT.
 	StoreAddress string `json:"store_address"`
--- a/internal/operator/command/platform.go
+++ b/internal/operator/command/platform.go
@@ -75,9 +75,12 @@
 		Config: registry.Config, Server: registry.Server, ServerID: registry.ServerID,
 		Front: func(h *entry.Host) http.Handler { return front.NewHandler(h) }, Ready: front.Ready,
 	})
-	if err := h.Start(); err != nil {
+	listeners, err := entry.Listen(settings)
+	if err != nil {
+		log.Error(err, "not started", "host", settings.Name)
 		return trace.Wrap(err)
 	}
+	h.Start(listeners)
 	untilStopped(file, func() {
 		changed, err := readEntry(file, false)
 		if err != nil {
--- /dev/null
+++ b/internal/operator/lines/lines_test.go
@@ -0,0 +1,100 @@
+package lines_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
+	"github.com/kingcupquay/kingcupquay/internal/operator/lines"
+)
+
+// stalled is an output that takes nothing until it is released.
+type stalled struct {
+	mu      sync.Mutex
+	release chan struct{}
+	got     bytes.Buffer
+}
+
+func (s *stalled) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.got.Write(p)
+}
+
+var _ = Describe("a writer", func() {
+	clock := func() *timer.Manual { return timer.NewManual(time.Unix(1000, 0)) }
+
+	It("never blocks on a stalled output, and counts what it drops", func() {
+		out := &stalled{release: make(chan struct{})}
+		w := lines.NewWriter(clock(), out, 1<<30)
+		// More than the buffer and the one line that waits in the output.
+		for i := range 5000 {
+			n, err := fmt.Fprintf(w, "line %d\n", i)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(n).To(BeNumerically(">", 0))
+		}
+		dropped := w.Dropped()
+		Expect(dropped).To(BeNumerically(">=", 5000-2048-1))
+		close(out.release)
+		w.Close()
+		Expect(int64(bytes.Count(out.got.Bytes(), []byte("\n"))) + dropped).To(Equal(int64(5000)))
+	})
+
+	It("writes no more lines a second than its budget, and starts anew the next second", func() {
+		c := clock()
+		var out bytes.Buffer
+		w := lines.NewWriter(c, &out, 10)
+		for range 3 {
+			for range 25 {
+				_, err := io.WriteString(w, "x\n")
+				Expect(err).NotTo(HaveOccurred())
+			}
+			c.Advance(time.Second)
+		}
+		Expect(w.Dropped()).To(Equal(int64(45)))
+		w.SetBudget(20)
+		for range 25 {
+			_, err := io.WriteString(w, "x\n")
+			Expect(err).NotTo(HaveOccurred())
+		}
+		w.Close()
+		Expect(bytes.Count(out.Bytes(), []byte("\n"))).To(Equal(50))
+	})
+
+	It("writes one JSON object a line, and says how many were dropped", func() {
+		c := clock()
+		var out bytes.Buffer
+		w := lines.NewWriter(c, &out, 1)
+		log := lines.Logger(c, w)
+		log.Info("refused", "request", "9c41", "retry_ms", 300)
+		log.Info("dropped")
+		c.Advance(5 * time.Second)
+		w.Close()
+		decoder := json.NewDecoder(&out)
+		var first, second map[string]any
+		Expect(decoder.Decode(&first)).To(Succeed())
+		Expect(first).To(HaveKeyWithValue("msg", "refused"))
+		Expect(first).To(HaveKeyWithValue("request", "9c41"))
+		Expect(decoder.Decode(&second)).To(Succeed())
+		Expect(second).To(HaveKeyWithValue("lines", 1.0))
+	})
+})
+
+// BenchmarkLine is what one line costs the request that writes it.
+func BenchmarkLine(b *testing.B) {
+	w := lines.NewWriter(timer.Real{}, io.Discard, 1<<30)
+	log := lines.Logger(timer.Real{}, w)
+	for b.Loop() {
+		log.V(1).Info("placed", "request", "9c41d07be2a35f68", "service", "s", "server", "i-1", "wait_ms", 0)
+	}
+	w.Close()
+}
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -95,6 +95,7 @@
 		if failure == nil {
 			return a.begun, nil
 		}
+		a.ran = a.ran.Or(failure.Ran())
 		if ctx.Err() != nil || failure.Code() == result.Cancelled || !a.mayMove(one) {
 			return a.begun, failure.WithRan(a.ran)
 		}
--- a/internal/serving/placing/load_test.go
+++ b/internal/serving/placing/load_test.go
@@ -43,7 +43,6 @@
 	server backend.Server
 	// admitted work, at most slots; the rest waits in order of arrival.
 	running, queue []*job
-	dead           bool
 }
 
 type told struct {
--- a/internal/serving/placing/view.go
+++ b/internal/serving/placing/view.go
@@ -43,8 +43,8 @@
 
 // report is what another host last told.
 type report struct {
-	at    time.Time
-	loads map[string]Load
+	at      time.Time
+	loads   map[string]Load
 	backlog Backlog
 }
 
