Tell far hosts now and then, let changes gather, look after jobs at a few hosts

Change: in a fleet of over 16 hosts those of other zones hear every 0.6 s, batch stays in its zone, signs of life last longer, 8 hosts look after jobs; a follower waits 8 ms a reader after a change. Also: a manager schedules before it has read its own jobs (a flaky spec: it waited for a store that was away).

--- a/internal/batch/custody/manager.go
+++ b/internal/batch/custody/manager.go
@@ -166,15 +166,14 @@
 		{flushEvery, nil, m.flush},
 		{scanEvery, nil, m.scan},
 	}
-	m.wait.Add(1)
+	m.wait.Add(1 + len(loops))
 	go func() {
 		defer m.wait.Done()
 		m.adoptOwn()
-		for _, l := range loops {
-			m.wait.Add(1)
-			go m.loop(l.every, l.kick, l.work)
-		}
 	}()
+	for _, l := range loops {
+		go m.loop(l.every, l.kick, l.work)
+	}
 }
 
 // loop calls work once a period of the timer, and at a kick, until the end.
--- a/internal/batch/custody/owning.go
+++ b/internal/batch/custody/owning.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,6 +18,8 @@
 	// suspectScans is how many scans in a row a host must look gone before its
 	// jobs are taken over.
 	suspectScans = 1
+	// dutyHosts is how many hosts look after jobs without an owner.
+	dutyHosts = 8
 	// keepOver is how long a job that is over stays readable.
 	keepOver = 150 * time.Second
 	// adoptRetry is the pause between tries to read this host's own jobs at its
@@ -70,8 +74,19 @@
 	}
 }
 
+// onDuty returns the live hosts that look after jobs without an owner: all of a
+// small fleet, some of a large one, so that their looks stay few.
+func (m *Manager) onDuty() []string {
+	live := m.Peers.Live()
+	sort.Slice(live, func(i, j int) bool { return xxhash.Sum64String(live[i]) > xxhash.Sum64String(live[j]) })
+	return live[:min(len(live), dutyHosts)]
+}
+
 // scan looks for jobs whose owner is gone, and removes what is long over.
 func (m *Manager) scan() {
+	if !slices.Contains(m.onDuty(), m.Host) {
+		return
+	}
 	entries, err := m.Store.RangeStale(m.ctx, bulk.RecordPrefix)
 	if err != nil {
 		m.Log.V(1).Info("records not read", "cause", err.Error())
@@ -126,11 +141,11 @@
 	return seen[host]
 }
 
-// chosen reports whether this host is the one of the live hosts to take a job
+// chosen reports whether this host is the one of those on duty to take a job
 // over: the one with the highest hash of host and job.
 func (m *Manager) chosen(id string) bool {
 	best, most := "", uint64(0)
-	for _, host := range m.Peers.Live() {
+	for _, host := range m.onDuty() {
 		if h := xxhash.Sum64String(host + "\x00" + id); best == "" || h > most {
 			best, most = host, h
 		}
@@ -279,7 +294,7 @@
 
 // clean forgets and removes a job that has been over for long.
 func (m *Manager) clean(r bulk.Record, own bool, now time.Time) {
-	if r.Open() || now.Sub(r.Accepted) < keepOver || (!own && r.Owner != m.Host) {
+	if r.Open() || now.Sub(r.Accepted) < keepOver || !m.chosen(r.ID) {
 		return
 	}
 	txn := store.Txn{Deletes: []string{bulk.RecordKey(r.ID), bulk.PartialKey(r.ID)}}
--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -130,7 +130,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a.Store = store.NewCounted(a.Store, t)
 	h := &Host{settings: s, timer: t, log: log, adapter: a, ctx: ctx, cancel: cancel}
-	h.book = notice.NewBook(s.Name, s.PeerAddress, func(host string, live bool) {
+	h.book = notice.NewBook(s.Name, s.Zone, s.PeerAddress, func(host string, live bool) {
 		log.Info("host seen", "host", host, "live", live)
 	})
 	h.placer = placing.New(s.Name, s.Zone, rand.Float64, h.changed)
@@ -213,7 +213,7 @@
 	h.wait.Add(1)
 	go h.lease()
 	h.jobs.Start()
-	h.expiry = h.timer.Every(expireEvery, func(now time.Time) { h.list.Expire(now) })
+	h.expiry = h.timer.Every(expireEvery, func(now time.Time) { h.tick(now) })
 	h.log.Info("started", "host", h.settings.Name, "zone", h.settings.Zone, "callers", h.settings.CallerAddress, "peers", h.settings.PeerAddress, "seeds", len(h.settings.Seeds))
 }
 
@@ -227,6 +227,11 @@
 	}()
 }
 
+func (h *Host) tick(now time.Time) {
+	h.list.Expire(now)
+	h.placer.SetLarge(h.book.Large())
+}
+
 // Kill ends the host at once, as when its process is killed; for tests.
 func (h *Host) Kill() {
 	for _, server := range h.servers {
@@ -302,13 +307,19 @@
 	return notice.Notice{
 		Host: h.settings.Name, Zone: h.settings.Zone, Address: h.settings.PeerAddress, Config: h.config.Version(),
 		Servers: h.registry.Applied(), Stopping: h.stopping.Load(), Loads: loads, Backlog: backlog, Jobs: told, Ended: ended,
-		Known: h.book.Addresses(),
+		Known: h.known(),
 	}
 }
 
+// known returns the addresses of other hosts.
+func (h *Host) known() []string {
+	near, far := h.book.Addresses()
+	return append(near, far...)
+}
+
 // heard takes a notice.
 func (h *Host) heard(n notice.Notice) {
-	h.placer.Report(n.Host, h.timer.Now(), n.Loads, n.Backlog)
+	h.placer.Report(n.Host, n.Zone, h.timer.Now(), n.Loads, n.Backlog)
 	h.registry.Nudge(n.Servers)
 	if len(n.Jobs) > 0 {
 		h.jobs.LearnOwner(n.Host, n.Jobs)
--- a/internal/fleet/entry/lease.go
+++ b/internal/fleet/entry/lease.go
@@ -13,10 +13,13 @@
 const hostPrefix = "hosts/"
 
 const (
-	// leaseTime is how long a sign of life stays after the last renewal.
-	leaseTime = 2500 * time.Millisecond
-	// renewEvery is the time between renewals; two may be lost.
-	renewEvery = 800 * time.Millisecond
+	// A sign of life stays for leaseEach a live host after the last renewal, within
+	// leaseLeast and leaseMost, so that all hosts' renewals together stay few.
+	leaseEach  = 100 * time.Millisecond
+	leaseLeast = 2500 * time.Millisecond
+	leaseMost  = 8 * time.Second
+	// renewals is how many fit into that time; all but one may be lost.
+	renewals = 3
 	// lookEvery is how many renewals lie between two looks at the other hosts'
 	// signs of life.
 	lookEvery = 4
@@ -32,12 +35,16 @@
 		if n%lookEvery == 0 {
 			h.look()
 		}
-		if !timer.Pause(h.timer, h.ctx.Done(), renewEvery) {
+		if !timer.Pause(h.timer, h.ctx.Done(), h.leaseTime()/renewals) {
 			return
 		}
 	}
 }
 
+func (h *Host) leaseTime() time.Duration {
+	return min(leaseMost, max(leaseLeast, leaseEach*time.Duration(1+len(h.book.Live()))))
+}
+
 // renew renews the lease or takes a new one; it returns 0 if there is none.
 func (h *Host) renew(id store.LeaseID) store.LeaseID {
 	if id != 0 {
@@ -51,7 +58,7 @@
 		}
 		h.log.Info("lease lost", "lease", int64(id))
 	}
-	id, err := h.adapter.Store.Grant(h.ctx, leaseTime)
+	id, err := h.adapter.Store.Grant(h.ctx, h.leaseTime())
 	if err != nil {
 		h.log.V(1).Info("no lease", "cause", err.Error())
 		return 0
--- a/internal/fleet/notice/notice.go
+++ b/internal/fleet/notice/notice.go
@@ -53,6 +53,16 @@
 	return text, trace.Wrap(err)
 }
 
+// far returns the notice for far hosts, which need no expected ends.
+func (n Notice) far() Notice {
+	loads := make(map[string]placing.Load, len(n.Loads))
+	for server, l := range n.Loads {
+		loads[server] = placing.Load{Online: l.Online, Batch: l.Batch}
+	}
+	n.Loads = loads
+	return n
+}
+
 // Decode reads a datagram.
 func Decode(datagram []byte) (Notice, error) {
 	var n Notice
@@ -82,6 +92,7 @@
 // Book holds what other hosts told. It is safe for concurrent use.
 type Book struct {
 	self    string
+	zone    string
 	address string
 
 	mu    sync.Mutex
@@ -94,9 +105,9 @@
 
 // NewBook returns a book of a host; changed is told when a host comes to live
 // or falls silent.
-func NewBook(self, address string, changed func(host string, live bool)) *Book {
+func NewBook(self, zone, address string, changed func(host string, live bool)) *Book {
 	return &Book{
-		self: self, address: address, peers: make(map[string]*Peer), addresses: make(map[string]time.Time),
+		self: self, zone: zone, address: address, peers: make(map[string]*Peer), addresses: make(map[string]time.Time),
 		live: make(map[string]bool), changed: changed,
 	}
 }
@@ -157,16 +168,48 @@
 	}
 }
 
-// Addresses returns where notices go.
-func (b *Book) Addresses() []string {
+// Addresses returns where notices go: to near hosts after each change, to far
+// ones now and then. In a small fleet all are near; in a large one those of
+// other zones are far, so that what a host sends and hears does not grow with
+// the number of zones.
+func (b *Book) Addresses() (near, far []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	list := make([]string, 0, len(b.addresses))
+	zones := make(map[string]string, len(b.peers))
+	for _, p := range b.peers {
+		zones[p.Address] = p.Zone
+	}
+	large := b.large()
 	for a := range b.addresses {
-		list = append(list, a)
+		if zone, heard := zones[a]; large && heard && zone != b.zone {
+			far = append(far, a)
+		} else {
+			near = append(near, a)
+		}
 	}
-	sort.Strings(list)
-	return list
+	sort.Strings(near)
+	sort.Strings(far)
+	return near, far
+}
+
+// smallFleet is the most live hosts that all tell each other each change.
+const smallFleet = 16
+
+func (b *Book) large() bool {
+	n := 1
+	for _, live := range b.live {
+		if live {
+			n++
+		}
+	}
+	return n > smallFleet
+}
+
+// Large reports whether hosts of other zones are far.
+func (b *Book) Large() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.large()
 }
 
 // Alive reports whether a host has been heard lately.
--- a/internal/fleet/notice/notice_test.go
+++ b/internal/fleet/notice/notice_test.go
@@ -24,7 +24,7 @@
 	)
 	BeforeEach(func() {
 		seen = nil
-		b = notice.NewBook("A", "10.0.0.1:1", func(host string, live bool) { seen = append(seen, fmt.Sprint(host, live)) })
+		b = notice.NewBook("A", "z", "10.0.0.1:1", func(host string, live bool) { seen = append(seen, fmt.Sprint(host, live)) })
 	})
 	from := func(host string, start, number int64) notice.Notice {
 		return notice.Notice{Host: host, Address: "10.0.0.9:1", Start: start, Number: number}
@@ -56,10 +56,12 @@
 		n := from("B", 1, 1)
 		n.Known = []string{"10.0.0.3:1", "10.0.0.1:1"}
 		b.Take(start, n)
-		Expect(b.Addresses()).To(Equal([]string{"10.0.0.2:1", "10.0.0.3:1", "10.0.0.9:1"}))
+		near, _ := b.Addresses()
+		Expect(near).To(Equal([]string{"10.0.0.2:1", "10.0.0.3:1", "10.0.0.9:1"}))
 		b.Take(start.Add(2*time.Minute), from("B", 1, 2))
 		b.Expire(start.Add(2 * time.Minute))
-		Expect(b.Addresses()).To(Equal([]string{"10.0.0.9:1"}))
+		near, _ = b.Addresses()
+		Expect(near).To(Equal([]string{"10.0.0.9:1"}))
 	})
 
 	It("takes a host at another address for the same host", func() {
@@ -67,7 +69,24 @@
 		moved := from("B", 2, 1)
 		moved.Address = "10.0.0.8:1"
 		b.Take(start, moved)
-		Expect(b.Addresses()).To(Equal([]string{"10.0.0.8:1"}))
+		near, _ := b.Addresses()
+		Expect(near).To(Equal([]string{"10.0.0.8:1"}))
+	})
+
+	It("tells far hosts less often once the fleet is large", func() {
+		for i := range 20 {
+			n := from(fmt.Sprint("H", i), 1, 1)
+			n.Zone, n.Address = string(rune('y'+i%2)), fmt.Sprintf("10.0.1.%d:1", i)
+			b.Take(start, n)
+			near, far := b.Addresses()
+			if i < 15 {
+				Expect(near).To(HaveLen(i + 1))
+				Expect(far).To(BeEmpty())
+			}
+		}
+		near, far := b.Addresses()
+		Expect(near).To(HaveLen(10))
+		Expect(far).To(HaveLen(10))
 	})
 
 	It("leaves hosts that stop out of those that may take over", func() {
@@ -93,7 +112,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			address := conn.LocalAddr().String()
 			s := &side{address: address, heard: make(chan notice.Notice, 100)}
-			s.book = notice.NewBook(name, address, func(string, bool) {})
+			s.book = notice.NewBook(name, "z", address, func(string, bool) {})
 			s.ex = notice.NewExchange(clock, logr.Discard(), s.book, conn, func() notice.Notice {
 				return notice.Notice{Host: name, Address: address, Loads: map[string]placing.Load{"e": {Online: 2, Ends: []int{5, 9}}}}
 			}, func(n notice.Notice) { s.heard <- n })
@@ -136,7 +155,7 @@
 		if err != nil {
 			return
 		}
-		b := notice.NewBook("self", "10.0.0.1:1", func(string, bool) {})
+		b := notice.NewBook("self", "z", "10.0.0.1:1", func(string, bool) {})
 		b.Take(start, n)
 		if len(b.Live()) > 1 {
 			t.Fatal("one notice made several hosts")
--- a/internal/fleet/notice/sender.go
+++ b/internal/fleet/notice/sender.go
@@ -13,10 +13,19 @@
 )
 
 const (
-	// spacing is the least time between two notices of a host.
-	spacing = 8 * time.Millisecond
-	// heartbeat is the most.
+	// spacingLeast is the least time between two notices of a host; beyond
+	// spacingHosts near hosts, spacingEach is added for each.
+	spacingLeast = 8 * time.Millisecond
+	spacingHosts = 8
+	spacingEach  = 3 * time.Millisecond
+	// heartbeat is the most time between two notices to near hosts, farEvery
+	// about the time between two to far ones.
 	heartbeat = 250 * time.Millisecond
+	farEvery  = 600 * time.Millisecond
+	// knownFirst is how many first notices tell all known addresses, knownEvery
+	// that every so many later ones do.
+	knownFirst = 8
+	knownEvery = 16
 	// maxDatagram bounds a notice.
 	maxDatagram = 60 << 10
 )
@@ -89,8 +98,21 @@
 		}
 	})
 	defer sub.Cancel()
+	var farAt time.Time
 	for number := int64(1); ; number++ {
-		e.tell(number)
+		near, far := e.book.Addresses()
+		now := e.timer.Now()
+		n := e.compose()
+		n.Start, n.Number = e.start, number
+		if number > knownFirst && number%knownEvery != 0 {
+			n.Known = nil
+		}
+		e.tell(n, near)
+		if now.Sub(farAt) >= farEvery {
+			farAt = now
+			e.tell(n.far(), far)
+		}
+		spacing := spacingLeast + spacingEach*time.Duration(max(0, len(near)-spacingHosts))
 		if !timer.Pause(e.timer, e.done, spacing) {
 			return
 		}
@@ -104,15 +126,16 @@
 	}
 }
 
-func (e *Exchange) tell(number int64) {
-	n := e.compose()
-	n.Start, n.Number = e.start, number
+func (e *Exchange) tell(n Notice, addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
 	datagram, err := n.Encode()
 	if err != nil || len(datagram) > maxDatagram {
 		e.log.Info("notice not sent", "bytes", len(datagram), "cause", trace.UserMessage(err))
 		return
 	}
-	for _, address := range e.book.Addresses() {
+	for _, address := range addresses {
 		to, err := net.ResolveUDPAddr("udp4", address)
 		if err != nil {
 			e.log.Info("address can't be used", "address", address, "cause", err.Error())
--- a/internal/record/follow/follow.go
+++ b/internal/record/follow/follow.go
@@ -33,10 +33,15 @@
 	// latter well below the history that the store keeps.
 	pollShare = 350 * time.Millisecond
 	pollLeast = 1200 * time.Millisecond
-	pollMost  = 6 * time.Second
+	pollMost  = 10 * time.Second
 	// pollSpread is the part of the wait that is drawn, so that readers that
 	// started together do not poll together.
 	pollSpread = 0.4
+	// paceShare is how long a follower lets changes gather after one, for each
+	// reader, and paceMost bounds it: every change that ends a poll costs each
+	// reader a call.
+	paceShare = 8 * time.Millisecond
+	paceMost  = 400 * time.Millisecond
 	// nudgePatience is how long after another reader's word the store's own
 	// answer is waited for.
 	nudgePatience = 300 * time.Millisecond
@@ -175,6 +180,9 @@
 		f.apply(e.ModRevision)
 	}
 	f.revision = revision
+	if len(events) > 0 {
+		timer.Pause(f.timer, ctx.Done(), min(paceMost, paceShare*time.Duration(f.readers())))
+	}
 	return nil
 }
 
--- a/internal/serving/placing/batch.go
+++ b/internal/serving/placing/batch.go
@@ -26,7 +26,7 @@
 func (p *Placer) Rooms(now time.Time, servers []backend.Server, most int) []backend.Server {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	slots := p.freeSlots(now, servers)
+	slots := p.freeSlots(now, p.mine(servers))
 	first := p.moreUrgent(now)
 	var placed []backend.Server
 	for i := first; i < len(slots) && len(placed) < most; i++ {
@@ -36,6 +36,23 @@
 	return placed
 }
 
+// mine returns the servers that this host's batch items may run at.
+func (p *Placer) mine(servers []backend.Server) []backend.Server {
+	if !p.large {
+		return servers
+	}
+	var own []backend.Server
+	for _, s := range servers {
+		if s.Zone == p.zone {
+			own = append(own, s)
+		}
+	}
+	if len(own) == 0 {
+		return servers
+	}
+	return own
+}
+
 // freeSlots lists the slots that batch may take, a server once for each: first
 // those of the servers with the most free slots.
 func (p *Placer) freeSlots(now time.Time, servers []backend.Server) []backend.Server {
@@ -79,7 +96,7 @@
 	mine := time.Duration(p.backlog.Slack)*time.Millisecond - now.Sub(p.backlogAt)
 	n := 0
 	for host, r := range p.reports {
-		if now.Sub(r.at) > reportTTL || r.backlog.Items == 0 {
+		if now.Sub(r.at) > reportTTL || r.backlog.Items == 0 || (p.large && r.zone != p.zone) {
 			continue
 		}
 		theirs := time.Duration(r.backlog.Slack)*time.Millisecond - now.Sub(r.at)
--- a/internal/serving/placing/load_test.go
+++ b/internal/serving/placing/load_test.go
@@ -113,7 +113,7 @@
 		n++
 		for i, h := range w.hosts {
 			if i != one.host {
-				h.Report(string(rune('A'+one.host)), w.clock(), one.loads, one.backlog)
+				h.Report(string(rune('A'+one.host)), "", w.clock(), one.loads, one.backlog)
 			}
 		}
 	}
--- a/internal/serving/placing/online.go
+++ b/internal/serving/placing/online.go
@@ -98,7 +98,7 @@
 // nuisance orders servers that have a slot.
 func (p *Placer) nuisance(now time.Time, s backend.Server, wait time.Duration) time.Duration {
 	cost := time.Duration(p.draw() * float64(drawCost))
-	if wait > yieldCost {
+	if wait > yieldCost || (p.large && s.Zone != p.zone) {
 		cost = time.Duration(p.draw() * float64(herdCost))
 	}
 	cost += crowdCost * time.Duration(min(p.total(now, s.ID).sum(), s.Slots)) / time.Duration(s.Slots)
--- a/internal/serving/placing/placer_test.go
+++ b/internal/serving/placing/placer_test.go
@@ -30,14 +30,14 @@
 	})
 
 	It("counts what other hosts tell, and forgets hosts that fall silent", func() {
-		p.Report("B", now, map[string]placing.Load{"near": {Online: 2}}, placing.Backlog{})
+		p.Report("B", "b", now, map[string]placing.Load{"near": {Online: 2}}, placing.Backlog{})
 		Expect(pick()).To(Equal("far"))
 		now = now.Add(1600 * time.Millisecond)
 		Expect(pick()).To(Equal("near"))
 	})
 
 	It("refuses when no slot is expected in time, and says when to come back", func() {
-		p.Report("B", now, map[string]placing.Load{"near": {Online: 9}, "far": {Online: 9}}, placing.Backlog{})
+		p.Report("B", "b", now, map[string]placing.Load{"near": {Online: 9}, "far": {Online: 9}}, placing.Backlog{})
 		c := p.Choose(now, both, nil, patience)
 		Expect(c.Placed).To(BeFalse())
 		Expect(c.RetryAfter).To(BeNumerically(">", 0))
@@ -46,7 +46,7 @@
 	})
 
 	It("takes a slot that batch has, since batch leaves", func() {
-		p.Report("B", now, map[string]placing.Load{"near": {Batch: 2}, "far": {Online: 9}}, placing.Backlog{})
+		p.Report("B", "b", now, map[string]placing.Load{"near": {Batch: 2}, "far": {Online: 9}}, placing.Backlog{})
 		Expect(pick()).To(Equal("near"))
 	})
 
@@ -91,16 +91,16 @@
 		load := map[string]placing.Load{"near": {Online: 2}}
 		own, _ := p.Own(now)
 		other, _ := q.Own(now)
-		p.Report("B", now, other, placing.Backlog{})
-		q.Report("A", now, own, placing.Backlog{})
-		p.Report("C", now, load, placing.Backlog{})
-		q.Report("C", now, load, placing.Backlog{})
+		p.Report("B", "b", now, other, placing.Backlog{})
+		q.Report("A", "a", now, own, placing.Backlog{})
+		p.Report("C", "c", now, load, placing.Backlog{})
+		q.Report("C", "c", now, load, placing.Backlog{})
 		Expect(p.Surplus(now, servers)).To(Equal(map[string]int{"near": 2}))
 		Expect(q.Surplus(now, servers)).To(BeEmpty())
 	})
 
 	It("places batch only on free slots, and not on a server that rests", func() {
-		p.Report("B", now, map[string]placing.Load{"near": {Online: 1}, "far": {Online: 2}}, placing.Backlog{})
+		p.Report("B", "b", now, map[string]placing.Load{"near": {Online: 1}, "far": {Online: 2}}, placing.Backlog{})
 		Expect(p.Rooms(now, both, 9)).To(Equal([]backend.Server{near}))
 		Expect(p.Rooms(now, both, 9)).To(BeEmpty())
 		p.EndedBatch(now, near, placing.Unreached)
@@ -113,8 +113,8 @@
 		q.SetBacklog(now, 2, time.Second)
 		_, mine := p.Own(now)
 		_, theirs := q.Own(now)
-		p.Report("B", now, nil, theirs)
-		q.Report("A", now, nil, mine)
+		p.Report("B", "b", now, nil, theirs)
+		q.Report("A", "a", now, nil, mine)
 		first, second := q.Rooms(now, both, 2), p.Rooms(now, both, 3)
 		Expect(first).To(HaveLen(2))
 		Expect(second).To(HaveLen(2))
@@ -127,7 +127,7 @@
 
 	It("keeps slots for what online varies by once online is busy", func() {
 		wide := backend.Server{ID: "wide", Service: "s", Zone: "a", Slots: 30}
-		p.Report("B", now, map[string]placing.Load{"wide": {Online: 16}}, placing.Backlog{})
+		p.Report("B", "b", now, map[string]placing.Load{"wide": {Online: 16}}, placing.Backlog{})
 		Expect(p.Rooms(now, []backend.Server{wide}, 30)).To(HaveLen(12))
 	})
 })
--- a/internal/serving/placing/view.go
+++ b/internal/serving/placing/view.go
@@ -43,6 +43,7 @@
 
 // report is what another host last told.
 type report struct {
+	zone    string
 	at      time.Time
 	loads   map[string]Load
 	backlog Backlog
@@ -85,6 +86,8 @@
 	// means holds the mean time an online request takes a slot, by service.
 	means map[string]time.Duration
 	draw  func() float64
+	// large says that other zones' counts come late.
+	large bool
 	// backlog is this host's, its slack as of backlogAt.
 	backlog   Backlog
 	backlogAt time.Time
@@ -101,10 +104,19 @@
 }
 
 // Report takes another host's counts.
-func (p *Placer) Report(host string, now time.Time, loads map[string]Load, backlog Backlog) {
+func (p *Placer) Report(host, zone string, now time.Time, loads map[string]Load, backlog Backlog) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.reports[host] = report{at: now, loads: loads, backlog: backlog}
+	p.reports[host] = report{zone: zone, at: now, loads: loads, backlog: backlog}
+}
+
+// SetLarge tells whether the hosts of other zones tell their counts only now
+// and then. Online then goes to another zone only when the own one is full, and
+// batch stays in the own zone, where hosts hear of each other in time.
+func (p *Placer) SetLarge(large bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.large = large
 }
 
 // Own returns this host's counts and its backlog.
