Give the head of a stream with nothing left; see that another host took a job over

Change: the head is given; a scan or another host's word makes a host look its job up; hosts tell their jobs again to one that comes back. Both specs fail without the change.

--- a/internal/batch/custody/manager.go
+++ b/internal/batch/custody/manager.go
@@ -206,15 +206,35 @@
 	}
 }
 
-// LearnOwner takes another host's word that it owns jobs.
+// LearnOwner takes another host's word that it owns jobs. One that this host
+// believes to be its own is looked up.
 func (m *Manager) LearnOwner(host string, ids []string) {
+	var claimed []string
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	for _, id := range ids {
-		if _, own := m.jobs[id]; !own {
+		if _, own := m.jobs[id]; own {
+			claimed = append(claimed, id)
+		} else {
 			m.owners[id] = host
 		}
 	}
+	m.mu.Unlock()
+	for _, id := range claimed {
+		m.refresh(id)
+	}
+}
+
+// Own returns the jobs that this host owns and that have work left.
+func (m *Manager) Own() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var ids []string
+	for id, h := range m.jobs {
+		if !h.job.Over() {
+			ids = append(ids, id)
+		}
+	}
+	return ids
 }
 
 // LearnEnded takes another host's word that jobs were ended.
--- a/internal/batch/custody/manager_test.go
+++ b/internal/batch/custody/manager_test.go
@@ -182,6 +182,39 @@
 		})
 	})
 
+	It("lets go of a job that another host has taken over, though nothing of it ends here", func() {
+		f := newFleet("A", "B")
+		f.servers.hold = make(chan struct{})
+		Expect(f.hosts["A"].Submit(ctx, submission("j", 2, 1))).To(BeNil())
+		f.hosts["A"].dead.Store(true)
+		f.hosts["A"].cut.Store(true)
+		f.eventually(func(g Gomega) { g.Expect(f.hosts["B"].Own()).To(ConsistOf("j")) })
+		f.hosts["A"].dead.Store(false)
+		f.hosts["A"].cut.Store(false)
+		f.eventually(func(g Gomega) { g.Expect(f.hosts["A"].Own()).To(BeEmpty()) })
+		Expect(f.hosts["B"].Own()).To(ConsistOf("j"))
+		close(f.servers.hold)
+		f.eventually(func(g Gomega) { expectWhole(g, listed(g, f.hosts["A"], "j"), 2) })
+	})
+
+	It("looks a job up when another host says that it owns it", func() {
+		f := newFleet("A")
+		f.servers.hold = make(chan struct{})
+		defer close(f.servers.hold)
+		Expect(f.hosts["A"].Submit(ctx, submission("j", 1, 1))).To(BeNil())
+		e, _, err := f.kv.Get(ctx, bulk.RecordKey("j"))
+		Expect(err).NotTo(HaveOccurred())
+		r, err := bulk.DecodeRecord(e.Value)
+		Expect(err).NotTo(HaveOccurred())
+		r.Owner, r.Writer, r.Serial = "B", "B/1", r.Serial+1
+		text, err := r.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		_, err = f.kv.Commit(ctx, store.Txn{Puts: []store.Put{{Key: bulk.RecordKey("j"), Value: text}}})
+		Expect(err).NotTo(HaveOccurred())
+		f.hosts["A"].LearnOwner("B", []string{"j"})
+		Eventually(f.hosts["A"].Own, patience).Should(BeEmpty())
+	})
+
 	It("takes its own jobs back after a restart", func() {
 		f := newFleet("A")
 		f.servers.hold = make(chan struct{})
--- a/internal/batch/custody/owning.go
+++ b/internal/batch/custody/owning.go
@@ -102,7 +102,8 @@
 		}
 		m.mu.Unlock()
 		switch {
-		case own && r.Ended:
+		case own && (r.Ended || r.Owner != m.Host):
+			// What was read may be old; the record itself tells.
 			m.refresh(r.ID)
 			m.clean(r, own, now)
 		case own || !r.Open():
--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -132,6 +132,10 @@
 	h := &Host{settings: s, timer: t, log: log, adapter: a, ctx: ctx, cancel: cancel}
 	h.book = notice.NewBook(s.Name, s.Zone, s.PeerAddress, func(host string, live bool) {
 		log.Info("host seen", "host", host, "live", live)
+		if live {
+			// It may have missed who owns what.
+			go h.retell()
+		}
 	})
 	h.placer = placing.New(s.Name, s.Zone, rand.Float64, h.changed)
 	h.list = backend.NewDirectory(func(b backend.Server, state string) {
@@ -298,6 +302,13 @@
 	h.changed()
 }
 
+// retell tells other hosts once more of the jobs that this host owns.
+func (h *Host) retell() {
+	for _, id := range h.jobs.Own() {
+		h.tell(&h.told, id)
+	}
+}
+
 func (h *Host) compose() notice.Notice {
 	now := h.timer.Now()
 	loads, backlog := h.placer.Own(now)
--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -196,6 +196,7 @@
 		Entry("stream, goes on elsewhere inside one answer", routes.Stream, true, 2, []try{{body: numbered(1, 2) + "id: 3\nda", cut: true}, {body: numbered(3, 5)}}, 2, result.OK, result.RanNo, numbered(1, 5)),
 		Entry("stream, an end inside an event is none", routes.Stream, true, 2, []try{{body: numbered(1, 2) + "id: 3"}, {body: numbered(3, 5)}}, 2, result.OK, result.RanNo, numbered(1, 5)),
 		Entry("stream, a server that begins again is left", routes.Stream, true, 3, []try{{body: numbered(1, 2), cut: true}, {body: numbered(1, 5)}, {body: numbered(3, 5)}}, 3, result.OK, result.RanNo, numbered(1, 5)),
+		Entry("stream, nothing left to tell: the head is given all the same", routes.Stream, true, 2, []try{{body: ""}}, 1, result.OK, result.RanNo, ""),
 		Entry("stream, lost before its first event", routes.Stream, true, 2, []try{{lost: true}, {body: numbered(1, 2)}}, 2, result.OK, result.RanNo, numbered(1, 2)),
 		Entry("stream, a server's failure is given", routes.Stream, true, 1, []try{{status: 500, body: "no"}}, 1, result.OK, result.RanNo, "no"),
 	)
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -171,6 +171,10 @@
 			case p.err == nil:
 				silence.Reset(a.silence())
 			case errors.Is(p.err, io.EOF) && len(splitter.Rest()) == 0:
+				if !a.begun {
+					// The caller has every event already; the head is still owed.
+					a.out.Whole(one.reply.Status, one.reply.Fields, nil)
+				}
 				f.end(one, placing.Whole)
 				return nil
 			default:
