--- a/internal/batch/custody/running.go
+++ b/internal/batch/custody/running.go
@@ -194,6 +194,7 @@
 		one := &run{server: s, cancel: cancel}
 		w.runs[w.index] = one
 		startedTotal.Inc()
+		m.Log.V(1).Info("item placed", "job", w.job.Record().ID, "item", w.job.Item(w.index).ID, "server", s.ID, "slack_ms", w.slack.Milliseconds(), "waiting", len(queue)-n)
 		m.wait.Add(1)
 		go m.runItem(ctx, w.held, w.index, one, w.route, service)
 	}
@@ -206,8 +207,9 @@
 	at := make(map[string]backend.Server)
 	type candidate struct {
 		*run
-		slack  time.Duration
-		events int64
+		job, item string
+		slack     time.Duration
+		events    int64
 	}
 	var candidates []candidate
 	leaving := make(map[string]int)
@@ -220,7 +222,9 @@
 				continue
 			}
 			events := h.job.Events(i)
-			candidates = append(candidates, candidate{one, due.Sub(now) - m.pace.left(events), events})
+			candidates = append(candidates, candidate{
+				run: one, job: h.job.Record().ID, item: h.job.Item(i).ID, slack: due.Sub(now) - m.pace.left(events), events: events,
+			})
 		}
 	}
 	if len(at) == 0 {
@@ -250,6 +254,7 @@
 			c.left = true
 			c.cancel()
 			yieldedTotal.Inc()
+			m.Log.V(1).Info("item left its slot", "job", c.job, "item", c.item, "server", c.server.ID, "surplus", surplus[c.server.ID], "slack_ms", c.slack.Milliseconds(), "events", c.events)
 		}
 	}
 }
--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -157,9 +157,11 @@
 		if len(servers) == 0 {
 			return choice, result.New(result.NoBackend, "service %s has no back end", c.Service).WithRetry(noServerRetry)
 		}
-		return choice, result.New(result.Overloaded, "no slot within %d ms, %d expected", patience.Milliseconds(), choice.Wait.Milliseconds()).WithRetry(choice.RetryAfter)
+		return choice, result.New(result.Overloaded, "no slot within %d ms: %d expected at the best of %d servers, as told up to %d ms ago",
+			patience.Milliseconds(), choice.Wait.Milliseconds(), len(servers), choice.Age.Milliseconds()).WithRetry(choice.RetryAfter)
 	}
-	f.log.V(1).Info("placed", "request", c.ID, "service", c.Service, "server", choice.Server.ID, "wait_ms", choice.Wait.Milliseconds())
+	f.log.V(1).Info("placed", "request", c.ID, "service", c.Service, "server", choice.Server.ID,
+		"wait_ms", choice.Wait.Milliseconds(), "taken", choice.Taken, "age_ms", choice.Age.Milliseconds())
 	return choice, nil
 }
 
--- a/internal/serving/placing/online.go
+++ b/internal/serving/placing/online.go
@@ -34,6 +34,10 @@
 	Wait time.Duration
 	// Placed says that the request counts at Server until Ended is called.
 	Placed bool
+	// Taken is how many requests of all hosts were seen at Server, Age the age of
+	// the oldest count that went into it.
+	Taken int
+	Age   time.Duration
 	// RetryAfter is set if it was not placed.
 	RetryAfter time.Duration
 	// end is when a placed request is expected to end; it tells it from others.
@@ -66,8 +70,12 @@
 			break
 		}
 	}
+	if bestCost >= 0 {
+		best.Taken, best.Age = p.total(now, best.Server.ID).sum(), p.age(now)
+	}
 	if bestCost < 0 || best.Wait > patience {
-		return Choice{Wait: best.Wait, RetryAfter: p.comeBack()}
+		best.Server, best.RetryAfter = backend.Server{}, p.comeBack()
+		return best
 	}
 	best.Placed = true
 	best.end = now.Add(best.Wait + p.mean(best.Server.Service))
--- a/internal/serving/placing/view.go
+++ b/internal/serving/placing/view.go
@@ -158,6 +158,17 @@
 	return sum
 }
 
+// age returns the age of the oldest count of another host that is believed.
+func (p *Placer) age(now time.Time) time.Duration {
+	var oldest time.Duration
+	for _, r := range p.reports {
+		if age := now.Sub(r.at); age <= reportTTL {
+			oldest = max(oldest, age)
+		}
+	}
+	return oldest
+}
+
 // residuals returns, in order, after which times the online requests at a
 // server are expected to end.
 func (p *Placer) residuals(now time.Time, s backend.Server) []time.Duration {
