--- a/internal/batch/bulk/job.go
+++ b/internal/batch/bulk/job.go
@@ -203,6 +203,9 @@
 // Events returns how many events have been produced of an item.
 func (j *Job) Events(i int) int64 { return j.items[i].events }
 
+// Size returns the bytes that have been produced of an item.
+func (j *Job) Size(i int) int { return len(j.items[i].text) }
+
 // Finish takes the whole answer of a running item.
 func (j *Job) Finish(i int) {
 	w := j.items[i]
--- a/internal/batch/custody/accept.go
+++ b/internal/batch/custody/accept.go
@@ -26,6 +26,9 @@
 	storeRetry = 500 * time.Millisecond
 	// fullRetry is when a caller may come back while the route's bound is reached.
 	fullRetry = time.Second
+	// maxParts bounds the parts of a job's items, which are written in one
+	// transaction with its record and the route's sum.
+	maxParts = 28
 	// giveUpMargin is added to the time after which an item may be given up,
 	// since the clocks of hosts differ.
 	giveUpMargin = 3 * time.Second
@@ -128,6 +131,9 @@
 			return bulk.Record{}, nil, result.New(result.BodyTooLarge, "an item of the job takes %d bytes, more than %d", len(part), store.MaxValueBytes)
 		}
 	}
+	if len(parts) > maxParts {
+		return bulk.Record{}, nil, result.New(result.BodyTooLarge, "the job takes %d parts, more than %d", len(parts), maxParts)
+	}
 	now := m.Timer.Now()
 	record := bulk.Record{
 		ID: sub.ID, Route: sub.Route.Name, Host: sub.Host, Owner: m.Host, Serial: 1, Writer: m.Writer,
--- a/internal/batch/custody/manager_test.go
+++ b/internal/batch/custody/manager_test.go
@@ -315,6 +315,28 @@
 		Expect(failure.Code()).To(Equal(result.NotFound))
 	})
 
+	It("runs an item that crashes servers three times and no more; the others go on", func() {
+		f := newFleet("A")
+		f.servers.crashing = "j-1"
+		Expect(f.hosts["A"].Submit(ctx, submission("j", 3, 1))).To(BeNil())
+		f.eventually(func(g Gomega) { expectWhole(g, listed(g, f.hosts["A"], "j"), 2) })
+		f.eventually(func(g Gomega) { g.Expect(f.servers.runsOf("j-1")).To(Equal(3)) })
+		for range 500 {
+			f.turn()
+		}
+		Consistently(func() int { return f.servers.runsOf("j-1") }, "50ms").Should(Equal(3))
+	})
+
+	It("gives up an item whose answer is larger than the store takes, and lists the others", func() {
+		f := newFleet("A")
+		f.servers.large = "j-1"
+		Expect(f.hosts["A"].Submit(ctx, submission("j", 3, 1))).To(BeNil())
+		f.eventually(func(g Gomega) { g.Expect(listed(g, f.hosts["A"], "j")).To(HaveLen(3)) })
+		for _, one := range listed(Default, f.hosts["A"], "j") {
+			Expect(one.Done).To(Equal(one.ID != "j-1"), one.ID)
+		}
+	})
+
 	It("removes a job long after its end", func() {
 		f := newFleet("A")
 		Expect(f.hosts["A"].Submit(ctx, submission("j", 1, 1))).To(BeNil())
--- a/internal/batch/custody/owning.go
+++ b/internal/batch/custody/owning.go
@@ -105,9 +105,9 @@
 		case own && (r.Ended || r.Owner != m.Host):
 			// What was read may be old; the record itself tells.
 			m.refresh(r.ID)
-			m.clean(r, own, now)
+			m.clean(r, now)
 		case own || !r.Open():
-			m.clean(r, own, now)
+			m.clean(r, now)
 		case r.Owner == m.Host:
 			m.take(m.ctx, r.ID, m.Host)
 		case r.Owner == "" || m.gone(r.Owner, gone):
@@ -294,7 +294,7 @@
 }
 
 // clean forgets and removes a job that has been over for long.
-func (m *Manager) clean(r bulk.Record, own bool, now time.Time) {
+func (m *Manager) clean(r bulk.Record, now time.Time) {
 	if r.Open() || now.Sub(r.Accepted) < keepOver || !m.chosen(r.ID) {
 		return
 	}
--- a/internal/batch/custody/running.go
+++ b/internal/batch/custody/running.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/kingcupquay/kingcupquay/internal/operator/routes"
+	"github.com/kingcupquay/kingcupquay/internal/record/store"
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 	"github.com/kingcupquay/kingcupquay/internal/serving/events"
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
@@ -21,6 +22,8 @@
 	firstSilence = 3 * time.Second
 	// pauseSilence is how long it waits between events.
 	pauseSilence = time.Second
+	// maxText bounds the text of an item: it stands in one value of the store.
+	maxText = store.MaxValueBytes - 4<<10
 	// readSize is the most read from a server at once.
 	readSize = 32 << 10
 )
@@ -267,6 +270,8 @@
 	again ending = iota
 	// afresh puts it back without what was produced.
 	afresh
+	// crashed puts it back unless too many of its runs ended with their servers.
+	crashed
 	// whole is the end of the answer.
 	whole
 	// failed is a failure of the server's own, impossible one that no run mends.
@@ -287,6 +292,9 @@
 		Route: route, Service: service, Received: m.Timer.Now(),
 	}
 	end, outcome, cause := m.carry(ctx, h, i, one, call, resume)
+	if end == again && outcome == placing.Failed && m.Servers.Down(ctx, one.server) {
+		end = crashed
+	}
 	one.cancel()
 	now := m.Timer.Now()
 	m.Placer.EndedBatch(now, one.server, outcome)
@@ -297,12 +305,21 @@
 	case whole:
 		events := h.job.Events(i)
 		m.pace.took(events, events-before, now.Sub(call.Received))
+		if size := h.job.Size(i); size > maxText {
+			h.job.GiveUp(i)
+			m.Log.Info("item given up", "job", record.ID, "item", item.ID, "cause", "its answer is larger than the store takes", "bytes", size)
+			break
+		}
 		h.job.Finish(i)
 	case again:
 		h.job.Requeue(i)
 	case afresh:
 		h.job.Restart(i)
 		h.job.Requeue(i)
+	case crashed:
+		if h.job.Crash(i) {
+			m.Log.Info("item parked", "job", record.ID, "item", item.ID, "cause", "its runs ended with their servers")
+		}
 	case failed:
 		h.job.Restart(i)
 		if h.job.Fail(i) {
--- a/internal/batch/custody/world_test.go
+++ b/internal/batch/custody/world_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,10 @@
 	status map[string]int
 	// breakAfter breaks the first run of each item off after so many events.
 	breakAfter int
+	// crashing is an item each of whose runs ends with its server.
+	crashing string
+	// large is the item whose events are large.
+	large string
 	// hold, if set, keeps every run waiting before its first event until closed
 	// or cancelled.
 	hold chan struct{}
@@ -55,10 +60,14 @@
 	s.runs[c.ID]++
 	first := s.runs[c.ID] == 1
 	status, hold, breakAfter := s.status[c.ID], s.hold, s.breakAfter
+	large, crashing := s.large, s.crashing
 	if resume.Set {
 		s.resumed = append(s.resumed, resume.After)
 	}
 	s.mu.Unlock()
+	if c.ID == crashing {
+		return nil, &exchange.SendError{Err: io.ErrUnexpectedEOF, Sent: true}
+	}
 	if status != 0 {
 		return &exchange.Reply{Status: status, Body: io.NopCloser(bytes.NewReader(nil))}, nil
 	}
@@ -77,7 +86,11 @@
 					return
 				}
 			}
-			if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s-%d\n\n", n, c.ID, n); err != nil {
+			padding := ""
+			if c.ID == large {
+				padding = strings.Repeat("x", 300<<10)
+			}
+			if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s-%d%s\n\n", n, c.ID, n, padding); err != nil {
 				return
 			}
 		}
@@ -86,6 +99,13 @@
 	return &exchange.Reply{Status: http.StatusOK, Body: reader}, nil
 }
 
+// Down says that a server that broke an item off has crashed, if the test says so.
+func (s *servers) Down(context.Context, backend.Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashing != ""
+}
+
 func (s *servers) runsOf(item string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/batch/custody/writing.go
+++ b/internal/batch/custody/writing.go
@@ -220,7 +220,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	h, own := m.jobs[id]
-	if !own || h.job.Over() || h.looking {
+	if !own || h.job.Over() || h.looking || m.stopping {
 		return
 	}
 	h.looking = true
--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -262,7 +262,6 @@
 
 // Reload takes changed settings; addresses stay as they were at the start.
 func (h *Host) Reload(s *setup.Entry) {
-	h.log.Info("settings reloaded", "seeds", len(s.Seeds), "memory_mb", s.MemoryMB, "log_lines", s.LogLines)
 	h.book.Learn(h.timer.Now(), s.Seeds...)
 }
 
@@ -280,13 +279,22 @@
 	h.log.Info("stopping", "host", h.settings.Name)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(h.settings.GraceSeconds*float64(time.Second))-stopMargin)
 	defer cancel()
-	h.jobs.Stop(ctx)
+	given := make(chan struct{})
+	go func() {
+		defer close(given)
+		h.jobs.Stop(ctx)
+	}()
 	timer.Pause(h.timer, ctx.Done(), drainTime-h.timer.Now().Sub(began))
 	for _, server := range h.servers {
 		if err := server.Shutdown(ctx); err != nil {
 			h.log.Info("requests left at the end", "cause", err.Error())
 		}
 	}
+	select {
+	case <-given:
+	case <-ctx.Done():
+		h.log.Info("jobs left at the end")
+	}
 	h.expiry.Cancel()
 	h.cancel()
 	h.notices.Close()
--- a/internal/fleet/setup/settings_test.go
+++ b/internal/fleet/setup/settings_test.go
@@ -11,14 +11,32 @@
 )
 
 func TestParse(t *testing.T) {
+	play(t, "testdata/refused.txt", func(source []byte) error {
+		_, err := setup.Parse(source)
+		return err
+	})
+}
+
+func TestParseEntry(t *testing.T) {
+	play(t, "testdata/entry.txt", func(source []byte) error {
+		_, err := setup.ParseEntry(source, false)
+		return err
+	})
+	g := NewWithT(t)
+	_, err := setup.ParseEntry([]byte(`{"name": "disk-1", "zone": "a", "store_address": "10.9.0.1:4"}`), true)
+	g.Expect(err).NotTo(HaveOccurred(), "a disk host has no address for callers")
+}
+
+// play parses each case of a script and compares the error.
+func play(t *testing.T, file string, parse func([]byte) error) {
 	g := NewWithT(t)
-	script, err := os.ReadFile("testdata/refused.txt")
+	script, err := os.ReadFile(file)
 	g.Expect(err).NotTo(HaveOccurred())
 	_, cases, _ := strings.Cut(string(script), "\n")
 	for _, one := range strings.Split(cases, "\n---\n") {
 		source, want, found := strings.Cut(one, "\n=> ")
 		g.Expect(found).To(BeTrue(), one)
-		_, err := setup.Parse([]byte(source))
+		err := parse([]byte(source))
 		got := "ok"
 		if err != nil {
 			got = err.Error()
--- a/internal/operator/command/platform.go
+++ b/internal/operator/command/platform.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-logr/logr"
 	"github.com/gravitational/trace"
 
 	"github.com/kingcupquay/kingcupquay/internal/fleet/disk"
@@ -17,6 +18,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/fleet/setup"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
 	"github.com/kingcupquay/kingcupquay/internal/operator/lines"
+	"github.com/kingcupquay/kingcupquay/internal/record/store"
 	"github.com/kingcupquay/kingcupquay/platform/engines"
 	"github.com/kingcupquay/kingcupquay/platform/front"
 	"github.com/kingcupquay/kingcupquay/platform/keyvalue"
@@ -56,44 +58,96 @@
 // below.
 const memoryShare = 0.7
 
-func (s *shell) entry(file string) error {
-	settings, err := readEntry(file, false)
+// process is what both programs are made of.
+type process struct {
+	file     string
+	isDisk   bool
+	settings *setup.Entry
+	client   *keyvalue.Client
+	clock    timer.Service
+	writer   *lines.Writer
+	log      logr.Logger
+}
+
+func (s *shell) newProcess(file string, isDisk bool) (*process, error) {
+	settings, err := readEntry(file, isDisk)
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	client, err := keyvalue.NewClient(settings.StoreAddress)
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
-	clock := timer.Real{}
-	writer := lines.NewWriter(clock, s.out, settings.LogLines)
-	defer writer.Close()
-	log := lines.Logger(clock, writer)
-	h := entry.New(settings, log, clock, entry.Adapter{
-		Store: client, Servers: engines.NewClient(),
+	p := &process{file: file, isDisk: isDisk, settings: settings, client: client, clock: timer.Real{}}
+	p.writer = lines.NewWriter(p.clock, s.out, settings.LogLines)
+	p.log = lines.Logger(p.clock, p.writer)
+	return p, nil
+}
+
+// untilStopped returns when the process is asked to stop. Until then it hands
+// changed settings to reload; settings that can't be read change nothing.
+func (p *process) untilStopped(reload func(*setup.Entry)) {
+	untilStopped(p.file, func() {
+		changed, err := readEntry(p.file, p.isDisk)
+		if err != nil {
+			p.log.Error(err, "changed settings not taken", "file", p.file)
+			return
+		}
+		p.writer.SetBudget(changed.LogLines)
+		p.log.Info("settings reloaded", "seeds", len(changed.Seeds), "memory_mb", changed.MemoryMB, "log_lines", changed.LogLines)
+		reload(changed)
+	})
+}
+
+func (s *shell) entry(file string) error {
+	p, err := s.newProcess(file, false)
+	if err != nil {
+		return err
+	}
+	defer p.writer.Close()
+	h := entry.New(p.settings, p.log, p.clock, entry.Adapter{
+		Store: p.client, Servers: engines.NewClient(),
 		ConfigKey: registry.ConfigKey, ServerPrefix: registry.ServerPrefix,
 		Config: registry.Config, Server: registry.Server, ServerID: registry.ServerID,
 		Front: func(h *entry.Host) http.Handler { return front.NewHandler(h) }, Ready: front.Ready,
 	})
-	listeners, err := entry.Listen(settings)
+	listeners, err := entry.Listen(p.settings)
 	if err != nil {
-		log.Error(err, "not started", "host", settings.Name)
+		p.log.Error(err, "not started", "host", p.settings.Name)
 		return trace.Wrap(err)
 	}
 	h.Start(listeners)
-	untilStopped(file, func() {
-		changed, err := readEntry(file, false)
-		if err != nil {
-			log.Error(err, "changed settings not taken", "file", file)
-			return
-		}
-		writer.SetBudget(changed.LogLines)
-		h.Reload(changed)
+	p.untilStopped(h.Reload)
+	h.Stop()
+	return nil
+}
+
+func (s *shell) disk(file string) error {
+	p, err := s.newProcess(file, true)
+	if err != nil {
+		return err
+	}
+	defer p.writer.Close()
+	h := disk.New(p.settings, p.log, p.clock, disk.Adapter{
+		Store: store.NewCounted(p.client, p.clock), OrderKey: registry.RetirePrefix + p.settings.Name,
+		AnswerKey: registry.RetireStatusKey(p.settings.Name), Done: registry.RetireDone(),
 	})
+	if p.settings.MetricsAddress != "" {
+		go p.serveMetrics()
+	}
+	h.Start()
+	p.untilStopped(func(*setup.Entry) {})
 	h.Stop()
 	return nil
 }
 
+func (p *process) serveMetrics() {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	if err := http.ListenAndServe(p.settings.MetricsAddress, handler); err != nil {
+		p.log.Error(err, "listener ended", "address", p.settings.MetricsAddress)
+	}
+}
+
 // reloadEvery is the time between two looks at the settings file, which may
 // change without a signal.
 const reloadEvery = 2 * time.Second
@@ -132,41 +186,3 @@
 	}
 	return [2]int64{info.ModTime().UnixNano(), info.Size()}
 }
-
-func (s *shell) disk(file string) error {
-	settings, err := readEntry(file, true)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	client, err := keyvalue.NewClient(settings.StoreAddress)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	clock := timer.Real{}
-	writer := lines.NewWriter(clock, s.out, settings.LogLines)
-	defer writer.Close()
-	log := lines.Logger(clock, writer)
-	h := disk.New(settings, log, clock, disk.Adapter{
-		Store: client, OrderKey: registry.RetirePrefix + settings.Name, AnswerKey: registry.RetireStatusKey(settings.Name), Done: registry.RetireDone(),
-	})
-	if settings.MetricsAddress != "" {
-		go func() {
-			handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-			if err := http.ListenAndServe(settings.MetricsAddress, handler); err != nil {
-				log.Error(err, "listener ended", "address", settings.MetricsAddress)
-			}
-		}()
-	}
-	h.Start()
-	untilStopped(file, func() {
-		changed, err := readEntry(file, true)
-		if err != nil {
-			log.Error(err, "changed settings not taken", "file", file)
-			return
-		}
-		writer.SetBudget(changed.LogLines)
-		log.Info("settings reloaded", "memory_mb", changed.MemoryMB, "log_lines", changed.LogLines)
-	})
-	h.Stop()
-	return nil
-}
--- a/internal/serving/exchange/call.go
+++ b/internal/serving/exchange/call.go
@@ -82,4 +82,7 @@
 	// 0 for no bound. Its error is a *SendError. Cancelling ctx ends the call
 	// and closes its connection.
 	Send(ctx context.Context, s backend.Server, c *Call, resume Resume, left time.Duration) (*Reply, error)
+	// Down reports whether nothing listens at a server's address, as after a
+	// crash. A server that can't be reached is not known to be down.
+	Down(ctx context.Context, s backend.Server) bool
 }
--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -91,6 +91,8 @@
 	return &exchange.Reply{Status: status, Body: io.NopCloser(body), Fields: []exchange.Field{{Name: "Server", Value: b.ID}}}, nil
 }
 
+func (s *script) Down(context.Context, backend.Server) bool { return false }
+
 type broken struct{}
 
 func (broken) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
@@ -104,7 +106,6 @@
 
 // caller keeps what it was given.
 type caller struct {
-	mu     sync.Mutex
 	status int
 	server string
 	body   bytes.Buffer
