--- a/internal/batch/custody/manager.go
+++ b/internal/batch/custody/manager.go
@@ -22,6 +22,8 @@
 	"github.com/go-logr/logr"
 
 	"github.com/kingcupquay/kingcupquay/internal/batch/bulk"
+	"github.com/kingcupquay/kingcupquay/internal/batch/shelf"
+	"github.com/kingcupquay/kingcupquay/internal/batch/turn"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
 	"github.com/kingcupquay/kingcupquay/internal/operator/routes"
@@ -123,10 +125,10 @@
 	// owners holds what is known of other hosts' jobs.
 	owners map[string]string
 	quotas map[string]quota
-	cold   *shelf
+	cold   *shelf.Shelf
 	// suspects counts the scans in which a host looked gone.
 	suspects map[string]int
-	pace     pace
+	pace     turn.Pace
 	stopping bool
 
 	kick chan struct{}
@@ -141,7 +143,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Manager{
 		Options: o, jobs: make(map[string]*held), owners: make(map[string]string), quotas: make(map[string]quota),
-		cold: newShelf(), suspects: make(map[string]int), kick: make(chan struct{}, 1), done: make(chan struct{}), ctx: ctx, stop: cancel,
+		cold: shelf.New(), suspects: make(map[string]int), kick: make(chan struct{}, 1), done: make(chan struct{}), ctx: ctx, stop: cancel,
 	}
 }
 
--- a/internal/batch/custody/reading.go
+++ b/internal/batch/custody/reading.go
@@ -130,58 +130,16 @@
 	return r, nil
 }
 
-// shelf keeps results that were read from the store. Results never change, so
-// only the record has to be read again.
-type shelf struct {
-	jobs map[string]*shelved
-	size int
-}
-
-type shelved struct {
-	record  bulk.Record
-	results []bulk.Result
-	size    int
-	used    time.Time
-}
-
-// shelfBytes bounds the results on the shelf.
-const shelfBytes = 12 << 20
-
-func newShelf() *shelf { return &shelf{jobs: make(map[string]*shelved)} }
-
-func (s *shelf) put(now time.Time, r bulk.Record, results []bulk.Result) {
-	if old, ok := s.jobs[r.ID]; ok {
-		s.size -= old.size
-	}
-	one := &shelved{record: r, results: results, used: now}
-	for _, each := range results {
-		one.size += len(each.Text) + 64
-	}
-	s.jobs[r.ID] = one
-	s.size += one.size
-	for s.size > shelfBytes && len(s.jobs) > 1 {
-		oldest := ""
-		for id, each := range s.jobs {
-			if id != r.ID && (oldest == "" || each.used.Before(s.jobs[oldest].used)) {
-				oldest = id
-			}
-		}
-		s.size -= s.jobs[oldest].size
-		delete(s.jobs, oldest)
-	}
-}
-
 // shelved serves a job that is over, or a position that has been read, without
 // a call.
 func (m *Manager) shelved(id string, after int) (View, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	one, ok := m.cold.jobs[id]
-	if !ok || (one.record.Open() && after >= len(one.results)) {
+	one, ok := m.cold.Get(m.Timer.Now(), id)
+	if !ok || (one.Record.Open() && after >= len(one.Results)) {
 		return View{}, false
 	}
-	one.used = m.Timer.Now()
-	return viewOf(one.record.Total, one.results, after), true
+	return viewOf(one.Record.Total, one.Results, after), true
 }
 
 // coldResults serves a job from the store, for readers of a job whose owner is
@@ -193,24 +151,20 @@
 			return View{}, failure
 		}
 		m.mu.Lock()
-		known := 0
-		if one, ok := m.cold.jobs[id]; ok {
-			known = one.record.ResultParts
-		}
+		one, ok := m.cold.Get(m.Timer.Now(), id)
 		m.mu.Unlock()
-		if known != r.ResultParts || known == 0 {
+		if !ok || one.Record.ResultParts != r.ResultParts {
 			results, err := loadParts(ctx, m.Store, bulk.ResultPrefix(id), r.ResultParts, bulk.DecodeResults)
 			if err != nil {
 				return View{}, result.New(result.StoreUnavailable, "%v", err).WithRetry(storeRetry)
 			}
 			m.mu.Lock()
-			m.cold.put(m.Timer.Now(), r, results)
+			one = m.cold.Put(m.Timer.Now(), r, results)
 			m.mu.Unlock()
 		}
 		m.mu.Lock()
-		one := m.cold.jobs[id]
-		one.record = r
-		view := viewOf(r.Total, one.results, after)
+		one.Record = r
+		view := viewOf(r.Total, one.Results, after)
 		m.mu.Unlock()
 		if len(view.Results) > 0 || !r.Open() || until.Sub(m.Timer.Now()) < coldPause || ctx.Err() != nil {
 			return view, nil
--- a/internal/batch/custody/running.go
+++ b/internal/batch/custody/running.go
@@ -5,9 +5,10 @@
 	"errors"
 	"io"
 	"net/http"
-	"sort"
+	"slices"
 	"time"
 
+	"github.com/kingcupquay/kingcupquay/internal/batch/turn"
 	"github.com/kingcupquay/kingcupquay/internal/operator/routes"
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
@@ -46,11 +47,12 @@
 	for _, h := range m.jobs {
 		m.enqueue(now, config, h, queues)
 	}
-	total, first := 0, hopelessSlack
+	total, first := 0, turn.Hopeless
 	for service, queue := range queues {
-		sortWaiting(queue)
-		first = min(first, queue[0].urgency())
-		m.Placer.SetBacklog(now, m.pressing(queue), queue[0].urgency())
+		slices.SortFunc(queue, func(a, b *waiting) int { return turn.Next(a.Item, b.Item) })
+		urgency := queue[0].Urgency()
+		first = min(first, urgency)
+		m.Placer.SetBacklog(now, turn.Pressing(queue, func(w *waiting) turn.Item { return w.Item }), urgency)
 		total += len(queue) - m.start(service, queue, now)
 	}
 	if total == 0 {
@@ -61,63 +63,10 @@
 
 // waiting is one item that waits for a slot.
 type waiting struct {
+	turn.Item
 	*held
 	index int
 	route *routes.Route
-	// slack is the time by which it can start later and still be in time.
-	slack time.Duration
-	// events is how many have been produced of it.
-	events int64
-}
-
-const (
-	// hopelessSlack is the urgency of what can't be in time any more: it waits
-	// behind everything that can, since being late costs most of its worth once.
-	hopelessSlack = time.Hour
-	// readAfterDue is how long after its due time a result still counts, since
-	// it is read some time later.
-	readAfterDue = 500 * time.Millisecond
-	// itemTimeStart is the assumed time of an item before one has ended.
-	itemTimeStart = 3 * time.Second
-)
-
-// urgency is the slack as other hosts are told it.
-func (w *waiting) urgency() time.Duration {
-	if w.slack < 0 {
-		return hopelessSlack
-	}
-	return w.slack
-}
-
-// sortWaiting puts first what has the least slack but can be in time; of the
-// rest what needs the least.
-func sortWaiting(queue []*waiting) {
-	sort.Slice(queue, func(i, j int) bool {
-		a, b := queue[i], queue[j]
-		if x, y := a.urgency(), b.urgency(); x != y {
-			return x < y
-		}
-		if a.events != b.events {
-			return a.events > b.events
-		}
-		x, y := a.job.Record(), b.job.Record()
-		if !x.Accepted.Equal(y.Accepted) {
-			return x.Accepted.Before(y.Accepted)
-		}
-		return x.ID < y.ID || (x.ID == y.ID && a.index < b.index)
-	})
-}
-
-// pressing returns how many of a queue are as urgent as its first: those that
-// can be in time, or all if none can.
-func (m *Manager) pressing(queue []*waiting) int {
-	n := 0
-	for _, w := range queue {
-		if (w.slack < 0) == (queue[0].slack < 0) {
-			n++
-		}
-	}
-	return n
 }
 
 // enqueue adds a job's waiting items to the queues of their services.
@@ -137,44 +86,16 @@
 	}
 	service := route.Pick(0)
 	for _, c := range candidates {
-		queues[service] = append(queues[service], &waiting{
-			held: h, index: c.Index, route: route, events: c.Events,
-			slack: record.Due.Add(readAfterDue).Sub(now) - m.pace.left(c.Events),
-		})
+		queues[service] = append(queues[service], &waiting{held: h, index: c.Index, route: route, Item: m.weigh(now, h, c.Index)})
 	}
 }
 
-// pace is how long items take, learned from those that ended.
-type pace struct {
-	// events is the mean number of events of an item, each the mean time of one.
-	events float64
-	each   time.Duration
-}
-
-// paceWeight is the weight of the newest item in the means.
-const paceWeight = 0.1
-
-// took takes an item that ended: it had so many events, of which a run made
-// some in a time.
-func (p *pace) took(events, made int64, in time.Duration) {
-	if made <= 0 {
-		return
+// weigh returns an item as it is weighed against others.
+func (m *Manager) weigh(now time.Time, h *held, index int) turn.Item {
+	r, events := h.job.Record(), h.job.Events(index)
+	return turn.Item{
+		Slack: m.pace.Slack(now, r.Due, events), Events: events, Accepted: r.Accepted, Key: r.ID + "/" + h.job.Item(index).ID,
 	}
-	each := in / time.Duration(made)
-	if p.each == 0 {
-		p.events, p.each = float64(events), each
-		return
-	}
-	p.events += paceWeight * (float64(events) - p.events)
-	p.each += time.Duration(paceWeight * float64(each-p.each))
-}
-
-// left is the time that an item needs of which so many events were produced.
-func (p *pace) left(events int64) time.Duration {
-	if p.each == 0 {
-		return itemTimeStart
-	}
-	return time.Duration(max(1, p.events-float64(events)) * float64(p.each))
 }
 
 // abandon gives up the items of a job whose route the operator has removed.
@@ -197,7 +118,7 @@
 		one := &run{server: s, cancel: cancel}
 		w.runs[w.index] = one
 		startedTotal.Inc()
-		m.Log.V(1).Info("item placed", "job", w.job.Record().ID, "item", w.job.Item(w.index).ID, "server", s.ID, "slack_ms", w.slack.Milliseconds(), "waiting", len(queue)-n)
+		m.Log.V(1).Info("item placed", "job", w.job.Record().ID, "item", w.job.Item(w.index).ID, "server", s.ID, "slack_ms", w.Slack.Milliseconds(), "waiting", len(queue)-n)
 		m.wait.Add(1)
 		go m.runItem(ctx, w.held, w.index, one, w.route, service)
 	}
@@ -209,25 +130,19 @@
 func (m *Manager) leave(now time.Time) {
 	at := make(map[string]backend.Server)
 	type candidate struct {
+		turn.Item
 		*run
-		job, item string
-		slack     time.Duration
-		events    int64
 	}
 	var candidates []candidate
 	leaving := make(map[string]int)
 	for _, h := range m.jobs {
-		due := h.job.Record().Due.Add(readAfterDue)
 		for i, one := range h.runs {
 			at[one.server.ID] = one.server
 			if one.left {
 				leaving[one.server.ID]++
 				continue
 			}
-			events := h.job.Events(i)
-			candidates = append(candidates, candidate{
-				run: one, job: h.job.Record().ID, item: h.job.Item(i).ID, slack: due.Sub(now) - m.pace.left(events), events: events,
-			})
+			candidates = append(candidates, candidate{m.weigh(now, h, i), one})
 		}
 	}
 	if len(at) == 0 {
@@ -241,23 +156,14 @@
 	if len(surplus) == 0 {
 		return
 	}
-	sort.Slice(candidates, func(i, j int) bool {
-		a, b := candidates[i], candidates[j]
-		if (a.slack < 0) != (b.slack < 0) {
-			return a.slack < 0
-		}
-		if a.slack < 0 || a.slack == b.slack {
-			return a.events < b.events
-		}
-		return a.slack > b.slack
-	})
+	slices.SortFunc(candidates, func(a, b candidate) int { return turn.Leaves(a.Item, b.Item) })
 	for _, c := range candidates {
 		if surplus[c.server.ID] > leaving[c.server.ID] {
 			leaving[c.server.ID]++
 			c.left = true
 			c.cancel()
 			yieldedTotal.Inc()
-			m.Log.V(1).Info("item left its slot", "job", c.job, "item", c.item, "server", c.server.ID, "surplus", surplus[c.server.ID], "slack_ms", c.slack.Milliseconds(), "events", c.events)
+			m.Log.V(1).Info("item left its slot", "item", c.Key, "server", c.server.ID, "surplus", surplus[c.server.ID], "slack_ms", c.Slack.Milliseconds(), "events", c.Events)
 		}
 	}
 }
@@ -304,7 +210,7 @@
 	switch end {
 	case whole:
 		events := h.job.Events(i)
-		m.pace.took(events, events-before, now.Sub(call.Received))
+		m.pace.Took(events, events-before, now.Sub(call.Received))
 		if size := h.job.Size(i); size > maxText {
 			h.job.GiveUp(i)
 			m.Log.Info("item given up", "job", record.ID, "item", item.ID, "cause", "its answer is larger than the store takes", "bytes", size)
--- /dev/null
+++ b/internal/batch/shelf/shelf_test.go
@@ -0,0 +1,35 @@
+package shelf_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupquay/kingcupquay/internal/batch/bulk"
+	"github.com/kingcupquay/kingcupquay/internal/batch/shelf"
+	"github.com/kingcupquay/kingcupquay/internal/standin/specs"
+)
+
+func TestSpecs(t *testing.T) { specs.Run(t, "shelf") }
+
+var _ = Describe("a shelf", func() {
+	It("gives up the least recently used job when it is full", func() {
+		s := shelf.New()
+		large := []bulk.Result{{ID: "i", Text: make([]byte, 5<<20)}}
+		now := time.Unix(1000, 0)
+		for i, id := range []string{"a", "b"} {
+			s.Put(now.Add(time.Duration(i)), bulk.Record{ID: id}, large)
+		}
+		_, ok := s.Get(now.Add(5), "a")
+		Expect(ok).To(BeTrue())
+		s.Put(now.Add(6), bulk.Record{ID: "c"}, large)
+		_, ok = s.Get(now, "b")
+		Expect(ok).To(BeFalse())
+		for _, id := range []string{"a", "c"} {
+			_, ok = s.Get(now, id)
+			Expect(ok).To(BeTrue(), id)
+		}
+	})
+})
