--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -18,8 +18,10 @@
 	// event before it moves, as a multiple of the objective.
 	firstSilence = 2.0
 	// pauseSilence is the same between events, as a share of the pause that is
-	// still on time.
-	pauseSilence = 0.6
+	// still on time. It is below the time that the kernel takes to send a lost
+	// packet again, several times what an engine takes for an event, and leaves
+	// the next server time to read the prompt.
+	pauseSilence = 0.25
 	// readSize is the most read from a server at once.
 	readSize = 32 << 10
 )
