--- a/internal/record/follow/follow.go
+++ b/internal/record/follow/follow.go
@@ -77,9 +77,10 @@
 	source Source
 	prefix string
 	reader Reader
-	// revision is how far the reader has got, 0 before the first list; listed
-	// says that there was one.
+	// revision is how far the reader has got; current says that a list was taken
+	// and the history since then is there, listed that there was one ever.
 	revision int64
+	current  bool
 	listed   bool
 	// lostAt is when the store was lost, zero while it answers.
 	lostAt time.Time
@@ -143,7 +144,7 @@
 			f.regained()
 		case errors.Is(err, store.ErrCompacted):
 			f.log.Info("history gone, listing again", "prefix", f.prefix, "revision", f.revision)
-			f.revision = 0
+			f.current = false
 		case ctx.Err() == nil:
 			f.lost(err)
 			f.pause(ctx)
@@ -152,14 +153,14 @@
 }
 
 func (f *Follower) step(ctx context.Context) error {
-	if f.revision == 0 {
+	if !f.current {
 		entries, revision, err := store.RangeAll(ctx, f.source, f.prefix, 0)
 		if err != nil {
 			return err
 		}
 		f.regained()
 		f.reader.Listed(entries, f.grace())
-		f.revision = max(1, revision)
+		f.revision, f.current = revision, true
 		for _, e := range entries {
 			f.apply(e.ModRevision)
 		}
--- a/internal/record/follow/follow_test.go
+++ b/internal/record/follow/follow_test.go
@@ -150,6 +150,29 @@
 		Expect(grace).To(BeZero())
 	})
 
+	It("misses nothing of a store that was empty when it was listed", func() {
+		empty := platform.NewKV(clock)
+		r := &reader{keys: map[string]string{}, grace: map[string]time.Duration{}}
+		var listed atomic.Int64
+		empty.SetFaults(func(op string) platform.Fault {
+			if op == "poll" {
+				listed.Add(1)
+			}
+			return platform.NoFault
+		})
+		f := follow.New(clock, logr.Discard(), empty, prefix, r, func() int { return 1 })
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go f.Run(ctx)
+		Eventually(listed.Load, patience).Should(BeNumerically(">", 0))
+		_, err := empty.Commit(context.Background(), store.Txn{Puts: []store.Put{{Key: "p/1", Value: []byte("a")}}})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() map[string]string {
+			clock.Advance(10 * time.Millisecond)
+			return r.snapshot()
+		}, patience, time.Millisecond).Should(Equal(map[string]string{"p/1": "a"}))
+	})
+
 	It("lists again when the history is gone; what is missing then is gone", func() {
 		kv.on.Store(true)
 		remove("p/1")
