--- a/internal/batch/custody/accept.go
+++ b/internal/batch/custody/accept.go
@@ -57,9 +57,11 @@
 func (m *Manager) Submit(ctx context.Context, sub Submission) *result.Error {
 	m.mu.Lock()
 	_, own := m.jobs[sub.ID]
+	_, known := m.owners[sub.ID]
 	stopping := m.stopping
 	m.mu.Unlock()
-	if own {
+	if own || known {
+		// Owners are learned of durable jobs only.
 		return nil
 	}
 	if stopping {
@@ -90,6 +92,10 @@
 		}
 		q, failure := m.room(ctx, sub.Route, record.Tokens)
 		if failure != nil {
+			if _, missing := m.record(ctx, sub.ID); missing == nil {
+				// It was accepted before, and is what takes the room.
+				return nil
+			}
 			if unclear {
 				return failure.WithRan(result.RanMaybe)
 			}
@@ -181,10 +187,7 @@
 func (m *Manager) accepted(sub Submission, record bulk.Record, revision int64, q quota) {
 	acceptedTotal.Inc()
 	m.mu.Lock()
-	m.jobs[sub.ID] = &held{
-		job: bulk.NewJob(record, sub.Items, nil, sub.Route.Attempts), revision: revision,
-		runs: make(map[int]*run), changed: make(chan struct{}),
-	}
+	m.hold(bulk.NewJob(record, sub.Items, nil, sub.Route.Attempts), revision)
 	if sub.Route.TokenCap > 0 {
 		m.quotas[sub.Route.Name] = quota{Sum: q.Sum + record.Tokens, revision: revision}
 	}
--- a/internal/batch/custody/manager.go
+++ b/internal/batch/custody/manager.go
@@ -274,6 +274,18 @@
 	m.wait.Wait()
 }
 
+// hold takes a job into custody unless it is already: a hand-in whose answer was
+// lost may meet the scan that found its record. The caller holds m.mu.
+func (m *Manager) hold(job *bulk.Job, revision int64) bool {
+	id := job.Record().ID
+	if _, own := m.jobs[id]; own {
+		return false
+	}
+	m.jobs[id] = &held{job: job, revision: revision, runs: make(map[int]*run), changed: make(chan struct{})}
+	delete(m.owners, id)
+	return true
+}
+
 func (h *held) notify() {
 	close(h.changed)
 	h.changed = make(chan struct{})
--- a/internal/batch/custody/manager_test.go
+++ b/internal/batch/custody/manager_test.go
@@ -153,6 +153,15 @@
 		})
 	})
 
+	It("does not turn away a job that it accepted before because the route's bound is reached", func() {
+		f := newFleet("A", "B")
+		f.servers.hold = make(chan struct{})
+		defer close(f.servers.hold)
+		Expect(f.hosts["A"].Submit(ctx, submission("j1", 10, 10))).To(BeNil())
+		Expect(f.hosts["B"].Submit(ctx, submission("j1", 10, 10))).To(BeNil())
+		Expect(f.hosts["B"].Submit(ctx, submission("j2", 1, 10)).Code()).To(Equal(result.QueueFull))
+	})
+
 	It("takes over the jobs of a host that is gone; what was listed stays", func() {
 		f := newFleet("A", "B", "C")
 		f.servers.status["j-0"] = http.StatusUnprocessableEntity
--- a/internal/batch/custody/owning.go
+++ b/internal/batch/custody/owning.go
@@ -217,9 +217,11 @@
 	job := bulk.NewJob(r, items, results, attempts)
 	job.GoOn(partials)
 	m.mu.Lock()
-	m.jobs[id] = &held{job: job, revision: revision, runs: make(map[int]*run), changed: make(chan struct{})}
-	delete(m.owners, id)
+	held := m.hold(job, revision)
 	m.mu.Unlock()
+	if !held {
+		return nil
+	}
 	takenTotal.Inc()
 	m.Log.Info("job taken over", "job", id, "from", from, "listed", r.Listed, "total", r.Total, "revision", revision)
 	m.Accepted(id)
