Forget what is long over, remove every part of a job, part the run of an item from custody

Found in a reading: an owner kept ended jobs in memory unless it also removed them from the store; parts beyond 14 of a kind were never removed; owners, reports and peers that are gone were kept for ever. The spec on removal fails without the change.

--- a/internal/batch/custody/manager_test.go
+++ b/internal/batch/custody/manager_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -346,18 +347,27 @@
 		}
 	})
 
-	It("removes a job long after its end", func() {
-		f := newFleet("A")
-		Expect(f.hosts["A"].Submit(ctx, submission("j", 1, 1))).To(BeNil())
-		f.eventually(func(g Gomega) { expectWhole(g, listed(g, f.hosts["A"], "j"), 1) })
+	It("removes all of a job long after its end, in the store and at its owner", func() {
+		f := newFleet("A", "B")
+		large := submission("j", 24, 1)
+		for i := range large.Items {
+			// Each item takes a part, so that one transaction can't remove all.
+			large.Items[i].Body = make([]byte, 500<<10)
+		}
+		Expect(f.hosts["A"].Submit(ctx, large)).To(BeNil())
+		f.eventually(func(g Gomega) { expectWhole(g, listed(g, f.hosts["A"], "j"), 24) })
 		f.eventually(func(g Gomega) {
-			f.clock.Advance(2e9)
+			f.clock.Advance(time.Second)
 			_, ok, err := f.kv.Get(ctx, bulk.RecordKey("j"))
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(ok).To(BeFalse())
-			entries, _, err := store.RangeAll(ctx, f.kv, "jobs/result/", 0)
-			g.Expect(err).NotTo(HaveOccurred())
-			g.Expect(entries).To(BeEmpty())
+			for _, prefix := range []string{"jobs/result/", "jobs/body/", "jobs/partial/"} {
+				entries, _, err := store.RangeAll(ctx, f.kv, prefix, 0)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(entries).To(BeEmpty())
+			}
+			_, failure := f.hosts["A"].Manager.Results(ctx, "j", 0, 0, false)
+			g.Expect(failure).NotTo(BeNil())
 		})
 	})
 })
--- a/internal/batch/custody/owning.go
+++ b/internal/batch/custody/owning.go
@@ -28,6 +28,8 @@
 	// partialBytes bounds what is left to the next owner of a job of unfinished
 	// items.
 	partialBytes = bulk.PartBytes / 4
+	// ownersKept bounds the other hosts' jobs whose owner is remembered.
+	ownersKept = 20_000
 	// releaseFor bounds the time to give jobs away at a stop.
 	releaseFor = 1500 * time.Millisecond
 )
@@ -84,6 +86,7 @@
 
 // scan looks for jobs whose owner is gone, and removes what is long over.
 func (m *Manager) scan() {
+	m.forget(m.Timer.Now())
 	if !slices.Contains(m.onDuty(), m.Host) {
 		return
 	}
@@ -300,26 +303,41 @@
 	if r.Open() || now.Sub(r.Accepted) < keepOver || !m.chosen(r.ID) {
 		return
 	}
-	txn := store.Txn{Deletes: []string{bulk.RecordKey(r.ID), bulk.PartialKey(r.ID)}}
-	for i := range min(r.BodyParts, maxDeletes) {
-		txn.Deletes = append(txn.Deletes, bulk.BodyKey(r.ID, i))
+	// The record goes last, so that a removal that is cut short is done again.
+	keys := []string{bulk.PartialKey(r.ID)}
+	for i := range r.BodyParts {
+		keys = append(keys, bulk.BodyKey(r.ID, i))
 	}
-	for i := range min(r.ResultParts, maxDeletes) {
-		txn.Deletes = append(txn.Deletes, bulk.ResultKey(r.ID, i))
+	for i := range r.ResultParts {
+		keys = append(keys, bulk.ResultKey(r.ID, i))
 	}
-	if _, err := m.Store.Commit(m.ctx, txn); err != nil {
-		m.Log.Info("job not removed", "job", r.ID, "cause", err.Error())
-		return
+	keys = append(keys, bulk.RecordKey(r.ID))
+	for group := range slices.Chunk(keys, maxDeletes) {
+		if _, err := m.Store.Commit(m.ctx, store.Txn{Deletes: group}); err != nil {
+			m.Log.Info("job not removed", "job", r.ID, "cause", err.Error())
+			return
+		}
 	}
-	m.mu.Lock()
-	delete(m.jobs, r.ID)
-	delete(m.owners, r.ID)
-	m.mu.Unlock()
 	m.Log.Info("job removed", "job", r.ID, "accepted", r.Accepted)
 }
 
-// maxDeletes bounds the parts of one kind that one transaction removes.
-const maxDeletes = 14
+// maxDeletes bounds the keys that one transaction removes.
+const maxDeletes = 30
+
+// forget drops from memory what the store need not be asked for any more: own
+// jobs long after their end, and the owners of too many others.
+func (m *Manager) forget(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id, h := range m.jobs {
+		if h.job.Over() && now.Sub(h.job.Record().Accepted) >= keepOver {
+			delete(m.jobs, id)
+		}
+	}
+	if len(m.owners) > ownersKept {
+		clear(m.owners)
+	}
+}
 
 // release gives this host's open jobs to other hosts, so that they need not
 // find out that it is gone.
--- a/internal/batch/custody/running.go
+++ b/internal/batch/custody/running.go
@@ -2,32 +2,21 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"time"
 
+	"github.com/kingcupquay/kingcupquay/internal/batch/carriage"
 	"github.com/kingcupquay/kingcupquay/internal/batch/turn"
 	"github.com/kingcupquay/kingcupquay/internal/operator/routes"
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 	"github.com/kingcupquay/kingcupquay/internal/serving/events"
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
-	"github.com/kingcupquay/kingcupquay/internal/serving/placing"
 )
 
-const (
-	// firstSilence is how long an item waits for its first event, which may have
-	// to wait in a server's queue.
-	firstSilence = 3 * time.Second
-	// pauseSilence is how long it waits between events.
-	pauseSilence = time.Second
-	// maxText bounds the text of an item: it stands in one value of the store.
-	maxText = store.MaxValueBytes - 4<<10
-	// readSize is the most read from a server at once.
-	readSize = 32 << 10
-)
+// maxText bounds the text of an item: it stands in one value of the store.
+const maxText = store.MaxValueBytes - 4<<10
 
 // schedule makes items leave servers that have too many requests, and starts
 // waiting items where slots are free.
@@ -168,23 +157,6 @@
 	}
 }
 
-// ending is how a run of an item ended.
-type ending uint8
-
-const (
-	// again puts the item back; what was produced counts.
-	again ending = iota
-	// afresh puts it back without what was produced.
-	afresh
-	// crashed puts it back unless too many of its runs ended with their servers.
-	crashed
-	// whole is the end of the answer.
-	whole
-	// failed is a failure of the server's own, impossible one that no run mends.
-	failed
-	impossible
-)
-
 // runItem runs one item at one server until its answer is whole, it has to
 // leave, or the server fails.
 func (m *Manager) runItem(ctx context.Context, h *held, i int, one *run, route *routes.Route, service string) {
@@ -197,18 +169,24 @@
 		ID: item.ID, Method: http.MethodPost, Target: item.Path, Host: record.Host, Fields: item.Fields, Body: item.Body,
 		Route: route, Service: service, Received: m.Timer.Now(),
 	}
-	end, outcome, cause := m.carry(ctx, h, i, one, call, resume)
-	if end == again && outcome == placing.Failed && m.Servers.Down(ctx, one.server) {
-		end = crashed
+	end := carriage.Carry(ctx, m.Timer, m.Servers, one.server, call, resume, func(found []events.Event) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		for _, e := range found {
+			h.job.Append(i, e.ID, e.Data)
+		}
+	})
+	if end.Misdirected {
+		m.List.Disown(one.server)
 	}
 	one.cancel()
 	now := m.Timer.Now()
-	m.Placer.EndedBatch(now, one.server, outcome)
+	m.Placer.EndedBatch(now, one.server, end.Outcome)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(h.runs, i)
-	switch end {
-	case whole:
+	switch end.Kind {
+	case carriage.Whole:
 		events := h.job.Events(i)
 		m.pace.Took(events, events-before, now.Sub(call.Received))
 		if size := h.job.Size(i); size > maxText {
@@ -217,98 +195,29 @@
 			break
 		}
 		h.job.Finish(i)
-	case again:
+	case carriage.Again:
 		h.job.Requeue(i)
-	case afresh:
+	case carriage.Afresh:
 		h.job.Restart(i)
 		h.job.Requeue(i)
-	case crashed:
+	case carriage.Crashed:
 		if h.job.Crash(i) {
 			m.Log.Info("item parked", "job", record.ID, "item", item.ID, "cause", "its runs ended with their servers")
 		}
-	case failed:
+	case carriage.Failed:
 		h.job.Restart(i)
 		if h.job.Fail(i) {
-			m.Log.Info("item given up", "job", record.ID, "item", item.ID, "cause", cause)
+			m.Log.Info("item given up", "job", record.ID, "item", item.ID, "cause", end.Cause)
 		}
-	case impossible:
+	case carriage.Impossible:
 		h.job.GiveUp(i)
-		m.Log.Info("item given up", "job", record.ID, "item", item.ID, "cause", cause)
+		m.Log.Info("item given up", "job", record.ID, "item", item.ID, "cause", end.Cause)
 	}
-	if end != whole && !one.left && ctx.Err() == nil {
-		m.Log.Info("item interrupted", "job", record.ID, "item", item.ID, "server", one.server.ID, "after_event", h.job.Progress(i).After, "cause", cause)
+	if end.Kind != carriage.Whole && !one.left && ctx.Err() == nil {
+		m.Log.Info("item interrupted", "job", record.ID, "item", item.ID, "server", one.server.ID, "after_event", h.job.Progress(i).After, "cause", end.Cause)
 	}
-	if h.since.IsZero() && (end == whole || end == failed || end == impossible) {
+	if h.since.IsZero() && end.Kind.Final() {
 		h.since = now
 	}
 	m.Kick()
 }
-
-// carry sends the item and takes its events.
-func (m *Manager) carry(ctx context.Context, h *held, i int, one *run, call *exchange.Call, resume exchange.Resume) (ending, placing.Outcome, string) {
-	sending, cancel := context.WithCancel(ctx)
-	defer cancel()
-	silence := m.Timer.After(firstSilence, func(time.Time) { cancel() })
-	defer func() { silence.Cancel() }()
-	reply, err := m.Servers.Send(sending, one.server, call, resume, 0)
-	if err != nil {
-		var failure *exchange.SendError
-		switch {
-		case ctx.Err() != nil:
-			return again, placing.Unknown, "left"
-		case errors.As(err, &failure) && (!failure.Sent || sending.Err() != nil):
-			return again, placing.Unreached, err.Error()
-		case errors.As(err, &failure) && failure.Reused:
-			return again, placing.Unknown, err.Error()
-		}
-		return again, placing.Failed, err.Error()
-	}
-	defer func() { _ = reply.Body.Close() }()
-	switch {
-	case reply.Misdirected:
-		m.List.Disown(one.server)
-		return again, placing.Unknown, "another server answered"
-	case reply.NotRun:
-		return again, placing.Full, "no room"
-	case reply.Status == http.StatusUnprocessableEntity:
-		return impossible, placing.Unknown, "the server says that it can't be done"
-	case reply.Status == http.StatusInternalServerError:
-		return failed, placing.Unknown, "the server failed"
-	case reply.Status != http.StatusOK:
-		return again, placing.Failed, http.StatusText(reply.Status)
-	}
-	sequence := events.Sequence{}
-	if resume.Set {
-		sequence = events.After(resume.After)
-	}
-	var splitter events.Splitter
-	buffer := make([]byte, readSize)
-	for {
-		n, err := reply.Body.Read(buffer)
-		silence.Cancel()
-		silence = m.Timer.After(pauseSilence, func(time.Time) { cancel() })
-		found, tooLong := splitter.Add(buffer[:n])
-		if tooLong != nil {
-			return afresh, placing.Failed, tooLong.Error()
-		}
-		m.mu.Lock()
-		for _, e := range found {
-			if !sequence.Take(e) {
-				m.mu.Unlock()
-				return afresh, placing.Failed, "an event is not the next one"
-			}
-			h.job.Append(i, e.ID, e.Data)
-		}
-		m.mu.Unlock()
-		switch {
-		case errors.Is(err, io.EOF) && len(splitter.Rest()) == 0:
-			return whole, placing.Whole, ""
-		case ctx.Err() != nil:
-			return again, placing.Unknown, "left"
-		case err != nil && sending.Err() != nil:
-			return again, placing.Unreached, "the server fell silent"
-		case err != nil:
-			return again, placing.Failed, err.Error()
-		}
-	}
-}
--- a/internal/fleet/notice/notice.go
+++ b/internal/fleet/notice/notice.go
@@ -160,6 +160,10 @@
 			b.live[host] = false
 			b.changed(host, false)
 		}
+		if now.Sub(p.Heard) > forgetAfter {
+			delete(b.peers, host)
+			delete(b.live, host)
+		}
 	}
 	for a, heard := range b.addresses {
 		if now.Sub(heard) > forgetAfter {
--- a/internal/serving/placing/view.go
+++ b/internal/serving/placing/view.go
@@ -18,6 +18,7 @@
 package placing
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -41,6 +42,9 @@
 // several times in that time even when nothing changes.
 const reportTTL = 1500 * time.Millisecond
 
+// reportKept is how long the last word of a silent host is kept.
+const reportKept = time.Minute
+
 // report is what another host last told.
 type report struct {
 	zone    string
@@ -107,6 +111,10 @@
 func (p *Placer) Report(host, zone string, now time.Time, loads map[string]Load, backlog Backlog) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if _, known := p.reports[host]; !known {
+		// Hosts that are gone are forgotten when another one comes.
+		maps.DeleteFunc(p.reports, func(_ string, r report) bool { return now.Sub(r.at) > reportKept })
+	}
 	p.reports[host] = report{zone: zone, at: now, loads: loads, backlog: backlog}
 }
 
