--- a/internal/batch/carriage/carriage_test.go
+++ b/internal/batch/carriage/carriage_test.go
@@ -52,7 +52,7 @@
 func (broken) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
 
 var _ = DescribeTable("a run", func(s *server, resume exchange.Resume, kind carriage.Kind, outcome placing.Outcome, took ...int64) {
-	var ids []int64
+	ids := []int64{}
 	end := carriage.Carry(context.Background(), timer.NewManual(time.Unix(0, 0)), s, backend.Server{}, &exchange.Call{}, resume,
 		func(found []events.Event) {
 			for _, e := range found {
@@ -61,7 +61,7 @@
 		})
 	Expect(end.Kind).To(Equal(kind), end.Cause)
 	Expect(end.Outcome).To(Equal(outcome))
-	Expect(ids).To(Equal(took))
+	Expect(ids).To(Equal(append([]int64{}, took...)))
 	Expect(end.Cause == "").To(Equal(kind == carriage.Whole))
 },
 	Entry("whole", &server{reply: exchange.Reply{Status: 200}, body: "id: 1\n\nid: 2\n\n"}, exchange.Resume{}, carriage.Whole, placing.Whole, int64(1), int64(2)),
