Hear a host again whose time of day was set back before a restart

Found in a reading: starts are ordered by the time of day, so the notices of a host that restarts after its clock was set back were dropped for ever. The spec fails without the change.

--- a/internal/fleet/notice/notice.go
+++ b/internal/fleet/notice/notice.go
@@ -26,8 +26,8 @@
 	Zone string `json:"z"`
 	// Address is IP:PORT for notices (UDP) and calls (TCP) of other hosts.
 	Address string `json:"a"`
-	// Start is unique to a start of the host and grows with each; Number grows
-	// with each notice of a start.
+	// Start is unique to a start of the host and grows with each, unless the time
+	// of day is set back; Number grows with each notice of a start.
 	Start  int64 `json:"s"`
 	Number int64 `json:"n"`
 	// Config is the version of the configuration in force there.
@@ -135,7 +135,12 @@
 		return false
 	}
 	old, known := b.peers[n.Host]
-	if known && (n.Start < old.Start || (n.Start == old.Start && n.Number <= old.Number)) {
+	if known && n.Start == old.Start && n.Number <= old.Number {
+		return false
+	}
+	// A start is dated by the time of day, which may have been set back before a
+	// restart; a late datagram of the start before comes while the new one is heard.
+	if known && n.Start < old.Start && now.Sub(old.Heard) <= SilentAfter {
 		return false
 	}
 	if known && old.Address != n.Address {
--- a/internal/fleet/notice/notice_test.go
+++ b/internal/fleet/notice/notice_test.go
@@ -39,6 +39,13 @@
 		Expect(b.Take(start, from("A", 9, 9))).To(BeFalse())
 	})
 
+	It("hears a host again whose time of day was set back before it was started anew", func() {
+		b.Take(start, from("B", 9, 100))
+		Expect(b.Take(start.Add(notice.SilentAfter), from("B", 5, 1))).To(BeFalse())
+		Expect(b.Take(start.Add(notice.SilentAfter+1), from("B", 5, 2))).To(BeTrue())
+		Expect(b.Take(start.Add(notice.SilentAfter+2), from("B", 5, 3))).To(BeTrue())
+	})
+
 	It("tells once when a host comes to live or falls silent", func() {
 		b.Take(start, from("B", 1, 1))
 		b.Take(start, from("B", 1, 2))
