--- a/internal/batch/custody/manager.go
+++ b/internal/batch/custody/manager.go
@@ -129,6 +129,8 @@
 	// suspects counts the scans in which a host looked gone.
 	suspects map[string]int
 	pace     turn.Pace
+	// serial is the highest that this process has given to a change.
+	serial   int64
 	stopping bool
 
 	kick chan struct{}
--- a/internal/batch/custody/manager_test.go
+++ b/internal/batch/custody/manager_test.go
@@ -310,6 +310,42 @@
 		Expect(total).To(Equal(5))
 	})
 
+	It("does not take a write that lands late for the one that it tried after it", func() {
+		f := newFleet("A")
+		a := f.hosts["A"]
+		f.servers.status["j-0"] = http.StatusUnprocessableEntity
+		f.servers.hold = make(chan struct{})
+		Expect(a.Submit(ctx, submission("j", 3, 1))).To(BeNil())
+		a.late.set(true)
+		// The first write holds one result and gets no answer.
+		f.eventually(func(g Gomega) { g.Expect(a.late.count()).To(BeNumerically(">", 0)) })
+		close(f.servers.hold)
+		var first store.Txn
+		a.late.mu.Lock()
+		first = a.late.kept[0]
+		a.late.mu.Unlock()
+		f.eventually(func(g Gomega) {
+			a.late.mu.Lock()
+			defer a.late.mu.Unlock()
+			last := a.late.kept[len(a.late.kept)-1]
+			g.Expect(len(last.Puts[1].Value)).To(BeNumerically(">", len(first.Puts[1].Value)), "a later write holds more")
+		})
+		outcome, err := f.kv.Commit(ctx, first)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(outcome.Succeeded).To(BeTrue())
+		a.late.set(false)
+		f.eventually(func(g Gomega) { g.Expect(listed(g, a, "j")).To(HaveLen(3)) })
+		entries, _, err := store.RangeAll(ctx, f.kv, bulk.ResultPrefix("j"), 0)
+		Expect(err).NotTo(HaveOccurred())
+		var durable []bulk.Result
+		for _, e := range entries {
+			list, err := bulk.DecodeResults(e.Value)
+			Expect(err).NotTo(HaveOccurred())
+			durable = append(durable, list...)
+		}
+		Expect(durable).To(Equal(listed(Default, a, "j")))
+	})
+
 	It("gives an item's body until it is listed, at any host", func() {
 		f := newFleet("A", "B")
 		f.servers.hold = make(chan struct{})
--- a/internal/batch/custody/owning.go
+++ b/internal/batch/custody/owning.go
@@ -352,11 +352,9 @@
 		if h.job.Over() {
 			continue
 		}
-		after := h.job.Changed(nil)
-		after.Owner, after.Writer = m.heir(after.ID), m.Writer
-		group = append(group, change{
-			h: h, before: h.job.Record(), after: after, partials: h.job.Partials(partialBytes), revision: h.revision,
-		})
+		c := m.changeOf(h, nil)
+		c.after.Owner, c.partials = m.heir(c.after.ID), h.job.Partials(partialBytes)
+		group = append(group, c)
 	}
 	m.mu.Unlock()
 	for len(group) > 0 {
--- a/internal/batch/custody/world_test.go
+++ b/internal/batch/custody/world_test.go
@@ -124,6 +124,37 @@
 type gated struct {
 	*platform.KV
 	cut *atomic.Bool
+	// late keeps writes back and gives no answer while it is on.
+	late *late
+}
+
+// late is a fault: writes are done some time after they were given up.
+type late struct {
+	mu   sync.Mutex
+	on   bool
+	kept []store.Txn
+}
+
+func (l *late) set(on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.on = on
+}
+
+// keep reports whether a write is kept back.
+func (l *late) keep(txn store.Txn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.on {
+		l.kept = append(l.kept, txn)
+	}
+	return l.on
+}
+
+func (l *late) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.kept)
 }
 
 func (g gated) Get(ctx context.Context, key string) (store.Entry, bool, error) {
@@ -151,6 +182,9 @@
 	if g.cut.Load() {
 		return store.Outcome{}, store.ErrUnavailable
 	}
+	if g.late.keep(txn) {
+		return store.Outcome{}, store.ErrUnclear
+	}
 	return g.KV.Commit(ctx, txn)
 }
 
@@ -161,7 +195,8 @@
 	// dead hosts are reached by nobody and have no sign of life.
 	dead atomic.Bool
 	// cut hosts do not reach the store.
-	cut atomic.Bool
+	cut  atomic.Bool
+	late late
 }
 
 func (h *host) peer(name string) (*host, *result.Error) {
@@ -239,7 +274,7 @@
 	config.Offer(routes.New(1, nil, []*routes.Route{route}, nil, routes.Limits{}))
 	h := &host{fleet: f, name: name}
 	h.Manager = custody.New(custody.Options{
-		Host: name, Writer: writer, Timer: f.clock, Log: logr.Discard(), Store: gated{f.kv, &h.cut}, Servers: f.servers, List: list,
+		Host: name, Writer: writer, Timer: f.clock, Log: logr.Discard(), Store: gated{f.kv, &h.cut, &h.late}, Servers: f.servers, List: list,
 		Placer: placing.New(name, "a", func() float64 { return 0.5 }, func() {}), Config: config, Peers: h,
 		Accepted: func(string) {}, Ended: func(id string) {
 			for _, p := range f.hosts {
--- a/internal/batch/custody/writing.go
+++ b/internal/batch/custody/writing.go
@@ -82,9 +82,7 @@
 		if m.stopping || now.Sub(h.since) >= flushAfter || r.Due.Sub(now) < flushSoon || r.Listed+len(list) == r.Total {
 			due = true
 		}
-		after := h.job.Changed(added)
-		after.Writer = m.Writer
-		group = append(group, change{h: h, before: r, after: after, added: added, revision: h.revision})
+		group = append(group, m.changeOf(h, added))
 	}
 	if !due {
 		return nil
@@ -92,6 +90,16 @@
 	return group
 }
 
+// changeOf returns the change that lists results of a job. Its serial is used for
+// no other content: a write whose answer was lost may still land after a later
+// one was tried, and must not be taken for it. The caller holds m.mu.
+func (m *Manager) changeOf(h *held, added []bulk.Result) change {
+	c := change{h: h, before: h.job.Record(), after: h.job.Changed(added), added: added, revision: h.revision}
+	m.serial = max(m.serial, c.before.Serial) + 1
+	c.after.Serial, c.after.Writer = m.serial, m.Writer
+	return c
+}
+
 // firstPart returns as many results as fit into one value, and their size.
 func firstPart(list []bulk.Result) ([]bulk.Result, int) {
 	size := 0
@@ -302,9 +310,8 @@
 			}
 			return result.New(result.LeaseLost, "the job has another owner").WithRetry(storeRetry)
 		}
-		after := h.job.Changed(nil)
-		after.Ended, after.Writer = true, m.Writer
-		c := change{h: h, before: r, after: after, revision: h.revision}
+		c := m.changeOf(h, nil)
+		c.after.Ended = true
 		m.mu.Unlock()
 		if !m.write(ctx, []change{c}) {
 			break
