Use zone's rendezvous, rewrite a record in one place, drop what nothing uses

Read of the whole change: custody had its own rendezvous twice (zone.First does it), the same rewriting of a record under its revision twice, a count of suspicions that always ended at one, and a copy of bulk.PartBytes; HasHost, MayTake and Candidate.Events had no user in the product; two programs made the same metrics handler. The specs on MayTake assert the same through Usable. Which host takes a job differs by the hash only.

--- a/internal/batch/bulk/job.go
+++ b/internal/batch/bulk/job.go
@@ -102,22 +102,15 @@
 // Over reports whether nothing is left to do.
 func (j *Job) Over() bool { return j.record.Ended || len(j.results) == len(j.items) }
 
-// Candidate is a waiting item as it is weighed against others.
-type Candidate struct {
-	Index int
-	// Events is how many events have been produced of it.
-	Events int64
-}
-
 // Candidates returns the waiting items.
-func (j *Job) Candidates() []Candidate {
+func (j *Job) Candidates() []int {
 	if j.record.Ended {
 		return nil
 	}
-	var list []Candidate
+	var list []int
 	for i, w := range j.items {
 		if w.phase == waiting {
-			list = append(list, Candidate{Index: i, Events: w.events})
+			list = append(list, i)
 		}
 	}
 	return list
--- a/internal/batch/bulk/job_test.go
+++ b/internal/batch/bulk/job_test.go
@@ -23,9 +23,9 @@
 // next starts the waiting item of which the most has been produced.
 func next(j *bulk.Job) (int, bool) {
 	best, events := -1, int64(-1)
-	for _, c := range j.Candidates() {
-		if c.Events > events {
-			best, events = c.Index, c.Events
+	for _, i := range j.Candidates() {
+		if j.Events(i) > events {
+			best, events = i, j.Events(i)
 		}
 	}
 	if best < 0 {
--- a/internal/batch/custody/manager.go
+++ b/internal/batch/custody/manager.go
@@ -126,9 +126,7 @@
 	owners map[string]string
 	quotas map[string]quota
 	cold   *shelf.Shelf
-	// suspects counts the scans in which a host looked gone.
-	suspects map[string]int
-	pace     turn.Pace
+	pace   turn.Pace
 	// serial is the highest that this process has given to a change.
 	serial   int64
 	stopping bool
@@ -145,7 +143,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Manager{
 		Options: o, jobs: make(map[string]*held), owners: make(map[string]string), quotas: make(map[string]quota),
-		cold: shelf.New(), suspects: make(map[string]int), kick: make(chan struct{}, 1), done: make(chan struct{}), ctx: ctx, stop: cancel,
+		cold: shelf.New(), kick: make(chan struct{}, 1), done: make(chan struct{}), ctx: ctx, stop: cancel,
 	}
 }
 
--- a/internal/batch/custody/owning.go
+++ b/internal/batch/custody/owning.go
@@ -1,25 +1,23 @@
 package custody
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
-	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/kingcupquay/kingcupquay/internal/batch/bulk"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/zone"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
 )
 
 const (
-	// suspectScans is how many scans in a row a host must look gone before its
-	// jobs are taken over.
-	suspectScans = 1
 	// dutyHosts is how many hosts look after jobs without an owner.
 	dutyHosts = 8
+	// dutyName is what the hosts on duty are assigned to.
+	dutyName = "jobs"
 	// keepOver is how long a job that is over stays readable.
 	keepOver = 150 * time.Second
 	// adoptRetry is the pause between tries to read this host's own jobs at its
@@ -80,7 +78,7 @@
 // small fleet, some of a large one, so that their looks stay few.
 func (m *Manager) onDuty() []string {
 	live := m.Peers.Live()
-	sort.Slice(live, func(i, j int) bool { return xxhash.Sum64String(live[i]) > xxhash.Sum64String(live[j]) })
+	slices.SortFunc(live, func(a, b string) int { return cmp.Compare(zone.Score(b, dutyName), zone.Score(a, dutyName)) })
 	return live[:min(len(live), dutyHosts)]
 }
 
@@ -119,13 +117,6 @@
 			}
 		}
 	}
-	m.mu.Lock()
-	for host := range m.suspects {
-		if !gone[host] {
-			delete(m.suspects, host)
-		}
-	}
-	m.mu.Unlock()
 }
 
 // gone reports whether an owner looks gone: no host hears of it, and the store
@@ -134,28 +125,13 @@
 	if is, known := seen[host]; known {
 		return is
 	}
-	seen[host] = false
-	if m.Peers.Alive(host) || !m.Peers.Absent(m.ctx, host) {
-		return false
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.suspects[host]++
-	seen[host] = m.suspects[host] >= suspectScans
+	seen[host] = !m.Peers.Alive(host) && m.Peers.Absent(m.ctx, host)
 	return seen[host]
 }
 
-// chosen reports whether this host is the one of those on duty to take a job
-// over: the one with the highest hash of host and job.
-func (m *Manager) chosen(id string) bool {
-	best, most := "", uint64(0)
-	for _, host := range m.onDuty() {
-		if h := xxhash.Sum64String(host + "\x00" + id); best == "" || h > most {
-			best, most = host, h
-		}
-	}
-	return best == m.Host
-}
+// chosen reports whether this host is the one of those on duty to look after a
+// job.
+func (m *Manager) chosen(id string) bool { return zone.First(m.onDuty(), id) == m.Host }
 
 // take makes this host the owner of a job that from owns.
 func (m *Manager) take(ctx context.Context, id, from string) {
@@ -188,17 +164,9 @@
 	}
 	revision := e.ModRevision
 	if r.Owner != m.Host || r.Writer != m.Writer {
-		r.Owner, r.Writer = m.Host, m.Writer
-		r.Serial++
-		text, err := r.Encode()
-		if err != nil {
-			return err
-		}
-		outcome, err := m.Store.Commit(ctx, store.Txn{
-			Compares: []store.Compare{{Key: bulk.RecordKey(id), Target: store.ModRevision, Revision: e.ModRevision}},
-			Puts:     []store.Put{{Key: bulk.RecordKey(id), Value: text}},
-		})
-		if err != nil {
+		r.Owner = m.Host
+		var outcome store.Outcome
+		if r, outcome, err = m.rewrite(ctx, r, e.ModRevision); err != nil {
 			return err
 		}
 		if !outcome.Succeeded {
@@ -232,6 +200,23 @@
 	return nil
 }
 
+// rewrite writes a record that this host does not hold, if it is still as it
+// was at a revision, and returns it as it was written.
+func (m *Manager) rewrite(ctx context.Context, r bulk.Record, revision int64) (bulk.Record, store.Outcome, error) {
+	r.Writer = m.Writer
+	r.Serial++
+	text, err := r.Encode()
+	if err != nil {
+		return r, store.Outcome{}, err
+	}
+	key := bulk.RecordKey(r.ID)
+	outcome, err := m.Store.Commit(ctx, store.Txn{
+		Compares: []store.Compare{{Key: key, Target: store.ModRevision, Revision: revision}},
+		Puts:     []store.Put{{Key: key, Value: text}},
+	})
+	return r, outcome, err
+}
+
 // partials reads what a former owner left of unfinished items; without it they
 // are produced from the start.
 func (m *Manager) partials(ctx context.Context, id string) []bulk.Partial {
@@ -376,14 +361,6 @@
 
 // heir is the live host that gets a job of this one, empty for none.
 func (m *Manager) heir(id string) string {
-	best, most := "", uint64(0)
-	for _, host := range m.Peers.Live() {
-		if host == m.Host {
-			continue
-		}
-		if h := xxhash.Sum64String(host + "\x00" + id); best == "" || h > most {
-			best, most = host, h
-		}
-	}
-	return best
+	others := slices.DeleteFunc(m.Peers.Live(), func(host string) bool { return host == m.Host })
+	return zone.First(others, id)
 }
--- a/internal/batch/custody/running.go
+++ b/internal/batch/custody/running.go
@@ -74,8 +74,8 @@
 		return
 	}
 	service := route.Pick(0)
-	for _, c := range candidates {
-		queues[service] = append(queues[service], &waiting{held: h, index: c.Index, route: route, Item: m.weigh(now, h, c.Index)})
+	for _, i := range candidates {
+		queues[service] = append(queues[service], &waiting{held: h, index: i, route: route, Item: m.weigh(now, h, i)})
 	}
 }
 
--- a/internal/batch/custody/writing.go
+++ b/internal/batch/custody/writing.go
@@ -104,7 +104,7 @@
 func firstPart(list []bulk.Result) ([]bulk.Result, int) {
 	size := 0
 	for i, one := range list {
-		if size > 0 && size+len(one.Text) > store.MaxValueBytes/4*3 {
+		if size > 0 && size+len(one.Text) > bulk.PartBytes {
 			return list[:i], size
 		}
 		size += len(one.Text)
@@ -338,16 +338,8 @@
 		if r.Ended {
 			return nil
 		}
-		r.Ended, r.Writer = true, m.Writer
-		r.Serial++
-		text, err := r.Encode()
-		if err != nil {
-			return result.New(result.Internal, "%v", err)
-		}
-		outcome, err := m.Store.Commit(ctx, store.Txn{
-			Compares: []store.Compare{{Key: bulk.RecordKey(id), Target: store.ModRevision, Revision: e.ModRevision}},
-			Puts:     []store.Put{{Key: bulk.RecordKey(id), Value: text}},
-		})
+		r.Ended = true
+		_, outcome, err := m.rewrite(ctx, r, e.ModRevision)
 		if err == nil && outcome.Succeeded {
 			m.Ended(id)
 			m.Log.Info("job ended for its owner", "job", id, "owner", r.Owner, "revision", outcome.Revision)
--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -208,7 +208,7 @@
 	h.serve(l.Callers, h.adapter.Front(h))
 	h.serve(l.Ready, h.adapter.Ready(h.Ready))
 	if l.Metrics != nil {
-		h.serve(l.Metrics, metricsHandler())
+		h.serve(l.Metrics, MetricsHandler())
 	}
 	h.book.Learn(h.timer.Now(), h.settings.Seeds...)
 	h.notices.Start()
@@ -248,7 +248,8 @@
 	h.wait.Wait()
 }
 
-func metricsHandler() http.Handler {
+// MetricsHandler shows the process's metrics.
+func MetricsHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 }
 
--- a/internal/operator/command/platform.go
+++ b/internal/operator/command/platform.go
@@ -8,7 +8,6 @@
 	"syscall"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/go-logr/logr"
 	"github.com/gravitational/trace"
@@ -142,8 +141,7 @@
 }
 
 func (p *process) serveMetrics() {
-	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	if err := http.ListenAndServe(p.settings.MetricsAddress, handler); err != nil {
+	if err := http.ListenAndServe(p.settings.MetricsAddress, entry.MetricsHandler()); err != nil {
 		p.log.Error(err, "listener ended", "address", p.settings.MetricsAddress)
 	}
 }
--- a/internal/operator/routes/config.go
+++ b/internal/operator/routes/config.go
@@ -181,6 +181,3 @@
 	}
 	return nil, false
 }
-
-// HasHost reports whether any route has the host name.
-func (c *Config) HasHost(host string) bool { return len(c.byHost[host]) > 0 }
--- a/internal/serving/backend/server.go
+++ b/internal/serving/backend/server.go
@@ -174,14 +174,6 @@
 	return d.byService[service]
 }
 
-// MayTake reports whether this incarnation may still get new work.
-func (d *Directory) MayTake(s Server) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	k, ok := d.servers[s.ID]
-	return ok && k.same(s) && !k.Draining && !k.disowned
-}
-
 // Len returns how many servers are known.
 func (d *Directory) Len() int {
 	d.mu.Lock()
--- a/internal/serving/backend/server_test.go
+++ b/internal/serving/backend/server_test.go
@@ -36,7 +36,7 @@
 		leaving.Draining = true
 		d.Put(leaving)
 		Expect(ids()).To(BeEmpty())
-		Expect(d.MayTake(two)).To(BeFalse())
+		Expect(d.Usable("s")).NotTo(ContainElement(two))
 	})
 
 	It("keeps for a grace time what an outage took, and no longer", func() {
@@ -65,8 +65,8 @@
 		again := one
 		again.Born = 2
 		d.Put(again)
-		Expect(d.MayTake(one)).To(BeFalse())
-		Expect(d.MayTake(again)).To(BeTrue())
+		Expect(d.Usable("s")).NotTo(ContainElement(one))
+		Expect(d.Usable("s")).To(ContainElement(again))
 	})
 
 	It("leaves out a server at whose address another answers, until its entry changes", func() {
--- a/internal/serving/placing/view.go
+++ b/internal/serving/placing/view.go
@@ -259,7 +259,7 @@
 	}
 }
 
-// EndedBatch takes the end, or the yield, of a batch item that Room placed.
+// EndedBatch takes the end, or the yield, of a batch item that Rooms placed.
 func (p *Placer) EndedBatch(now time.Time, s backend.Server, o Outcome) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
