Ask the owner of a job whose record stands still; take jobs over sooner

An owner that does not know of its job never ran it: a release whose write landed after its writer had given up, an adopt call that failed, or own jobs that could not be read once at the start. The spec with eleven hosts shows the first two, a host off duty with one refused range the third; both fail without the change.

Change: hosts on duty ask the owner of a record that has not changed for 4 s (idle.Watch); an owner that has the job answers without a store call. Own jobs are tried again until taken. A host that stops refuses to adopt. Besides: - looks at one job's record are at most one each 300 ms, however often another host claims it (spec: 100 claims in a second, dozens of reads before); - an item that crashed three servers rests 15 s between three more runs, since the crashes may have had another cause; it was parked for good before; - a silent host is dialed once; refused means that its process has ended, and the scan begins at once instead of after the lease and up to 2 s.

--- a/internal/batch/bulk/job.go
+++ b/internal/batch/bulk/job.go
@@ -41,7 +41,7 @@
 const (
 	waiting phase = iota
 	running
-	// parked items have crashed several servers and only wait for their time to
+	// parked items have crashed maxCrashes servers and only wait for their time to
 	// be over.
 	parked
 	finished
@@ -62,7 +62,9 @@
 	failures int
 	// crashes counts runs that ended with their server.
 	crashes int
-	result  Result
+	// rests is until when an item that crashed several servers must not run.
+	rests  time.Time
+	result Result
 }
 
 // Job is one job at its owner.
@@ -102,14 +104,14 @@
 // Over reports whether nothing is left to do.
 func (j *Job) Over() bool { return j.record.Ended || len(j.results) == len(j.items) }
 
-// Candidates returns the waiting items.
-func (j *Job) Candidates() []int {
+// Candidates returns the waiting items that may run.
+func (j *Job) Candidates(now time.Time) []int {
 	if j.record.Ended {
 		return nil
 	}
 	var list []int
 	for i, w := range j.items {
-		if w.phase == waiting {
+		if w.phase == waiting && !now.Before(w.rests) {
 			list = append(list, i)
 		}
 	}
@@ -222,22 +224,34 @@
 	return true
 }
 
-// maxCrashes is how many runs of an item may end with their server before it
-// waits for its time to be over; the items' rules allow three more after the
-// third.
-const maxCrashes = 3
+const (
+	// freeCrashes is how many runs of an item may end with their server before it
+	// has to rest after each further one. A server may have crashed for another
+	// cause, so an item that is at fault is not told from one that is not.
+	freeCrashes = 3
+	// maxCrashes is after how many it only waits for its time to be over; the
+	// platform's rules allow three more runs after the third crash.
+	maxCrashes = 6
+	// crashRest is shorter than the 20 s in which the rules excuse a job for an
+	// item that failed.
+	crashRest = 15 * time.Second
+)
 
-// Crash takes the end of a run with its server, and reports whether the item
-// must not run again.
-func (j *Job) Crash(i int) bool {
+// Crash takes the end of a run with its server. It reports whether the item
+// must rest, for ever if until is zero.
+func (j *Job) Crash(i int, now time.Time) (rests bool, until time.Time) {
 	w := j.items[i]
 	w.crashes++
-	if w.crashes < maxCrashes {
-		j.Requeue(i)
-		return false
+	if w.crashes >= maxCrashes {
+		w.phase = parked
+		return true, time.Time{}
 	}
-	w.phase = parked
-	return true
+	j.Requeue(i)
+	if w.crashes < freeCrashes {
+		return false, time.Time{}
+	}
+	w.rests = now.Add(crashRest)
+	return true, w.rests
 }
 
 // GiveUp ends an item without an answer.
--- a/internal/batch/custody/manager.go
+++ b/internal/batch/custody/manager.go
@@ -22,6 +22,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/kingcupquay/kingcupquay/internal/batch/bulk"
+	"github.com/kingcupquay/kingcupquay/internal/batch/idle"
 	"github.com/kingcupquay/kingcupquay/internal/batch/shelf"
 	"github.com/kingcupquay/kingcupquay/internal/batch/turn"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
@@ -99,8 +100,10 @@
 	runs     map[int]*run
 	// changed is closed and replaced when results are listed or the job ends.
 	changed chan struct{}
-	// looking says that the record is being read for another host's change.
+	// looking says that the record is being read for another host's change, looked
+	// is when such a read last began.
 	looking bool
+	looked  time.Time
 	// since is when the oldest unlisted result was finished, zero for none.
 	since time.Time
 }
@@ -131,11 +134,18 @@
 	serial   int64
 	stopping bool
 
+	// idle and hurried, the scans in a row that were brought forward, are used by
+	// the scan only.
+	idle    *idle.Watch
+	hurried int
+
 	kick chan struct{}
-	done chan struct{}
-	wait sync.WaitGroup
-	stop context.CancelFunc
-	ctx  context.Context
+	// search makes the scan begin at once.
+	search chan struct{}
+	done   chan struct{}
+	wait   sync.WaitGroup
+	stop   context.CancelFunc
+	ctx    context.Context
 }
 
 // New returns a manager that does nothing until Start.
@@ -143,7 +153,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Manager{
 		Options: o, jobs: make(map[string]*held), owners: make(map[string]string), quotas: make(map[string]quota),
-		cold: shelf.New(), kick: make(chan struct{}, 1), done: make(chan struct{}), ctx: ctx, stop: cancel,
+		cold: shelf.New(), idle: idle.New(), kick: make(chan struct{}, 1), search: make(chan struct{}, 1), done: make(chan struct{}), ctx: ctx, stop: cancel,
 	}
 }
 
@@ -166,7 +176,7 @@
 	}{
 		{scheduleEvery, m.kick, m.schedule},
 		{flushEvery, nil, m.flush},
-		{scanEvery, nil, m.scan},
+		{scanEvery, m.search, m.scan},
 	}
 	m.wait.Add(1 + len(loops))
 	go func() {
@@ -201,9 +211,14 @@
 }
 
 // Kick makes the manager look at the slots soon.
-func (m *Manager) Kick() {
+func (m *Manager) Kick() { wake(m.kick) }
+
+// Scan makes the manager look for jobs without an owner soon.
+func (m *Manager) Scan() { wake(m.search) }
+
+func wake(c chan<- struct{}) {
 	select {
-	case m.kick <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
--- a/internal/batch/custody/owning.go
+++ b/internal/batch/custody/owning.go
@@ -20,9 +20,14 @@
 	dutyName = "jobs"
 	// keepOver is how long a job that is over stays readable.
 	keepOver = 150 * time.Second
-	// adoptRetry is the pause between tries to read this host's own jobs at its
-	// start.
-	adoptRetry = 500 * time.Millisecond
+	// adoptRetry is the pause after the first try to take this host's own jobs at
+	// its start; it doubles up to adoptRetryMost, since a job may stay unreadable.
+	adoptRetry     = 500 * time.Millisecond
+	adoptRetryMost = 8 * time.Second
+	// hurryAfter is the time to the next scan while an owner's sign of life runs
+	// out, hurries how many such scans follow each other.
+	hurryAfter = 400 * time.Millisecond
+	hurries    = 5
 	// partialBytes bounds what is left to the next owner of a job of unfinished
 	// items.
 	partialBytes = bulk.PartBytes / 4
@@ -54,23 +59,24 @@
 	return records
 }
 
-// adoptOwn takes back the jobs that this host owned before it was started.
+// adoptOwn takes back the jobs that this host owned before it was started. It
+// goes on until all are taken, since in a large fleet only hosts on duty scan.
 func (m *Manager) adoptOwn() {
-	for {
+	for pause := adoptRetry; m.ctx.Err() == nil; pause = min(2*pause, adoptRetryMost) {
 		records, err := m.records(m.ctx)
-		if err == nil {
-			for _, r := range records {
-				if r.Open() && r.Owner == m.Host {
-					m.take(m.ctx, r.ID, m.Host)
-				}
+		if err != nil {
+			m.Log.Info("own jobs not read", "cause", err.Error())
+		}
+		left := err != nil
+		for _, r := range records {
+			if r.Open() && r.Owner == m.Host && !m.take(m.ctx, r.ID, m.Host) {
+				left = true
 			}
-			return
 		}
-		m.Log.Info("own jobs not read", "cause", err.Error())
-		m.pause(m.ctx, adoptRetry)
-		if m.ctx.Err() != nil {
+		if !left {
 			return
 		}
+		m.pause(m.ctx, pause)
 	}
 }
 
@@ -94,7 +100,9 @@
 		return
 	}
 	now := m.Timer.Now()
-	gone := make(map[string]bool)
+	gone, deaf := make(map[string]bool), make(map[string]bool)
+	defer m.idle.Forget(now)
+	defer m.hurry(gone)
 	for _, r := range m.decode(entries) {
 		m.mu.Lock()
 		_, own := m.jobs[r.ID]
@@ -115,10 +123,44 @@
 			if m.chosen(r.ID) {
 				m.take(m.ctx, r.ID, r.Owner)
 			}
+		case m.idle.Idle(now, r.ID, r.Owner, r.Serial) && m.chosen(r.ID) && !deaf[r.Owner]:
+			deaf[r.Owner] = !m.ask(now, r)
 		}
 	}
 }
 
+// hurry makes the next scan come soon while an owner is silent but not yet known
+// to be gone, a few times.
+func (m *Manager) hurry(gone map[string]bool) {
+	silent := false
+	for host, is := range gone {
+		silent = silent || !is && !m.Peers.Alive(host)
+	}
+	if !silent {
+		m.hurried = 0
+		return
+	}
+	if m.hurried++; m.hurried <= hurries {
+		m.Timer.After(hurryAfter, func(time.Time) { m.Scan() })
+	}
+}
+
+// ask makes sure that the owner of a job whose record does not change knows of
+// it; one that stops gives it away. It returns false if the owner can't be
+// reached.
+func (m *Manager) ask(now time.Time, r bulk.Record) bool {
+	failure := m.Peers.Adopt(m.ctx, r.Owner, r.ID)
+	switch {
+	case failure == nil:
+		m.idle.Has(now, r.ID)
+	case failure.Code() == result.Stopping:
+		m.take(m.ctx, r.ID, r.Owner)
+	default:
+		m.Log.Info("owner of an idle job not asked", "job", r.ID, "owner", r.Owner, "serial", r.Serial, "cause", failure.Error())
+	}
+	return failure == nil || failure.Code() != result.NoBackend
+}
+
 // gone reports whether an owner looks gone: no host hears of it, and the store
 // has no sign of life. seen holds this scan's answers.
 func (m *Manager) gone(host string, seen map[string]bool) bool {
@@ -133,11 +175,14 @@
 // job.
 func (m *Manager) chosen(id string) bool { return zone.First(m.onDuty(), id) == m.Host }
 
-// take makes this host the owner of a job that from owns.
-func (m *Manager) take(ctx context.Context, id, from string) {
-	if err := m.tryTake(ctx, id, from); err != nil {
+// take makes this host the owner of a job that from owns. It returns false if
+// that is still to be done.
+func (m *Manager) take(ctx context.Context, id, from string) bool {
+	err := m.tryTake(ctx, id, from)
+	if err != nil {
 		m.Log.Info("job not taken over", "job", id, "from", from, "cause", err.Error())
 	}
+	return err == nil || errors.Is(err, errMoved)
 }
 
 var errMoved = errors.New("its record changed meanwhile")
@@ -273,10 +318,14 @@
 func (m *Manager) Adopt(ctx context.Context, id string) *result.Error {
 	m.mu.Lock()
 	_, own := m.jobs[id]
+	stopping := m.stopping
 	m.mu.Unlock()
 	if own {
 		return nil
 	}
+	if stopping {
+		return result.New(result.Stopping, "host %s stops", m.Host)
+	}
 	if err := m.tryTake(ctx, id, m.Host); err != nil {
 		return result.New(result.LeaseLost, "%v", err)
 	}
--- a/internal/batch/custody/running.go
+++ b/internal/batch/custody/running.go
@@ -60,7 +60,7 @@
 
 // enqueue adds a job's waiting items to the queues of their services.
 func (m *Manager) enqueue(now time.Time, config *routes.Config, h *held, queues map[string][]*waiting) {
-	candidates := h.job.Candidates()
+	candidates := h.job.Candidates(now)
 	if len(candidates) == 0 {
 		return
 	}
@@ -201,8 +201,8 @@
 		h.job.Restart(i)
 		h.job.Requeue(i)
 	case carriage.Crashed:
-		if h.job.Crash(i) {
-			m.Log.Info("item parked", "job", record.ID, "item", item.ID, "cause", "its runs ended with their servers")
+		if rests, until := h.job.Crash(i, now); rests {
+			m.Log.Info("item rests", "job", record.ID, "item", item.ID, "until", until, "for_ever", until.IsZero(), "cause", "its runs ended with their servers")
 		}
 	case carriage.Failed:
 		h.job.Restart(i)
--- a/internal/batch/custody/world_test.go
+++ b/internal/batch/custody/world_test.go
@@ -118,6 +118,22 @@
 	kv      *platform.KV
 	servers *servers
 	hosts   map[string]*host
+	// offDuty makes hosts believe that enough others scan.
+	offDuty bool
+}
+
+// rewrite changes a job's record behind its owner's back.
+func (f *fleet) rewrite(id string, change func(*bulk.Record)) {
+	GinkgoHelper()
+	e, _, err := f.kv.Get(context.Background(), bulk.RecordKey(id))
+	Expect(err).NotTo(HaveOccurred())
+	r, err := bulk.DecodeRecord(e.Value)
+	Expect(err).NotTo(HaveOccurred())
+	change(&r)
+	text, err := r.Encode()
+	Expect(err).NotTo(HaveOccurred())
+	_, err = f.kv.Commit(context.Background(), store.Txn{Puts: []store.Put{{Key: bulk.RecordKey(id), Value: text}}})
+	Expect(err).NotTo(HaveOccurred())
 }
 
 // gated is the store as one host reaches it.
@@ -244,6 +260,9 @@
 func (h *host) Absent(_ context.Context, name string) bool { return h.fleet.hosts[name].dead.Load() }
 
 func (h *host) Live() []string {
+	if h.fleet.offDuty {
+		return nil
+	}
 	var names []string
 	for name, p := range h.fleet.hosts {
 		if !p.dead.Load() {
--- a/internal/batch/custody/writing.go
+++ b/internal/batch/custody/writing.go
@@ -222,16 +222,21 @@
 	return true
 }
 
+// lookAgain is the least time between two looks at one job's record. Hosts
+// repeat what they tell for longer than that.
+const lookAgain = 300 * time.Millisecond
+
 // refresh looks whether another host changed the record of a job of this one.
 // Looks at one job are one at a time, and none is needed once it is over.
 func (m *Manager) refresh(id string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	h, own := m.jobs[id]
-	if !own || h.job.Over() || h.looking || m.stopping {
+	now := m.Timer.Now()
+	if !own || h.job.Over() || h.looking || m.stopping || now.Sub(h.looked) < lookAgain {
 		return
 	}
-	h.looking = true
+	h.looking, h.looked = true, now
 	m.wait.Add(1)
 	go func() {
 		defer m.wait.Done()
--- /dev/null
+++ b/internal/batch/idle/suite_test.go
@@ -0,0 +1,9 @@
+package idle_test
+
+import (
+	"testing"
+
+	"github.com/kingcupquay/kingcupquay/internal/standin/specs"
+)
+
+func TestIdle(t *testing.T) { specs.Run(t, "idle") }
--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -133,8 +133,11 @@
 	h.book = notice.NewBook(s.Name, s.Zone, s.PeerAddress, func(host string, live bool) {
 		log.Info("host seen", "host", host, "live", live)
 		if live {
+			h.peers.returned(host)
 			// It may have missed who owns what.
 			go h.retell()
+		} else {
+			go h.silent(host)
 		}
 	})
 	h.placer = placing.New(s.Name, s.Zone, rand.Float64, h.changed)
@@ -311,6 +314,12 @@
 	h.changed()
 }
 
+// silent looks whether a host that has fallen silent is gone, and for its jobs.
+func (h *Host) silent(host string) {
+	h.peers.probe(h.ctx, host)
+	h.jobs.Scan()
+}
+
 // retell tells other hosts once more of the jobs that this host owns.
 func (h *Host) retell() {
 	for _, id := range h.jobs.Own() {
--- a/internal/fleet/entry/peers.go
+++ b/internal/fleet/entry/peers.go
@@ -4,11 +4,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
+	"syscall"
 	"time"
 
 	"github.com/kingcupquay/kingcupquay/internal/batch/custody"
@@ -29,12 +32,16 @@
 type peers struct {
 	host *Host
 	http *http.Client
+
+	mu sync.Mutex
+	// ended are silent hosts whose process was seen to have ended.
+	ended map[string]bool
 }
 
 var _ custody.Peers = (*peers)(nil)
 
 func newPeers(h *Host) *peers {
-	return &peers{host: h, http: &http.Client{Transport: &http.Transport{
+	return &peers{host: h, ended: make(map[string]bool), http: &http.Client{Transport: &http.Transport{
 		DialContext: dial.Dialer{Timeout: peerDial}.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 20 * time.Second,
 		DisableCompression: true,
 	}}}
@@ -193,8 +200,43 @@
 // Alive reports whether a host has been heard lately.
 func (p *peers) Alive(host string) bool { return p.host.book.Alive(host) }
 
-// Absent reports whether the store has no sign of life of a host.
+// probe notes a silent host as gone if nothing listens at its address although
+// the machine answers. A host that does not answer at all may only be cut off.
+func (p *peers) probe(ctx context.Context, host string) {
+	p.returned(host)
+	peer, ok := p.host.book.Peer(host)
+	if !ok {
+		return
+	}
+	conn, err := (dial.Dialer{Timeout: peerDial}).DialContext(ctx, "tcp4", peer.Address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	ended := errors.Is(err, syscall.ECONNREFUSED)
+	p.host.log.Info("silent host probed", "host", host, "ended", ended)
+	if ended {
+		p.mu.Lock()
+		p.ended[host] = true
+		p.mu.Unlock()
+	}
+}
+
+// returned drops what a former probe of a host has shown.
+func (p *peers) returned(host string) {
+	p.mu.Lock()
+	delete(p.ended, host)
+	p.mu.Unlock()
+}
+
+// Absent reports whether a host is gone: its process has ended, or the store has
+// no sign of life of it.
 func (p *peers) Absent(ctx context.Context, host string) bool {
+	p.mu.Lock()
+	ended := p.ended[host]
+	p.mu.Unlock()
+	if ended {
+		return true
+	}
 	_, ok, err := p.host.adapter.Store.Get(ctx, hostPrefix+host)
 	if err != nil {
 		p.host.log.Info("sign of life not read", "host", host, "cause", err.Error())
