Show no list of a job that was given away at a stop

Cause: release rewrote the record with the heir as owner but kept the job in memory; until its end (2.5 s of drain and the requests in work) the host that stopped answered readers from it. Ruled out: a read that began before the write; the reader is one at a time. Change: the job leaves memory before the record is written; readers are sent to whom the store names, also if the write's answer is lost. Spec: 'gives its jobs away when it stops' now reads at the host that stopped; it failed before.

--- a/internal/batch/custody/manager_test.go
+++ b/internal/batch/custody/manager_test.go
@@ -241,6 +241,8 @@
 		f.eventually(func(g Gomega) { g.Expect(stopped).To(BeClosed()) })
 		close(f.servers.hold)
 		f.eventually(func(g Gomega) { expectWhole(g, listed(g, f.hosts["B"], "j"), 2) })
+		// The host that stops still answers, and must not show the list as it was.
+		expectWhole(Default, listed(Default, a, "j"), 2)
 	})
 
 	It("runs a job whose owner was never told that it owns it, in a fleet where few hosts scan", func() {
--- a/internal/batch/custody/owning.go
+++ b/internal/batch/custody/owning.go
@@ -382,10 +382,14 @@
 	defer m.writes.Unlock()
 	m.mu.Lock()
 	var group []change
-	for _, h := range m.jobs {
+	for id, h := range m.jobs {
 		if h.job.Over() {
 			continue
 		}
+		// From here on the heir may list results, so this host's list is not shown
+		// any more; readers are sent to whom the store names.
+		delete(m.jobs, id)
+		h.notify()
 		c := m.changeOf(h, nil)
 		c.after.Owner, c.partials = m.heir(c.after.ID), h.job.Partials(partialBytes)
 		group = append(group, c)
