--- a/internal/soak/link/link.go
+++ b/internal/soak/link/link.go
@@ -6,6 +6,7 @@
 package link
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -167,7 +168,7 @@
 			}
 		}
 		switch {
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			if half, ok := to.(*net.TCPConn); ok {
 				_ = half.CloseWrite()
 			}
