--- a/internal/operator/cause/explain.go
+++ b/internal/operator/cause/explain.go
@@ -19,6 +19,9 @@
 	// it and the first sign of trouble costs.
 	perLink   = 6
 	perMinute = 1
+	// perWitness is what each further host that noted the same is worth: a host
+	// that is cut off notes the silence of all others, they that of one.
+	perWitness = 1
 	// minOthers is the weight below which the events of others are left out.
 	minOthers = 40
 	// minStrangers is the same for events of other requests and jobs: the crash
@@ -78,6 +81,40 @@
 	{kind: "zone reachable", weight: 10, neutral: true},
 	{kind: "platform store reachable", weight: 10, neutral: true},
 	{kind: "job ended", text: "completed", weight: 5, neutral: true},
+
+	// Lines of the platform's programs; see docs/OPERATIONS.md.
+	{kind: "store lost", weight: 90},
+	{kind: "host ended", weight: 92},
+	{kind: "host silent", weight: 88},
+	{kind: "write unclear", weight: 84},
+	{kind: "write refused", weight: 84},
+	{kind: "acceptance unclear", weight: 84},
+	{kind: "server gone", weight: 78},
+	{kind: "server draining", weight: 75},
+	{kind: "stopping", weight: 74},
+	{kind: "moved", weight: 72},
+	{kind: "item interrupted", weight: 72},
+	{kind: "items given up", text: "removed the route", weight: 85},
+	{kind: "item left its slot", weight: 60},
+	{kind: "sent again", weight: 55},
+	{kind: "server missing", weight: 55},
+	{kind: "broken off", weight: 45},
+	{kind: "job lost", weight: 45},
+	{kind: "refused", weight: 42},
+	{kind: "job refused", weight: 42},
+	{kind: "item given up", weight: 42},
+	{kind: "items given up", weight: 42},
+	{kind: "started", weight: 41},
+	{kind: "store regained", weight: 10, neutral: true},
+	{kind: "host heard", weight: 10, neutral: true},
+	{kind: "server known", weight: 10, neutral: true},
+	{kind: "configuration in force", weight: 5, neutral: true},
+	{kind: "placed", weight: 5, neutral: true},
+	{kind: "answered", weight: 5, neutral: true},
+	{kind: "item placed", weight: 5, neutral: true},
+	{kind: "results listed", weight: 5, neutral: true},
+	{kind: "job accepted", weight: 5, neutral: true},
+	{kind: "lease won", weight: 5, neutral: true},
 }
 
 func classOf(e *Event) class {
@@ -203,6 +240,7 @@
 	answer := Answer{Subject: subject}
 	reached := reach(subject, events, links)
 	begin, trouble, end := window(subject, events)
+	seen := witnesses(events)
 	best := 0.0
 	for i := range events {
 		e := &events[i]
@@ -216,7 +254,7 @@
 		}
 		step := Step{Event: *e, Via: from.via}
 		answer.Chain = append(answer.Chain, step)
-		score := float64(c.weight-perLink*from.distance) - perMinute*trouble.Sub(e.At).Abs().Minutes()
+		score := float64(c.weight-perLink*from.distance+perWitness*(len(seen[what(e)])-1)) - perMinute*trouble.Sub(e.At).Abs().Minutes()
 		if answer.Root == nil || score > best || (score == best && e.At.Before(answer.Root.At)) {
 			best, answer.Root = score, &step
 		}
@@ -226,13 +264,31 @@
 	return answer
 }
 
+// what tells events apart by what they say, whoever noted them.
+func what(e *Event) string { return e.Kind + " " + strings.Join(e.Subjects, " ") }
+
+// witnesses returns the hosts that noted each kind of event of the same
+// subjects.
+func witnesses(events []Event) map[string]map[string]bool {
+	seen := make(map[string]map[string]bool)
+	for i := range events {
+		key := what(&events[i])
+		if seen[key] == nil {
+			seen[key] = make(map[string]bool)
+		}
+		seen[key][events[i].Host] = true
+	}
+	return seen
+}
+
 // window returns the time that counts and the first sign of trouble of the
 // subject itself; for a subject without events of its own, all of the time.
 func window(subject string, events []Event) (begin, trouble, end time.Time) {
+	var last time.Time
 	for i := range events {
 		e := &events[i]
+		last = maxTime(last, e.At)
 		if !slices.Contains(e.Subjects, subject) {
-			end = maxTime(end, e.At)
 			continue
 		}
 		if begin.IsZero() || e.At.Before(begin) {
@@ -243,12 +299,12 @@
 		}
 		end = maxTime(end, e.At)
 	}
+	if begin.IsZero() {
+		return begin, last, last
+	}
 	if trouble.IsZero() {
 		trouble = end
 	}
-	if begin.IsZero() {
-		return begin, trouble, end
-	}
 	return begin.Add(-before), trouble, end.Add(after)
 }
 
--- a/internal/operator/cause/explain_test.go
+++ b/internal/operator/cause/explain_test.go
@@ -79,6 +79,38 @@
 		Expect(answer.Sentences()).To(Equal([]string{"nothing is known about req-0"}))
 	})
 
+	// The day had, in order: servers that fell silent together with a store that
+	// was reset (0.5 s on), and a zone with host h-c-1 cut off (33.5 s on).
+	DescribeTable("names what was injected from the lines of a played day alone", func(subject, kind, text string) {
+		var events []cause.Event
+		for _, host := range []string{"h-a-1", "h-b-1", "h-b-2", "h-c-1"} {
+			file, err := os.Open("testdata/lines/" + host + ".log")
+			Expect(err).NotTo(HaveOccurred())
+			found, others, err := cause.ReadLines(file, "")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(file.Close()).To(Succeed())
+			Expect(others).To(BeZero())
+			Expect(found[0].Host).To(Equal(host), "the line of the start names it")
+			events = append(events, found...)
+		}
+		answer := cause.ExplainLines(subject, events)
+		Expect(answer.Root).NotTo(BeNil())
+		Expect(answer.Root.Kind+": "+answer.Root.Cause+" "+strings.Join(answer.Root.Subjects, " ")).To(And(HavePrefix(kind), ContainSubstring(text)))
+	},
+		Entry("of a job that was refused", "055bec94ce9f31c8", "store lost", "connection reset by peer"),
+		Entry("of a stream that went on elsewhere", "313520dbc06a3a7c", "moved", "i-9ee1aa15e1 fell silent"),
+		Entry("of a job that changed its owner", "81ce9b3075b6b21c", "host silent", "h-c-1"),
+		Entry("of a host that was cut off", "h-c-1", "host silent", "h-c-1"),
+	)
+
+	It("leaves out lines that are not the product's, and counts them", func() {
+		events, others, err := cause.ReadLines(strings.NewReader("panic: x\n{}\n"+
+			`{"ts":"2026-01-01T00:00:00Z","msg":"refused","request":"r1","cause":"overloaded"}`+"\n"), "h1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(others).To(Equal(2))
+		Expect(events).To(ConsistOf(cause.Event{At: start, Host: "h1", Kind: "refused", Cause: "overloaded", Subjects: []string{"request/r1"}}))
+	})
+
 	It("leaves out what happened to other callers", func() {
 		list := readFailures()
 		first := list[0]
--- a/internal/operator/command/operator.go
+++ b/internal/operator/command/operator.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/url"
 	"os"
+	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -15,6 +17,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/kingcupquay/kingcupquay/internal/operator/admin"
+	"github.com/kingcupquay/kingcupquay/internal/operator/cause"
 	"github.com/kingcupquay/kingcupquay/internal/operator/revision"
 	"github.com/kingcupquay/kingcupquay/internal/operator/services"
 )
@@ -56,7 +59,13 @@
 
 	why := s.remote(app.Command("why", "Explain what happened to a request, job, item, service, back end or host."))
 	subject := why.Arg("id", "Id or name of the subject.").Required().String()
-	actions[why.FullCommand()] = func() error { return s.why(*subject) }
+	files := why.Flag("lines", "Standard output of a host, to explain by in place of asking the hosts; may be repeated.").ExistingFiles()
+	actions[why.FullCommand()] = func() error {
+		if len(*files) > 0 {
+			return s.whyByLines(*subject, *files)
+		}
+		return s.why(*subject)
+	}
 }
 
 func (s *shell) checkText(file string) error {
@@ -173,6 +182,39 @@
 	return s.print(list, []string{"HOST", "ZONE", "REVISION", "ALIVE", "LEAVING"}, rows)
 }
 
+// whyByLines explains by what hosts wrote to their standard output.
+func (s *shell) whyByLines(subject string, files []string) error {
+	var events []cause.Event
+	for _, file := range files {
+		found, others, err := readLines(file)
+		if err != nil {
+			return err
+		}
+		if others > 0 {
+			fmt.Fprintf(s.err, "%s: %d lines are not the product's\n", file, others)
+		}
+		events = append(events, found...)
+	}
+	slices.SortStableFunc(events, func(a, b cause.Event) int { return a.At.Compare(b.At) })
+	answer := cause.ExplainLines(subject, events)
+	if s.output == "json" {
+		return s.print(answer, nil, nil)
+	}
+	for _, line := range answer.Sentences() {
+		fmt.Fprintln(s.out, line)
+	}
+	return nil
+}
+
+func readLines(file string) ([]cause.Event, int, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, 0, trace.ConvertSystemError(err)
+	}
+	defer func() { _ = f.Close() }()
+	return cause.ReadLines(f, strings.TrimSuffix(filepath.Base(file), filepath.Ext(file)))
+}
+
 func (s *shell) why(subject string) error {
 	var story admin.Story
 	if err := s.get("/operator/why/"+subject, &story); err != nil {
--- a/internal/operator/command/why_test.go
+++ b/internal/operator/command/why_test.go
@@ -16,6 +16,7 @@
 	"github.com/openai/openai-go/v3/option"
 
 	"github.com/kingcupquay/kingcupquay/internal/operator/admin"
+	"github.com/kingcupquay/kingcupquay/internal/operator/command"
 	"github.com/kingcupquay/kingcupquay/internal/operator/examples"
 	"github.com/kingcupquay/kingcupquay/internal/operator/revision"
 	"github.com/kingcupquay/kingcupquay/internal/standin/deployment"
@@ -265,3 +266,22 @@
 		Expect(status).To(Equal(http.StatusUnauthorized))
 	})
 })
+
+var _ = Describe("why by lines", func() {
+	const folder = "../cause/testdata/lines/"
+
+	It("explains from the standard output of hosts, without a host", func() {
+		var out, errors bytes.Buffer
+		Expect(command.Run([]string{"why", "--lines", folder + "h-b-1.log", "--lines", folder + "h-b-2.log", "055bec94ce9f31c8"}, &out, &errors)).To(BeZero(), errors.String())
+		Expect(out.String()).To(HavePrefix("most likely cause: 2026-01-31 17:17:42."))
+		Expect(out.String()).To(ContainSubstring("store lost (platform)"))
+		Expect(errors.String()).To(BeEmpty())
+	})
+
+	It("says how many lines are not the product's", func() {
+		var out, errors bytes.Buffer
+		Expect(command.Run([]string{"why", "--lines", "why_test.go", "x"}, &out, &errors)).To(BeZero())
+		Expect(out.String()).To(Equal("nothing is known about x\n"))
+		Expect(errors.String()).To(MatchRegexp(`why_test.go: [0-9]+ lines are not the product's`))
+	})
+})
