Look once at another reader's word that no change below the prefix follows

Cause: after a compaction a host lists again and tells the list's revision, which is that of the whole store. Change: a look whose answer is newer than the word settles it. Spec: 100 words of a revision that stems from other keys, 66 polls before, under 20 (ten seconds of waiting polls and one look) now.

--- a/internal/record/follow/follow.go
+++ b/internal/record/follow/follow.go
@@ -92,6 +92,10 @@
 
 	// applied is the revision of the newest change that the reader took.
 	applied atomic.Int64
+	// seen is up to when the store has told of all changes in an answer that did
+	// not wait. It is at least applied; another reader's word may stem from a
+	// change elsewhere in the store, and must not be followed up for ever.
+	seen atomic.Int64
 
 	mu sync.Mutex
 	// wanted is the newest change that another reader told of.
@@ -114,7 +118,7 @@
 // Nudge takes another reader's word that there was a change at a revision. If
 // the store does not tell of it soon, the follower asks.
 func (f *Follower) Nudge(revision int64) {
-	if revision <= f.applied.Load() {
+	if revision <= f.seen.Load() {
 		return
 	}
 	f.mu.Lock()
@@ -128,7 +132,7 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.waiting = false
-		if f.wanted > f.applied.Load() && f.interrupt != nil {
+		if f.wanted > f.seen.Load() && f.interrupt != nil {
 			f.log.Info("poll behind another reader", "prefix", f.prefix, "applied", f.applied.Load(), "wanted", f.wanted)
 			f.interrupt()
 		}
@@ -189,8 +193,11 @@
 
 func (f *Follower) apply(revision int64) {
 	f.applied.Store(max(f.applied.Load(), revision))
+	f.see(revision)
 }
 
+func (f *Follower) see(revision int64) { f.seen.Store(max(f.seen.Load(), revision)) }
+
 // poll waits for changes until the store answers or a nudge ends the wait. A
 // call that was ended is followed by a short one.
 func (f *Follower) poll(ctx context.Context) ([]store.Event, int64, error) {
@@ -208,7 +215,9 @@
 	f.interrupt = nil
 	f.mu.Unlock()
 	if err != nil && polling.Err() != nil && ctx.Err() == nil {
-		return f.source.Poll(ctx, f.prefix, f.revision, time.Millisecond)
+		if events, revision, err = f.source.Poll(ctx, f.prefix, f.revision, time.Millisecond); err == nil {
+			f.see(revision)
+		}
 	}
 	return events, revision, err
 }
--- a/internal/record/follow/follow_test.go
+++ b/internal/record/follow/follow_test.go
@@ -197,6 +197,22 @@
 		Eventually(f.Applied).Should(Equal(revision))
 	})
 
+	It("looks once at another reader's word that stems from changes elsewhere in the store", func() {
+		// The other reader has listed again; its list is as new as the whole store.
+		var revision int64
+		for range 5 {
+			revision = write("q/1", "x")
+		}
+		calls := kv.Calls()["poll"]
+		for range 100 {
+			f.Nudge(revision)
+			clock.Advance(100 * time.Millisecond)
+			time.Sleep(time.Millisecond)
+		}
+		// Ten seconds of polls that wait for 0.7 s or more, and the one look.
+		Expect(kv.Calls()["poll"] - calls).To(BeNumerically("<", 20))
+	})
+
 	DescribeTable("gives a grace time to what an outage took, but not after a single failed call",
 		func(away time.Duration, wantGrace bool) {
 			kv.SetFaults(func(string) platform.Fault { return platform.Refuse })
