--- a/internal/fleet/peer/suite_test.go
+++ b/internal/fleet/peer/suite_test.go
@@ -3,13 +3,7 @@
 import (
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/kingcupquay/kingcupquay/internal/standin/specs"
 )
 
-func TestPeer(t *testing.T) {
-	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "peer", suite, reporter)
-}
+func TestPeer(t *testing.T) { specs.Run(t, "peer") }
--- a/internal/operator/admin/page_test.go
+++ b/internal/operator/admin/page_test.go
@@ -10,14 +10,11 @@
 
 	"github.com/kingcupquay/kingcupquay/internal/operator/admin"
 	"github.com/kingcupquay/kingcupquay/internal/operator/cause"
+
+	"github.com/kingcupquay/kingcupquay/internal/standin/specs"
 )
 
-func TestAdmin(t *testing.T) {
-	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "admin", suite, reporter)
-}
+func TestAdmin(t *testing.T) { specs.Run(t, "admin") }
 
 var _ = Describe("the status page", func() {
 	It("shows zones, back ends, jobs and events, escaped, without outside resources", func() {
--- a/internal/operator/cause/explain_test.go
+++ b/internal/operator/cause/explain_test.go
@@ -95,7 +95,7 @@
 		}
 		answer := cause.ExplainLines(subject, events)
 		Expect(answer.Root).NotTo(BeNil())
-		Expect(answer.Root.Kind+": "+answer.Root.Cause+" "+strings.Join(answer.Root.Subjects, " ")).To(And(HavePrefix(kind), ContainSubstring(text)))
+		Expect(answer.Root.Kind + ": " + answer.Root.Cause + " " + strings.Join(answer.Root.Subjects, " ")).To(And(HavePrefix(kind), ContainSubstring(text)))
 	},
 		Entry("of a job that was refused", "055bec94ce9f31c8", "store lost", "connection reset by peer"),
 		Entry("of a stream that went on elsewhere", "313520dbc06a3a7c", "moved", "i-9ee1aa15e1 fell silent"),
--- a/internal/operator/cause/suite_test.go
+++ b/internal/operator/cause/suite_test.go
@@ -3,13 +3,7 @@
 import (
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/kingcupquay/kingcupquay/internal/standin/specs"
 )
 
-func TestCause(t *testing.T) {
-	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "cause", suite, reporter)
-}
+func TestCause(t *testing.T) { specs.Run(t, "cause") }
--- a/internal/operator/command/suite_test.go
+++ b/internal/operator/command/suite_test.go
@@ -3,13 +3,7 @@
 import (
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/kingcupquay/kingcupquay/internal/standin/specs"
 )
 
-func TestCommand(t *testing.T) {
-	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "command", suite, reporter)
-}
+func TestCommand(t *testing.T) { specs.Run(t, "command") }
--- a/internal/operator/result/suite_test.go
+++ b/internal/operator/result/suite_test.go
@@ -3,13 +3,7 @@
 import (
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/kingcupquay/kingcupquay/internal/standin/specs"
 )
 
-func TestResult(t *testing.T) {
-	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "result", suite, reporter)
-}
+func TestResult(t *testing.T) { specs.Run(t, "result") }
--- a/internal/record/lease/suite_test.go
+++ b/internal/record/lease/suite_test.go
@@ -3,13 +3,7 @@
 import (
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/kingcupquay/kingcupquay/internal/standin/specs"
 )
 
-func TestLease(t *testing.T) {
-	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "lease", suite, reporter)
-}
+func TestLease(t *testing.T) { specs.Run(t, "lease") }
--- a/internal/record/recorder/suite_test.go
+++ b/internal/record/recorder/suite_test.go
@@ -3,13 +3,7 @@
 import (
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/kingcupquay/kingcupquay/internal/standin/specs"
 )
 
-func TestRecorder(t *testing.T) {
-	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "recorder", suite, reporter)
-}
+func TestRecorder(t *testing.T) { specs.Run(t, "recorder") }
--- a/internal/serving/caller/suite_test.go
+++ b/internal/serving/caller/suite_test.go
@@ -3,13 +3,7 @@
 import (
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/kingcupquay/kingcupquay/internal/standin/specs"
 )
 
-func TestCaller(t *testing.T) {
-	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "caller", suite, reporter)
-}
+func TestCaller(t *testing.T) { specs.Run(t, "caller") }
--- a/internal/serving/dispatch/suite_test.go
+++ b/internal/serving/dispatch/suite_test.go
@@ -3,13 +3,7 @@
 import (
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/kingcupquay/kingcupquay/internal/standin/specs"
 )
 
-func TestDispatch(t *testing.T) {
-	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "dispatch", suite, reporter)
-}
+func TestDispatch(t *testing.T) { specs.Run(t, "dispatch") }
--- a/internal/serving/engine/suite_test.go
+++ b/internal/serving/engine/suite_test.go
@@ -3,13 +3,7 @@
 import (
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/kingcupquay/kingcupquay/internal/standin/specs"
 )
 
-func TestEngine(t *testing.T) {
-	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "engine", suite, reporter)
-}
+func TestEngine(t *testing.T) { specs.Run(t, "engine") }
--- a/internal/serving/keeper/suite_test.go
+++ b/internal/serving/keeper/suite_test.go
@@ -3,13 +3,7 @@
 import (
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/kingcupquay/kingcupquay/internal/standin/specs"
 )
 
-func TestKeeper(t *testing.T) {
-	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "keeper", suite, reporter)
-}
+func TestKeeper(t *testing.T) { specs.Run(t, "keeper") }
--- a/internal/standin/deployment/suite_test.go
+++ b/internal/standin/deployment/suite_test.go
@@ -9,14 +9,11 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/kingcupquay/kingcupquay/internal/standin/deployment"
+
+	"github.com/kingcupquay/kingcupquay/internal/standin/specs"
 )
 
-func TestDeployment(t *testing.T) {
-	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "deployment", suite, reporter)
-}
+func TestDeployment(t *testing.T) { specs.Run(t, "deployment") }
 
 // patience bounds every wait of this suite; it is no statement on speed.
 const patience = 60 * time.Second
--- a/internal/standin/specs/specs.go
+++ b/internal/standin/specs/specs.go
@@ -11,11 +11,15 @@
 	_ "pgregory.net/rapid" // defines the flag
 )
 
-// Run runs the specs of a suite.
-func Run(t *testing.T, suite string) {
+// The seed also holds for tests of a suite that are no specs.
+func init() {
 	if err := flag.Set("rapid.seed", "1"); err != nil {
-		t.Fatal(err)
+		panic(err)
 	}
+}
+
+// Run runs the specs of a suite.
+func Run(t *testing.T, suite string) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
 	config, reporter := ginkgo.GinkgoConfiguration()
 	config.RandomSeed = 1
