--- a/internal/batch/custody/manager.go
+++ b/internal/batch/custody/manager.go
@@ -120,8 +120,11 @@
 type Manager struct {
 	Options
 
-	// writes is held while a record is written, before mu.
-	writes sync.Mutex
+	// writes is held while a record is written, before mu. It guards writeFailed,
+	// the writes of results in a row that failed, and writeAt, when the next may be.
+	writes      sync.Mutex
+	writeFailed int
+	writeAt     time.Time
 
 	mu   sync.Mutex
 	jobs map[string]*held
--- a/internal/batch/custody/manager_test.go
+++ b/internal/batch/custody/manager_test.go
@@ -357,6 +357,23 @@
 		Expect(f.servers.runsOf("j-2")).To(Equal(1))
 	})
 
+	It("asks a store that is away for few writes, and lists soon after its return", func() {
+		f := newFleet("A")
+		Expect(f.hosts["A"].Submit(ctx, submission("j", 3, 1))).To(BeNil())
+		f.kv.SetFaults(func(string) platform.Fault { return platform.Refuse })
+		f.eventually(func(g Gomega) { g.Expect(f.servers.runsOf("j-2")).To(Equal(1)) })
+		before := f.kv.Calls()["txn"]
+		for range 1000 {
+			f.turn()
+			time.Sleep(100 * time.Microsecond)
+		}
+		Expect(f.kv.Calls()["txn"]-before).To(And(BeNumerically(">", 3), BeNumerically("<", 20)), "ten seconds")
+		f.kv.SetFaults(nil)
+		back := f.clock.Now()
+		f.eventually(func(g Gomega) { expectWhole(g, listed(g, f.hosts["A"], "j"), 3) })
+		Expect(f.clock.Now().Sub(back)).To(BeNumerically("<", 2*time.Second), "manual time")
+	})
+
 	It("lists nothing twice when the answer to a write of results is lost", func() {
 		f := newFleet("A")
 		var n atomic.Int64
--- a/internal/batch/custody/writing.go
+++ b/internal/batch/custody/writing.go
@@ -23,6 +23,10 @@
 	groupBytes = 2 << 20
 	// writeTries bounds the repeats of a write whose answer was lost.
 	writeTries = 4
+	// writePause is the pause after a write that failed; it doubles with each
+	// further one up to writePauseMost, as all hosts write to the same store.
+	writePause     = 100 * time.Millisecond
+	writePauseMost = 800 * time.Millisecond
 )
 
 // change is one job's part of a transaction.
@@ -41,17 +45,29 @@
 func (m *Manager) flush() {
 	m.writes.Lock()
 	defer m.writes.Unlock()
+	if now := m.Timer.Now(); now.Before(m.writeAt) && !m.stops() {
+		return
+	}
 	for {
 		group := m.gather()
 		if len(group) == 0 {
 			return
 		}
 		if !m.write(m.writing(), group) {
+			m.writeFailed = min(m.writeFailed+1, 8)
+			m.writeAt = m.Timer.Now().Add(min(writePauseMost, writePause<<m.writeFailed))
 			return
 		}
+		m.writeFailed = 0
 	}
 }
 
+func (m *Manager) stops() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stopping
+}
+
 // writing is the context of writes that go on while the manager stops.
 func (m *Manager) writing() context.Context { return context.WithoutCancel(m.ctx) }
 
--- a/internal/operator/cause/lines.go
+++ b/internal/operator/cause/lines.go
@@ -93,6 +93,7 @@
 		e.Subjects = append(e.Subjects, Platform)
 	}
 	sort.Strings(e.Subjects)
+	e.Subjects = slices.Compact(e.Subjects)
 	sort.Strings(rest)
 	e.Cause = strings.Join(rest, ", ")
 	for _, name := range []string{"error", "cause"} {
--- a/internal/record/follow/follow.go
+++ b/internal/record/follow/follow.go
@@ -40,8 +40,8 @@
 	// paceShare is how long a follower lets changes gather after one, for each
 	// reader, and paceMost bounds it: every change that ends a poll costs each
 	// reader a call.
-	paceShare = 8 * time.Millisecond
-	paceMost  = 400 * time.Millisecond
+	paceShare = 16 * time.Millisecond
+	paceMost  = time.Second
 	// nudgePatience is how long after another reader's word the store's own
 	// answer is waited for.
 	nudgePatience = 300 * time.Millisecond
