--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -54,11 +54,14 @@
 	// Configure writes a new configuration.
 	Configure
 	kinds
+	// Stall is never drawn: the machine of the run itself stood still, which the
+	// platform counts as slowed hosts.
+	Stall
 )
 
 var names = [...]string{
 	"stop", "kill", "pause", "reload", "store slow", "store reset", "store one way", "store silent", "server slow", "server reset",
-	"server silent", "server breaks", "server fails", "server drains", "server replaced", "store loses answers", "store away", "configure",
+	"server silent", "server breaks", "server fails", "server drains", "server replaced", "store loses answers", "store away", "configure", "", "machine stalled",
 }
 
 // String returns the kind in words.
