Lose no request that was read at the moment of a stop

Change: fleet/kept ends a connection only if nothing was read since its last answer, and reads nothing more from then on; all others are served first.

--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -24,6 +24,7 @@
 
 	"github.com/kingcupquay/kingcupquay/internal/batch/custody"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/dial"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/kept"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/notice"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/setup"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
@@ -92,11 +93,13 @@
 
 	stopping atomic.Bool
 	fetching atomic.Bool
-	servers  []*http.Server
-	expiry   *timer.Subscription
-	ctx      context.Context
-	cancel   context.CancelFunc
-	wait     sync.WaitGroup
+	// servers serve conns, each at the same place.
+	servers []*http.Server
+	conns   []*kept.Listener
+	expiry  *timer.Subscription
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
 
 	mu sync.Mutex
 	// told are jobs that this host has come to own, ended those that were ended
@@ -226,9 +229,10 @@
 
 func (h *Host) serve(l net.Listener, handler http.Handler) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	h.servers = append(h.servers, server)
+	conns := kept.NewListener(l)
+	h.servers, h.conns = append(h.servers, server), append(h.conns, conns)
 	go func() {
-		if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := kept.Serve(server, conns); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			h.log.Error(err, "listener ended", "address", l.Addr().String())
 		}
 	}()
@@ -289,10 +293,12 @@
 		h.jobs.Stop(ctx)
 	}()
 	timer.Pause(h.timer, ctx.Done(), drainTime-h.timer.Now().Sub(began))
-	for _, server := range h.servers {
-		if err := server.Shutdown(ctx); err != nil {
+	for n, conns := range h.conns {
+		if err := conns.End(ctx); err != nil {
 			h.log.Info("requests left at the end", "cause", err.Error())
 		}
+		// Nothing is left but what the time did not suffice for.
+		_ = h.servers[n].Close()
 	}
 	select {
 	case <-given:
