--- a/internal/fleet/kept/listener.go
+++ b/internal/fleet/kept/listener.go
@@ -75,7 +75,7 @@
 	if !l.ending {
 		l.ending = true
 		// Its error says that it is closed already.
-		_ = l.Listener.Close()
+		_ = l.Close()
 		for c := range l.conns {
 			c.end()
 		}
