Look at the addresses of other hosts once a notice

Each notice looked twice, under the book's lock and with two sorts, and composed the list of known addresses, which fifteen of sixteen notices then dropped. The sender has the addresses and fills the list in where it is told. What is sent is the same.

--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -342,16 +342,9 @@
 	return notice.Notice{
 		Host: h.settings.Name, Zone: h.settings.Zone, Address: h.settings.PeerAddress, Config: h.config.Version(),
 		Servers: h.registry.Applied(), Stopping: h.stopping.Load(), Loads: loads, Backlog: backlog, Jobs: told, Ended: ended,
-		Known: h.known(),
 	}
 }
 
-// known returns the addresses of other hosts.
-func (h *Host) known() []string {
-	near, far := h.book.Addresses()
-	return append(near, far...)
-}
-
 // heard takes a notice.
 func (h *Host) heard(n notice.Notice) {
 	h.placer.Report(n.Host, n.Zone, h.timer.Now(), n.Loads, n.Backlog)
--- a/internal/fleet/notice/sender.go
+++ b/internal/fleet/notice/sender.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,7 +37,7 @@
 	log   logr.Logger
 	book  *Book
 	conn  *net.UDPConn
-	// compose gives the notice to send; Host to Number are filled in here.
+	// compose gives the notice to send; Start, Number and Known are filled in here.
 	compose func() Notice
 	// heard takes each notice that is newer than all before from its host.
 	heard func(n Notice)
@@ -90,13 +91,7 @@
 
 func (e *Exchange) send() {
 	defer e.wait.Done()
-	beats := make(chan struct{}, 1)
-	sub := e.timer.Every(heartbeat, func(time.Time) {
-		select {
-		case beats <- struct{}{}:
-		default:
-		}
-	})
+	beats, sub := timer.Ticks(e.timer, heartbeat)
 	defer sub.Cancel()
 	var farAt time.Time
 	for number := int64(1); ; number++ {
@@ -104,8 +99,8 @@
 		now := e.timer.Now()
 		n := e.compose()
 		n.Start, n.Number = e.start, number
-		if number > knownFirst && number%knownEvery != 0 {
-			n.Known = nil
+		if number <= knownFirst || number%knownEvery == 0 {
+			n.Known = slices.Concat(near, far)
 		}
 		e.tell(n, near)
 		if now.Sub(farAt) >= farEvery {
