Sum a server's load once a choice

Choose summed the counts of all hosts for a server up to three times: for the wait, for the order, and for the log. Same costs, same draws, same choice.

--- a/internal/serving/placing/online.go
+++ b/internal/serving/placing/online.go
@@ -60,10 +60,11 @@
 			if resting && !mayRest {
 				continue
 			}
-			wait := p.wait(now, s)
-			cost := wait + failing + p.nuisance(now, s, wait)
+			l := p.total(now, s.ID)
+			wait := p.wait(now, s, l)
+			cost := wait + failing + p.nuisance(s, l, wait)
 			if bestCost < 0 || cost < bestCost {
-				best, bestCost = Choice{Server: s, Wait: wait}, cost
+				best, bestCost = Choice{Server: s, Wait: wait, Taken: l.sum()}, cost
 			}
 		}
 		if bestCost >= 0 {
@@ -71,7 +72,7 @@
 		}
 	}
 	if bestCost >= 0 {
-		best.Taken, best.Age = p.total(now, best.Server.ID).sum(), p.age(now)
+		best.Age = p.age(now)
 	}
 	if bestCost < 0 || best.Wait > patience {
 		best.Server, best.RetryAfter = backend.Server{}, p.comeBack()
@@ -83,9 +84,9 @@
 	return best
 }
 
-// wait estimates how long a new online request waits for a slot.
-func (p *Placer) wait(now time.Time, s backend.Server) time.Duration {
-	l := p.total(now, s.ID)
+// wait estimates how long a new online request waits for a slot of a server with
+// a load.
+func (p *Placer) wait(now time.Time, s backend.Server, l Load) time.Duration {
 	if l.sum() < s.Slots {
 		return 0
 	}
@@ -104,12 +105,12 @@
 }
 
 // nuisance orders servers that have a slot.
-func (p *Placer) nuisance(now time.Time, s backend.Server, wait time.Duration) time.Duration {
+func (p *Placer) nuisance(s backend.Server, l Load, wait time.Duration) time.Duration {
 	cost := time.Duration(p.draw() * float64(drawCost))
 	if wait > yieldCost || (p.large && s.Zone != p.zone) {
 		cost = time.Duration(p.draw() * float64(herdCost))
 	}
-	cost += crowdCost * time.Duration(min(p.total(now, s.ID).sum(), s.Slots)) / time.Duration(s.Slots)
+	cost += crowdCost * time.Duration(min(l.sum(), s.Slots)) / time.Duration(s.Slots)
 	if s.Zone != p.zone {
 		cost += crossingCost
 	}
