--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"net"
-	"os"
 	"strings"
 	"time"
 
@@ -23,6 +22,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/operator/services"
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
 	"github.com/kingcupquay/kingcupquay/internal/standin/engine"
+	"github.com/kingcupquay/kingcupquay/internal/standin/loopback"
 	"github.com/kingcupquay/kingcupquay/internal/standin/platform"
 	"github.com/kingcupquay/kingcupquay/internal/standin/service"
 	"github.com/kingcupquay/kingcupquay/internal/standin/weights"
@@ -177,7 +177,7 @@
 		return err
 	}
 	if base == 0 {
-		ip = ownAddress()
+		ip = loopback.Own()
 	}
 	var list []standin.HostEntry
 	for i := range d.o.Hosts {
@@ -186,7 +186,7 @@
 			callers = fmt.Sprintf("%s:%d", ip, base+i)
 		}
 		settings := &setup.Settings{
-			Name: fmt.Sprintf("entry-%d", i+1), Zone: d.zone(i), CallerAddress: callers, PeerAddress: ownAddress() + ":0",
+			Name: fmt.Sprintf("entry-%d", i+1), Zone: d.zone(i), CallerAddress: callers, PeerAddress: loopback.Own() + ":0",
 			StoreAddress: d.platform.Address(), HostListURL: d.platform.HostListURL(),
 			Shards: shards, StopSeconds: 60, Policy: d.o.Policy,
 		}
@@ -203,13 +203,6 @@
 	return nil
 }
 
-// ownAddress returns a loopback address that no other process uses, so that a
-// host can open its port again after it was stopped.
-func ownAddress() string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>16&63, pid>>8&255, pid&255)
-}
-
 // StartHost starts a host with those settings; one that was stopped before may
 // be started again.
 func (d *Deployment) StartHost(settings *setup.Settings) (*host.Host, error) {
