--- a/internal/batch/custody/manager.go
+++ b/internal/batch/custody/manager.go
@@ -194,13 +194,7 @@
 // loop calls work once a period of the timer, and at a kick, until the end.
 func (m *Manager) loop(every time.Duration, kick <-chan struct{}, work func()) {
 	defer m.wait.Done()
-	ticks := make(chan struct{}, 1)
-	sub := m.Timer.Every(every, func(time.Time) {
-		select {
-		case ticks <- struct{}{}:
-		default:
-		}
-	})
+	ticks, sub := timer.Ticks(m.Timer, every)
 	defer sub.Cancel()
 	for {
 		select {
--- a/internal/fleet/timer/service.go
+++ b/internal/fleet/timer/service.go
@@ -36,6 +36,18 @@
 	}
 }
 
+// Ticks returns a channel that holds a tick once a period of t; ticks that nobody
+// takes are one.
+func Ticks(t Service, period time.Duration) (<-chan struct{}, *Subscription) {
+	ticks := make(chan struct{}, 1)
+	return ticks, t.Every(period, func(time.Time) {
+		select {
+		case ticks <- struct{}{}:
+		default:
+		}
+	})
+}
+
 // Subscription is a pending or repeating callback.
 type Subscription struct {
 	once   sync.Once
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -85,14 +85,14 @@
 	for {
 		a.avoid[next.Server.ID] = true
 		one := f.send(ctx, c, next, a.resume())
-		if one.sent {
-			a.sent++
-			a.ran = a.ran.Or(result.RanMaybe)
-		} else if one.err != nil {
+		if one.err != nil && !one.sent {
 			a.unsent++
 		} else {
 			a.sent++
 		}
+		if one.sent {
+			a.ran = a.ran.Or(result.RanMaybe)
+		}
 		failure = a.run(ctx, one)
 		if failure == nil {
 			return a.begun, nil
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -53,15 +53,14 @@
 	StoreAway
 	// Configure writes a new configuration.
 	Configure
-	kinds
-	// Stall is never drawn: the machine of the run itself stood still, which the
+	// Stall, the last kind, is never drawn: the machine of the run itself stood still, which the
 	// platform counts as slowed hosts.
 	Stall
 )
 
 var names = [...]string{
 	"stop", "kill", "pause", "reload", "store slow", "store reset", "store one way", "store silent", "server slow", "server reset",
-	"server silent", "server breaks", "server fails", "server drains", "server replaced", "store loses answers", "store away", "configure", "", "machine stalled",
+	"server silent", "server breaks", "server fails", "server drains", "server replaced", "store loses answers", "store away", "configure", "machine stalled",
 }
 
 // String returns the kind in words.
@@ -138,7 +137,7 @@
 }
 
 func draw(r *rand.Rand, s Sizes, at time.Duration) Fault {
-	f := Fault{Kind: Kind(r.IntN(int(kinds))), At: at, For: between(r, leastFor, mostFor)}
+	f := Fault{Kind: Kind(r.IntN(int(Stall))), At: at, For: between(r, leastFor, mostFor)}
 	switch {
 	case f.Kind.OfHost():
 		f.Target = r.IntN(s.Hosts)
