--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -72,6 +72,8 @@
 	Dead(ctx context.Context, host string) bool
 	// Live returns the hosts that may take over a job, including this one.
 	Live() []string
+	// Scanners returns the hosts that may scan for jobs whose owner is gone.
+	Scanners() []string
 }
 
 // Store is the part of the platform's store that a Manager uses.
@@ -142,8 +144,10 @@
 	mu   sync.Mutex
 	jobs map[string]*ownedJob
 	// owners maps jobs of other hosts to their last known owners.
-	owners      map[string]string
-	quotas      map[string]quotaUsage
+	owners map[string]string
+	quotas map[string]quotaUsage
+	// backlogged holds the services with a backlog at the placer.
+	backlogged  map[string]bool
 	resultCache *resultcache.Cache
 	estimator   priority.DurationEstimator
 	// lastSerial is the highest serial that newChange has assigned.
@@ -157,8 +161,11 @@
 
 	// trigger requests a scheduling pass and scanTrigger a scan, without waiting
 	// for the next tick.
+	// wakeFlush ends the pause of the check for unlisted results, which are
+	// looked for only while this host owns an incomplete job.
 	trigger     chan struct{}
 	scanTrigger chan struct{}
+	wakeFlush   chan struct{}
 	done        chan struct{}
 	wg          sync.WaitGroup
 	cancelCtx   context.CancelFunc
@@ -169,8 +176,8 @@
 func New(o Options) *Manager {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Manager{
-		Options: o, jobs: make(map[string]*ownedJob), owners: make(map[string]string), quotas: make(map[string]quotaUsage),
-		resultCache: resultcache.New(), stalledJobs: stalled.New(), trigger: make(chan struct{}, 1), scanTrigger: make(chan struct{}, 1), done: make(chan struct{}), ctx: ctx, cancelCtx: cancel,
+		Options: o, jobs: make(map[string]*ownedJob), owners: make(map[string]string), quotas: make(map[string]quotaUsage), backlogged: make(map[string]bool),
+		resultCache: resultcache.New(), stalledJobs: stalled.New(), trigger: make(chan struct{}, 1), scanTrigger: make(chan struct{}, 1), wakeFlush: make(chan struct{}, 1), done: make(chan struct{}), ctx: ctx, cancelCtx: cancel,
 	}
 }
 
@@ -187,14 +194,16 @@
 // Start starts running jobs, including those that this host owned before it was
 // restarted.
 func (m *Manager) Start() {
+	always := func() bool { return true }
 	loops := []struct {
 		interval time.Duration
 		trigger  <-chan struct{}
+		busy     func() bool
 		work     func()
 	}{
-		{scheduleInterval, m.trigger, m.schedule},
-		{flushInterval, nil, m.flush},
-		{scanInterval, m.scanTrigger, m.scan},
+		{scheduleInterval, m.trigger, m.busy, m.schedule},
+		{flushInterval, m.wakeFlush, m.busy, m.flush},
+		{scanInterval, m.scanTrigger, always, m.scan},
 	}
 	m.wg.Add(1 + len(loops))
 	go func() {
@@ -202,21 +211,40 @@
 		m.reclaimOwned()
 	}()
 	for _, l := range loops {
-		go m.loop(l.interval, l.trigger, l.work)
+		go m.loop(l.interval, l.trigger, l.busy, l.work)
 	}
 }
 
-// loop calls work once per interval and on each trigger until shutdown.
-func (m *Manager) loop(interval time.Duration, trigger <-chan struct{}, work func()) {
+// busy reports whether this host owns an incomplete job.
+func (m *Manager) busy() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, j := range m.jobs {
+		if !j.job.Complete() {
+			return true
+		}
+	}
+	return false
+}
+
+// loop calls work on each trigger and, while busy returns true, once per interval,
+// until shutdown.
+func (m *Manager) loop(interval time.Duration, trigger <-chan struct{}, busy func() bool, work func()) {
 	defer m.wg.Done()
-	ticks, sub := timer.Ticks(m.Timer, interval)
-	defer sub.Cancel()
 	for {
+		var elapsed chan struct{}
+		var sub *timer.Subscription
+		if busy() {
+			elapsed = make(chan struct{})
+			sub = m.Timer.After(interval, func(time.Time) { close(elapsed) })
+		}
 		select {
 		case <-m.done:
+			sub.Cancel()
 			return
-		case <-ticks:
+		case <-elapsed:
 		case <-trigger:
+			sub.Cancel()
 		}
 		work()
 	}
@@ -316,6 +344,7 @@
 	}
 	m.jobs[id] = &ownedJob{job: job, revision: revision, runs: make(map[int]*run), changed: make(chan struct{})}
 	delete(m.owners, id)
+	signal(m.wakeFlush)
 	return true
 }
 
--- a/internal/batch/ownership/owning.go
+++ b/internal/batch/ownership/owning.go
@@ -83,10 +83,10 @@
 	}
 }
 
-// scanners returns the live hosts that scan for jobs whose owner is gone: all
-// hosts of a small fleet, but only some of a large one to limit the reads.
+// scanners returns the live hosts that scan for jobs whose owner is gone, at most
+// maxScanners to limit the reads.
 func (m *Manager) scanners() []string {
-	live := m.Peers.Live()
+	live := m.Peers.Scanners()
 	slices.SortFunc(live, func(a, b string) int {
 		return cmp.Compare(rendezvous.Score(b, scannerKey), rendezvous.Score(a, scannerKey))
 	})
--- a/internal/batch/ownership/running.go
+++ b/internal/batch/ownership/running.go
@@ -36,20 +36,29 @@
 	for _, j := range m.jobs {
 		m.enqueue(now, config, j, queues)
 	}
-	unplaced, mostUrgent := 0, priority.LateUrgency
+	for service := range m.backlogged {
+		if len(queues[service]) == 0 {
+			m.Placer.SetBacklog(now, service, 0, 0)
+			delete(m.backlogged, service)
+		}
+	}
 	for service, queue := range queues {
-		slices.SortFunc(queue, func(a, b *queuedItem) int { return priority.CompareStart(a.Item, b.Item) })
-		urgency := queue[0].Urgency()
-		mostUrgent = min(mostUrgent, urgency)
-		// PlaceBatch ranks the hosts by their backlogs, so this host's backlog is
-		// set to that of each queue in turn and afterwards to what remains.
-		m.Placer.SetBacklog(now, priority.CountMostUrgent(queue, func(w *queuedItem) priority.Item { return w.Item }), urgency)
-		unplaced += len(queue) - m.startQueued(service, queue, now)
-	}
-	if unplaced == 0 {
-		mostUrgent = 0
-	}
-	m.Placer.SetBacklog(now, unplaced, mostUrgent)
+		m.scheduleService(now, service, queue)
+	}
+	m.Placer.ReturnUnused()
+}
+
+// scheduleService starts the waiting items of one service where slots are free,
+// and reports the others as the backlog.
+func (m *Manager) scheduleService(now time.Time, service string, queue []*queuedItem) {
+	slices.SortFunc(queue, func(a, b *queuedItem) int { return priority.CompareStart(a.Item, b.Item) })
+	// PlaceBatch ranks the hosts by their backlogs. Only the items that are as
+	// urgent as the first one count until these are placed.
+	urgency := queue[0].Urgency()
+	m.Placer.SetBacklog(now, service, priority.CountMostUrgent(queue, func(w *queuedItem) priority.Item { return w.Item }), urgency)
+	m.backlogged[service] = true
+	started := m.startQueued(service, queue, now)
+	m.Placer.SetBacklog(now, service, len(queue)-started, urgency)
 }
 
 // queuedItem is an item that waits for a slot.
@@ -102,7 +111,7 @@
 // startQueued starts the first items of a service's queue where slots are free
 // and returns how many it started.
 func (m *Manager) startQueued(service string, queue []*queuedItem, now time.Time) int {
-	placed := m.Placer.PlaceBatch(now, m.ServerDirectory.Usable(service), len(queue))
+	placed := m.Placer.PlaceBatch(now, service, m.ServerDirectory.Usable(service), len(queue))
 	for n, s := range placed {
 		w := queue[n]
 		w.job.Start(w.index)
--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -277,6 +277,8 @@
 	return names
 }
 
+func (h *host) Scanners() []string { return h.Live() }
+
 var route = &routes.Route{
 	Name: "r", Host: "a.example", Prefix: "/batch/", Kind: routes.Batch, Shares: []routes.Share{{Service: "s", Weight: 1}},
 	MaxAttempts: 3, DueAfter: 18 * time.Second, GiveUpAfter: 24 * time.Hour, TokenCap: 100,
--- a/internal/fleet/diskhost/host.go
+++ b/internal/fleet/diskhost/host.go
@@ -55,7 +55,7 @@
 func New(s *setup.Entry, log logr.Logger, t timer.Service, a Adapter) *Host {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{timer: t, log: log.WithValues("host", s.Name), adapter: a, ctx: ctx, cancel: cancel}
-	h.follower = follow.New(t, h.log, a.Store, a.OrderKey, h, func() int { return pollFollowers })
+	h.follower = follow.New(t, h.log, a.Store, a.OrderKey, h, follow.Always, func() int { return pollFollowers })
 	return h
 }
 
--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -38,6 +38,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
 	"github.com/kingcupquay/kingcupquay/internal/serving/forward"
 	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
+	"github.com/kingcupquay/kingcupquay/internal/serving/slots"
 )
 
 // Adapter connects a Host to the platform: its store, the protocol of its
@@ -63,8 +64,8 @@
 const (
 	// expiryInterval is how often the directory is checked for servers that went
 	// missing in an outage of the store and whose grace period is over; these are
-	// removed. The placer gets the size of the fleet at the same interval.
-	expiryInterval = 100 * time.Millisecond
+	// removed. The size of the fleet is checked at the same interval.
+	expiryInterval = 200 * time.Millisecond
 	// headerTimeout limits the time to read a request's header, idleTimeout the
 	// time that a keep-alive connection may stay unused. Both are longer than
 	// the operator allows callers.
@@ -76,15 +77,12 @@
 	// stopMargin is the part of the grace period reserved for closing what is
 	// still open.
 	stopMargin = 500 * time.Millisecond
-	// A notice lists up to maxAnnouncedJobs of the newest acquired jobs and as
-	// many ended ones, each for announcePeriod.
-	maxAnnouncedJobs = 24
-	announcePeriod   = 2 * time.Second
 )
 
 // Host is one entry host. It serves from Start until Stop.
 type Host struct {
 	settings *setup.Entry
+	self     notice.Member
 	timer    timer.Service
 	log      logr.Logger
 	adapter  Adapter
@@ -92,6 +90,7 @@
 	config    routes.Holder
 	directory *backend.Directory
 	placer    *scheduler.Placer
+	slots     *slots.Slots
 	forwarder *forward.Forwarder
 	jobs      *ownership.Manager
 	members   *notice.PeerTable
@@ -103,7 +102,10 @@
 	serverFollower *follow.Follower
 
 	stopping atomic.Bool
-	fetching atomic.Bool
+	// fetchingConfig and fetchingServers are set while the configuration or the
+	// list of servers is fetched from another host.
+	fetchingConfig  atomic.Bool
+	fetchingServers atomic.Bool
 	// httpServers[i] serves listeners[i].
 	httpServers []*http.Server
 	listeners   []*drain.Listener
@@ -112,33 +114,8 @@
 	cancel      context.CancelFunc
 	wait        sync.WaitGroup
 
-	mu sync.Mutex
-	// ownedJobs are jobs that this host has accepted or taken over, endedJobs
-	// those that it ended in the store without their owner, for example because
-	// the owner could not be reached. Both are announced to the other hosts.
-	ownedJobs recentJobs
-	endedJobs recentJobs
-}
-
-// recentJobs is a list of jobs to announce, oldest first.
-type recentJobs []recentJob
-
-type recentJob struct {
-	id string
-	at time.Time
-}
-
-// newest removes jobs older than announcePeriod and returns up to
-// maxAnnouncedJobs of the newest others.
-func (r *recentJobs) newest(now time.Time) []string {
-	for len(*r) > 0 && now.Sub((*r)[0].at) > announcePeriod {
-		*r = (*r)[1:]
-	}
-	var ids []string
-	for _, job := range (*r)[max(0, len(*r)-maxAnnouncedJobs):] {
-		ids = append(ids, job.id)
-	}
-	return ids
+	announcements announcements
+	readers       readers
 }
 
 // New returns a host that does nothing until Start.
@@ -146,29 +123,21 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a.Store = store.NewInstrumented(a.Store, t)
 	h := &Host{settings: s, timer: t, log: log, adapter: a, ctx: ctx, cancel: cancel}
-	h.members = notice.NewPeerTable(s.Name, s.Zone, s.PeerAddress, func(host string, live bool) {
-		log.Info("host seen", "host", host, "live", live)
-		if live {
-			h.peers.clearProbe(host)
-			// The host may have missed earlier announcements.
-			go h.announceOwnedJobs()
-		} else {
-			go h.handleSilentHost(host)
-		}
-	})
+	h.self = notice.Member{Host: s.Name, Zone: s.Zone, Address: s.PeerAddress, Start: t.Now().UnixNano(), Weight: int(s.ProcessorShare * 1000)}
+	h.members = notice.NewPeerTable(h.self, h.handleLiveness)
 	h.placer = scheduler.New(s.Name, s.Zone, rand.Float64, h.sendNoticeSoon)
 	h.directory = backend.NewDirectory(func(b backend.Server, state string) {
 		log.Info("server", "server", b.ID, "service", b.Service, "address", b.Address, "zone", b.Zone, "slots", b.Slots, "state", state)
 	})
-	h.forwarder = forward.New(t, log, a.Servers, h.directory, h.placer)
+	h.slots = slots.New(t, log, h.self, h.placer, h.directory, (*slotsNetwork)(h), func() { h.jobs.TriggerSchedule() })
+	h.forwarder = forward.New(t, log, a.Servers, h.directory, h.slots)
 	h.peers = newPeers(h)
-	followerCount := func() int { return 1 + len(h.members.Live()) }
-	h.configFollower = follow.New(t, log, a.Store, a.ConfigKey, (*configHandler)(h), followerCount)
-	h.serverFollower = follow.New(t, log, a.Store, a.ServerPrefix, (*serverHandler)(h), followerCount)
+	h.configFollower = follow.New(t, log, a.Store, a.ConfigKey, (*configHandler)(h), h.readsStore, h.readerCount)
+	h.serverFollower = follow.New(t, log, a.Store, a.ServerPrefix, (*serverHandler)(h), h.readsStore, h.readerCount)
 	h.jobs = ownership.New(ownership.Options{
 		Host: s.Name, Writer: s.Name + "/" + strconv.FormatInt(t.Now().UnixNano(), 36), Timer: t, Log: log, Store: a.Store,
 		Servers: a.Servers, ServerDirectory: h.directory, Placer: h.placer, Config: &h.config, Peers: h.peers,
-		Accepted: func(id string) { h.announceJob(&h.ownedJobs, id) }, Ended: func(id string) { h.announceJob(&h.endedJobs, id) },
+		Accepted: func(id string) { h.announceJob(&h.announcements.owned, id) }, Ended: func(id string) { h.announceJob(&h.announcements.ended, id) },
 	})
 	return h
 }
@@ -224,7 +193,7 @@
 
 // Start begins to serve on l. The host closes the sockets when it stops.
 func (h *Host) Start(l Listeners) {
-	h.notices = notice.NewExchange(h.timer, h.log, h.members, l.Notices, h.newNotice, h.handleNotice)
+	h.notices = notice.NewExchange(h.timer, h.log, h.members, h.self, l.Notices, (*statusSource)(h))
 	h.serve(l.Peers, h.peers.handler())
 	h.serve(l.Callers, h.adapter.NewCallerHandler(h))
 	h.serve(l.Ready, h.adapter.NewReadyHandler(h.Ready))
@@ -233,6 +202,7 @@
 	}
 	h.members.AddAddresses(h.timer.Now(), h.settings.Seeds...)
 	h.notices.Start()
+	h.slots.Start()
 	h.runFollower(h.configFollower)
 	h.runFollower(h.serverFollower)
 	h.wait.Add(1)
@@ -256,6 +226,7 @@
 func (h *Host) tick(now time.Time) {
 	h.directory.Expire(now)
 	h.placer.SetLargeFleet(h.members.LargeFleet())
+	h.slots.Tick()
 }
 
 // Kill stops the host at once, as if its process were killed. It is for tests.
@@ -266,6 +237,7 @@
 	h.expiry.Cancel()
 	h.cancel()
 	h.notices.Close()
+	h.slots.Close()
 	h.jobs.Kill()
 	h.wait.Wait()
 }
@@ -302,7 +274,7 @@
 func (h *Host) Stop() {
 	began := h.timer.Now()
 	h.stopping.Store(true)
-	h.notices.TriggerSend()
+	h.notices.SetStopping()
 	h.log.Info("stopping", "host", h.settings.Name)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(h.settings.GraceSeconds*float64(time.Second))-stopMargin)
 	defer cancel()
@@ -327,73 +299,11 @@
 	h.expiry.Cancel()
 	h.cancel()
 	h.notices.Close()
+	h.slots.Close()
 	h.wait.Wait()
 	h.log.Info("stopped", "host", h.settings.Name, "took_ms", h.timer.Now().Sub(began).Milliseconds())
 }
 
-// announceJob adds a job to a list that the next notices carry.
-func (h *Host) announceJob(list *recentJobs, id string) {
-	h.mu.Lock()
-	*list = append(*list, recentJob{id: id, at: h.timer.Now()})
-	h.mu.Unlock()
-	h.sendNoticeSoon()
-}
-
-// handleSilentHost probes a host that sends no notices any more and triggers a
-// scan for jobs without a live owner.
-func (h *Host) handleSilentHost(host string) {
-	h.peers.probe(h.ctx, host)
-	h.jobs.TriggerScan()
-}
-
-// announceOwnedJobs announces all unfinished jobs that this host owns.
-func (h *Host) announceOwnedJobs() {
-	for _, id := range h.jobs.OwnedJobs() {
-		h.announceJob(&h.ownedJobs, id)
-	}
-}
-
-func (h *Host) newNotice() notice.Notice {
-	now := h.timer.Now()
-	loads, backlog := h.placer.LocalState(now)
-	h.mu.Lock()
-	ownedJobs, endedJobs := h.ownedJobs.newest(now), h.endedJobs.newest(now)
-	h.mu.Unlock()
-	return notice.Notice{
-		Host: h.settings.Name, Zone: h.settings.Zone, Address: h.settings.PeerAddress, ConfigVersion: h.config.Version(),
-		ServersRevision: h.serverFollower.Applied(), Stopping: h.stopping.Load(), Loads: loads, Backlog: backlog, AcquiredJobs: ownedJobs, EndedJobs: endedJobs,
-	}
-}
-
-// handleNotice applies a notice of another host. A host with a newer
-// configuration is asked for it; one such request runs at a time.
-func (h *Host) handleNotice(n notice.Notice) {
-	h.placer.Report(n.Host, n.Zone, h.timer.Now(), n.Loads, n.Backlog)
-	h.serverFollower.ReportRevision(n.ServersRevision)
-	if len(n.AcquiredJobs) > 0 {
-		h.jobs.LearnOwner(n.Host, n.AcquiredJobs)
-	}
-	if len(n.EndedJobs) > 0 {
-		h.jobs.LearnEnded(n.EndedJobs)
-	}
-	if n.ConfigVersion > h.config.Version() && h.fetching.CompareAndSwap(false, true) {
-		go func() {
-			defer h.fetching.Store(false)
-			h.fetchConfig(n.Address)
-		}()
-	}
-	h.jobs.TriggerSchedule()
-}
-
-func (h *Host) fetchConfig(address string) {
-	text, err := h.peers.requestConfig(h.ctx, address)
-	if err != nil {
-		h.log.Info("configuration not fetched", "from", address, "cause", err.Error())
-		return
-	}
-	h.applyConfig(text, address)
-}
-
 // applyConfig puts a configuration in force if it is newer than the current
 // one.
 func (h *Host) applyConfig(text []byte, from string) {
@@ -405,6 +315,7 @@
 	if h.config.SetIfNewer(config) {
 		h.log.Info("configuration in force", "version", config.Version(), "from", from)
 		h.sendNoticeSoon()
+		h.passOn()
 	}
 }
 
@@ -460,6 +371,7 @@
 	if e.Deleted {
 		r.directory.Remove(r.timer.Now(), id, grace)
 		r.placer.RemoveServer(id)
+		(*Host)(r).passOn()
 		return
 	}
 	s, err := r.adapter.ParseServer(e.Entry)
@@ -469,6 +381,7 @@
 		return
 	}
 	r.directory.Put(s)
+	(*Host)(r).passOn()
 }
 
 // The methods below are used by the handler of callers' requests.
--- a/internal/fleet/entry/lease.go
+++ b/internal/fleet/entry/lease.go
@@ -1,21 +1,33 @@
 package entry
 
 import (
+	"context"
+	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
 )
 
-// hostPrefix is the prefix of the liveness keys of entry hosts. Each holds the
-// peer address of its host and is deleted when the lease of the host expires.
-const hostPrefix = "hosts/"
+// In a small fleet every host has a liveness key in the store. In a large one only
+// the relays have one, and list the hosts that report to them under a second key;
+// a host that hears no relay has its own. So the calls grow with the zones.
 
 const (
-	// The TTL of a lease is leasePerHost times the number of live hosts, between
-	// minLease and maxLease, so that the rate of all hosts' renewals together
-	// stays low.
+	// hostPrefix is the prefix of the liveness keys. Each holds the peer address of
+	// its host and is deleted when the lease of the host expires.
+	hostPrefix = "hosts/"
+	// rosterPrefix is the prefix of the keys of the relays' lists, which are names
+	// in JSON under the same lease.
+	rosterPrefix = "rosters/"
+)
+
+const (
+	// The TTL of a lease is leasePerHost times the number of hosts with a lease,
+	// between minLease and maxLease, so that the rate of all hosts' renewals
+	// together stays low.
 	leasePerHost = 100 * time.Millisecond
 	minLease     = 2500 * time.Millisecond
 	maxLease     = 8 * time.Second
@@ -32,10 +44,23 @@
 func (h *Host) keepLease() {
 	defer h.wait.Done()
 	var id store.LeaseID
+	var listed []string
 	for n := 0; ; n++ {
-		id = h.renewLease(id)
-		if n%renewalsPerDiscovery == 0 {
-			h.discoverHosts()
+		if h.needsLease() {
+			renewed := h.renewLease(id)
+			if renewed != id {
+				listed = nil
+			}
+			id = renewed
+			if h.members.IsRelay(h.timer.Now()) && id != 0 {
+				listed = h.writeRoster(id, listed)
+			}
+			if n%renewalsPerDiscovery == 0 {
+				h.discoverHosts()
+			}
+		} else {
+			// The lease expires by itself.
+			id = 0
 		}
 		if !timer.Pause(h.timer, h.ctx.Done(), h.leaseTTL()/renewalsPerLease) {
 			return
@@ -43,8 +68,61 @@
 	}
 }
 
+// needsLease reports whether this host must have a liveness key: no relay that it
+// hears vouches for it.
+func (h *Host) needsLease() bool {
+	now := h.timer.Now()
+	return !h.members.LargeFleet() || h.members.IsRelay(now) || !h.members.HeardRelay(now)
+}
+
+// writeRoster writes the names of the hosts that report to this relay if they
+// differ from the ones written last, and returns the names that are written.
+func (h *Host) writeRoster(id store.LeaseID, written []string) []string {
+	var names []string
+	for _, m := range h.members.Roster(h.timer.Now()) {
+		names = append(names, m.Host)
+	}
+	if slices.Equal(names, written) {
+		return written
+	}
+	text, err := json.Marshal(names)
+	if err != nil {
+		h.log.Error(err, "hosts not listed in the store")
+		return written
+	}
+	outcome, err := h.adapter.Store.Commit(h.ctx, store.Txn{Puts: []store.Put{{Key: rosterPrefix + h.settings.Name, Value: text, Lease: id}}})
+	if err != nil || !outcome.Succeeded {
+		h.log.Info("hosts not listed in the store", "hosts", len(names), "lease", int64(id))
+		return written
+	}
+	return names
+}
+
+// listedInStore reports whether a relay lists a host in the store.
+func (h *Host) listedInStore(ctx context.Context, host string) (bool, error) {
+	entries, _, err := store.RangeAll(ctx, h.adapter.Store, rosterPrefix, 0)
+	if err != nil {
+		return false, err
+	}
+	for _, e := range entries {
+		var names []string
+		if err := json.Unmarshal(e.Value, &names); err != nil {
+			h.log.Error(err, "list of hosts can't be read", "key", e.Key)
+			continue
+		}
+		if slices.Contains(names, host) {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
 func (h *Host) leaseTTL() time.Duration {
-	return min(maxLease, max(minLease, leasePerHost*time.Duration(1+len(h.members.Live()))))
+	holders := 1 + len(h.members.Live())
+	if h.members.LargeFleet() {
+		holders = len(h.members.AllRelays(h.timer.Now()))
+	}
+	return min(maxLease, max(minLease, leasePerHost*time.Duration(holders)))
 }
 
 // renewLease renews the lease with that ID and returns it, also when the outcome
--- a/internal/fleet/entry/peers.go
+++ b/internal/fleet/entry/peers.go
@@ -17,6 +17,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/batch/ownership"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/dial"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/record/follow"
 )
 
 const (
@@ -69,6 +70,19 @@
 		}
 		writeBody(w, config.Source())
 	})
+	mux.HandleFunc("GET /servers", func(w http.ResponseWriter, _ *http.Request) {
+		list, ok := p.host.serverFollower.List()
+		if !ok {
+			writeFailure(w, result.New(result.NotFound, "no list of servers"))
+			return
+		}
+		text, err := json.Marshal(list)
+		if err != nil {
+			writeFailure(w, result.New(result.Internal, "%v", err))
+			return
+		}
+		writeBody(w, text)
+	})
 	mux.HandleFunc("GET /jobs/{id}/results", func(w http.ResponseWriter, r *http.Request) {
 		after, err := strconv.Atoi(r.URL.Query().Get("after"))
 		wait, waitErr := time.ParseDuration(r.URL.Query().Get("wait"))
@@ -169,6 +183,16 @@
 	return text, nil
 }
 
+func (p *peers) requestServers(ctx context.Context, address string) (follow.List, error) {
+	var list follow.List
+	text, failure := p.call(ctx, peerCallTimeout, http.MethodGet, address, "/servers")
+	if failure != nil {
+		return list, failure
+	}
+	err := json.Unmarshal(text, &list)
+	return list, err
+}
+
 // Results reads results of a job from its owner, which may wait for new ones.
 func (p *peers) Results(ctx context.Context, host, id string, after int, wait time.Duration) (ownership.ResultPage, *result.Error) {
 	wait = max(0, wait)
@@ -234,7 +258,7 @@
 }
 
 // Dead reports whether a host is dead: a probe showed that its process has
-// ended, or its liveness key is not in the store.
+// ended, or its liveness key is not in the store and no relay lists it there.
 func (p *peers) Dead(ctx context.Context, host string) bool {
 	p.mu.Lock()
 	dead := p.dead[host]
@@ -242,12 +266,15 @@
 	if dead {
 		return true
 	}
-	_, ok, err := p.host.adapter.Store.Get(ctx, hostPrefix+host)
+	_, found, err := p.host.adapter.Store.Get(ctx, hostPrefix+host)
+	if err == nil && !found && p.host.members.LargeFleet() {
+		found, err = p.host.listedInStore(ctx, host)
+	}
 	if err != nil {
 		p.host.log.Info("sign of life not read", "host", host, "cause", err.Error())
 		return false
 	}
-	return !ok
+	return !found
 }
 
 // Live returns the hosts that may take over a job, this one included unless it
@@ -257,8 +284,17 @@
 	if !p.host.stopping.Load() {
 		hosts = append(hosts, p.host.settings.Name)
 	}
-	for _, peer := range p.host.members.Live() {
-		hosts = append(hosts, peer.Host)
+	for _, m := range p.host.members.Live() {
+		hosts = append(hosts, m.Host)
 	}
 	return hosts
 }
+
+// Scanners returns the hosts that scan for jobs without a live owner: all hosts
+// of a small fleet, the relays of a large one.
+func (p *peers) Scanners() []string {
+	if !p.host.members.LargeFleet() {
+		return p.Live()
+	}
+	return p.host.members.AllRelays(p.host.timer.Now())
+}
--- a/internal/fleet/notice/sender.go
+++ b/internal/fleet/notice/sender.go
@@ -14,43 +14,87 @@
 )
 
 const (
-	// minSpacing is the least time between two notices of a host; for each near
-	// host beyond hostsAtMinSpacing, spacingPerHost is added.
+	// minSpacing is the least time between two notices of a host; for each
+	// addressee beyond hostsAtMinSpacing, spacingPerHost is added.
 	minSpacing        = 8 * time.Millisecond
 	hostsAtMinSpacing = 8
 	spacingPerHost    = 3 * time.Millisecond
-	// nearInterval is the longest time between two notices to near hosts without
-	// a change, farInterval the shortest between two to far ones.
-	nearInterval = 250 * time.Millisecond
-	farInterval  = 600 * time.Millisecond
+	// regularInterval is the longest time between two messages without a change.
+	regularInterval = 250 * time.Millisecond
+	// summarySpacing is the least time between two summaries to the hosts of the
+	// own zone, farInterval between two to the relays of other zones.
+	summarySpacing = 40 * time.Millisecond
+	farInterval    = 240 * time.Millisecond
+	// A summary carries the roster for rosterPeriod after a change and in every
+	// rosterInterval-th summary.
+	rosterPeriod   = 600 * time.Millisecond
+	rosterInterval = 8
+	// forwardInterval is the least time between two times that rosters are passed
+	// on to a host.
+	forwardInterval = 500 * time.Millisecond
+	// askedPeriod is how long a host that was asked gets this host's notices. It is
+	// longer than a report is used.
+	askedPeriod = 2 * time.Second
 	// The first initialAddressNotices notices and every addressNoticeInterval-th
 	// later one carry all known addresses.
 	initialAddressNotices = 8
 	addressNoticeInterval = 16
-	// maxDatagram is the largest size of a notice in bytes.
+	// maxDatagram is the largest size of a datagram in bytes.
 	maxDatagram = 60 << 10
 )
 
-// Exchange sends this host's notices and receives those of others.
-type Exchange struct {
-	timer timer.Service
-	log   logr.Logger
-	table *PeerTable
-	conn  *net.UDPConn
-	// compose returns the status to send, without Start, Sequence and
+// Source returns the state that an Exchange sends and handles what it receives.
+type Source interface {
+	// Notice returns the status of this host, without Member, Sequence and
 	// KnownAddresses.
-	compose func() Notice
-	// onNotice is called with each notice that is newer than all earlier ones of
-	// its host.
-	onNotice func(n Notice)
-	start    int64
+	Notice() Notice
+	// Summary returns the summary of this host, without Member, Sequence and the
+	// roster, for the hosts that report to it or for relays of other zones.
+	Summary(far bool) Summary
+	// HandleNotice, HandleSummary and HandleAnswers are called for each message
+	// that is newer than all earlier ones of its host.
+	HandleNotice(n Notice)
+	HandleSummary(s Summary)
+	HandleAnswers(a Answers)
+}
+
+// Exchange sends this host's messages and receives those of others.
+type Exchange struct {
+	timer  timer.Service
+	log    logr.Logger
+	table  *PeerTable
+	self   Member
+	conn   *net.UDPConn
+	source Source
+
+	trigger        chan struct{}
+	summaryTrigger chan struct{}
+	done           chan struct{}
+	wg             sync.WaitGroup
 
-	trigger chan struct{}
-	done    chan struct{}
-	wg      sync.WaitGroup
+	// noticeMu is held from the composition of a notice until it is numbered, so
+	// that a later number means a later state.
+	noticeMu sync.Mutex
+
+	mu sync.Mutex
+	// sequence is that of the last message. All kinds share it.
+	sequence int64
+	// asked holds the addresses that got a notice from SendNotice, with the time
+	// of the last. They get the further notices for askedPeriod, so that they
+	// learn what became of this host's requests.
+	asked    map[string]time.Time
+	stopping bool
+	// roster is that of the last summary, rosterVersion its version and
+	// rosterChanged when it changed; summaries counts the summaries.
+	roster        []Member
+	rosterVersion int64
+	rosterChanged time.Time
+	summaries     int
+	// forwarded is when rosters were last passed on, by address.
+	forwarded map[string]time.Time
 }
 
-// Listen opens the UDP address at which notices arrive.
+// Listen opens the UDP address at which messages arrive.
 func Listen(address string) (*net.UDPConn, error) {
 	local, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
@@ -60,30 +104,47 @@
 	return conn, trace.ConvertSystemError(err)
 }
 
-// NewExchange returns an exchange on an open connection; Close closes the
-// connection.
-func NewExchange(t timer.Service, log logr.Logger, table *PeerTable, conn *net.UDPConn, compose func() Notice, onNotice func(Notice)) *Exchange {
+// NewExchange returns an exchange of the host self on an open connection; Close
+// closes the connection.
+func NewExchange(t timer.Service, log logr.Logger, table *PeerTable, self Member, conn *net.UDPConn, source Source) *Exchange {
 	return &Exchange{
-		timer: t, log: log, table: table, conn: conn, compose: compose, onNotice: onNotice, start: t.Now().UnixNano(),
-		trigger: make(chan struct{}, 1), done: make(chan struct{}),
+		timer: t, log: log, table: table, self: self, conn: conn, source: source, forwarded: make(map[string]time.Time), asked: make(map[string]time.Time),
+		trigger: make(chan struct{}, 1), summaryTrigger: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 }
 
-// Start begins to send and receive notices.
+// Start begins to send and receive messages.
 func (e *Exchange) Start() {
-	e.wg.Add(2)
+	e.wg.Add(3)
 	go e.receive()
-	go e.send()
+	go e.sendNotices()
+	go e.sendSummaries()
 }
 
 // TriggerSend requests that a notice be sent soon.
-func (e *Exchange) TriggerSend() {
+func (e *Exchange) TriggerSend() { signal(e.trigger) }
+
+// TriggerSummary requests that a summary be sent soon, if this host is a relay.
+func (e *Exchange) TriggerSummary() { signal(e.summaryTrigger) }
+
+// signal sends on c unless a signal is already pending.
+func signal(c chan<- struct{}) {
 	select {
-	case e.trigger <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
 
+// SetStopping marks this host as stopping in all further messages.
+func (e *Exchange) SetStopping() {
+	e.mu.Lock()
+	e.stopping = true
+	e.mu.Unlock()
+	e.table.SetStopping()
+	e.TriggerSend()
+	e.TriggerSummary()
+}
+
 // Close stops sending and receiving.
 func (e *Exchange) Close() {
 	close(e.done)
@@ -91,47 +152,148 @@
 	e.wg.Wait()
 }
 
-func (e *Exchange) send() {
+// header returns the sender and the sequence number of the next message.
+func (e *Exchange) header() (Member, int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sequence++
+	m := e.self
+	m.Stopping = e.stopping
+	return m, e.sequence
+}
+
+func (e *Exchange) notice() Notice {
+	e.noticeMu.Lock()
+	defer e.noticeMu.Unlock()
+	n := e.source.Notice()
+	n.Member, n.Sequence = e.header()
+	return n
+}
+
+// SendNotice sends the current status to one host at once, and each change of it
+// for askedPeriod.
+func (e *Exchange) SendNotice(address string) {
+	e.mu.Lock()
+	e.asked[address] = e.timer.Now()
+	e.mu.Unlock()
+	e.encodeTo([]string{address}, e.notice().Encode)
+}
+
+// askedAddresses returns the addresses that SendNotice was called for lately,
+// without those in besides.
+func (e *Exchange) askedAddresses(now time.Time, besides []string) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var list []string
+	for address, at := range e.asked {
+		if now.Sub(at) > askedPeriod {
+			delete(e.asked, address)
+		} else if !slices.Contains(besides, address) {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
+// SendAnswers sends answers to one host at once.
+func (e *Exchange) SendAnswers(address string, a Answers) {
+	a.Member, _ = e.header()
+	e.encodeTo([]string{address}, a.Encode)
+}
+
+func (e *Exchange) sendNotices() {
 	defer e.wg.Done()
-	ticks, sub := timer.Ticks(e.timer, nearInterval)
+	ticks, sub := timer.Ticks(e.timer, regularInterval)
 	defer sub.Cancel()
-	var lastFar time.Time
-	for sequence := int64(1); ; sequence++ {
-		near, far := e.table.Addresses()
+	var lastRegular time.Time
+	for sent := 1; ; sent++ {
 		now := e.timer.Now()
-		n := e.compose()
-		n.Start, n.Sequence = e.start, sequence
-		if sequence <= initialAddressNotices || sequence%addressNoticeInterval == 0 {
-			n.KnownAddresses = slices.Concat(near, far)
+		targets := e.table.Targets(now)
+		n := e.notice()
+		if targets.Direct && (sent <= initialAddressNotices || sent%addressNoticeInterval == 0) {
+			n.KnownAddresses = slices.Concat(targets.OnChange, targets.Legacy)
 		}
-		e.sendTo(n, near)
-		if now.Sub(lastFar) >= farInterval {
-			lastFar = now
-			e.sendTo(n.withoutEnds(), far)
+		to := targets.OnChange
+		if now.Sub(lastRegular) >= regularInterval-minSpacing {
+			lastRegular = now
+			to = slices.Concat(to, targets.Regular)
+			e.encodeTo(targets.Legacy, n.EncodeLegacy)
 		}
-		spacing := minSpacing + spacingPerHost*time.Duration(max(0, len(near)-hostsAtMinSpacing))
+		to = slices.Concat(to, e.askedAddresses(now, to))
+		e.encodeTo(to, n.Encode)
+		spacing := minSpacing + spacingPerHost*time.Duration(max(0, len(targets.OnChange)-hostsAtMinSpacing))
 		if !timer.Pause(e.timer, e.done, spacing) {
 			return
 		}
 		select {
 		case <-e.trigger:
 		case <-ticks:
+			e.table.Expire(e.timer.Now())
 		case <-e.done:
 			return
 		}
-		e.table.Expire(e.timer.Now())
 	}
 }
 
-func (e *Exchange) sendTo(n Notice, addresses []string) {
+func (e *Exchange) sendSummaries() {
+	defer e.wg.Done()
+	ticks, sub := timer.Ticks(e.timer, regularInterval)
+	defer sub.Cancel()
+	var lastFar time.Time
+	for {
+		select {
+		case <-e.summaryTrigger:
+		case <-ticks:
+		case <-e.done:
+			return
+		}
+		now := e.timer.Now()
+		targets := e.table.Targets(now)
+		if len(targets.Summary) == 0 {
+			continue
+		}
+		e.encodeTo(targets.Summary, e.summary(now, false).Encode)
+		if now.Sub(lastFar) >= farInterval && len(targets.Far) > 0 {
+			lastFar = now
+			e.encodeTo(targets.Far, e.summary(now, true).Encode)
+		}
+		if !timer.Pause(e.timer, e.done, summarySpacing) {
+			return
+		}
+	}
+}
+
+func (e *Exchange) summary(now time.Time, far bool) Summary {
+	s := e.source.Summary(far)
+	roster := e.table.Roster(now)
+	s.Member, s.Sequence = e.header()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !slices.Equal(roster, e.roster) {
+		e.roster, e.rosterChanged = roster, now
+		e.rosterVersion++
+	}
+	s.RosterVersion = e.rosterVersion
+	if e.summaries++; far || e.summaries%rosterInterval == 0 || now.Sub(e.rosterChanged) <= rosterPeriod {
+		s.Roster = roster
+	}
+	return s
+}
+
+// encodeTo sends an encoded message to addresses.
+func (e *Exchange) encodeTo(addresses []string, encode func() ([]byte, error)) {
 	if len(addresses) == 0 {
 		return
 	}
-	datagram, err := n.Encode()
+	datagram, err := encode()
 	if err != nil || len(datagram) > maxDatagram {
 		e.log.Info("notice not sent", "bytes", len(datagram), "cause", trace.UserMessage(err))
 		return
 	}
+	e.sendTo(addresses, datagram)
+}
+
+func (e *Exchange) sendTo(addresses []string, datagram []byte) {
 	for _, address := range addresses {
 		to, err := net.ResolveUDPAddr("udp4", address)
 		if err != nil {
@@ -149,20 +311,76 @@
 	defer e.wg.Done()
 	buffer := make([]byte, maxDatagram)
 	for {
-		n, _, err := e.conn.ReadFromUDP(buffer)
+		n, from, err := e.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
 			continue
 		}
-		received, err := Decode(buffer[:n])
+		m, err := Decode(buffer[:n])
 		if err != nil {
 			e.log.Info("notice dropped", "cause", err.Error())
 			continue
 		}
-		if e.table.Apply(e.timer.Now(), received) {
-			e.onNotice(received)
+		switch now := e.timer.Now(); {
+		case m.Notice != nil:
+			if e.table.Apply(now, *m.Notice) {
+				e.source.HandleNotice(*m.Notice)
+				e.forwardRosters(now, *m.Notice)
+			}
+		case m.Summary != nil:
+			m.Summary.Forwarded = from.String() != m.Summary.Address
+			if e.table.ApplySummary(now, *m.Summary, buffer[:n]) {
+				e.forwardSummary(now, *m.Summary, buffer[:n])
+				e.source.HandleSummary(*m.Summary)
+			}
+		case m.Answers != nil:
+			e.source.HandleAnswers(*m.Answers)
 		}
 	}
 }
+
+// forwardRosters passes the rosters of all relays on to a host that reports to
+// this one although this one is no relay of its zone: it knows none.
+func (e *Exchange) forwardRosters(now time.Time, n Notice) {
+	if n.Legacy {
+		return
+	}
+	relays := e.table.Relays(now, n.Zone)
+	if len(relays) == 0 || slices.ContainsFunc(relays, func(m Member) bool { return m.Host == e.self.Host }) {
+		return
+	}
+	e.mu.Lock()
+	due := now.Sub(e.forwarded[n.Address]) >= forwardInterval
+	if due {
+		for address, at := range e.forwarded {
+			if now.Sub(at) >= forwardInterval {
+				delete(e.forwarded, address)
+			}
+		}
+		e.forwarded[n.Address] = now
+	}
+	e.mu.Unlock()
+	if !due {
+		return
+	}
+	for _, datagram := range e.table.RosterDatagrams(now) {
+		e.sendTo([]string{n.Address}, datagram)
+	}
+}
+
+// forwardSummary passes a summary of another zone with a roster on: a relay to
+// the hosts that report to it, another host, which the relay of the other zone
+// took for one, to its own relays.
+func (e *Exchange) forwardSummary(now time.Time, s Summary, datagram []byte) {
+	if s.Zone == e.self.Zone || s.Forwarded || s.Roster == nil {
+		return
+	}
+	targets := e.table.Targets(now)
+	if e.table.IsRelay(now) {
+		e.sendTo(targets.Summary, datagram)
+	} else if !targets.Direct {
+		e.sendTo(slices.Concat(targets.OnChange, targets.Regular), datagram)
+	}
+}
--- /dev/null
+++ b/internal/fleet/notice/table.go
@@ -0,0 +1,558 @@
+package notice
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/kingcupquay/kingcupquay/internal/fleet/rendezvous"
+)
+
+const (
+	// PeerTimeout is how long after its last notice a host still counts as live.
+	// A host sends several notices in this time.
+	PeerTimeout = 1500 * time.Millisecond
+	// rosterTimeout is how long after the last summary of a relay the hosts in its
+	// roster still count as live. In this time the hosts of the relay find that it
+	// is silent, and report to another one.
+	rosterTimeout = 3 * time.Second
+	// removeAfter is how long hosts and addresses are kept without a message.
+	removeAfter = 60 * time.Second
+	// maxDirect is the largest number of hosts, this one included, that send
+	// their status to each other directly.
+	maxDirect = 16
+	// relaysPerZone is how many hosts of a zone are its relays. One may be lost
+	// without a gap.
+	relaysPerZone = 2
+	// relayTimeout is the silence after which a relay is passed over. A relay
+	// sends several summaries in this time.
+	relayTimeout = 900 * time.Millisecond
+	// suspicionPeriod is how long a relay that did not answer is passed over.
+	suspicionPeriod = 2 * time.Second
+	// settlingPeriod is how long a host must have been live to become a relay, if
+	// there is another one. By then all hosts of its zone know it.
+	settlingPeriod = time.Second
+	// maxBootstrapTargets bounds the hosts that a host without a relay reports to.
+	maxBootstrapTargets = 8
+)
+
+// Peer is the last notice of another host.
+type Peer struct {
+	Notice
+	ReceivedAt time.Time
+}
+
+// roster is the last list of hosts that a relay sent, with its last summary.
+type roster struct {
+	relay      Member
+	sequence   int64
+	receivedAt time.Time
+	version    int64
+	members    map[string]Member
+	// datagram is the last summary with a list, to be passed on to hosts that
+	// know no relay.
+	datagram []byte
+}
+
+// PeerTable holds what is known of the other hosts: the last notices, the
+// rosters of the relays, and addresses. It is safe for concurrent use.
+type PeerTable struct {
+	self Member
+
+	mu      sync.Mutex
+	peers   map[string]*Peer
+	rosters map[string]*roster
+	// addresses are addresses of hosts, with the time at which each was added or a
+	// message last came from it.
+	addresses map[string]time.Time
+	// liveSince holds the live hosts.
+	liveSince map[string]time.Time
+	// suspects are relays that did not answer, with the end of the suspicion.
+	suspects map[string]time.Time
+	// ranked caches the relays of each zone as of rankedAt, since all hosts have
+	// to be compared to find them.
+	ranked   map[string][]Member
+	rankedAt time.Time
+	// relaySince is when this host began to report to each of its relays.
+	relaySince       map[string]time.Time
+	onLivenessChange func(host string, live bool)
+}
+
+// NewPeerTable returns an empty table for the host self. onLivenessChange is
+// called with the table locked when a host becomes live or dead.
+func NewPeerTable(self Member, onLivenessChange func(host string, live bool)) *PeerTable {
+	return &PeerTable{
+		self: self, peers: make(map[string]*Peer), rosters: make(map[string]*roster), addresses: make(map[string]time.Time),
+		liveSince: make(map[string]time.Time), suspects: make(map[string]time.Time), relaySince: make(map[string]time.Time), onLivenessChange: onLivenessChange,
+	}
+}
+
+// AddAddresses adds addresses of hosts.
+func (t *PeerTable) AddAddresses(now time.Time, addresses ...string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.addAddresses(now, addresses)
+}
+
+func (t *PeerTable) addAddresses(now time.Time, addresses []string) {
+	for _, a := range addresses {
+		if _, known := t.addresses[a]; !known && a != t.self.Address && a != "" {
+			t.addresses[a] = now
+		}
+	}
+}
+
+// newer reports whether a message of a host is newer than the last one.
+//
+// An earlier Start is usually a late datagram of the previous run, which arrives
+// while messages of the new run do. After a silence it is accepted: the host may
+// have restarted after its time of day was set back.
+func newer(now time.Time, m Member, sequence int64, last Member, lastSequence int64, lastAt time.Time) bool {
+	if m.Start == last.Start {
+		return sequence > lastSequence
+	}
+	return m.Start > last.Start || now.Sub(lastAt) > PeerTimeout
+}
+
+// Apply stores a notice and reports whether it is newer than all earlier ones of
+// its host.
+func (t *PeerTable) Apply(now time.Time, n Notice) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if n.Host == t.self.Host {
+		return false
+	}
+	if old, known := t.peers[n.Host]; known {
+		if !newer(now, n.Member, n.Sequence, old.Member, old.Sequence, old.ReceivedAt) {
+			return false
+		}
+		if old.Address != n.Address {
+			delete(t.addresses, old.Address)
+		}
+	}
+	t.peers[n.Host] = &Peer{Notice: n, ReceivedAt: now}
+	t.addresses[n.Address] = now
+	t.addAddresses(now, n.KnownAddresses)
+	t.setLive(now, n.Host)
+	return true
+}
+
+// ApplySummary stores a summary and reports whether it is newer than all earlier
+// ones of its relay. datagram is its encoded form.
+func (t *PeerTable) ApplySummary(now time.Time, s Summary, datagram []byte) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s.Host == t.self.Host {
+		return false
+	}
+	r := t.rosters[s.Host]
+	if r == nil {
+		r = &roster{}
+		t.rosters[s.Host] = r
+	} else if !newer(now, s.Member, s.Sequence, r.relay, r.sequence, r.receivedAt) {
+		return false
+	}
+	r.relay, r.sequence, r.receivedAt = s.Member, s.Sequence, now
+	if s.Roster != nil {
+		r.version, r.members, r.datagram = s.RosterVersion, make(map[string]Member, len(s.Roster)), slices.Clone(datagram)
+		for _, m := range s.Roster {
+			if m.Host != "" && m.Host != t.self.Host && m.Address != "" {
+				r.members[m.Host] = m
+				t.setLive(now, m.Host)
+			}
+		}
+	}
+	delete(t.suspects, s.Host)
+	t.addresses[s.Address] = now
+	t.setLive(now, s.Host)
+	return true
+}
+
+func (t *PeerTable) setLive(now time.Time, host string) {
+	if _, live := t.liveSince[host]; !live {
+		t.liveSince[host] = now
+		t.onLivenessChange(host, true)
+	}
+}
+
+// Expire marks hosts as dead that are neither heard nor in the roster of a relay
+// any more, and removes hosts and addresses after removeAfter.
+func (t *PeerTable) Expire(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	listed := make(map[string]bool, len(t.liveSince))
+	for host, r := range t.rosters {
+		switch age := now.Sub(r.receivedAt); {
+		case age <= rosterTimeout:
+			for member := range r.members {
+				listed[member] = true
+			}
+			listed[host] = listed[host] || age <= PeerTimeout
+		case age > removeAfter:
+			delete(t.rosters, host)
+		}
+	}
+	for host, p := range t.peers {
+		switch age := now.Sub(p.ReceivedAt); {
+		case age <= PeerTimeout:
+			listed[host] = true
+		case age > removeAfter:
+			delete(t.peers, host)
+		}
+	}
+	for host := range t.liveSince {
+		if !listed[host] {
+			delete(t.liveSince, host)
+			t.onLivenessChange(host, false)
+		}
+	}
+	maps.DeleteFunc(t.addresses, func(_ string, lastSeen time.Time) bool { return now.Sub(lastSeen) > removeAfter })
+	maps.DeleteFunc(t.suspects, func(_ string, until time.Time) bool { return !now.Before(until) })
+}
+
+// Suspect passes a relay over for a while, since it did not answer.
+func (t *PeerTable) Suspect(now time.Time, host string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.suspects[host] = now.Add(suspicionPeriod)
+	t.ranked = nil
+}
+
+// member returns the last known description of a host.
+func (t *PeerTable) member(host string) (Member, bool) {
+	if p := t.peers[host]; p != nil {
+		return p.Member, true
+	}
+	if r := t.rosters[host]; r != nil {
+		return r.relay, true
+	}
+	var found Member
+	ok := false
+	for _, r := range t.rosters {
+		if m, listed := r.members[host]; listed && (!ok || m.Start > found.Start) {
+			found, ok = m, true
+		}
+	}
+	return found, ok
+}
+
+// Peer returns the last known description of a host.
+func (t *PeerTable) Peer(host string) (Member, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.member(host)
+}
+
+// known returns the other hosts that were heard or listed in the last
+// removeAfter, without those of which only the address is known.
+func (t *PeerTable) known() map[string]Member {
+	members := make(map[string]Member, len(t.peers))
+	for _, r := range t.rosters {
+		for host, m := range r.members {
+			if old, ok := members[host]; !ok || m.Start > old.Start {
+				members[host] = m
+			}
+		}
+	}
+	for host, r := range t.rosters {
+		members[host] = r.relay
+	}
+	for host, p := range t.peers {
+		members[host] = p.Member
+	}
+	return members
+}
+
+// large reports whether there are too many hosts for each to report to all.
+func (t *PeerTable) large() bool {
+	if len(t.peers) >= maxDirect {
+		return true
+	}
+	for _, r := range t.rosters {
+		if len(r.members) >= maxDirect {
+			return true
+		}
+	}
+	return len(t.rosters) > 0 && len(t.known()) >= maxDirect
+}
+
+// LargeFleet reports whether hosts report to relays.
+func (t *PeerTable) LargeFleet() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.large()
+}
+
+// Alive reports whether a host counts as live.
+func (t *PeerTable) Alive(host string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, live := t.liveSince[host]
+	return host == t.self.Host || live
+}
+
+// Live returns the other live hosts that are not stopping, sorted by name.
+func (t *PeerTable) Live() []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.live("")
+}
+
+// live returns the other live hosts of a zone, or of all zones, that are not
+// stopping, sorted by name.
+func (t *PeerTable) live(zone string) []Member {
+	var list []Member
+	for host, m := range t.known() {
+		if _, live := t.liveSince[host]; live && !m.Stopping && (zone == "" || m.Zone == zone) {
+			list = append(list, m)
+		}
+	}
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Host, b.Host) })
+	return list
+}
+
+// Relays returns the relays of a zone, the first one being its coordinator. It is
+// empty in a fleet that has none.
+func (t *PeerTable) Relays(now time.Time, zone string) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.large() {
+		return nil
+	}
+	return t.relays(now, zone)
+}
+
+// AllRelays returns the names of the relays of all zones, sorted.
+func (t *PeerTable) AllRelays(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	zones := map[string]bool{t.self.Zone: true}
+	for _, m := range t.known() {
+		zones[m.Zone] = true
+	}
+	var names []string
+	for zone := range zones {
+		for _, m := range t.relays(now, zone) {
+			names = append(names, m.Host)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// rankingAge is how long the relays of a zone are cached.
+const rankingAge = 100 * time.Millisecond
+
+func (t *PeerTable) relays(now time.Time, zone string) []Member {
+	if t.ranked == nil || now.Sub(t.rankedAt) >= rankingAge {
+		t.ranked, t.rankedAt = make(map[string][]Member), now
+	}
+	list, cached := t.ranked[zone]
+	if !cached {
+		list = t.rankRelays(now, zone)
+		t.ranked[zone] = list
+	}
+	return list
+}
+
+// rankRelays ranks the hosts of a zone by weight and then by rendezvous hashing,
+// and returns the first ones. Hosts that became live only now, and suspects, come
+// last.
+func (t *PeerTable) rankRelays(now time.Time, zone string) []Member {
+	candidates := slices.DeleteFunc(t.live(zone), func(m Member) bool { return m.Legacy })
+	if zone == t.self.Zone && !t.self.Stopping {
+		candidates = append(candidates, t.self)
+	}
+	rank := func(m Member) int {
+		since, live := t.liveSince[m.Host]
+		_, suspect := t.suspects[m.Host]
+		switch {
+		case suspect:
+			return 2
+		case live && now.Sub(since) < settlingPeriod:
+			return 1
+		}
+		return 0
+	}
+	slices.SortFunc(candidates, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(b.Weight, a.Weight),
+			cmp.Compare(rendezvous.Score(b.Host, "relay"), rendezvous.Score(a.Host, "relay")), cmp.Compare(a.Host, b.Host))
+	})
+	return candidates[:min(len(candidates), relaysPerZone)]
+}
+
+// SetStopping marks this host as stopping, so that it is no relay any more.
+func (t *PeerTable) SetStopping() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.self.Stopping = true
+	t.ranked = nil
+}
+
+// Targets are the addresses that this host sends messages to.
+type Targets struct {
+	// OnChange get a notice after each change, Regular ones only at each interval.
+	OnChange, Regular []string
+	// Legacy ones get notices in the JSON form at each interval.
+	Legacy []string
+	// Summary ones get summaries. Far are those of them in other zones.
+	Summary, Far []string
+	// Direct is set in a fleet whose hosts all report to each other.
+	Direct bool
+}
+
+// Targets returns the addresses to send messages to.
+func (t *PeerTable) Targets(now time.Time) Targets {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var targets Targets
+	legacy := make(map[string]bool)
+	for _, p := range t.peers {
+		if p.Legacy && now.Sub(p.ReceivedAt) <= PeerTimeout {
+			legacy[p.Address] = true
+		}
+	}
+	targets.Legacy = slices.Sorted(maps.Keys(legacy))
+	if !t.large() {
+		targets.Direct = true
+		for a := range t.addresses {
+			if !legacy[a] {
+				targets.OnChange = append(targets.OnChange, a)
+			}
+		}
+		slices.Sort(targets.OnChange)
+		return targets
+	}
+	heard := t.addRelays(now, &targets)
+	if !heard {
+		targets.Regular = append(targets.Regular, t.bootstrapTargets(targets.Regular)...)
+	}
+	t.addSummaryTargets(now, &targets)
+	return targets
+}
+
+// addRelays adds the relays of this host's zone, and reports whether the host is
+// one itself or hears one. A silent relay becomes suspect.
+func (t *PeerTable) addRelays(now time.Time, targets *Targets) (heard bool) {
+	relays := t.relays(now, t.self.Zone)
+	since := make(map[string]time.Time, len(relays))
+	for rank, m := range relays {
+		if m.Host == t.self.Host {
+			heard = true
+			continue
+		}
+		since[m.Host] = now
+		if began, known := t.relaySince[m.Host]; known {
+			since[m.Host] = began
+		}
+		lastHeard := since[m.Host]
+		if r := t.rosters[m.Host]; r != nil && r.receivedAt.After(lastHeard) {
+			lastHeard = r.receivedAt
+		}
+		if now.Sub(lastHeard) > relayTimeout {
+			t.suspects[m.Host] = now.Add(suspicionPeriod)
+			t.ranked = nil
+		} else if r := t.rosters[m.Host]; r != nil && now.Sub(r.receivedAt) <= relayTimeout {
+			heard = true
+		}
+		if rank == 0 {
+			targets.OnChange = append(targets.OnChange, m.Address)
+		} else {
+			targets.Regular = append(targets.Regular, m.Address)
+		}
+	}
+	t.relaySince = since
+	return heard
+}
+
+// bootstrapTargets returns addresses to report to besides others until a relay of
+// the zone answers: the ones that were heard or added last.
+func (t *PeerTable) bootstrapTargets(besides []string) []string {
+	var list []string
+	for a := range t.addresses {
+		if !slices.Contains(besides, a) {
+			list = append(list, a)
+		}
+	}
+	slices.SortFunc(list, func(a, b string) int { return cmp.Or(t.addresses[b].Compare(t.addresses[a]), cmp.Compare(a, b)) })
+	return list[:min(len(list), maxBootstrapTargets)]
+}
+
+// addSummaryTargets adds the hosts that report to this host and, if there are
+// any, the relays of the other zones.
+func (t *PeerTable) addSummaryTargets(now time.Time, targets *Targets) {
+	for _, p := range t.peers {
+		if !p.Legacy && now.Sub(p.ReceivedAt) <= PeerTimeout {
+			targets.Summary = append(targets.Summary, p.Address)
+		}
+	}
+	if len(targets.Summary) == 0 {
+		return
+	}
+	zones := make(map[string]bool)
+	for _, m := range t.known() {
+		zones[m.Zone] = true
+	}
+	delete(zones, t.self.Zone)
+	for zone := range zones {
+		for _, m := range t.relays(now, zone) {
+			targets.Far = append(targets.Far, m.Address)
+		}
+	}
+	slices.Sort(targets.Summary)
+	slices.Sort(targets.Far)
+}
+
+// Roster returns the hosts that report to this host, itself included, sorted by
+// name.
+func (t *PeerTable) Roster(now time.Time) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := []Member{t.self}
+	for _, p := range t.peers {
+		if now.Sub(p.ReceivedAt) <= PeerTimeout {
+			list = append(list, p.Member)
+		}
+	}
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Host, b.Host) })
+	return list
+}
+
+// RosterDatagrams returns the last summaries with a list of the relays that are
+// heard, to be passed on to hosts that know no relay.
+func (t *PeerTable) RosterDatagrams(now time.Time) [][]byte {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list [][]byte
+	for _, host := range slices.Sorted(maps.Keys(t.rosters)) {
+		if r := t.rosters[host]; len(r.datagram) > 0 && now.Sub(r.receivedAt) <= rosterTimeout {
+			list = append(list, r.datagram)
+		}
+	}
+	return list
+}
+
+// HeardRelay reports whether a summary of a relay of this host's zone was
+// received recently.
+func (t *PeerTable) HeardRelay(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.rosters {
+		if r.relay.Zone == t.self.Zone && now.Sub(r.receivedAt) <= relayTimeout {
+			return true
+		}
+	}
+	return false
+}
+
+// IsRelay reports whether this host is a relay of its zone.
+func (t *PeerTable) IsRelay(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.large() {
+		return false
+	}
+	return slices.ContainsFunc(t.relays(now, t.self.Zone), func(m Member) bool { return m.Host == t.self.Host })
+}
--- a/internal/fleet/setup/entry.go
+++ b/internal/fleet/setup/entry.go
@@ -28,6 +28,9 @@
 	StoreAddress string `json:"store_address"`
 	// MemoryMB is the memory that the process may use; 0 for no limit.
 	MemoryMB int `json:"memory_mb"`
+	// ProcessorShare is the share of a processor core that the process may use; 0
+	// if unknown. Hosts with more of it do more of the work for their zone.
+	ProcessorShare float64 `json:"processor_share"`
 	// GraceSeconds is the time between the stop signal and the kill.
 	GraceSeconds float64 `json:"grace_seconds"`
 	// LogLines limits the log lines per second; 0 for the default.
@@ -60,6 +63,7 @@
 		{"metrics_address", "not an address", "write IP:PORT or leave it out", e.MetricsAddress != "" && !isAddress(e.MetricsAddress)},
 		{"store_address", "not an address", "write IP:PORT of the platform's store", !isAddress(e.StoreAddress)},
 		{"memory_mb", "out of range", "write the megabytes that the process may take, 0 for no bound", e.MemoryMB < 0},
+		{"processor_share", "out of range", "write the share of a core, 0 if unknown", e.ProcessorShare < 0 || e.ProcessorShare > 1024},
 		{"grace_seconds", "out of range", "write 0.5 or more", e.GraceSeconds < 0.5},
 		{"log_lines", "out of range", "write 0 for the default or a positive number", e.LogLines < 0},
 	}
--- a/internal/record/follow/follow.go
+++ b/internal/record/follow/follow.go
@@ -12,6 +12,10 @@
 // then found only by the next poll. Polls therefore wait only so long that one
 // of several followers of the prefix soon finds the change. The others are then
 // told its revision through ReportRevision and poll again.
+//
+// In a large fleet only some followers poll: the others are inactive and get the
+// changes from an active one, through Apply or, if they missed some, as a whole
+// list through Replace. Changes and List return what an active one passes on.
 package follow
 
 import (
@@ -58,6 +62,13 @@
 	// recoveryTime is the time after an outage in which writers may create
 	// missing keys again.
 	recoveryTime = 2 * time.Second
+	// activityInterval is how often an inactive follower checks whether it has
+	// become active.
+	activityInterval = 250 * time.Millisecond
+	// logPeriod is how long a change is kept to be passed on, and maxLogged how
+	// many changes are kept at most.
+	logPeriod = 2 * time.Second
+	maxLogged = 100
 )
 
 // Source is the store that a Follower reads.
@@ -78,14 +89,24 @@
 
 // Follower follows one prefix.
 type Follower struct {
-	timer   timer.Service
-	log     logr.Logger
-	source  Source
-	prefix  string
-	handler Handler
-	// revision is the one to poll from. synced reports that the list was read
-	// and that the history since then is available; everListed that the list
-	// was read at least once.
+	timer    timer.Service
+	log      logr.Logger
+	source   Source
+	prefix   string
+	handler  Handler
+	failures int // failed calls in a row
+	// active reports whether this follower polls the store.
+	active func() bool
+	// followerCount returns the number of active followers that report revisions
+	// to each other, this one included.
+	followerCount func() int
+
+	// applyMu is held while the Handler is called, so that it gets the changes of
+	// Run, Apply and Replace in order. It guards the fields below.
+	applyMu sync.Mutex
+	// revision is the one up to which all changes were applied, and from which
+	// to poll. synced reports that the history since then is available in the
+	// store; everListed that the list was read at least once.
 	revision   int64
 	synced     bool
 	everListed bool
@@ -93,10 +114,11 @@
 	unavailableSince time.Time
 	// graceUntil is when the grace after the last outage ends.
 	graceUntil time.Time
-	failures   int // failed calls in a row
-	// followerCount returns the number of followers that report revisions to each
-	// other, this one included.
-	followerCount func() int
+	// entries are the current entries by key.
+	entries map[string]store.Entry
+	// logged holds the latest changes, all those after the revision logFrom.
+	logged  []loggedEvent
+	logFrom int64
 
 	// applied is the revision of the newest change that the Handler received.
 	applied atomic.Int64
@@ -115,11 +137,23 @@
 	cancelPoll context.CancelFunc
 }
 
-// New returns a follower; Run starts it. followerCount returns the number of
-// followers of the prefix that report revisions to each other, this one
-// included.
-func New(t timer.Service, log logr.Logger, source Source, prefix string, handler Handler, followerCount func() int) *Follower {
-	return &Follower{timer: t, log: log, source: source, prefix: prefix, handler: handler, followerCount: followerCount}
+// loggedEvent is a change that was applied at a time.
+type loggedEvent struct {
+	store.Event
+	at time.Time
+}
+
+// Always is the activity of a follower that polls the store itself at all times.
+func Always() bool { return true }
+
+// New returns a follower; Run starts it. active reports whether it is to poll the
+// store. followerCount returns the number of active followers of the prefix that
+// report revisions to each other, this one included.
+func New(t timer.Service, log logr.Logger, source Source, prefix string, handler Handler, active func() bool, followerCount func() int) *Follower {
+	return &Follower{
+		timer: t, log: log, source: source, prefix: prefix, handler: handler, active: active, followerCount: followerCount,
+		entries: make(map[string]store.Entry),
+	}
 }
 
 // Applied returns the revision of the newest change that the Handler received.
@@ -153,13 +187,19 @@
 // Run reads the prefix and calls the Handler until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if f.hasList() && !f.active() {
+			timer.Pause(f.timer, ctx.Done(), activityInterval)
+			continue
+		}
 		err := f.step(ctx)
 		switch {
 		case err == nil:
 			f.recordSuccess()
 		case errors.Is(err, store.ErrCompacted):
-			f.log.Info("history gone, listing again", "prefix", f.prefix, "revision", f.revision)
+			f.log.Info("history gone, listing again", "prefix", f.prefix, "revision", f.position())
+			f.applyMu.Lock()
 			f.synced = false
+			f.applyMu.Unlock()
 		case ctx.Err() == nil:
 			f.recordFailure(err)
 			f.backOff(ctx)
@@ -167,43 +207,177 @@
 	}
 }
 
+func (f *Follower) hasList() bool {
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
+	return f.everListed
+}
+
+// position returns the revision up to which all changes were applied.
+func (f *Follower) position() int64 {
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
+	return f.revision
+}
+
 // step reads the list if it is not synced, else polls for changes once.
 func (f *Follower) step(ctx context.Context) error {
-	if !f.synced {
+	f.applyMu.Lock()
+	synced, revision := f.synced, f.revision
+	f.applyMu.Unlock()
+	if !synced {
 		entries, revision, err := store.RangeAll(ctx, f.source, f.prefix, 0)
 		if err != nil {
 			return err
 		}
 		f.recordSuccess()
-		f.handler.Listed(entries, f.grace())
-		f.revision, f.synced = revision, true
-		for _, e := range entries {
-			f.markApplied(e.ModRevision)
-		}
-		if f.everListed {
-			// Keys may have been deleted since the last list, which no entry's
-			// ModRevision shows; the list is as new as revision.
-			f.markApplied(revision)
+		f.applyMu.Lock()
+		defer f.applyMu.Unlock()
+		f.synced = true
+		if !f.everListed || revision >= f.revision {
+			f.replace(entries, revision, f.grace())
 		}
-		f.everListed = true
 		return nil
 	}
-	events, revision, err := f.poll(ctx)
+	events, next, err := f.poll(ctx, revision)
 	if err != nil {
 		return err
 	}
 	f.recordSuccess()
-	for _, e := range events {
-		f.handler.Changed(e, f.grace())
-		f.markApplied(e.ModRevision)
-	}
-	f.revision = revision
+	f.applyMu.Lock()
+	f.apply(events, next, f.grace())
+	f.applyMu.Unlock()
 	if len(events) > 0 {
 		timer.Pause(f.timer, ctx.Done(), min(maxBatchDelay, batchDelayPerFollower*time.Duration(f.followerCount())))
 	}
 	return nil
 }
 
+// replace passes a whole list to the Handler. The caller holds f.applyMu.
+func (f *Follower) replace(entries []store.Entry, revision int64, grace time.Duration) {
+	f.handler.Listed(entries, grace)
+	clear(f.entries)
+	for _, e := range entries {
+		f.entries[e.Key] = e
+		f.markApplied(e.ModRevision)
+	}
+	if f.everListed {
+		// Keys may have been deleted since the last list, which no entry's
+		// ModRevision shows; the list is as new as revision.
+		f.markApplied(revision)
+	}
+	f.everListed, f.revision = true, revision
+	f.logged, f.logFrom = nil, revision
+}
+
+// apply passes the changes after f.revision, up to the revision next, to the
+// Handler. The caller holds f.applyMu.
+func (f *Follower) apply(events []store.Event, next int64, grace time.Duration) {
+	now := f.timer.Now()
+	for _, e := range events {
+		if e.ModRevision <= f.revision {
+			continue
+		}
+		f.handler.Changed(e, grace)
+		if e.Deleted {
+			delete(f.entries, e.Key)
+		} else {
+			f.entries[e.Key] = e.Entry
+		}
+		f.logged = append(f.logged, loggedEvent{e, now})
+		f.markApplied(e.ModRevision)
+	}
+	f.revision = max(f.revision, next)
+	f.trimLog(now)
+}
+
+// trimLog drops the changes that are older than logPeriod or beyond maxLogged.
+func (f *Follower) trimLog(now time.Time) {
+	n := max(0, len(f.logged)-maxLogged)
+	for n < len(f.logged) && now.Sub(f.logged[n].at) > logPeriod {
+		n++
+	}
+	if n > 0 {
+		f.logFrom = f.logged[n-1].ModRevision
+		f.logged = f.logged[n:]
+	}
+}
+
+// Changes are changes of a prefix to be passed on to an inactive follower.
+type Changes struct {
+	// Events are all changes after the revision From up to the revision To.
+	From, To int64
+	Events   []store.Event
+	// Grace is that of the deletions; see Handler.
+	Grace time.Duration
+	// Away is for how long the store has been unavailable, 0 if it is available.
+	Away time.Duration
+}
+
+// Changes returns the latest changes.
+func (f *Follower) Changes() Changes {
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
+	now := f.timer.Now()
+	f.trimLog(now)
+	c := Changes{From: f.logFrom, To: f.revision, Grace: f.grace()}
+	for _, e := range f.logged {
+		c.Events = append(c.Events, e.Event)
+	}
+	if !f.unavailableSince.IsZero() {
+		c.Away = now.Sub(f.unavailableSince)
+	}
+	return c
+}
+
+// Apply applies changes that another follower passed on. It returns false if
+// changes before them are missing: then the list has to be fetched.
+func (f *Follower) Apply(c Changes) bool {
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
+	if f.everListed && c.To <= f.revision {
+		return true
+	}
+	if !f.everListed || c.From > f.revision {
+		return false
+	}
+	f.apply(c.Events, c.To, max(c.Grace, f.grace()))
+	f.markSeen(c.To)
+	return true
+}
+
+// List is the whole content of a prefix as of a revision.
+type List struct {
+	Entries  []store.Entry
+	Revision int64
+	// Grace is that of the keys that are missing; see Handler.
+	Grace time.Duration
+}
+
+// List returns the current entries. It returns false if none were read yet.
+func (f *Follower) List() (List, bool) {
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
+	l := List{Revision: f.revision, Grace: f.grace()}
+	for _, e := range f.entries {
+		l.Entries = append(l.Entries, e)
+	}
+	return l, f.everListed
+}
+
+// Replace applies a list that another follower passed on, unless it is older than
+// what is known.
+func (f *Follower) Replace(l List) {
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
+	if f.everListed && l.Revision <= f.revision {
+		return
+	}
+	f.replace(l.Entries, l.Revision, max(l.Grace, f.grace()))
+	f.markSeen(l.Revision)
+	f.synced = true
+}
+
 func (f *Follower) markApplied(revision int64) {
 	f.applied.Store(max(f.applied.Load(), revision))
 	f.markSeen(revision)
@@ -213,26 +387,26 @@
 
 // poll waits for changes until the store responds or ReportRevision cancels the
 // call. A cancelled call is followed by one with almost no wait.
-func (f *Follower) poll(ctx context.Context) ([]store.Event, int64, error) {
+func (f *Follower) poll(ctx context.Context, revision int64) ([]store.Event, int64, error) {
 	if f.failures > 0 {
 		// A short call soon shows whether the store is available again.
-		return f.source.Poll(ctx, f.prefix, f.revision, time.Millisecond)
+		return f.source.Poll(ctx, f.prefix, revision, time.Millisecond)
 	}
 	pollCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.mu.Lock()
 	f.cancelPoll = cancel
 	f.mu.Unlock()
-	events, revision, err := f.source.Poll(pollCtx, f.prefix, f.revision, f.pollWait())
+	events, next, err := f.source.Poll(pollCtx, f.prefix, revision, f.pollWait())
 	f.mu.Lock()
 	f.cancelPoll = nil
 	f.mu.Unlock()
 	if err != nil && pollCtx.Err() != nil && ctx.Err() == nil {
-		if events, revision, err = f.source.Poll(ctx, f.prefix, f.revision, time.Millisecond); err == nil {
-			f.markSeen(revision)
+		if events, next, err = f.source.Poll(ctx, f.prefix, revision, time.Millisecond); err == nil {
+			f.markSeen(next)
 		}
 	}
-	return events, revision, err
+	return events, next, err
 }
 
 // pollWait returns the wait of the next poll, with jitter.
@@ -241,10 +415,13 @@
 	return pollWait - time.Duration(pollJitter*rand.Float64()*float64(pollWait))
 }
 
-// grace returns the rest of the grace after the last outage.
+// grace returns the rest of the grace after the last outage. The caller holds
+// f.applyMu.
 func (f *Follower) grace() time.Duration { return max(0, f.graceUntil.Sub(f.timer.Now())) }
 
 func (f *Follower) recordFailure(err error) {
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
 	if f.unavailableSince.IsZero() {
 		f.unavailableSince = f.timer.Now()
 		f.log.Info("store lost", "prefix", f.prefix, "revision", f.revision, "cause", err.Error())
@@ -253,6 +430,8 @@
 }
 
 func (f *Follower) recordSuccess() {
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
 	f.failures = 0
 	if f.unavailableSince.IsZero() {
 		return
--- a/internal/serving/backend/server.go
+++ b/internal/serving/backend/server.go
@@ -13,6 +13,8 @@
 package backend
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -188,6 +190,36 @@
 	return d.byService[service]
 }
 
+// UsableIn returns the servers of a service and a zone that may get new work,
+// sorted by ID.
+func (d *Directory) UsableIn(service, zone string) []Server {
+	var list []Server
+	for _, s := range d.Usable(service) {
+		if s.Zone == zone {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// Get returns a server that may get new work.
+func (d *Directory) Get(id string) (Server, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.servers[id]
+	if !ok || e.Draining || e.misdirected {
+		return Server{}, false
+	}
+	return e.Server, true
+}
+
+// Services returns the services with servers that may get new work, sorted.
+func (d *Directory) Services() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Sorted(maps.Keys(d.byService))
+}
+
 // Len returns how many servers are known.
 func (d *Directory) Len() int {
 	d.mu.Lock()
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -82,7 +82,7 @@
 // serveStream answers a call with a stream of numbered events.
 func (f *Forwarder) serveStream(ctx context.Context, c *exchange.Call, out ResponseWriter) (bool, *result.Error) {
 	s := &streamSession{forwarder: f, call: c, out: out, avoid: make(map[string]bool), ran: result.RanNo}
-	next, failure := f.place(c, s.avoid, slotWait(c))
+	next, failure := f.place(ctx, c, s.avoid, slotWait(c))
 	if failure != nil {
 		return false, failure
 	}
@@ -111,7 +111,7 @@
 			// than aborting it.
 			wait = maxSlotWait
 		}
-		choice, refusal := f.place(c, s.avoid, wait)
+		choice, refusal := f.place(ctx, c, s.avoid, wait)
 		if refusal != nil {
 			return s.begun, failure.WithRan(s.ran).WithRetry(refusal.RetryAfter())
 		}
--- a/internal/serving/scheduler/batch.go
+++ b/internal/serving/scheduler/batch.go
@@ -24,11 +24,16 @@
 // and returns one server per item. Each item counts at its server until
 // EndBatch is called. All hosts derive the same order of free slots: the host
 // whose most urgent item has the least slack takes the first slots.
-func (p *Placer) PlaceBatch(now time.Time, servers []backend.Server, limit int) []backend.Server {
+//
+// If another host coordinates the slots, the items get those that it granted.
+func (p *Placer) PlaceBatch(now time.Time, service string, servers []backend.Server, limit int) []backend.Server {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.coordinated || len(p.reserved[service]) > 0 {
+		return p.placeReserved(service, limit)
+	}
 	slots := p.freeSlots(now, p.batchServers(servers))
-	first := p.itemsAhead(now)
+	first := p.itemsAhead(now, service)
 	var placed []backend.Server
 	for i := first; i < len(slots) && len(placed) < limit; i++ {
 		placed = append(placed, slots[i])
@@ -94,19 +99,21 @@
 
 // itemsAhead returns how many items of other hosts take free slots before the
 // items of this host.
-func (p *Placer) itemsAhead(now time.Time) int {
-	ownSlack := time.Duration(p.backlog.Slack)*time.Millisecond - now.Sub(p.backlogAt)
+func (p *Placer) itemsAhead(now time.Time, service string) int {
+	ownSlack := p.backlogs[service].slackAt(now)
 	n := 0
-	for host, r := range p.reports {
-		if now.Sub(r.at) > reportTTL || r.backlog.Items == 0 || (p.largeFleet && r.zone != p.zone) {
+	for host, r := range p.others.reports {
+		backlog := r.backlog(service)
+		items := backlog.Items - len(r.batch)
+		if items <= 0 || (p.largeFleet && r.Zone != p.zone) {
 			continue
 		}
-		otherSlack := time.Duration(r.backlog.Slack)*time.Millisecond - now.Sub(r.at)
+		otherSlack := time.Duration(backlog.Slack)*time.Millisecond - now.Sub(r.at)
 		// Two slacks that differ by less than slackTolerance count as equal,
 		// and the host names decide.
 		switch d := otherSlack - ownSlack; {
 		case d < -slackTolerance, d < slackTolerance && host < p.host:
-			n += r.backlog.Items
+			n += items
 		}
 	}
 	return n
@@ -123,6 +130,9 @@
 func (p *Placer) BatchToPreempt(now time.Time, servers []backend.Server) map[string]int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.coordinated {
+		return p.keepSurplus()
+	}
 	surplus := make(map[string]int)
 	for _, s := range servers {
 		own := p.local[s.ID].batch
@@ -133,7 +143,7 @@
 		if excess <= 0 {
 			continue
 		}
-		excess -= p.itemsPreemptedBefore(now, s.ID, own)
+		excess -= p.itemsPreemptedBefore(s.ID, own)
 		if n := min(own, excess); n > 0 {
 			surplus[s.ID] = n
 		}
@@ -143,14 +153,11 @@
 
 // itemsPreemptedBefore returns how many batch items of other hosts are preempted
 // at a server before those of this host, which has own batch items there.
-func (p *Placer) itemsPreemptedBefore(now time.Time, server string, own int) int {
+func (p *Placer) itemsPreemptedBefore(server string, own int) int {
 	n := 0
-	for host, r := range p.reports {
-		if now.Sub(r.at) > reportTTL {
-			continue
-		}
-		if others := r.loads[server].Batch; others > own || (others == own && host < p.host) {
-			n += others
+	for host, l := range p.others.at(server).byHost {
+		if l.Batch > own || (l.Batch == own && host < p.host) {
+			n += l.Batch
 		}
 	}
 	return n
--- a/internal/serving/scheduler/health.go
+++ b/internal/serving/scheduler/health.go
@@ -91,13 +91,15 @@
 
 // inBackoff reports whether a server gets no work now because it was unreachable
 // or at capacity, and returns the waiting time that its failure rate adds to its
-// cost.
+// cost. The rates that other hosts report are added to this host's own, which
+// sees few of the requests of a large fleet.
 func (p *Placer) inBackoff(now time.Time, server string) (bool, time.Duration) {
+	rate := p.others.at(server).failureRate
 	h := p.health[server]
-	if h == nil {
-		return false, 0
+	if h != nil {
+		rate += h.decayedFailureRate(now)
 	}
-	return now.Before(h.backoffUntil), time.Duration(h.decayedFailureRate(now) * float64(maxFailurePenalty))
+	return h != nil && now.Before(h.backoffUntil), time.Duration(min(1, rate) * float64(maxFailurePenalty))
 }
 
 // RemoveServer drops the health state of a server that has been removed.
--- a/internal/serving/scheduler/online.go
+++ b/internal/serving/scheduler/online.go
@@ -43,6 +43,9 @@
 	// and ReportAge the age of the oldest host report in use.
 	InFlight  int
 	ReportAge time.Duration
+	// Zone is set instead of Server if the request is to be placed by the
+	// coordinator of another zone.
+	Zone string
 	// RetryAfter is when to retry a request that was not placed.
 	RetryAfter time.Duration
 	// expectedEnd is when a placed request is expected to end. It also
@@ -57,6 +60,16 @@
 func (p *Placer) PlaceOnline(now time.Time, servers []backend.Server, avoid map[string]bool, maxWait time.Duration) Choice {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	c := p.choose(now, servers, avoid, maxWait)
+	if c.Placed {
+		p.addOnline(c.Server.ID, c.expectedEnd)
+	}
+	return c
+}
+
+// choose is PlaceOnline without counting the request at the server.
+func (p *Placer) choose(now time.Time, servers []backend.Server, avoid map[string]bool, maxWait time.Duration) Choice {
+	p.others.expire(now)
 	var best Choice
 	bestCost := time.Duration(-1)
 	for _, allowBackoff := range []bool{false, true} {
@@ -80,7 +93,7 @@
 		}
 	}
 	if bestCost >= 0 {
-		best.ReportAge = p.reportAge(now)
+		best.ReportAge = p.others.age(now)
 	}
 	if bestCost < 0 || best.Wait > maxWait {
 		best.Server, best.RetryAfter = backend.Server{}, p.randomRetryAfter()
@@ -88,7 +101,6 @@
 	}
 	best.Placed = true
 	best.expectedEnd = now.Add(best.Wait + p.meanSlotTime(best.Server.Service))
-	p.addOnline(best.Server.ID, best.expectedEnd)
 	return best
 }
 
--- a/internal/serving/scheduler/view.go
+++ b/internal/serving/scheduler/view.go
@@ -45,18 +45,7 @@
 // several times in that period even if nothing changes.
 const reportTTL = 1500 * time.Millisecond
 
-// reportRetention is how long the last report of a host is stored.
-const reportRetention = time.Minute
-
-// report is the last report of another host.
-type report struct {
-	zone    string
-	at      time.Time
-	loads   map[string]Load
-	backlog Backlog
-}
-
-// Backlog describes a host's batch items that wait for a slot.
+// Backlog describes a host's batch items of one service that wait for a slot.
 type Backlog struct {
 	// Items is the number of waiting items.
 	Items int `json:"n,omitempty"`
@@ -67,6 +56,16 @@
 	Slack int64 `json:"s,omitempty"`
 }
 
+// localBacklog is a backlog of this host with its slack as of a time.
+type localBacklog struct {
+	Backlog
+	at time.Time
+}
+
+func (b localBacklog) slackAt(now time.Time) time.Duration {
+	return time.Duration(b.Slack)*time.Millisecond - now.Sub(b.at)
+}
+
 // localLoad holds this host's requests at one server.
 type localLoad struct {
 	batch int
@@ -90,18 +89,28 @@
 	mu sync.Mutex
 	// local holds this host's requests by server. A server without any has
 	// no entry.
-	local   map[string]localLoad
-	reports map[string]report
-	health  map[string]*health
+	local  map[string]localLoad
+	others occupancy
+	health map[string]*health
 	// meanSlotTimes holds the mean slot time of online requests by service.
 	meanSlotTimes map[string]time.Duration
 	random        func() float64
 	// largeFleet reports whether the counts of other zones arrive late.
 	largeFleet bool
-	// backlog is the backlog of this host, with its slack as of backlogAt.
-	backlog   Backlog
-	backlogAt time.Time
-	changed   func()
+	// coordinated reports whether another host coordinates the slots. Then
+	// reserved holds the slots that it granted for batch items, by service, and
+	// keep how many batch items may stay at a server.
+	coordinated bool
+	reserved    map[string][]backend.Server
+	keep        map[string]int
+	// zones holds the loads of other zones by service.
+	zones map[string]map[string]*zoneReport
+	// lastGrant is the number of the last batch grant.
+	lastGrant uint64
+	// backlogs holds the backlogs of this host by service; empty ones have no
+	// entry.
+	backlogs map[string]localBacklog
+	changed  func()
 }
 
 // New returns a placer for a host. random returns random numbers in [0, 1).
@@ -109,20 +118,34 @@
 // its empty backlog gets items.
 func New(host, zone string, random func() float64, changed func()) *Placer {
 	return &Placer{
-		host: host, zone: zone, local: make(map[string]localLoad), reports: make(map[string]report),
+		host: host, zone: zone, local: make(map[string]localLoad), others: newOccupancy(),
 		health: make(map[string]*health), meanSlotTimes: make(map[string]time.Duration), random: random, changed: changed,
+		reserved: make(map[string][]backend.Server), keep: make(map[string]int), zones: make(map[string]map[string]*zoneReport),
+		backlogs: make(map[string]localBacklog),
 	}
 }
 
-// Report stores the counts of another host.
-func (p *Placer) Report(host, zone string, now time.Time, loads map[string]Load, backlog Backlog) {
+// Report stores the status of another host.
+func (p *Placer) Report(now time.Time, s Status) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, known := p.reports[host]; !known {
-		// Drop the reports of hosts that are gone whenever a new host appears.
-		maps.DeleteFunc(p.reports, func(_ string, r report) bool { return now.Sub(r.at) > reportRetention })
+	p.others.expire(now)
+	p.others.set(now, s)
+	for service, reported := range s.SlotTimes {
+		m := p.meanSlotTime(service)
+		p.meanSlotTimes[service] = m + time.Duration(reportedTimeWeight*float64(reported-m))
 	}
-	p.reports[host] = report{zone: zone, at: now, loads: loads, backlog: backlog}
+}
+
+// reportedTimeWeight is the weight of a mean slot time that another host reports
+// in the moving average of this one. A host reports several times a second.
+const reportedTimeWeight = 0.01
+
+// SlotTimes returns the mean slot times by service.
+func (p *Placer) SlotTimes() map[string]time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.meanSlotTimes)
 }
 
 // SetLargeFleet sets whether the fleet is so large that hosts of other zones
@@ -136,26 +159,32 @@
 	p.largeFleet = largeFleet
 }
 
-// LocalState returns the counts and the backlog of this host as of now.
-func (p *Placer) LocalState(now time.Time) (map[string]Load, Backlog) {
+// LocalState returns the counts and the backlogs of this host as of now.
+func (p *Placer) LocalState(now time.Time) (map[string]Load, map[string]Backlog) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	loads := make(map[string]Load, len(p.local))
 	for server, t := range p.local {
 		loads[server] = t.toLoad(now)
 	}
-	backlog := p.backlog
-	backlog.Slack -= now.Sub(p.backlogAt).Milliseconds()
-	return loads, backlog
+	backlogs := make(map[string]Backlog, len(p.backlogs))
+	for service, b := range p.backlogs {
+		backlogs[service] = Backlog{Items: b.Items, Slack: b.slackAt(now).Milliseconds()}
+	}
+	return loads, backlogs
 }
 
-// SetBacklog sets the number of this host's batch items that wait for a slot,
-// and the slack of the most urgent one; see Backlog.
-func (p *Placer) SetBacklog(now time.Time, items int, slack time.Duration) {
+// SetBacklog sets the number of this host's batch items of a service that wait
+// for a slot, and the slack of the most urgent one; see Backlog.
+func (p *Placer) SetBacklog(now time.Time, service string, items int, slack time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	becameNonEmpty := p.backlog.Items == 0 && items > 0
-	p.backlog, p.backlogAt = Backlog{Items: items, Slack: slack.Milliseconds()}, now
+	becameNonEmpty := p.backlogs[service].Items == 0 && items > 0
+	if items == 0 {
+		delete(p.backlogs, service)
+	} else {
+		p.backlogs[service] = localBacklog{Backlog: Backlog{Items: items, Slack: slack.Milliseconds()}, at: now}
+	}
 	if becameNonEmpty {
 		p.changed()
 	}
@@ -163,28 +192,9 @@
 
 // totalLoad returns the load of all hosts at a server, without expected ends.
 func (p *Placer) totalLoad(now time.Time, server string) Load {
-	local := p.local[server]
-	total := Load{Online: len(local.expectedEnds), Batch: local.batch}
-	for _, r := range p.reports {
-		if now.Sub(r.at) <= reportTTL {
-			l := r.loads[server]
-			total.Online += l.Online
-			total.Batch += l.Batch
-		}
-	}
-	return total
-}
-
-// reportAge returns the age of the oldest report of another host that is within
-// reportTTL.
-func (p *Placer) reportAge(now time.Time) time.Duration {
-	var oldest time.Duration
-	for _, r := range p.reports {
-		if reportAge := now.Sub(r.at); reportAge <= reportTTL {
-			oldest = max(oldest, reportAge)
-		}
-	}
-	return oldest
+	p.others.expire(now)
+	local, others := p.local[server], p.others.at(server)
+	return Load{Online: len(local.expectedEnds) + others.online, Batch: local.batch + others.batch}
 }
 
 // remainingTimes returns the expected remaining times of the online requests at
@@ -194,13 +204,9 @@
 	for _, end := range p.local[s.ID].expectedEnds {
 		times = append(times, max(overdueRemaining, end.Sub(now)))
 	}
-	for _, r := range p.reports {
-		if now.Sub(r.at) > reportTTL {
-			continue
-		}
-		l := r.loads[s.ID]
+	for _, l := range p.others.at(s.ID).byHost {
 		for _, ms := range l.Ends {
-			times = append(times, max(overdueRemaining, r.at.Add(time.Duration(ms)*time.Millisecond).Sub(now)))
+			times = append(times, max(overdueRemaining, l.at.Add(time.Duration(ms)*time.Millisecond).Sub(now)))
 		}
 		for i := len(l.Ends); i < l.Online; i++ {
 			times = append(times, p.meanSlotTime(s.Service)*time.Duration(i+1)/time.Duration(l.Online+1))
