Relays: tell a change or a roster twice, introduce newcomers instead of passing on all rosters

Cause: at the start of 250 hosts each summary carried all changes of two seconds and up to 250 names, 8 to 40 KB to every host 25 times a second; links filled up, hosts flapped and 3.2 GB passed between zones in 20 s.

--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -200,7 +200,7 @@
 	if l.Metrics != nil {
 		h.serve(l.Metrics, MetricsHandler())
 	}
-	h.members.AddAddresses(h.timer.Now(), h.settings.Seeds...)
+	h.members.SetSeeds(h.timer.Now(), h.settings.Seeds)
 	h.notices.Start()
 	h.slots.Start()
 	h.runFollower(h.configFollower)
@@ -259,7 +259,7 @@
 // Reload applies the seeds of changed settings. The host's own addresses stay
 // as they were at Start.
 func (h *Host) Reload(s *setup.Entry) {
-	h.members.AddAddresses(h.timer.Now(), s.Seeds...)
+	h.members.SetSeeds(h.timer.Now(), s.Seeds)
 }
 
 // Ready reports whether the host accepts callers: it has a configuration and a
--- a/internal/fleet/entry/status.go
+++ b/internal/fleet/entry/status.go
@@ -29,6 +29,8 @@
 	// farOwned and farEnded those of other zones. A relay passes them on.
 	zoneOwned, zoneEnded recentJobs
 	farOwned, farEnded   recentJobs
+	// passedNear and passedFar are what the last summaries told of the servers.
+	passedNear, passedFar passedOn
 }
 
 // recentJobs is a list of jobs to announce, oldest first.
@@ -137,6 +139,16 @@
 	h.jobs.TriggerScan()
 }
 
+// passedOn holds the revisions of the list of servers up to which the last
+// summaries told the changes. Each change is told in two summaries; who loses both
+// fetches the list.
+type passedOn struct {
+	last, lastButOne int64
+}
+
+// advance records that a summary told the changes up to a revision.
+func (p *passedOn) advance(revision int64) { p.last, p.lastButOne = revision, p.last }
+
 // statusSource returns and handles the messages of a host.
 type statusSource Host
 
@@ -157,11 +169,17 @@
 // it, or to relays of other zones.
 func (s *statusSource) Summary(far bool) notice.Summary {
 	now := s.timer.Now()
-	m := notice.Summary{ConfigVersion: s.config.Version(), Servers: notice.Changes(s.serverFollower.Changes()), AcquiredJobs: make(map[string][]string)}
+	m := notice.Summary{ConfigVersion: s.config.Version(), AcquiredJobs: make(map[string][]string)}
 	s.slots.FillSummary(&m)
 	a := &s.announcements
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	passed := &a.passedNear
+	if far {
+		passed = &a.passedFar
+	}
+	m.Servers = notice.Changes(s.serverFollower.Changes(passed.lastButOne))
+	passed.advance(m.Servers.To)
 	for _, list := range []*recentJobs{&a.owned, &a.zoneOwned} {
 		list.byHost(now, m.AcquiredJobs)
 	}
--- a/internal/fleet/notice/notice_test.go
+++ b/internal/fleet/notice/notice_test.go
@@ -168,7 +168,7 @@
 				t.Fatal("one notice added several hosts")
 			}
 		case m.Summary != nil:
-			table.ApplySummary(start, *m.Summary, datagram)
+			table.ApplySummary(start, *m.Summary)
 			table.Targets(start)
 		case m.Answers == nil:
 			t.Fatal("a datagram without a message was accepted")
--- a/internal/fleet/notice/sender.go
+++ b/internal/fleet/notice/sender.go
@@ -23,15 +23,15 @@
 	regularInterval = 250 * time.Millisecond
 	// summarySpacing is the least time between two summaries to the hosts of the
 	// own zone, farInterval between two to the relays of other zones.
-	summarySpacing = 40 * time.Millisecond
+	summarySpacing = 100 * time.Millisecond
 	farInterval    = 240 * time.Millisecond
-	// A summary carries the roster for rosterPeriod after a change and in every
-	// rosterInterval-th summary.
-	rosterPeriod   = 600 * time.Millisecond
+	// A summary carries the roster if it changed since the last but one, and in
+	// every rosterInterval-th summary.
 	rosterInterval = 8
-	// forwardInterval is the least time between two times that rosters are passed
-	// on to a host.
-	forwardInterval = 500 * time.Millisecond
+	// forwardInterval is the longest time between two times that a summary of a
+	// relay of another zone is passed on. One with a new roster is passed on at
+	// once.
+	forwardInterval = 2 * time.Second
 	// askedPeriod is how long a host that was asked gets this host's notices. It is
 	// longer than a report is used.
 	askedPeriod = 2 * time.Second
@@ -84,14 +84,23 @@
 	// learn what became of this host's requests.
 	asked    map[string]time.Time
 	stopping bool
-	// roster is that of the last summary, rosterVersion its version and
-	// rosterChanged when it changed; summaries counts the summaries.
-	roster        []Member
-	rosterVersion int64
-	rosterChanged time.Time
-	summaries     int
-	// forwarded is when rosters were last passed on, by address.
-	forwarded map[string]time.Time
+	// near and far are the rosters as last sent.
+	near, far sentRoster
+	// forwarded holds the summaries that were last passed on, by relay.
+	forwarded map[string]forwardedRoster
+}
+
+// sentRoster is a roster with the summaries that were sent since it changed.
+type sentRoster struct {
+	members []Member
+	version int64
+	sent    int
+}
+
+// forwardedRoster is the version of a roster that was passed on at a time.
+type forwardedRoster struct {
+	version int64
+	at      time.Time
 }
 
 // Listen opens the UDP address at which messages arrive.
@@ -108,7 +117,7 @@
 // closes the connection.
 func NewExchange(t timer.Service, log logr.Logger, table *PeerTable, self Member, conn *net.UDPConn, source Source) *Exchange {
 	return &Exchange{
-		timer: t, log: log, table: table, self: self, conn: conn, source: source, forwarded: make(map[string]time.Time), asked: make(map[string]time.Time),
+		timer: t, log: log, table: table, self: self, conn: conn, source: source, forwarded: make(map[string]forwardedRoster), asked: make(map[string]time.Time),
 		trigger: make(chan struct{}, 1), summaryTrigger: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 }
@@ -241,21 +250,27 @@
 	defer sub.Cancel()
 	var lastFar time.Time
 	for {
+		regular := false
 		select {
 		case <-e.summaryTrigger:
 		case <-ticks:
+			regular = true
 		case <-e.done:
 			return
 		}
 		now := e.timer.Now()
 		targets := e.table.Targets(now)
-		if len(targets.Summary) == 0 {
-			continue
+		if len(targets.Summary) > 0 {
+			e.encodeTo(targets.Summary, e.summary(now, &e.near, false).Encode)
 		}
-		e.encodeTo(targets.Summary, e.summary(now, false).Encode)
-		if now.Sub(lastFar) >= farInterval && len(targets.Far) > 0 {
+		if len(targets.Far) > 0 && now.Sub(lastFar) >= farInterval {
 			lastFar = now
-			e.encodeTo(targets.Far, e.summary(now, true).Encode)
+			e.encodeTo(targets.Far, e.summary(now, &e.far, true).Encode)
+		}
+		if regular {
+			for zone, addresses := range targets.Introduce {
+				e.encodeTo(addresses, e.introduction(now, zone).Encode)
+			}
 		}
 		if !timer.Pause(e.timer, e.done, summarySpacing) {
 			return
@@ -263,20 +278,29 @@
 	}
 }
 
-func (e *Exchange) summary(now time.Time, far bool) Summary {
+// summary returns the next summary. It carries the roster unless the last two
+// summaries did and it has not changed since.
+func (e *Exchange) summary(now time.Time, last *sentRoster, far bool) Summary {
 	s := e.source.Summary(far)
 	roster := e.table.Roster(now)
 	s.Member, s.Sequence = e.header()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !slices.Equal(roster, e.roster) {
-		e.roster, e.rosterChanged = roster, now
-		e.rosterVersion++
+	if !slices.Equal(roster, last.members) {
+		last.members, last.sent = roster, 0
+		last.version++
 	}
-	s.RosterVersion = e.rosterVersion
-	if e.summaries++; far || e.summaries%rosterInterval == 0 || now.Sub(e.rosterChanged) <= rosterPeriod {
+	s.RosterVersion = last.version
+	if last.sent < 2 || last.sent%rosterInterval == 0 {
 		s.Roster = roster
 	}
+	last.sent++
+	return s
+}
+
+// introduction returns a summary for hosts of a zone that do not know its relays.
+func (e *Exchange) introduction(now time.Time, zone string) Summary {
+	s := e.source.Summary(true)
+	s.Member, s.Sequence = e.header()
+	s.Roster = e.table.Candidates(now, zone)
 	return s
 }
 
@@ -327,12 +351,11 @@
 		case m.Notice != nil:
 			if e.table.Apply(now, *m.Notice) {
 				e.source.HandleNotice(*m.Notice)
-				e.forwardRosters(now, *m.Notice)
 			}
 		case m.Summary != nil:
 			m.Summary.Forwarded = from.String() != m.Summary.Address
-			if e.table.ApplySummary(now, *m.Summary, buffer[:n]) {
-				e.forwardSummary(now, *m.Summary, buffer[:n])
+			if e.table.ApplySummary(now, *m.Summary) {
+				e.forward(now, *m.Summary, buffer[:n])
 				e.source.HandleSummary(*m.Summary)
 			}
 		case m.Answers != nil:
@@ -341,42 +364,23 @@
 	}
 }
 
-// forwardRosters passes the rosters of all relays on to a host that reports to
-// this one although this one is no relay of its zone: it knows none.
-func (e *Exchange) forwardRosters(now time.Time, n Notice) {
-	if n.Legacy {
-		return
-	}
-	relays := e.table.Relays(now, n.Zone)
-	if len(relays) == 0 || slices.ContainsFunc(relays, func(m Member) bool { return m.Host == e.self.Host }) {
+// forward passes a summary of another zone with a roster on: a relay to the hosts
+// that report to it, another host, which the relay of the other zone took for one,
+// to its own relays.
+func (e *Exchange) forward(now time.Time, s Summary, datagram []byte) {
+	if s.Zone == e.self.Zone || s.Forwarded || s.Roster == nil {
 		return
 	}
 	e.mu.Lock()
-	due := now.Sub(e.forwarded[n.Address]) >= forwardInterval
+	last := e.forwarded[s.Host]
+	due := s.RosterVersion != last.version || now.Sub(last.at) >= forwardInterval
 	if due {
-		for address, at := range e.forwarded {
-			if now.Sub(at) >= forwardInterval {
-				delete(e.forwarded, address)
-			}
-		}
-		e.forwarded[n.Address] = now
+		e.forwarded[s.Host] = forwardedRoster{version: s.RosterVersion, at: now}
 	}
 	e.mu.Unlock()
 	if !due {
 		return
 	}
-	for _, datagram := range e.table.RosterDatagrams(now) {
-		e.sendTo([]string{n.Address}, datagram)
-	}
-}
-
-// forwardSummary passes a summary of another zone with a roster on: a relay to
-// the hosts that report to it, another host, which the relay of the other zone
-// took for one, to its own relays.
-func (e *Exchange) forwardSummary(now time.Time, s Summary, datagram []byte) {
-	if s.Zone == e.self.Zone || s.Forwarded || s.Roster == nil {
-		return
-	}
 	targets := e.table.Targets(now)
 	if e.table.IsRelay(now) {
 		e.sendTo(targets.Summary, datagram)
--- a/internal/fleet/notice/table.go
+++ b/internal/fleet/notice/table.go
@@ -49,11 +49,7 @@
 	relay      Member
 	sequence   int64
 	receivedAt time.Time
-	version    int64
 	members    map[string]Member
-	// datagram is the last summary with a list, to be passed on to hosts that
-	// know no relay.
-	datagram []byte
 }
 
 // PeerTable holds what is known of the other hosts: the last notices, the
@@ -67,6 +63,8 @@
 	// addresses are addresses of hosts, with the time at which each was added or a
 	// message last came from it.
 	addresses map[string]time.Time
+	// seeds are addresses that are never forgotten.
+	seeds []string
 	// liveSince holds the live hosts.
 	liveSince map[string]time.Time
 	// suspects are relays that did not answer, with the end of the suspicion.
@@ -80,6 +78,14 @@
 	onLivenessChange func(host string, live bool)
 }
 
+// SetSeeds sets addresses that are used whenever no relay is heard.
+func (t *PeerTable) SetSeeds(now time.Time, seeds []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.seeds = slices.Clone(seeds)
+	t.addAddresses(now, seeds)
+}
+
 // NewPeerTable returns an empty table for the host self. onLivenessChange is
 // called with the table locked when a host becomes live or dead.
 func NewPeerTable(self Member, onLivenessChange func(host string, live bool)) *PeerTable {
@@ -140,8 +146,8 @@
 }
 
 // ApplySummary stores a summary and reports whether it is newer than all earlier
-// ones of its relay. datagram is its encoded form.
-func (t *PeerTable) ApplySummary(now time.Time, s Summary, datagram []byte) bool {
+// ones of its relay.
+func (t *PeerTable) ApplySummary(now time.Time, s Summary) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s.Host == t.self.Host {
@@ -156,7 +162,7 @@
 	}
 	r.relay, r.sequence, r.receivedAt = s.Member, s.Sequence, now
 	if s.Roster != nil {
-		r.version, r.members, r.datagram = s.RosterVersion, make(map[string]Member, len(s.Roster)), slices.Clone(datagram)
+		r.members = make(map[string]Member, len(s.Roster))
 		for _, m := range s.Roster {
 			if m.Host != "" && m.Host != t.self.Host && m.Address != "" {
 				r.members[m.Host] = m
@@ -351,16 +357,16 @@
 	}
 	list, cached := t.ranked[zone]
 	if !cached {
-		list = t.rankRelays(now, zone)
+		list = t.rank(now, zone)
+		list = list[:min(len(list), relaysPerZone)]
 		t.ranked[zone] = list
 	}
 	return list
 }
 
-// rankRelays ranks the hosts of a zone by weight and then by rendezvous hashing,
-// and returns the first ones. Hosts that became live only now, and suspects, come
-// last.
-func (t *PeerTable) rankRelays(now time.Time, zone string) []Member {
+// rank ranks the hosts of a zone by weight and then by rendezvous hashing. Hosts
+// that became live only now, and suspects, come last.
+func (t *PeerTable) rank(now time.Time, zone string) []Member {
 	candidates := slices.DeleteFunc(t.live(zone), func(m Member) bool { return m.Legacy })
 	if zone == t.self.Zone && !t.self.Stopping {
 		candidates = append(candidates, t.self)
@@ -380,7 +386,7 @@
 		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(b.Weight, a.Weight),
 			cmp.Compare(rendezvous.Score(b.Host, "relay"), rendezvous.Score(a.Host, "relay")), cmp.Compare(a.Host, b.Host))
 	})
-	return candidates[:min(len(candidates), relaysPerZone)]
+	return candidates
 }
 
 // SetStopping marks this host as stopping, so that it is no relay any more.
@@ -397,8 +403,12 @@
 	OnChange, Regular []string
 	// Legacy ones get notices in the JSON form at each interval.
 	Legacy []string
-	// Summary ones get summaries. Far are those of them in other zones.
+	// Summary are the hosts that this one is a relay of. Far are the relays of other
+	// zones.
 	Summary, Far []string
+	// Introduce are the hosts, by zone, that report to this one although it is not
+	// their relay. They are told the relays of their zone.
+	Introduce map[string][]string
 	// Direct is set in a fleet whose hosts all report to each other.
 	Direct bool
 }
@@ -468,24 +478,39 @@
 }
 
 // bootstrapTargets returns addresses to report to besides others until a relay of
-// the zone answers: the ones that were heard or added last.
+// the zone answers: the seeds and the addresses that were heard or added last.
 func (t *PeerTable) bootstrapTargets(besides []string) []string {
+	recent := slices.SortedFunc(maps.Keys(t.addresses), func(a, b string) int {
+		return cmp.Or(t.addresses[b].Compare(t.addresses[a]), cmp.Compare(a, b))
+	})
 	var list []string
-	for a := range t.addresses {
-		if !slices.Contains(besides, a) {
+	for _, a := range slices.Concat(t.seeds, recent) {
+		if a != t.self.Address && !slices.Contains(besides, a) && !slices.Contains(list, a) && len(list) < maxBootstrapTargets {
 			list = append(list, a)
 		}
 	}
-	slices.SortFunc(list, func(a, b string) int { return cmp.Or(t.addresses[b].Compare(t.addresses[a]), cmp.Compare(a, b)) })
-	return list[:min(len(list), maxBootstrapTargets)]
+	return list
 }
 
-// addSummaryTargets adds the hosts that report to this host and, if there are
-// any, the relays of the other zones.
+// addSummaryTargets adds the hosts that report to this host and, if it is a relay,
+// the relays of the other zones.
 func (t *PeerTable) addSummaryTargets(now time.Time, targets *Targets) {
+	targets.Introduce = make(map[string][]string)
+	isRelay := make(map[string]bool)
 	for _, p := range t.peers {
-		if !p.Legacy && now.Sub(p.ReceivedAt) <= PeerTimeout {
+		if p.Legacy || now.Sub(p.ReceivedAt) > PeerTimeout {
+			continue
+		}
+		zone := p.Zone
+		relay, known := isRelay[zone]
+		if !known {
+			relay = zone == t.self.Zone && contains(t.relays(now, zone), t.self.Host)
+			isRelay[zone] = relay
+		}
+		if relay {
 			targets.Summary = append(targets.Summary, p.Address)
+		} else {
+			targets.Introduce[zone] = append(targets.Introduce[zone], p.Address)
 		}
 	}
 	if len(targets.Summary) == 0 {
@@ -505,6 +530,10 @@
 	slices.Sort(targets.Far)
 }
 
+func contains(list []Member, host string) bool {
+	return slices.ContainsFunc(list, func(m Member) bool { return m.Host == host })
+}
+
 // Roster returns the hosts that report to this host, itself included, sorted by
 // name.
 func (t *PeerTable) Roster(now time.Time) []Member {
@@ -520,18 +549,13 @@
 	return list
 }
 
-// RosterDatagrams returns the last summaries with a list of the relays that are
-// heard, to be passed on to hosts that know no relay.
-func (t *PeerTable) RosterDatagrams(now time.Time) [][]byte {
+// Candidates returns the hosts of a zone that a host of the zone should report to:
+// the relays and the next ones by rank.
+func (t *PeerTable) Candidates(now time.Time, zone string) []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var list [][]byte
-	for _, host := range slices.Sorted(maps.Keys(t.rosters)) {
-		if r := t.rosters[host]; len(r.datagram) > 0 && now.Sub(r.receivedAt) <= rosterTimeout {
-			list = append(list, r.datagram)
-		}
-	}
-	return list
+	ranked := t.rank(now, zone)
+	return ranked[:min(len(ranked), 2*relaysPerZone)]
 }
 
 // HeardRelay reports whether a summary of a relay of this host's zone was
@@ -554,5 +578,5 @@
 	if !t.large() {
 		return false
 	}
-	return slices.ContainsFunc(t.relays(now, t.self.Zone), func(m Member) bool { return m.Host == t.self.Host })
+	return contains(t.relays(now, t.self.Zone), t.self.Host)
 }
--- a/internal/record/follow/follow.go
+++ b/internal/record/follow/follow.go
@@ -44,10 +44,11 @@
 	// that started together do not poll together.
 	pollJitter = 0.4
 	// batchDelayPerFollower times the number of followers is the pause after a
-	// poll that returned changes, at most maxBatchDelay. It lets further changes
-	// accumulate, since every change that ends a poll costs each follower a
-	// call.
+	// poll that returned changes, between minBatchDelay and maxBatchDelay. It lets
+	// further changes accumulate, since every change that ends a poll costs each
+	// follower a call.
 	batchDelayPerFollower = 16 * time.Millisecond
+	minBatchDelay         = 200 * time.Millisecond
 	maxBatchDelay         = time.Second
 	// reportDelay is the time after a reported revision in which the waiting poll
 	// may still return the change by itself.
@@ -248,7 +249,7 @@
 	f.apply(events, next, f.grace())
 	f.applyMu.Unlock()
 	if len(events) > 0 {
-		timer.Pause(f.timer, ctx.Done(), min(maxBatchDelay, batchDelayPerFollower*time.Duration(f.followerCount())))
+		timer.Pause(f.timer, ctx.Done(), min(maxBatchDelay, max(minBatchDelay, batchDelayPerFollower*time.Duration(f.followerCount()))))
 	}
 	return nil
 }
@@ -314,15 +315,18 @@
 	Away time.Duration
 }
 
-// Changes returns the latest changes.
-func (f *Follower) Changes() Changes {
+// Changes returns the latest changes, those after the revision after as far as
+// they are still known.
+func (f *Follower) Changes(after int64) Changes {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
 	now := f.timer.Now()
 	f.trimLog(now)
-	c := Changes{From: f.logFrom, To: f.revision, Grace: f.grace()}
+	c := Changes{From: max(f.logFrom, after), To: f.revision, Grace: f.grace()}
 	for _, e := range f.logged {
-		c.Events = append(c.Events, e.Event)
+		if e.ModRevision > c.From {
+			c.Events = append(c.Events, e.Event)
+		}
 	}
 	if !f.unavailableSince.IsZero() {
 		c.Away = now.Sub(f.unavailableSince)
