Relays: zones find each other, also after a cut; a fleet simulated in memory shows it

Cause, found by the new tests before the change: hosts that heard a relay but knew fewer than 16 others went on reporting to all they knew; relays told each other only of their own zone; a host that came back alone took itself for the relay of its zone; zones did not meet again after a cut.

--- a/internal/fleet/notice/sender.go
+++ b/internal/fleet/notice/sender.go
@@ -67,6 +67,17 @@
 	conn   *net.UDPConn
 	source Source
 
+	// write sends a datagram to an address.
+	write func(address string, datagram []byte)
+	// notices counts the notices sent, lastRegular is when those with a regular
+	// interval last got one. Both are only used by sendStatus.
+	notices     int
+	lastRegular time.Time
+	// near and far are the rosters as last sent, lastFar is when relays of other
+	// zones last got a summary. They are only used by sendSummary.
+	near, far sentRoster
+	lastFar   time.Time
+
 	trigger        chan struct{}
 	summaryTrigger chan struct{}
 	done           chan struct{}
@@ -84,8 +95,6 @@
 	// learn what became of this host's requests.
 	asked    map[string]time.Time
 	stopping bool
-	// near and far are the rosters as last sent.
-	near, far sentRoster
 	// forwarded holds the summaries that were last passed on, by relay.
 	forwarded map[string]forwardedRoster
 }
@@ -116,10 +125,12 @@
 // NewExchange returns an exchange of the host self on an open connection; Close
 // closes the connection.
 func NewExchange(t timer.Service, log logr.Logger, table *PeerTable, self Member, conn *net.UDPConn, source Source) *Exchange {
-	return &Exchange{
+	e := &Exchange{
 		timer: t, log: log, table: table, self: self, conn: conn, source: source, forwarded: make(map[string]forwardedRoster), asked: make(map[string]time.Time),
 		trigger: make(chan struct{}, 1), summaryTrigger: make(chan struct{}, 1), done: make(chan struct{}),
 	}
+	e.write = e.writeUDP
+	return e
 }
 
 // Start begins to send and receive messages.
@@ -214,23 +225,9 @@
 	defer e.wg.Done()
 	ticks, sub := timer.Ticks(e.timer, regularInterval)
 	defer sub.Cancel()
-	var lastRegular time.Time
-	for sent := 1; ; sent++ {
-		now := e.timer.Now()
-		targets := e.table.Targets(now)
-		n := e.notice()
-		if targets.Direct && (sent <= initialAddressNotices || sent%addressNoticeInterval == 0) {
-			n.KnownAddresses = slices.Concat(targets.OnChange, targets.Legacy)
-		}
-		to := targets.OnChange
-		if now.Sub(lastRegular) >= regularInterval-minSpacing {
-			lastRegular = now
-			to = slices.Concat(to, targets.Regular)
-			e.encodeTo(targets.Legacy, n.EncodeLegacy)
-		}
-		to = slices.Concat(to, e.askedAddresses(now, to))
-		e.encodeTo(to, n.Encode)
-		spacing := minSpacing + spacingPerHost*time.Duration(max(0, len(targets.OnChange)-hostsAtMinSpacing))
+	for {
+		addressees := e.sendStatus(e.timer.Now())
+		spacing := minSpacing + spacingPerHost*time.Duration(max(0, addressees-hostsAtMinSpacing))
 		if !timer.Pause(e.timer, e.done, spacing) {
 			return
 		}
@@ -244,11 +241,30 @@
 	}
 }
 
+// sendStatus sends this host's notice to those that are due to get it, and
+// returns how many get one after each change.
+func (e *Exchange) sendStatus(now time.Time) int {
+	targets := e.table.Targets(now)
+	n := e.notice()
+	e.notices++
+	if targets.Direct && (e.notices <= initialAddressNotices || e.notices%addressNoticeInterval == 0) {
+		n.KnownAddresses = slices.Concat(targets.OnChange, targets.Legacy)
+	}
+	to := targets.OnChange
+	if now.Sub(e.lastRegular) >= regularInterval-minSpacing {
+		e.lastRegular = now
+		to = slices.Concat(to, targets.Regular)
+		e.encodeTo(targets.Legacy, n.EncodeLegacy)
+	}
+	to = slices.Concat(to, e.askedAddresses(now, to))
+	e.encodeTo(to, n.Encode)
+	return len(targets.OnChange)
+}
+
 func (e *Exchange) sendSummaries() {
 	defer e.wg.Done()
 	ticks, sub := timer.Ticks(e.timer, regularInterval)
 	defer sub.Cancel()
-	var lastFar time.Time
 	for {
 		regular := false
 		select {
@@ -258,31 +274,40 @@
 		case <-e.done:
 			return
 		}
-		now := e.timer.Now()
-		targets := e.table.Targets(now)
-		if len(targets.Summary) > 0 {
-			e.encodeTo(targets.Summary, e.summary(now, &e.near, false).Encode)
-		}
-		if len(targets.Far) > 0 && now.Sub(lastFar) >= farInterval {
-			lastFar = now
-			e.encodeTo(targets.Far, e.summary(now, &e.far, true).Encode)
-		}
-		if regular {
-			for zone, addresses := range targets.Introduce {
-				e.encodeTo(addresses, e.introduction(now, zone).Encode)
-			}
-		}
+		e.sendSummary(e.timer.Now(), regular)
 		if !timer.Pause(e.timer, e.done, summarySpacing) {
 			return
 		}
 	}
 }
 
+// sendSummary sends summaries to the hosts that this one is a relay of and to the
+// relays of other zones and, if regular, introductions to other hosts that report
+// to it.
+func (e *Exchange) sendSummary(now time.Time, regular bool) {
+	targets := e.table.Targets(now)
+	if len(targets.Summary) > 0 {
+		e.encodeTo(targets.Summary, e.summary(now, &e.near, false).Encode)
+	}
+	if len(targets.Far) > 0 && now.Sub(e.lastFar) >= farInterval {
+		e.lastFar = now
+		e.encodeTo(targets.Far, e.summary(now, &e.far, true).Encode)
+	}
+	if regular {
+		for zone, addresses := range targets.Introduce {
+			e.encodeTo(addresses, e.introduction(now, zone).Encode)
+		}
+	}
+}
+
 // summary returns the next summary. It carries the roster unless the last two
 // summaries did and it has not changed since.
 func (e *Exchange) summary(now time.Time, last *sentRoster, far bool) Summary {
 	s := e.source.Summary(far)
 	roster := e.table.Roster(now)
+	if far {
+		roster = slices.Concat(roster, e.table.FarRelays(now, e.self.Zone))
+	}
 	s.Member, s.Sequence = e.header()
 	if !slices.Equal(roster, last.members) {
 		last.members, last.sent = roster, 0
@@ -300,7 +325,7 @@
 func (e *Exchange) introduction(now time.Time, zone string) Summary {
 	s := e.source.Summary(true)
 	s.Member, s.Sequence = e.header()
-	s.Roster = e.table.Candidates(now, zone)
+	s.Roster = slices.Concat(e.table.Candidates(now, zone), e.table.FarRelays(now, zone))
 	return s
 }
 
@@ -319,18 +344,20 @@
 
 func (e *Exchange) sendTo(addresses []string, datagram []byte) {
 	for _, address := range addresses {
-		to, err := net.ResolveUDPAddr("udp4", address)
-		if err != nil {
-			e.log.Info("address can't be used", "address", address, "cause", err.Error())
-			continue
-		}
-		// A datagram that can't be sent is treated as lost.
-		if _, err := e.conn.WriteToUDP(datagram, to); err != nil && errors.Is(err, net.ErrClosed) {
-			return
-		}
+		e.write(address, datagram)
 	}
 }
 
+// writeUDP sends a datagram. One that can't be sent is treated as lost.
+func (e *Exchange) writeUDP(address string, datagram []byte) {
+	to, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		e.log.Info("address can't be used", "address", address, "cause", err.Error())
+		return
+	}
+	_, _ = e.conn.WriteToUDP(datagram, to)
+}
+
 func (e *Exchange) receive() {
 	defer e.wg.Done()
 	buffer := make([]byte, maxDatagram)
@@ -339,28 +366,30 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err != nil {
-			continue
+		if err == nil {
+			e.handle(e.timer.Now(), from.String(), buffer[:n])
 		}
-		m, err := Decode(buffer[:n])
-		if err != nil {
-			e.log.Info("notice dropped", "cause", err.Error())
-			continue
+	}
+}
+
+// handle applies a datagram that was received from an address.
+func (e *Exchange) handle(now time.Time, from string, datagram []byte) {
+	m, err := Decode(datagram)
+	switch {
+	case err != nil:
+		e.log.Info("notice dropped", "from", from, "bytes", len(datagram), "cause", err.Error())
+	case m.Notice != nil:
+		if e.table.Apply(now, *m.Notice) {
+			e.source.HandleNotice(*m.Notice)
 		}
-		switch now := e.timer.Now(); {
-		case m.Notice != nil:
-			if e.table.Apply(now, *m.Notice) {
-				e.source.HandleNotice(*m.Notice)
-			}
-		case m.Summary != nil:
-			m.Summary.Forwarded = from.String() != m.Summary.Address
-			if e.table.ApplySummary(now, *m.Summary) {
-				e.forward(now, *m.Summary, buffer[:n])
-				e.source.HandleSummary(*m.Summary)
-			}
-		case m.Answers != nil:
-			e.source.HandleAnswers(*m.Answers)
+	case m.Summary != nil:
+		m.Summary.Forwarded = from != m.Summary.Address
+		if e.table.ApplySummary(now, *m.Summary) {
+			e.forward(now, *m.Summary, datagram)
+			e.source.HandleSummary(*m.Summary)
 		}
+	case m.Answers != nil:
+		e.source.HandleAnswers(*m.Answers)
 	}
 }
 
--- a/internal/fleet/notice/table.go
+++ b/internal/fleet/notice/table.go
@@ -49,7 +49,9 @@
 	relay      Member
 	sequence   int64
 	receivedAt time.Time
-	members    map[string]Member
+	// direct is when a summary last came from the relay itself.
+	direct  time.Time
+	members map[string]Member
 }
 
 // PeerTable holds what is known of the other hosts: the last notices, the
@@ -161,6 +163,9 @@
 		return false
 	}
 	r.relay, r.sequence, r.receivedAt = s.Member, s.Sequence, now
+	if !s.Forwarded {
+		r.direct = now
+	}
 	if s.Roster != nil {
 		r.members = make(map[string]Member, len(s.Roster))
 		for _, m := range s.Roster {
@@ -271,18 +276,9 @@
 	return members
 }
 
-// large reports whether there are too many hosts for each to report to all.
-func (t *PeerTable) large() bool {
-	if len(t.peers) >= maxDirect {
-		return true
-	}
-	for _, r := range t.rosters {
-		if len(r.members) >= maxDirect {
-			return true
-		}
-	}
-	return len(t.rosters) > 0 && len(t.known()) >= maxDirect
-}
+// large reports whether there are too many hosts for each to report to all: this
+// host hears so many, or hears a relay.
+func (t *PeerTable) large() bool { return len(t.rosters) > 0 || len(t.peers) >= maxDirect }
 
 // LargeFleet reports whether hosts report to relays.
 func (t *PeerTable) LargeFleet() bool {
@@ -371,7 +367,12 @@
 	if zone == t.self.Zone && !t.self.Stopping {
 		candidates = append(candidates, t.self)
 	}
-	rank := func(m Member) int {
+	return t.order(now, candidates)
+}
+
+// order sorts hosts as rank does.
+func (t *PeerTable) order(now time.Time, candidates []Member) []Member {
+	class := func(m Member) int {
 		since, live := t.liveSince[m.Host]
 		_, suspect := t.suspects[m.Host]
 		switch {
@@ -383,7 +384,7 @@
 		return 0
 	}
 	slices.SortFunc(candidates, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(b.Weight, a.Weight),
+		return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(b.Weight, a.Weight),
 			cmp.Compare(rendezvous.Score(b.Host, "relay"), rendezvous.Score(a.Host, "relay")), cmp.Compare(a.Host, b.Host))
 	})
 	return candidates
@@ -435,22 +436,22 @@
 		slices.Sort(targets.OnChange)
 		return targets
 	}
-	heard := t.addRelays(now, &targets)
-	if !heard {
+	if !t.addRelays(now, &targets) {
 		targets.Regular = append(targets.Regular, t.bootstrapTargets(targets.Regular)...)
 	}
 	t.addSummaryTargets(now, &targets)
 	return targets
 }
 
-// addRelays adds the relays of this host's zone, and reports whether the host is
-// one itself or hears one. A silent relay becomes suspect.
-func (t *PeerTable) addRelays(now time.Time, targets *Targets) (heard bool) {
+// addRelays adds the relays of this host's zone, and reports whether the host is in
+// touch with its zone: it hears a relay, or is one that others report to. A silent
+// relay becomes suspect.
+func (t *PeerTable) addRelays(now time.Time, targets *Targets) (inTouch bool) {
 	relays := t.relays(now, t.self.Zone)
 	since := make(map[string]time.Time, len(relays))
 	for rank, m := range relays {
 		if m.Host == t.self.Host {
-			heard = true
+			inTouch = inTouch || t.hasReports(now)
 			continue
 		}
 		since[m.Host] = now
@@ -458,14 +459,12 @@
 			since[m.Host] = began
 		}
 		lastHeard := since[m.Host]
-		if r := t.rosters[m.Host]; r != nil && r.receivedAt.After(lastHeard) {
-			lastHeard = r.receivedAt
+		if r := t.rosters[m.Host]; r != nil && now.Sub(r.receivedAt) <= relayTimeout {
+			inTouch, lastHeard = true, now
 		}
 		if now.Sub(lastHeard) > relayTimeout {
 			t.suspects[m.Host] = now.Add(suspicionPeriod)
 			t.ranked = nil
-		} else if r := t.rosters[m.Host]; r != nil && now.Sub(r.receivedAt) <= relayTimeout {
-			heard = true
 		}
 		if rank == 0 {
 			targets.OnChange = append(targets.OnChange, m.Address)
@@ -474,7 +473,17 @@
 		}
 	}
 	t.relaySince = since
-	return heard
+	return inTouch
+}
+
+// hasReports reports whether another host of the zone reports to this one.
+func (t *PeerTable) hasReports(now time.Time) bool {
+	for _, p := range t.peers {
+		if p.Zone == t.self.Zone && now.Sub(p.ReceivedAt) <= PeerTimeout {
+			return true
+		}
+	}
+	return false
 }
 
 // bootstrapTargets returns addresses to report to besides others until a relay of
@@ -513,21 +522,35 @@
 			targets.Introduce[zone] = append(targets.Introduce[zone], p.Address)
 		}
 	}
-	if len(targets.Summary) == 0 {
-		return
+	if contains(t.relays(now, t.self.Zone), t.self.Host) {
+		targets.Far = t.farRelays(now)
 	}
-	zones := make(map[string]bool)
+	slices.Sort(targets.Summary)
+}
+
+// farRelays returns the addresses of the relays of all other zones. Of a zone
+// without a live host it returns those that were its relays, so that the zones
+// find each other after a cut.
+func (t *PeerTable) farRelays(now time.Time) []string {
+	byZone := make(map[string][]Member)
 	for _, m := range t.known() {
-		zones[m.Zone] = true
+		if m.Zone != t.self.Zone {
+			byZone[m.Zone] = append(byZone[m.Zone], m)
+		}
 	}
-	delete(zones, t.self.Zone)
-	for zone := range zones {
-		for _, m := range t.relays(now, zone) {
-			targets.Far = append(targets.Far, m.Address)
+	var list []string
+	for zone, members := range byZone {
+		relays := t.relays(now, zone)
+		if len(relays) == 0 {
+			relays = t.order(now, members)
+			relays = relays[:min(len(relays), relaysPerZone)]
+		}
+		for _, m := range relays {
+			list = append(list, m.Address)
 		}
 	}
-	slices.Sort(targets.Summary)
-	slices.Sort(targets.Far)
+	slices.Sort(list)
+	return list
 }
 
 func contains(list []Member, host string) bool {
@@ -549,6 +572,22 @@
 	return list
 }
 
+// FarRelays returns the relays of zones other than the given one that are heard
+// directly. Telling others of them lets all zones find each other, and does not
+// keep a dead one alive, as telling hearsay would.
+func (t *PeerTable) FarRelays(now time.Time, besides string) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Member
+	for _, r := range t.rosters {
+		if r.relay.Zone != besides && now.Sub(r.direct) <= PeerTimeout {
+			list = append(list, r.relay)
+		}
+	}
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Host, b.Host) })
+	return list
+}
+
 // Candidates returns the hosts of a zone that a host of the zone should report to:
 // the relays and the next ones by rank.
 func (t *PeerTable) Candidates(now time.Time, zone string) []Member {
