--- a/internal/batch/ownership/owning.go
+++ b/internal/batch/ownership/owning.go
@@ -66,10 +66,12 @@
 // be one of the scanners.
 func (m *Manager) reclaimOwned() {
 	for pause := reclaimRetryDelay; m.ctx.Err() == nil; pause = min(2*pause, maxReclaimRetryDelay) {
-		records, err := m.records(m.ctx)
+		// An old list may lack the latest job; the scans of other hosts find it.
+		entries, err := m.Store.RangeStale(m.ctx, jobstate.RecordPrefix)
 		if err != nil {
 			m.Log.Info("own jobs not read", "cause", err.Error())
 		}
+		records := m.decodeRecords(entries)
 		remaining := err != nil
 		for _, r := range records {
 			if r.Open() && r.Owner == m.Host && !m.takeOver(m.ctx, r.ID, m.Host) {
--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -83,6 +83,7 @@
 type Host struct {
 	settings *setup.Entry
 	self     notice.Member
+	started  time.Time
 	timer    timer.Service
 	log      logr.Logger
 	adapter  Adapter
@@ -122,7 +123,7 @@
 func New(s *setup.Entry, log logr.Logger, t timer.Service, a Adapter) *Host {
 	ctx, cancel := context.WithCancel(context.Background())
 	a.Store = store.NewInstrumented(a.Store, t)
-	h := &Host{settings: s, timer: t, log: log, adapter: a, ctx: ctx, cancel: cancel}
+	h := &Host{settings: s, timer: t, log: log, adapter: a, ctx: ctx, cancel: cancel, started: t.Now()}
 	h.self = notice.Member{Host: s.Name, Zone: s.Zone, Address: s.PeerAddress, Start: t.Now().UnixNano(), Weight: int(s.ProcessorShare * 1000)}
 	h.members = notice.NewPeerTable(h.self, h.handleLiveness)
 	h.placer = scheduler.New(s.Name, s.Zone, rand.Float64, h.sendNoticeSoon)
--- a/internal/fleet/entry/lease.go
+++ b/internal/fleet/entry/lease.go
@@ -43,6 +43,9 @@
 // of the other hosts from theirs, until the host stops.
 func (h *Host) keepLease() {
 	defer h.wait.Done()
+	if !timer.Pause(h.timer, h.ctx.Done(), settlingPeriod) {
+		return
+	}
 	var id store.LeaseID
 	var listed []string
 	for n := 0; ; n++ {
--- a/internal/fleet/entry/reading.go
+++ b/internal/fleet/entry/reading.go
@@ -12,6 +12,11 @@
 // The second relay reads too while the first can't reach the store, and every
 // host while it hears no relay.
 
+// settlingPeriod is the time after its start in which a host that hears no relay
+// neither polls the store nor writes a liveness key. In a large fleet it hears one
+// in this time, and all hosts may start at once.
+const settlingPeriod = 1200 * time.Millisecond
+
 // readerAway is for how long the first relay may be without the store before the
 // second one reads too.
 const readerAway = time.Second
@@ -52,7 +57,9 @@
 	now := h.timer.Now()
 	relays := h.members.Relays(now, h.settings.Zone)
 	switch {
-	case len(relays) == 0 || relays[0].Host == h.settings.Name:
+	case len(relays) == 0:
+		return h.settled(now)
+	case relays[0].Host == h.settings.Name:
 		return true
 	case len(relays) > 1 && relays[1].Host == h.settings.Name:
 		return h.readers.isAway(now, relays[0].Host)
@@ -60,6 +67,9 @@
 	return !h.members.HeardRelay(now)
 }
 
+// settled reports whether this host has run for settlingPeriod.
+func (h *Host) settled(now time.Time) bool { return now.Sub(h.started) >= settlingPeriod }
+
 // readerCount returns how many hosts follow the store: all hosts of a small
 // fleet, one of each zone of a large one.
 func (h *Host) readerCount() int {
--- a/internal/fleet/notice/table.go
+++ b/internal/fleet/notice/table.go
@@ -557,14 +557,14 @@
 	return slices.ContainsFunc(list, func(m Member) bool { return m.Host == host })
 }
 
-// Roster returns the hosts that report to this host, itself included, sorted by
-// name.
+// Roster returns the hosts of this host's zone that report to it, itself included,
+// sorted by name.
 func (t *PeerTable) Roster(now time.Time) []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list := []Member{t.self}
 	for _, p := range t.peers {
-		if now.Sub(p.ReceivedAt) <= PeerTimeout {
+		if p.Zone == t.self.Zone && now.Sub(p.ReceivedAt) <= PeerTimeout {
 			list = append(list, p.Member)
 		}
 	}
