--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -109,7 +109,7 @@
 		if s.begun {
 			// Part of the answer was sent already; finishing it late is better
 			// than aborting it.
-			wait = maxSlotWait
+			wait = max(maxSlotWait, f.remaining(c))
 		}
 		choice, refusal := f.place(ctx, c, s.avoid, wait)
 		if refusal != nil {
