Jobs: one write lists as many results as its part holds

Cause: the results for a write were picked by the size of their texts, and split into parts by that and 128 bytes each; only the first part was stored while the record counted all. Of 3,000 results of 1,000 bytes 786 were picked and 697 stored; the rest was missing after a take-over.

--- a/internal/batch/jobstate/record.go
+++ b/internal/batch/jobstate/record.go
@@ -117,8 +117,22 @@
 
 // SplitResults encodes results in parts that each fit into one value of the
 // store. It counts 128 bytes of overhead per result.
-func SplitResults(results []Result) ([][]byte, error) {
-	return split(results, func(r Result) int { return len(r.Text) + 128 })
+func SplitResults(results []Result) ([][]byte, error) { return split(results, resultSize) }
+
+// resultSize estimates the size of an encoded result.
+func resultSize(r Result) int { return len(r.Text) + 128 }
+
+// FirstPart returns the results that SplitResults puts into its first part, and
+// their estimated size.
+func FirstPart(results []Result) ([]Result, int) {
+	size := 0
+	for i, r := range results {
+		if size > 0 && size+resultSize(r) > PartBytes {
+			return results[:i], size
+		}
+		size += resultSize(r)
+	}
+	return results, size
 }
 
 // split encodes items in parts of at most PartBytes by the given size estimate;
--- a/internal/batch/ownership/writing.go
+++ b/internal/batch/ownership/writing.go
@@ -96,7 +96,7 @@
 		if len(group) == maxTxnJobs || bytes > maxTxnBytes {
 			break
 		}
-		added, size := firstPart(unlisted)
+		added, size := jobstate.FirstPart(unlisted)
 		bytes += size
 		r := j.job.Record()
 		if m.stopping || now.Sub(j.unlistedSince) >= maxFlushDelay || r.Due.Sub(now) < flushBeforeDue || r.Listed+len(unlisted) == r.Total {
@@ -121,19 +121,6 @@
 	return c
 }
 
-// firstPart returns the first results with up to PartBytes of text, at least one,
-// and the size of their text.
-func firstPart(list []jobstate.Result) ([]jobstate.Result, int) {
-	size := 0
-	for i, r := range list {
-		if size > 0 && size+len(r.Text) > jobstate.PartBytes {
-			return list[:i], size
-		}
-		size += len(r.Text)
-	}
-	return list, size
-}
-
 // write commits a group of changes and reports whether the caller can continue.
 // It also returns true after conflicts that resolveConflicts has handled.
 func (m *Manager) write(ctx context.Context, group []change) bool {
