--- a/internal/fleet/notice/table.go
+++ b/internal/fleet/notice/table.go
@@ -18,6 +18,10 @@
 	// roster still count as live. In this time the hosts of the relay find that it
 	// is silent, and report to another one.
 	rosterTimeout = 3 * time.Second
+	// forwardedTimeout is the same if the summaries of the relay are passed on,
+	// which happens less often. A host that is no relay needs to know the hosts of
+	// other zones only to read jobs from them and to hand its own over.
+	forwardedTimeout = 3 * forwardInterval
 	// removeAfter is how long hosts and addresses are kept without a message.
 	removeAfter = 60 * time.Second
 	// maxDirect is the largest number of hosts, this one included, that send
@@ -29,8 +33,9 @@
 	// relayTimeout is the silence after which a relay is passed over. A relay
 	// sends several summaries in this time.
 	relayTimeout = 900 * time.Millisecond
-	// suspicionPeriod is how long a relay that did not answer is passed over.
-	suspicionPeriod = 2 * time.Second
+	// suspicionPeriod is how long a relay that did not answer is passed over. A
+	// relay that is lost counts as dead by then.
+	suspicionPeriod = rosterTimeout + 500*time.Millisecond
 	// settlingPeriod is how long a host must have been live to become a relay, if
 	// there is another one. By then all hosts of its zone know it.
 	settlingPeriod = time.Second
@@ -168,7 +173,13 @@
 	}
 	if s.Roster != nil {
 		r.members = make(map[string]Member, len(s.Roster))
+		// Of this host's own zone its relays know more than those of other zones,
+		// whose word counts only while none of them is heard.
+		hearsOwn := t.hearsOwnZone(now)
 		for _, m := range s.Roster {
+			if s.Zone != t.self.Zone && m.Zone == t.self.Zone && hearsOwn {
+				continue
+			}
 			if m.Host != "" && m.Host != t.self.Host && m.Address != "" {
 				r.members[m.Host] = m
 				t.setLive(now, m.Host)
@@ -195,12 +206,16 @@
 	defer t.mu.Unlock()
 	listed := make(map[string]bool, len(t.liveSince))
 	for host, r := range t.rosters {
+		timeout := rosterTimeout
+		if !r.receivedAt.Equal(r.direct) {
+			timeout = forwardedTimeout
+		}
 		switch age := now.Sub(r.receivedAt); {
-		case age <= rosterTimeout:
+		case age <= timeout:
 			for member := range r.members {
 				listed[member] = true
 			}
-			listed[host] = listed[host] || age <= PeerTimeout
+			listed[host] = listed[host] || age <= PeerTimeout || timeout == forwardedTimeout
 		case age > removeAfter:
 			delete(t.rosters, host)
 		}
@@ -602,6 +617,14 @@
 func (t *PeerTable) HeardRelay(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.hearsRelay(now)
+}
+
+// hearsOwnZone reports whether this host hears a relay of its zone or is one that
+// others report to.
+func (t *PeerTable) hearsOwnZone(now time.Time) bool { return t.hearsRelay(now) || t.hasReports(now) }
+
+func (t *PeerTable) hearsRelay(now time.Time) bool {
 	for _, r := range t.rosters {
 		if r.relay.Zone == t.self.Zone && now.Sub(r.receivedAt) <= relayTimeout {
 			return true
