--- a/internal/fleet/notice/sender.go
+++ b/internal/fleet/notice/sender.go
@@ -321,6 +321,10 @@
 	return s
 }
 
+// introductionVersion is the roster version of introductions, which are meant for
+// one host only.
+const introductionVersion = 0
+
 // introduction returns a summary for hosts of a zone that do not know its relays.
 func (e *Exchange) introduction(now time.Time, zone string) Summary {
 	s := e.source.Summary(true)
@@ -397,7 +401,7 @@
 // that report to it, another host, which the relay of the other zone took for one,
 // to its own relays.
 func (e *Exchange) forward(now time.Time, s Summary, datagram []byte) {
-	if s.Zone == e.self.Zone || s.Forwarded || s.Roster == nil {
+	if s.Zone == e.self.Zone || s.Forwarded || s.Roster == nil || s.RosterVersion == introductionVersion {
 		return
 	}
 	e.mu.Lock()
