--- a/internal/serving/scheduler/coordinate_test.go
+++ b/internal/serving/scheduler/coordinate_test.go
@@ -155,29 +155,7 @@
 
 func (w *zoneLoad) arriveAt(i int) {
 	w.arrived++
-	var c scheduler.Choice
-	switch {
-	case w.coordinator == nil:
-		c = w.hosts[i].PlaceOnline(w.clock(), w.servers, nil, w.maxWait)
-	default:
-		w.lastAsk++
-		a := scheduler.Ask{ID: w.lastAsk, Service: "s", MaxWait: w.maxWait, Final: true}
-		if i > 0 {
-			w.report(i, a)
-		}
-		c = w.coordinator.GrantOnline(w.clock(), hostName(i), a, w.servers)
-		if c.Placed && i > 0 {
-			c = w.hosts[i].TakeOnline(w.clock(), c.Server, c.Wait)
-			w.report(i)
-		}
-		for _, k := range w.coordinator.PreemptBatch(w.clock(), w.servers) {
-			var host int
-			if _, err := fmt.Sscanf(k.Host, "h%d", &host); err == nil {
-				w.hosts[host].KeepBatch(k.Server, k.Items)
-				w.preemptAt(host)
-			}
-		}
-	}
+	c := w.place(i)
 	if !c.Placed {
 		w.refused++
 		return
@@ -186,6 +164,31 @@
 	e.queue = append(e.queue, &simRequest{host: i, choice: c, arrived: w.now, server: c.Server, remaining: w.randomSlotTime()})
 }
 
+// place places an online request of a host, and has batch items preempted for it.
+func (w *zoneLoad) place(i int) scheduler.Choice {
+	if w.coordinator == nil {
+		return w.hosts[i].PlaceOnline(w.clock(), w.servers, nil, w.maxWait)
+	}
+	w.lastAsk++
+	a := scheduler.Ask{ID: w.lastAsk, Service: "s", MaxWait: w.maxWait, Final: true}
+	if i > 0 {
+		w.report(i, a)
+	}
+	c := w.coordinator.GrantOnline(w.clock(), hostName(i), a, w.servers)
+	if c.Placed && i > 0 {
+		c = w.hosts[i].TakeOnline(w.clock(), c.Server, c.Wait)
+		w.report(i)
+	}
+	for _, k := range w.coordinator.PreemptBatch(w.clock(), w.servers) {
+		var host int
+		_, err := fmt.Sscanf(k.Host, "h%d", &host)
+		Expect(err).NotTo(HaveOccurred())
+		w.hosts[host].KeepBatch(k.Server, k.Items)
+		w.preemptAt(host)
+	}
+	return c
+}
+
 func (w *zoneLoad) preemptAt(i int) {
 	for server, n := range w.hosts[i].BatchToPreempt(w.clock(), w.servers) {
 		for _, j := range append([]*simRequest(nil), w.items[i]...) {
