--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -64,7 +64,7 @@
 const (
 	// expiryInterval is how often the directory is checked for servers that went
 	// missing in an outage of the store and whose grace period is over; these are
-	// removed. The size of the fleet is checked at the same interval.
+	// removed. Who coordinates the slots is checked at the same interval.
 	expiryInterval = 200 * time.Millisecond
 	// headerTimeout limits the time to read a request's header, idleTimeout the
 	// time that a keep-alive connection may stay unused. Both are longer than
@@ -226,7 +226,6 @@
 
 func (h *Host) tick(now time.Time) {
 	h.directory.Expire(now)
-	h.placer.SetLargeFleet(h.members.LargeFleet())
 	h.slots.Tick()
 }
 
--- a/internal/serving/scheduler/batch.go
+++ b/internal/serving/scheduler/batch.go
@@ -29,7 +29,7 @@
 func (p *Placer) PlaceBatch(now time.Time, service string, servers []backend.Server, limit int) []backend.Server {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.coordinated || len(p.reserved[service]) > 0 {
+	if p.role == Coordinated || len(p.reserved[service]) > 0 {
 		return p.placeReserved(service, limit)
 	}
 	slots := p.freeSlots(now, p.batchServers(servers))
@@ -42,10 +42,10 @@
 	return placed
 }
 
-// batchServers returns the servers that this host's batch items may run on: in
-// a large fleet those of its own zone, if there are any.
+// batchServers returns the servers that this host's batch items may run on: those
+// of its zone if it is the coordinator and there are any, else all.
 func (p *Placer) batchServers(servers []backend.Server) []backend.Server {
-	if !p.largeFleet {
+	if p.role == Independent {
 		return servers
 	}
 	var local []backend.Server
@@ -105,7 +105,7 @@
 	for host, r := range p.others.reports {
 		backlog := r.backlog(service)
 		items := backlog.Items - len(r.batch)
-		if items <= 0 || (p.largeFleet && r.Zone != p.zone) {
+		if items <= 0 || (p.role == Coordinator && r.Zone != p.zone) {
 			continue
 		}
 		otherSlack := time.Duration(backlog.Slack)*time.Millisecond - now.Sub(r.at)
@@ -130,7 +130,7 @@
 func (p *Placer) BatchToPreempt(now time.Time, servers []backend.Server) map[string]int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.coordinated {
+	if p.role == Coordinated {
 		return p.keepSurplus()
 	}
 	surplus := make(map[string]int)
--- a/internal/serving/scheduler/coordinate.go
+++ b/internal/serving/scheduler/coordinate.go
@@ -138,12 +138,27 @@
 	p.others.set(now, Status{Host: zoneTotals, Zone: p.zone, Loads: others})
 }
 
-// SetCoordinated sets whether another host coordinates the slots. Batch items
-// are then placed and preempted as that host says.
-func (p *Placer) SetCoordinated(coordinated bool) {
+// Role says whose view decides about the slots.
+type Role uint8
+
+// The roles of a host.
+const (
+	// Independent is the role of a host that has the reports of all others and
+	// places its requests on the servers of all zones.
+	Independent Role = iota
+	// Coordinator is the role of the host that has the reports of its zone. It
+	// places batch items on the servers of its zone only.
+	Coordinator
+	// Coordinated is the role of a host whose batch items are placed and preempted
+	// as the coordinator of its zone says.
+	Coordinated
+)
+
+// SetRole sets the role of this host.
+func (p *Placer) SetRole(r Role) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.coordinated = coordinated; !coordinated {
+	if p.role = r; r != Coordinated {
 		clear(p.keep)
 	}
 }
@@ -187,6 +202,14 @@
 	return c
 }
 
+// SpareZone returns the zone with the most room for a service, empty if none has
+// any.
+func (p *Placer) SpareZone(now time.Time, service string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.spareZone(now, service)
+}
+
 // spareZone returns the zone with the most room for online requests of a
 // service, empty if none has any. The request is counted there until the zone's
 // next report.
--- a/internal/serving/scheduler/coordinate_test.go
+++ b/internal/serving/scheduler/coordinate_test.go
@@ -92,7 +92,7 @@
 	It("uses granted batch slots, returns the others, and keeps as many items as it is told", func() {
 		p := scheduler.New("A", "a", func() float64 { return 0.5 }, func() {})
 		x := backend.Server{ID: "x", Service: "s", Zone: "a", Slots: 8}
-		p.SetCoordinated(true)
+		p.SetRole(scheduler.Coordinated)
 		Expect(p.PlaceBatch(epoch, "s", []backend.Server{x}, 3)).To(BeEmpty(), "nothing is granted")
 		for range 4 {
 			p.TakeBatch(x)
@@ -125,7 +125,9 @@
 	w := &zoneLoad{simulation: &simulation{rng: rand.New(rand.NewPCG(3, 4)), maxWait: objective - 80*time.Millisecond}, seen: make([]uint64, hosts)}
 	for i := range hosts {
 		w.hosts = append(w.hosts, scheduler.New(hostName(i), "a", w.rng.Float64, func() {}))
-		w.hosts[i].SetCoordinated(coordinated && i > 0)
+		if coordinated && i > 0 {
+			w.hosts[i].SetRole(scheduler.Coordinated)
+		}
 	}
 	for i := range engines {
 		s := backend.Server{ID: fmt.Sprintf("e%02d", i), Service: "s", Zone: "a", Slots: 8}
--- a/internal/serving/scheduler/online.go
+++ b/internal/serving/scheduler/online.go
@@ -21,8 +21,7 @@
 	// herdJitter bounds the random cost that spreads hosts over servers whose
 	// slots are all taken by online requests. All hosts expect the same server to
 	// be free first, and would all choose it before they receive each other's
-	// counts. In a large fleet it also applies to servers of other zones, whose
-	// counts arrive late.
+	// counts.
 	herdJitter = 120 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the random time after which a refused
 	// request should be retried. It is random so that requests refused at the
@@ -129,7 +128,7 @@
 // zone.
 func (p *Placer) placementPenalty(s backend.Server, l Load, wait time.Duration) time.Duration {
 	cost := time.Duration(p.random() * float64(tieBreakJitter))
-	if wait > preemptionDelay || (p.largeFleet && s.Zone != p.zone) {
+	if wait > preemptionDelay {
 		cost = time.Duration(p.random() * float64(herdJitter))
 	}
 	cost += occupancyPenalty * time.Duration(min(l.total(), s.Slots)) / time.Duration(s.Slots)
--- a/internal/serving/scheduler/view.go
+++ b/internal/serving/scheduler/view.go
@@ -95,14 +95,12 @@
 	// meanSlotTimes holds the mean slot time of online requests by service.
 	meanSlotTimes map[string]time.Duration
 	random        func() float64
-	// largeFleet reports whether the counts of other zones arrive late.
-	largeFleet bool
-	// coordinated reports whether another host coordinates the slots. Then
-	// reserved holds the slots that it granted for batch items, by service, and
-	// keep how many batch items may stay at a server.
-	coordinated bool
-	reserved    map[string][]backend.Server
-	keep        map[string]int
+	role          Role
+	// If another host coordinates the slots, reserved holds the slots that it
+	// granted for batch items, by service, and keep how many batch items may stay
+	// at a server.
+	reserved map[string][]backend.Server
+	keep     map[string]int
 	// zones holds the loads of other zones by service.
 	zones map[string]map[string]*zoneReport
 	// lastGrant is the number of the last batch grant.
@@ -148,17 +146,6 @@
 	return maps.Clone(p.meanSlotTimes)
 }
 
-// SetLargeFleet sets whether the fleet is so large that hosts of other zones
-// report their counts only occasionally. Then a larger jitter adds to the cost
-// of servers in other zones, so that online requests go there mainly when the
-// own zone has no free slot. Batch items stay in the host's own zone, whose
-// counts arrive in time.
-func (p *Placer) SetLargeFleet(largeFleet bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.largeFleet = largeFleet
-}
-
 // LocalState returns the counts and the backlogs of this host as of now.
 func (p *Placer) LocalState(now time.Time) (map[string]Load, map[string]Backlog) {
 	p.mu.Lock()
--- a/internal/serving/slots/slots.go
+++ b/internal/serving/slots/slots.go
@@ -429,10 +429,9 @@
 		case <-s.done:
 			return
 		}
-		c, coordinated := s.network.Coordinator(s.self.Zone)
-		here := coordinated && c.Host == s.self.Host
-		s.placer.SetCoordinated(coordinated && !here)
-		if here {
+		role := s.role()
+		s.placer.SetRole(role)
+		if role == scheduler.Coordinator {
 			s.pass()
 		}
 		if !timer.Pause(s.timer, s.done, passSpacing) {
@@ -441,6 +440,17 @@
 	}
 }
 
+func (s *Slots) role() scheduler.Role {
+	c, coordinated := s.network.Coordinator(s.self.Zone)
+	switch {
+	case !coordinated:
+		return scheduler.Independent
+	case c.Host == s.self.Host:
+		return scheduler.Coordinator
+	}
+	return scheduler.Coordinated
+}
+
 // Tick updates who coordinates. The host calls it regularly.
 func (s *Slots) Tick() { signal(s.trigger) }
 
@@ -450,6 +460,9 @@
 	now := s.timer.Now()
 	for _, service := range s.directory.Services() {
 		servers := s.directory.UsableIn(service, s.self.Zone)
+		if len(servers) == 0 {
+			servers = s.directory.UsableIn(service, s.placer.SpareZone(now, service))
+		}
 		s.preempt(now, servers)
 		for host, grants := range s.placer.GrantBatch(now, service, servers) {
 			grantedTotal.Inc()
--- a/internal/serving/slots/slots_test.go
+++ b/internal/serving/slots/slots_test.go
@@ -47,7 +47,7 @@
 	for _, name := range names {
 		h := &zoneHost{zone: z, self: notice.Member{Host: name, Zone: "a", Address: name, Start: 1}}
 		h.placer = scheduler.New(name, "a", func() float64 { return 0.5 }, func() {})
-		h.placer.SetCoordinated(name != "A")
+		h.placer.SetRole(scheduler.Coordinated)
 		h.directory = backend.NewDirectory(func(backend.Server, string) {})
 		for _, id := range []string{"x", "y"} {
 			h.directory.Put(backend.Server{ID: id, Service: "s", Zone: "a", Slots: 1})
@@ -55,6 +55,7 @@
 		h.Slots = slots.New(z.clock, logr.Discard(), h.self, h.placer, h.directory, h, func() {})
 		z.hosts[name] = h
 	}
+	z.hosts["A"].placer.SetRole(scheduler.Coordinator)
 	return z
 }
 
