--- a/internal/fleet/entry/lease.go
+++ b/internal/fleet/entry/lease.go
@@ -34,6 +34,9 @@
 	// renewalsPerLease is how many renewals are sent per TTL; all but one may be
 	// lost.
 	renewalsPerLease = 3
+	// leaseCheckInterval is how often a host without a lease checks whether it
+	// needs one.
+	leaseCheckInterval = 800 * time.Millisecond
 	// renewalsPerDiscovery is how many renewals are sent per read of the other
 	// hosts' liveness keys.
 	renewalsPerDiscovery = 4
@@ -49,7 +52,9 @@
 	var id store.LeaseID
 	var listed []string
 	for n := 0; ; n++ {
+		pause := leaseCheckInterval
 		if h.needsLease() {
+			pause = h.leaseTTL() / renewalsPerLease
 			renewed := h.renewLease(id)
 			if renewed != id {
 				listed = nil
@@ -65,7 +70,7 @@
 			// The lease expires by itself.
 			id = 0
 		}
-		if !timer.Pause(h.timer, h.ctx.Done(), h.leaseTTL()/renewalsPerLease) {
+		if !timer.Pause(h.timer, h.ctx.Done(), pause) {
 			return
 		}
 	}
--- a/internal/fleet/notice/table.go
+++ b/internal/fleet/notice/table.go
@@ -79,6 +79,7 @@
 	// ranked caches the relays of each zone as of rankedAt, since all hosts have
 	// to be compared to find them.
 	ranked   map[string][]Member
+	far      []string
 	rankedAt time.Time
 	// relaySince is when this host began to report to each of its relays.
 	relaySince       map[string]time.Time
@@ -145,6 +146,9 @@
 			delete(t.addresses, old.Address)
 		}
 	}
+	if old := t.peers[n.Host]; old == nil || old.Stopping != n.Stopping {
+		t.ranked = nil
+	}
 	t.peers[n.Host] = &Peer{Notice: n, ReceivedAt: now}
 	t.addresses[n.Address] = now
 	t.addAddresses(now, n.KnownAddresses)
@@ -186,7 +190,10 @@
 			}
 		}
 	}
-	delete(t.suspects, s.Host)
+	if _, suspect := t.suspects[s.Host]; suspect {
+		delete(t.suspects, s.Host)
+		t.ranked = nil
+	}
 	t.addresses[s.Address] = now
 	t.setLive(now, s.Host)
 	return true
@@ -195,6 +202,7 @@
 func (t *PeerTable) setLive(now time.Time, host string) {
 	if _, live := t.liveSince[host]; !live {
 		t.liveSince[host] = now
+		t.ranked = nil
 		t.onLivenessChange(host, true)
 	}
 }
@@ -231,11 +239,16 @@
 	for host := range t.liveSince {
 		if !listed[host] {
 			delete(t.liveSince, host)
+			t.ranked = nil
 			t.onLivenessChange(host, false)
 		}
 	}
 	maps.DeleteFunc(t.addresses, func(_ string, lastSeen time.Time) bool { return now.Sub(lastSeen) > removeAfter })
+	suspects := len(t.suspects)
 	maps.DeleteFunc(t.suspects, func(_ string, until time.Time) bool { return !now.Before(until) })
+	if len(t.suspects) < suspects {
+		t.ranked = nil
+	}
 }
 
 // Suspect passes a relay over for a while, since it did not answer.
@@ -359,12 +372,13 @@
 	return names
 }
 
-// rankingAge is how long the relays of a zone are cached.
-const rankingAge = 100 * time.Millisecond
+// rankingAge is how long the relays of a zone are cached while no host becomes
+// live, dead or suspect.
+const rankingAge = time.Second
 
 func (t *PeerTable) relays(now time.Time, zone string) []Member {
 	if t.ranked == nil || now.Sub(t.rankedAt) >= rankingAge {
-		t.ranked, t.rankedAt = make(map[string][]Member), now
+		t.ranked, t.far, t.rankedAt = make(map[string][]Member), nil, now
 	}
 	list, cached := t.ranked[zone]
 	if !cached {
@@ -538,7 +552,10 @@
 		}
 	}
 	if contains(t.relays(now, t.self.Zone), t.self.Host) {
-		targets.Far = t.farRelays(now)
+		if t.far == nil {
+			t.far = t.farRelays(now)
+		}
+		targets.Far = t.far
 	}
 	slices.Sort(targets.Summary)
 }
--- a/internal/record/follow/follow.go
+++ b/internal/record/follow/follow.go
@@ -65,7 +65,7 @@
 	recoveryTime = 2 * time.Second
 	// activityInterval is how often an inactive follower checks whether it has
 	// become active.
-	activityInterval = 250 * time.Millisecond
+	activityInterval = 500 * time.Millisecond
 	// logPeriod is how long a change is kept to be passed on, and maxLogged how
 	// many changes are kept at most.
 	logPeriod = 2 * time.Second
