Readers: changes are passed on from the last change, not from the revision of the store

Cause: the revision of the store grows with every write of a job; changes were said to begin at the one of two summaries ago, which hosts that had heard of an older revision took for a gap, and they fetched the whole list of servers, again at each summary. The spec fails before.

--- a/internal/record/follow/follow.go
+++ b/internal/record/follow/follow.go
@@ -316,15 +316,19 @@
 }
 
 // Changes returns the latest changes, those after the revision after as far as
-// they are still known.
+// they are still known. From is that of the last change before them, and no later
+// one: who has read up to there has missed nothing, however far the store's
+// revision has grown by changes of other keys.
 func (f *Follower) Changes(after int64) Changes {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
 	now := f.timer.Now()
 	f.trimLog(now)
-	c := Changes{From: max(f.logFrom, after), To: f.revision, Grace: f.grace()}
+	c := Changes{From: f.logFrom, To: f.revision, Grace: f.grace()}
 	for _, e := range f.logged {
-		if e.ModRevision > c.From {
+		if e.ModRevision <= after {
+			c.From = e.ModRevision
+		} else {
 			c.Events = append(c.Events, e.Event)
 		}
 	}
--- a/internal/record/follow/passive_test.go
+++ b/internal/record/follow/passive_test.go
@@ -60,6 +60,12 @@
 		Expect(f.Changes(10)).To(Equal(follow.Changes{From: 11, To: 12}))
 	})
 
+	It("needs no list because of changes of other keys", func() {
+		Expect(f.Apply(follow.Changes{From: 10, To: 12, Events: []store.Event{put(11, "b")}})).To(BeTrue())
+		Expect(f.Apply(follow.Changes{From: 11, To: 50})).To(BeTrue())
+		Expect(f.Changes(40)).To(Equal(follow.Changes{From: 11, To: 50}), "another follower that has read up to 12 misses nothing")
+	})
+
 	It("does not poll, and polls from where it is once it becomes active", func() {
 		kv := platform.NewKV(clock)
 		polls := make(chan struct{}, 100)
