--- a/internal/fleet/notice/relay_test.go
+++ b/internal/fleet/notice/relay_test.go
@@ -238,6 +238,25 @@
 	f.expectAgreement("after the first relay came back", "a", "b", "c")
 }
 
+// TestRelayRestarts stops a relay gracefully and starts it again under its name:
+// all hosts of the zone must use it again, as it takes itself for the first relay.
+func TestRelayRestarts(t *testing.T) {
+	f := newSimFleet(t, 3, 12)
+	f.run(4 * time.Second)
+	old := f.relay("b", 0)
+	old.exchange.SetStopping()
+	f.run(2 * time.Second)
+	f.expectAgreement("while the first relay stops", "b")
+	old.down = true
+	f.run(time.Second)
+	f.add(old.Host, "b", old.Weight)
+	f.run(4 * time.Second)
+	f.expectAgreement("after the first relay started again", "a", "b", "c")
+	if now := f.relay("b", 0); now.Host != old.Host {
+		t.Errorf("the first relay is %s and not the restarted %s", now.Host, old.Host)
+	}
+}
+
 // TestZoneIsCutOff cuts a zone off: both sides count the other's hosts as dead in
 // time, go on among themselves and find each other again.
 func TestZoneIsCutOff(t *testing.T) {
--- a/internal/fleet/notice/table.go
+++ b/internal/fleet/notice/table.go
@@ -259,21 +259,27 @@
 	t.ranked = nil
 }
 
-// member returns the last known description of a host.
+// member returns the last known description of a host: that of its latest start,
+// and from the host itself rather than from others.
 func (t *PeerTable) member(host string) (Member, bool) {
-	if p := t.peers[host]; p != nil {
-		return p.Member, true
-	}
-	if r := t.rosters[host]; r != nil {
-		return r.relay, true
-	}
 	var found Member
 	ok := false
-	for _, r := range t.rosters {
-		if m, listed := r.members[host]; listed && (!ok || m.Start > found.Start) {
+	consider := func(m Member) {
+		if !ok || m.Start >= found.Start {
 			found, ok = m, true
 		}
 	}
+	for _, r := range t.rosters {
+		if m, listed := r.members[host]; listed {
+			consider(m)
+		}
+	}
+	if r := t.rosters[host]; r != nil {
+		consider(r.relay)
+	}
+	if p := t.peers[host]; p != nil {
+		consider(p.Member)
+	}
 	return found, ok
 }
 
@@ -288,18 +294,23 @@
 // removeAfter, without those of which only the address is known.
 func (t *PeerTable) known() map[string]Member {
 	members := make(map[string]Member, len(t.peers))
+	// What a host says of itself goes before what others say, but a relay that was
+	// restarted may have told only others so far.
+	consider := func(m Member) {
+		if old, ok := members[m.Host]; !ok || m.Start >= old.Start {
+			members[m.Host] = m
+		}
+	}
 	for _, r := range t.rosters {
-		for host, m := range r.members {
-			if old, ok := members[host]; !ok || m.Start > old.Start {
-				members[host] = m
-			}
+		for _, m := range r.members {
+			consider(m)
 		}
 	}
-	for host, r := range t.rosters {
-		members[host] = r.relay
+	for _, r := range t.rosters {
+		consider(r.relay)
 	}
-	for host, p := range t.peers {
-		members[host] = p.Member
+	for _, p := range t.peers {
+		consider(p.Member)
 	}
 	return members
 }
