Slots: a host grants batch slots to those that take it for the coordinator

Each status now names the host whose grants it waits for, which grants them whatever its own view, and no other does. The spec fails without it.

--- a/internal/fleet/notice/codec.go
+++ b/internal/fleet/notice/codec.go
@@ -40,6 +40,7 @@
 	status := &wire.Status{
 		ConfigVersion: n.ConfigVersion, ServersRevision: n.ServersRevision, AcquiredJobs: n.AcquiredJobs, EndedJobs: n.EndedJobs,
 		KnownAddresses: n.KnownAddresses, BatchSeen: n.BatchSeen, BatchSeenStart: n.BatchSeenStart, Loads: encodeLoads(n.Loads),
+		Coordinator: n.Coordinator,
 	}
 	for service, b := range n.Backlogs {
 		status.Backlogs = append(status.Backlogs, &wire.Backlog{Service: service, Items: uint32(b.Items), SlackMs: b.Slack})
@@ -64,6 +65,7 @@
 		Member: decodeMember(d.GetSender()), Sequence: d.GetSequence(), ConfigVersion: status.GetConfigVersion(), ServersRevision: status.GetServersRevision(),
 		AcquiredJobs: status.GetAcquiredJobs(), EndedJobs: status.GetEndedJobs(), KnownAddresses: status.GetKnownAddresses(),
 		BatchSeen: status.GetBatchSeen(), BatchSeenStart: status.GetBatchSeenStart(), Loads: decodeLoads(status.GetLoads()),
+		Coordinator: status.GetCoordinator(),
 	}
 	if list := status.GetBacklogs(); len(list) > 0 {
 		n.Backlogs = make(map[string]scheduler.Backlog, len(list))
--- a/internal/fleet/notice/notice.go
+++ b/internal/fleet/notice/notice.go
@@ -75,6 +75,8 @@
 	BatchSeenStart int64  `json:"-"`
 	// FailureRates are those of servers that have failed lately.
 	FailureRates map[string]float64 `json:"-"`
+	// Coordinator is the host whose grants of batch slots the host waits for.
+	Coordinator string `json:"-"`
 	// SlotTimes are the mean times of online requests in a slot, by service.
 	SlotTimes map[string]time.Duration `json:"-"`
 }
--- a/internal/serving/scheduler/coordinate.go
+++ b/internal/serving/scheduler/coordinate.go
@@ -276,11 +276,14 @@
 }
 
 // waitingHosts returns the hosts with waiting items of a service, the one with
-// the most urgent item first.
+// the most urgent item first, without those that wait for another coordinator.
 func (p *Placer) waitingHosts(now time.Time, service string) []waitingHost {
 	var queue []waitingHost
 	for host, r := range p.others.reports {
 		b := r.backlog(service)
+		if r.Coordinator != "" && r.Coordinator != p.host {
+			continue
+		}
 		if n := b.Items - len(r.batch); n > 0 {
 			queue = append(queue, waitingHost{host, n, time.Duration(b.Slack)*time.Millisecond - now.Sub(r.at)})
 		}
--- a/internal/serving/scheduler/occupancy.go
+++ b/internal/serving/scheduler/occupancy.go
@@ -25,6 +25,9 @@
 	// SlotTimes holds the mean slot times of the host's online requests, by
 	// service.
 	SlotTimes map[string]time.Duration
+	// Coordinator is the host whose batch grants the host waits for, empty if it
+	// waits for none.
+	Coordinator string
 }
 
 // report is the last status of another host.
--- a/internal/serving/slots/slots.go
+++ b/internal/serving/slots/slots.go
@@ -118,6 +118,8 @@
 	// start is batchSeenStart.
 	batchSeen      uint64
 	batchSeenStart int64
+	// namedAt is when another host last named this one as its coordinator.
+	namedAt time.Time
 	// misses holds the asks in a row that a coordinator left unanswered, and
 	// roundTrips the average time to an answer.
 	misses     map[string]int
@@ -285,7 +287,8 @@
 	for _, a := range s.asks {
 		n.Asks = append(n.Asks, a.Ask)
 	}
-	if _, coordinated := s.network.Coordinator(s.self.Zone); coordinated {
+	if c, coordinated := s.network.Coordinator(s.self.Zone); coordinated {
+		n.Coordinator = c.Host
 		n.FailureRates, n.SlotTimes = s.placer.FailureRates(now), s.placer.SlotTimes()
 	}
 }
@@ -293,11 +296,16 @@
 // HandleNotice stores the status of another host and answers its asks.
 func (s *Slots) HandleNotice(n notice.Notice) {
 	now := s.timer.Now()
-	status := scheduler.Status{Host: n.Host, Zone: n.Zone, Loads: n.Loads, Backlogs: n.Backlogs, Asks: n.Asks, FailureRates: n.FailureRates, SlotTimes: n.SlotTimes}
+	status := scheduler.Status{Host: n.Host, Zone: n.Zone, Loads: n.Loads, Backlogs: n.Backlogs, Asks: n.Asks, FailureRates: n.FailureRates, SlotTimes: n.SlotTimes, Coordinator: n.Coordinator}
 	if n.BatchSeenStart == s.self.Start {
 		status.BatchSeen = n.BatchSeen
 	}
 	s.placer.Report(now, status)
+	if n.Coordinator == s.self.Host {
+		s.mu.Lock()
+		s.namedAt = now
+		s.mu.Unlock()
+	}
 	var answers notice.Answers
 	var taken []backend.Server
 	for _, a := range n.Asks {
@@ -431,7 +439,7 @@
 		}
 		role := s.role()
 		s.placer.SetRole(role)
-		if role == scheduler.Coordinator {
+		if role == scheduler.Coordinator || role == scheduler.Coordinated && s.isNamed() {
 			s.pass()
 		}
 		if !timer.Pause(s.timer, s.done, passSpacing) {
@@ -440,6 +448,17 @@
 	}
 }
 
+// namedPeriod is how long a host grants slots to those that named it as their
+// coordinator although it knows another one. Hosts report several times in it.
+const namedPeriod = time.Second
+
+// isNamed reports whether other hosts take this one for their coordinator.
+func (s *Slots) isNamed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.namedAt.IsZero() && s.timer.Now().Sub(s.namedAt) <= namedPeriod
+}
+
 func (s *Slots) role() scheduler.Role {
 	c, coordinated := s.network.Coordinator(s.self.Zone)
 	switch {
--- a/internal/serving/slots/slots_test.go
+++ b/internal/serving/slots/slots_test.go
@@ -38,6 +38,9 @@
 	placer    *scheduler.Placer
 	directory *backend.Directory
 
+	// coordinator is the host that this one takes for the coordinator instead of A.
+	coordinator string
+
 	mu        sync.Mutex
 	suspected []string
 }
@@ -60,6 +63,9 @@
 }
 
 func (h *zoneHost) Coordinator(zone string) (notice.Member, bool) {
+	if h.coordinator != "" {
+		return h.zone.hosts[h.coordinator].self, zone == "a"
+	}
 	return h.zone.hosts["A"].self, zone == "a"
 }
 func (h *zoneHost) Member(host string) (notice.Member, bool) {
@@ -136,6 +142,21 @@
 		Expect(loads).NotTo(HaveKey("x"))
 	})
 
+	It("grants batch slots to hosts that take this one for the coordinator, though it knows another", func() {
+		z := newZone("A", "B", "C")
+		b, c := z.hosts["B"], z.hosts["C"]
+		c.coordinator = "B"
+		b.Start()
+		defer b.Close()
+		c.placer.SetBacklog(epoch, "s", 1, time.Second)
+		c.SendNotice("B")
+		Eventually(func() int {
+			z.clock.Advance(5 * time.Millisecond)
+			loads, _ := c.placer.LocalState(z.clock.Now())
+			return loads["x"].Batch + loads["y"].Batch
+		}, 20*time.Second, time.Millisecond).Should(Equal(1))
+	})
+
 	It("preempts the batch item of another host for a request, and grants the slot again later", func() {
 		z := newZone("A", "B", "C")
 		b := z.hosts["B"]
