--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -160,9 +160,8 @@
 	earlyScans  int
 
 	// trigger requests a scheduling pass and scanTrigger a scan, without waiting
-	// for the next tick.
-	// wakeFlush ends the pause of the check for unlisted results, which are
-	// looked for only while this host owns an incomplete job.
+	// for the next tick. wakeFlush starts the checks for unlisted results, which
+	// are made only while this host owns an incomplete job.
 	trigger     chan struct{}
 	scanTrigger chan struct{}
 	wakeFlush   chan struct{}
--- a/internal/serving/scheduler/view.go
+++ b/internal/serving/scheduler/view.go
@@ -3,12 +3,15 @@
 //
 // A server processes as many requests at once as it has slots and queues a few
 // more in order of arrival, without priorities. Each host counts its own
-// requests at each server and sends the counts to the other hosts, which receive
-// them some tens of milliseconds later. Every host therefore has nearly the same
-// view of the occupancy and schedules on its own: there is no central scheduler,
-// and a host that is cut off continues with its own view. Two hosts may take the
-// last slot at the same time. One of the two requests then waits in the server's
-// queue until another request ends, which takes a fraction of a slot time.
+// requests at each server and reports the counts.
+//
+// In a small fleet every host has the reports of all others some tens of
+// milliseconds later, so all have nearly the same view of the occupancy and each
+// schedules on its own. In a larger one the hosts of a zone report to one of them,
+// the coordinator, which decides for all on its view; see Role. In both, a host
+// that is cut off continues with its own view. Two hosts may take the last slot at
+// the same time. One of the two requests then waits in the server's queue until
+// another request ends, which takes a fraction of a slot time.
 //
 // Online requests have priority over batch items. A batch item is started only
 // on a free slot, and is preempted when its server has more requests than slots;
