--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -144,6 +144,17 @@
 	return b.String()
 }
 
+// waitRecorder records how long each placed call may wait for a slot.
+type waitRecorder struct {
+	*slots.Slots
+	waits []time.Duration
+}
+
+func (r *waitRecorder) PlaceOnline(ctx context.Context, service string, avoid map[string]bool, maxWait time.Duration) (scheduler.Choice, int) {
+	r.waits = append(r.waits, maxWait)
+	return r.Slots.PlaceOnline(ctx, service, avoid, maxWait)
+}
+
 var _ = Describe("a forwarder", func() {
 	var (
 		s         *scriptedServers
@@ -244,6 +255,25 @@
 		Expect(out.body.String()).To(Equal(numberedEvents(1, 4)))
 	})
 
+	It("lets a begun stream wait for another slot until its deadline, and a new one only as its objective allows", func() {
+		s, out = &scriptedServers{replies: []scriptedReply{{body: numberedEvents(1, 2), truncated: true}, {body: numberedEvents(3, 4)}}}, &recordingWriter{}
+		directory = backend.NewDirectory(func(backend.Server, string) {})
+		for _, id := range []string{"a", "b"} {
+			directory.Put(backend.Server{ID: id, Service: "s", Address: id, Zone: "z", Slots: 4})
+		}
+		placer := scheduler.New("A", "z", func() float64 { return 0.5 }, func() {})
+		recorder := &waitRecorder{Slots: slots.New(timer.Real{}, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {})}
+		route := routes.Route{
+			Kind: routes.Stream, Resumable: true, MaxAttempts: 2, Timeout: time.Minute, Objective: 300 * time.Millisecond,
+			Shares: []routes.Share{{Service: "s", Weight: 1}},
+		}
+		_, failure := forward.New(timer.Real{}, logr.Discard(), s, directory, recorder).Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: time.Now()}, out)
+		Expect(failure).To(BeNil())
+		Expect(recorder.waits).To(HaveLen(2))
+		Expect(recorder.waits[0]).To(BeNumerically("<", route.Objective))
+		Expect(recorder.waits[1]).To(BeNumerically("~", time.Minute, 30*time.Second))
+	})
+
 	It("hedges a slow repeatable call and returns the first complete answer", func() {
 		route := routes.Route{Kind: routes.Repeatable, MaxAttempts: 2, Objective: 20 * time.Millisecond}
 		_, failure := serve(route, scriptedReply{hold: true}, scriptedReply{body: "x"})
