Forward: log the parts and the body of a request that lost its server

The line "cut off" tells whether the head of the answer had come, the number of events, the shared parts of the prompt and a hash of the body; kingcupquay_forward_cut_off_total counts them. No decision changes.

--- a/internal/serving/exchange/call.go
+++ b/internal/serving/exchange/call.go
@@ -28,7 +28,10 @@
 	// Fields are the end-to-end header fields.
 	Fields []Field
 	Body   []byte
-	Route  *routes.Route
+	// SharedParts names the parts of the prompt that other calls may have in
+	// common with this one.
+	SharedParts []string
+	Route       *routes.Route
 	// Service is the service picked among those of the route.
 	Service string
 	// Received is when the call was read. Deadline is when the caller stops
--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -18,9 +18,11 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
@@ -49,6 +51,7 @@
 	refusedTotal  = metrics.NewCounter("kingcupquay_forward_refused_total")
 	retriedTotal  = metrics.NewCounter("kingcupquay_forward_retried_total")
 	resumedTotal  = metrics.NewCounter("kingcupquay_forward_resumed_total")
+	cutOffTotal   = metrics.NewCounter("kingcupquay_forward_cut_off_total")
 	brokenTotal   = metrics.NewCounter("kingcupquay_forward_broken_total")
 	firstSeconds  = metrics.NewHistogram("kingcupquay_forward_first_seconds")
 	wholeSeconds  = metrics.NewHistogram("kingcupquay_forward_whole_seconds")
@@ -158,6 +161,8 @@
 	err   error
 	// sent is set if the server may have run the call.
 	sent bool
+	// events counts the events that arrived.
+	events int
 	// ended is set once the outcome was reported to the slots.
 	ended  bool
 	cancel context.CancelFunc
@@ -207,6 +212,15 @@
 	f.slots.EndOnline(now, a.choice, now.Sub(a.started), o)
 }
 
+// logCutOff logs that an attempt's connection ended before the answer was
+// complete.
+func (f *Forwarder) logCutOff(c *exchange.Call, a *attempt, cause error) {
+	cutOffTotal.Inc()
+	f.log.Info("cut off", "request", c.ID, "server", a.server.ID, "head", a.reply != nil, "events", a.events,
+		"after_ms", f.timer.Now().Sub(a.started).Milliseconds(), "parts", c.SharedParts, "body", strconv.FormatUint(xxhash.Sum64(c.Body), 16),
+		"cause", cause.Error())
+}
+
 // outcomeOf classifies an attempt that returned no usable reply. If the address
 // belongs to another server, it also marks the server in the directory.
 func (f *Forwarder) outcomeOf(ctx context.Context, a *attempt) scheduler.Outcome {
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -144,6 +144,9 @@
 func (s *streamSession) relay(ctx context.Context, att *attempt) *result.Error {
 	f := s.forwarder
 	if att.err != nil || att.reply.NotRun {
+		if att.err != nil && att.sent && ctx.Err() == nil {
+			f.logCutOff(s.call, att, att.err)
+		}
 		f.end(att, f.outcomeOf(ctx, att))
 		return unansweredError(att)
 	}
@@ -187,6 +190,9 @@
 				f.end(att, scheduler.Completed)
 				return nil
 			default:
+				if ctx.Err() == nil {
+					f.logCutOff(s.call, att, next.err)
+				}
 				f.end(att, scheduler.Failed)
 				return result.New(result.BackendFailed, "server %s: stream broke off: %v", att.server.ID, next.err).WithRan(result.RanYes)
 			}
@@ -237,6 +243,7 @@
 		}
 		raw = append(raw, e.Raw...)
 	}
+	att.events += len(found)
 	now := s.forwarder.timer.Now()
 	if s.begun {
 		pauseSeconds.Update(now.Sub(s.lastEvent).Seconds())
--- a/internal/serving/forward/unary.go
+++ b/internal/serving/forward/unary.go
@@ -43,6 +43,9 @@
 		res := attemptResult{attempt: f.send(ctx, c, choice, exchange.Resume{})}
 		defer func() { done <- res }()
 		if res.err != nil || res.reply.NotRun {
+			if res.err != nil && res.sent && ctx.Err() == nil {
+				f.logCutOff(c, res.attempt, res.err)
+			}
 			res.failure, res.outcome = unansweredError(res.attempt), f.outcomeOf(ctx, res.attempt)
 			f.end(res.attempt, res.outcome)
 			return
@@ -57,6 +60,8 @@
 			res.outcome = scheduler.Failed
 			if ctx.Err() != nil {
 				res.outcome = scheduler.Unknown
+			} else {
+				f.logCutOff(c, res.attempt, err)
 			}
 		case res.reply.Status >= 500:
 			res.body, res.outcome = body, scheduler.Failed
