Refuse requests with a part of the prompt that crashes servers

Cause: the hosts kept no account of what servers had ended under. Each request with the part was sent to two servers, as its route allows, and both ended. The quarantine of the product's own API is keyed by the body, is not on this path, and could not have helped, as no two bodies were alike.

The fix: package suspect accuses the shared parts of the requests whose answer had only begun, unless they have been answered, and condemns a part once three servers ended under it with no answer in between, over all hosts. First attempts, retries and resumed streams ask before they are sent. Records are united by status messages, so hosts that saw no crash and hosts that have just started know them within a second; one answer anywhere withdraws an accusation, and one host sends up to three trials. Sound requests that share the first part go on, since a crash that a later condemned part explains does not count.

--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -39,6 +39,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/forward"
 	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
 	"github.com/kingcupquay/kingcupquay/internal/serving/slots"
+	"github.com/kingcupquay/kingcupquay/internal/serving/suspect"
 )
 
 // Adapter connects a Host to the platform: its store, the protocol of its
@@ -92,6 +93,7 @@
 	directory *backend.Directory
 	placer    *scheduler.Placer
 	slots     *slots.Slots
+	suspects  *suspect.Guard
 	forwarder *forward.Forwarder
 	jobs      *ownership.Manager
 	members   *notice.PeerTable
@@ -131,7 +133,8 @@
 		log.Info("server", "server", b.ID, "service", b.Service, "address", b.Address, "zone", b.Zone, "slots", b.Slots, "state", state)
 	})
 	h.slots = slots.New(t, log, h.self, h.placer, h.directory, (*slotsNetwork)(h), func() { h.jobs.TriggerSchedule() })
-	h.forwarder = forward.New(t, log, a.Servers, h.directory, h.slots)
+	h.suspects = suspect.NewGuard(t, log, (*suspectsFleet)(h))
+	h.forwarder = forward.New(t, log, a.Servers, h.directory, h.slots, h.suspects)
 	h.peers = newPeers(h)
 	h.configFollower = follow.New(t, log, a.Store, a.ConfigKey, (*configHandler)(h), h.readsStore, h.readerCount)
 	h.serverFollower = follow.New(t, log, a.Store, a.ServerPrefix, (*serverHandler)(h), h.readsStore, h.readerCount)
--- a/internal/fleet/entry/peers.go
+++ b/internal/fleet/entry/peers.go
@@ -83,6 +83,8 @@
 		}
 		writeBody(w, text)
 	})
+	mux.HandleFunc("GET /suspects", p.host.handleSuspects)
+	mux.HandleFunc("DELETE /suspects/{part}", p.host.handleWithdraw)
 	mux.HandleFunc("GET /jobs/{id}/results", func(w http.ResponseWriter, r *http.Request) {
 		after, err := strconv.Atoi(r.URL.Query().Get("after"))
 		wait, waitErr := time.ParseDuration(r.URL.Query().Get("wait"))
--- a/internal/fleet/entry/status.go
+++ b/internal/fleet/entry/status.go
@@ -157,7 +157,7 @@
 // Notice returns this host's status.
 func (s *statusSource) Notice() notice.Notice {
 	now := s.timer.Now()
-	n := notice.Notice{ConfigVersion: s.config.Version(), ServersRevision: s.serverFollower.Applied()}
+	n := notice.Notice{ConfigVersion: s.config.Version(), ServersRevision: s.serverFollower.Applied(), Suspects: s.suspects.Shared()}
 	s.slots.Fill(&n)
 	s.announcements.mu.Lock()
 	n.AcquiredJobs, n.EndedJobs = s.announcements.owned.newest(now), s.announcements.ended.newest(now)
@@ -169,7 +169,7 @@
 // it, or to relays of other zones.
 func (s *statusSource) Summary(far bool) notice.Summary {
 	now := s.timer.Now()
-	m := notice.Summary{ConfigVersion: s.config.Version(), AcquiredJobs: make(map[string][]string)}
+	m := notice.Summary{ConfigVersion: s.config.Version(), Suspects: s.suspects.Shared(), AcquiredJobs: make(map[string][]string)}
 	s.slots.FillSummary(&m)
 	a := &s.announcements
 	a.mu.Lock()
@@ -198,6 +198,7 @@
 func (s *statusSource) HandleNotice(n notice.Notice) {
 	h := (*Host)(s)
 	h.slots.HandleNotice(n)
+	h.suspects.Merge(n.Suspects)
 	if !h.members.LargeFleet() {
 		h.serverFollower.ReportRevision(n.ServersRevision)
 	}
@@ -213,6 +214,7 @@
 func (s *statusSource) HandleSummary(m notice.Summary) {
 	h := (*Host)(s)
 	h.slots.HandleSummary(m)
+	h.suspects.Merge(m.Suspects)
 	h.readers.observe(h.timer.Now(), m)
 	if m.Servers.To > 0 && !h.serverFollower.Apply(follow.Changes(m.Servers)) {
 		h.fetchServers(m.Address)
--- a/internal/fleet/notice/codec.go
+++ b/internal/fleet/notice/codec.go
@@ -10,6 +10,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
+	"github.com/kingcupquay/kingcupquay/internal/serving/suspect"
 )
 
 // protocolVersion is the version of the datagrams that this release sends. A
@@ -40,7 +41,7 @@
 	status := &wire.Status{
 		ConfigVersion: n.ConfigVersion, ServersRevision: n.ServersRevision, AcquiredJobs: n.AcquiredJobs, EndedJobs: n.EndedJobs,
 		KnownAddresses: n.KnownAddresses, BatchSeen: n.BatchSeen, BatchSeenStart: n.BatchSeenStart, Loads: encodeLoads(n.Loads),
-		Coordinator: n.Coordinator,
+		Coordinator: n.Coordinator, Suspects: encodeSuspects(n.Suspects),
 	}
 	for service, b := range n.Backlogs {
 		status.Backlogs = append(status.Backlogs, &wire.Backlog{Service: service, Items: uint32(b.Items), SlackMs: b.Slack})
@@ -65,7 +66,7 @@
 		Member: decodeMember(d.GetSender()), Sequence: d.GetSequence(), ConfigVersion: status.GetConfigVersion(), ServersRevision: status.GetServersRevision(),
 		AcquiredJobs: status.GetAcquiredJobs(), EndedJobs: status.GetEndedJobs(), KnownAddresses: status.GetKnownAddresses(),
 		BatchSeen: status.GetBatchSeen(), BatchSeenStart: status.GetBatchSeenStart(), Loads: decodeLoads(status.GetLoads()),
-		Coordinator: status.GetCoordinator(),
+		Coordinator: status.GetCoordinator(), Suspects: decodeSuspects(status.GetSuspects()),
 	}
 	if list := status.GetBacklogs(); len(list) > 0 {
 		n.Backlogs = make(map[string]scheduler.Backlog, len(list))
@@ -97,6 +98,7 @@
 func (s Summary) Encode() ([]byte, error) {
 	summary := &wire.Summary{
 		ConfigVersion: s.ConfigVersion, RosterVersion: s.RosterVersion, EndedJobs: s.EndedJobs, Loads: encodeLoads(s.Loads),
+		Suspects: encodeSuspects(s.Suspects),
 		Servers: &wire.Changes{
 			From: s.Servers.From, To: s.Servers.To, GraceMs: uint32(s.Servers.Grace.Milliseconds()), AwayMs: uint32(s.Servers.Away.Milliseconds()),
 		},
@@ -123,7 +125,7 @@
 		Member: decodeMember(d.GetSender()), Sequence: d.GetSequence(), ConfigVersion: summary.GetConfigVersion(), RosterVersion: summary.GetRosterVersion(),
 		EndedJobs: summary.GetEndedJobs(), Loads: decodeLoads(summary.GetLoads()), Services: make(map[string]scheduler.ZoneLoad),
 		Servers:      Changes{From: servers.GetFrom(), To: servers.GetTo(), Grace: milliseconds(servers.GetGraceMs()), Away: milliseconds(servers.GetAwayMs())},
-		AcquiredJobs: make(map[string][]string),
+		AcquiredJobs: make(map[string][]string), Suspects: decodeSuspects(summary.GetSuspects()),
 	}
 	for _, c := range servers.GetChanges() {
 		s.Servers.Events = append(s.Servers.Events, store.Event{
@@ -256,4 +258,25 @@
 	return loads
 }
 
+func encodeSuspects(reports []suspect.Report) []*wire.SuspectPart {
+	list := make([]*wire.SuspectPart, 0, len(reports))
+	for _, r := range reports {
+		list = append(list, &wire.SuspectPart{
+			Part: r.Part, Depth: uint32(r.Depth), Version: r.Version, Servers: r.Servers, Trials: uint32(r.Trials), ExpiresInMs: uint32(r.ExpiresIn.Milliseconds()),
+		})
+	}
+	return list
+}
+
+func decodeSuspects(list []*wire.SuspectPart) []suspect.Report {
+	var reports []suspect.Report
+	for _, s := range list {
+		reports = append(reports, suspect.Report{
+			Part: s.GetPart(), Depth: int(min(s.GetDepth(), maxCount)), Version: s.GetVersion(), Servers: s.GetServers(), Trials: int(min(s.GetTrials(), maxCount)),
+			ExpiresIn: milliseconds(s.GetExpiresInMs()),
+		})
+	}
+	return reports
+}
+
 func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/fleet/notice/notice.go
+++ b/internal/fleet/notice/notice.go
@@ -27,6 +27,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
+	"github.com/kingcupquay/kingcupquay/internal/serving/suspect"
 )
 
 // Member describes a host.
@@ -79,6 +80,8 @@
 	Coordinator string `json:"-"`
 	// SlotTimes are the mean times of online requests in a slot, by service.
 	SlotTimes map[string]time.Duration `json:"-"`
+	// Suspects are the parts of prompts under which servers ended.
+	Suspects []suspect.Report `json:"-"`
 }
 
 // legacyNotice is the JSON form of a notice, which has one backlog.
@@ -134,6 +137,7 @@
 	// AcquiredJobs are the jobs that hosts have recently come to own, by host.
 	AcquiredJobs map[string][]string
 	EndedJobs    []string
+	Suspects     []suspect.Report
 	// Forwarded is set if the summary did not come from its relay directly.
 	Forwarded bool
 }
--- a/internal/fleet/notice/relay_test.go
+++ b/internal/fleet/notice/relay_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
 	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
+	"github.com/kingcupquay/kingcupquay/internal/serving/suspect"
 )
 
 // simHost is a host of a simulated fleet.
@@ -22,14 +23,22 @@
 	down, cut   bool
 	notices     int
 	summaries   int
+	suspects    *suspect.Registry
+	clock       timer.Service
 }
 
 func (h *simHost) Notice() Notice {
-	return Notice{Loads: map[string]scheduler.Load{"engine": {Online: 2, Ends: []int{1, 2}}}}
+	return Notice{Loads: map[string]scheduler.Load{"engine": {Online: 2, Ends: []int{1, 2}}}, Suspects: h.suspects.Shared(h.clock.Now())}
+}
+func (h *simHost) Summary(bool) Summary { return Summary{Suspects: h.suspects.Shared(h.clock.Now())} }
+func (h *simHost) HandleNotice(n Notice) {
+	h.notices++
+	h.suspects.Merge(h.clock.Now(), n.Suspects)
+}
+func (h *simHost) HandleSummary(s Summary) {
+	h.summaries++
+	h.suspects.Merge(h.clock.Now(), s.Suspects)
 }
-func (h *simHost) Summary(bool) Summary  { return Summary{} }
-func (h *simHost) HandleNotice(Notice)   { h.notices++ }
-func (h *simHost) HandleSummary(Summary) { h.summaries++ }
 func (h *simHost) HandleAnswers(Answers) {}
 
 type datagramTo struct {
@@ -59,7 +68,7 @@
 var seeds = []string{"a-00:1", "a-01:1", "a-02:1"}
 
 func (f *simFleet) add(name, zone string, weight int) *simHost {
-	h := &simHost{Member: Member{Host: name, Zone: zone, Address: name + ":1", Start: f.clock.Now().UnixNano(), Weight: weight}}
+	h := &simHost{Member: Member{Host: name, Zone: zone, Address: name + ":1", Start: f.clock.Now().UnixNano(), Weight: weight}, suspects: suspect.NewRegistry(), clock: f.clock}
 	h.table = NewPeerTable(h.Member, func(string, bool) {})
 	h.table.SetSeeds(f.clock.Now(), seeds)
 	h.exchange = NewExchange(f.clock, logr.Discard(), h.table, h.Member, nil, h)
@@ -303,3 +312,30 @@
 		t.Error("a relay that is heard again is not used")
 	}
 }
+
+// TestCondemnedPartReachesAllHosts lets different hosts see the crashes under a
+// part, also while a relay is lost and a host has just started.
+func TestCondemnedPartReachesAllHosts(t *testing.T) {
+	for _, zones := range []int{1, 3} {
+		const perZone = 20
+		f := newSimFleet(t, zones, perZone)
+		f.run(4 * time.Second)
+		f.relay("a", 0).down = true
+		for i, name := range []string{"a-05:1", "a-11:1", "a-17:1"} {
+			f.hosts[name].suspects.RecordCrash(f.clock.Now(), []string{"first", "bad"}, fmt.Sprint("s", i))
+		}
+		f.run(time.Second)
+		f.add("a-late", "a", 192)
+		f.run(2 * time.Second)
+		for _, h := range f.sorted() {
+			if h.down {
+				continue
+			}
+			for part, want := range map[string]bool{"bad": true, "first": false} {
+				if _, refused := h.suspects.Refusing(f.clock.Now(), []string{part}, func(string) bool { return false }); refused != want {
+					t.Errorf("%d zones: %s refuses part %q: %t", zones, h.Host, part, refused)
+				}
+			}
+		}
+	}
+}
--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -31,6 +31,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
 	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
+	"github.com/kingcupquay/kingcupquay/internal/serving/suspect"
 )
 
 const (
@@ -75,6 +76,7 @@
 	servers   exchange.Servers
 	directory *backend.Directory
 	slots     Slots
+	suspects  *suspect.Guard
 }
 
 // Slots places calls on servers; slots.Slots implements it.
@@ -87,8 +89,8 @@
 }
 
 // New returns a forwarder.
-func New(t timer.Service, log logr.Logger, servers exchange.Servers, directory *backend.Directory, s Slots) *Forwarder {
-	return &Forwarder{timer: t, log: log, servers: servers, directory: directory, slots: s}
+func New(t timer.Service, log logr.Logger, servers exchange.Servers, directory *backend.Directory, s Slots, g *suspect.Guard) *Forwarder {
+	return &Forwarder{timer: t, log: log, servers: servers, directory: directory, slots: s, suspects: g}
 }
 
 // Serve answers a call through out. It returns nil if the complete answer was
@@ -168,8 +170,12 @@
 	cancel context.CancelFunc
 }
 
-// place picks a server. Its error carries result.RanNo, as nothing was sent.
+// place picks a server for a call that is then sent. Its error carries
+// result.RanNo, as nothing was sent.
 func (f *Forwarder) place(ctx context.Context, c *exchange.Call, avoid map[string]bool, maxWait time.Duration) (scheduler.Choice, *result.Error) {
+	if failure := f.suspects.Check(c.SharedParts); failure != nil {
+		return scheduler.Choice{}, failure
+	}
 	choice, servers := f.slots.PlaceOnline(ctx, c.Service, avoid, maxWait)
 	if !choice.Placed {
 		if servers == 0 {
@@ -178,6 +184,10 @@
 		return choice, result.New(result.Overloaded, "no slot within %d ms: %d expected at the best of %d servers, as told up to %d ms ago",
 			maxWait.Milliseconds(), choice.Wait.Milliseconds(), servers, choice.ReportAge.Milliseconds()).WithRetry(choice.RetryAfter)
 	}
+	if failure := f.suspects.Begin(c.ID, c.SharedParts); failure != nil {
+		f.slots.EndOnline(f.timer.Now(), choice, 0, scheduler.Unknown)
+		return choice, failure
+	}
 	f.log.V(1).Info("placed", "request", c.ID, "service", c.Service, "server", choice.Server.ID,
 		"wait_ms", choice.Wait.Milliseconds(), "taken", choice.InFlight, "age_ms", choice.ReportAge.Milliseconds())
 	return choice, nil
@@ -212,13 +222,17 @@
 	f.slots.EndOnline(now, a.choice, now.Sub(a.started), o)
 }
 
-// logCutOff logs that an attempt's connection ended before the answer was
-// complete.
-func (f *Forwarder) logCutOff(c *exchange.Call, a *attempt, cause error) {
+// recordCutOff records that an attempt's connection ended before the answer was
+// complete. If the server has gone down as it began to answer, the parts of the
+// prompt are accused.
+func (f *Forwarder) recordCutOff(ctx context.Context, c *exchange.Call, a *attempt, cause error) {
 	cutOffTotal.Inc()
 	f.log.Info("cut off", "request", c.ID, "server", a.server.ID, "head", a.reply != nil, "events", a.events,
 		"after_ms", f.timer.Now().Sub(a.started).Milliseconds(), "parts", c.SharedParts, "body", strconv.FormatUint(xxhash.Sum64(c.Body), 16),
 		"cause", cause.Error())
+	if a.reply != nil && f.suspects.Accuses(c.SharedParts, a.events) && f.servers.Down(context.WithoutCancel(ctx), a.server) {
+		f.suspects.Crashed(c.ID, c.SharedParts, a.server.ID)
+	}
 }
 
 // outcomeOf classifies an attempt that returned no usable reply. If the address
--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -24,6 +24,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/forward"
 	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
 	"github.com/kingcupquay/kingcupquay/internal/serving/slots"
+	"github.com/kingcupquay/kingcupquay/internal/serving/suspect"
 )
 
 // scriptedReply is how a scripted server handles one call to Send.
@@ -51,6 +52,8 @@
 	resumedAfter []int64
 	remaining    []time.Duration
 	cancelled    int
+	// down is the answer of Down.
+	down bool
 }
 
 func (s *scriptedServers) Send(ctx context.Context, b backend.Server, _ *exchange.Call, resume exchange.Resume, remaining time.Duration) (*exchange.Reply, error) {
@@ -96,7 +99,7 @@
 	return &exchange.Reply{Status: status, Body: io.NopCloser(body), Fields: []exchange.Field{{Name: "Server", Value: b.ID}}}, nil
 }
 
-func (s *scriptedServers) Down(context.Context, backend.Server) bool { return false }
+func (s *scriptedServers) Down(context.Context, backend.Server) bool { return s.down }
 
 type failingReader struct{}
 
@@ -144,6 +147,10 @@
 	return b.String()
 }
 
+func newGuard() *suspect.Guard {
+	return suspect.NewGuard(timer.Real{}, logr.Discard(), suspect.Alone{})
+}
+
 // waitRecorder records how long each placed call may wait for a slot.
 type waitRecorder struct {
 	*slots.Slots
@@ -177,7 +184,7 @@
 		clock := timer.Real{}
 		placer := scheduler.New("A", "z", func() float64 { return 0.5 }, func() {})
 		f := forward.New(clock, logr.Discard(), s, directory,
-			slots.New(clock, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {}))
+			slots.New(clock, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {}), newGuard())
 		begun, failure := f.Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: clock.Now()}, out)
 		Eventually(func() int { loads, _ := placer.LocalState(clock.Now()); return len(loads) }, 10*time.Second).Should(BeZero(), "all slots must be released")
 		return begun, failure
@@ -267,7 +274,7 @@
 			Kind: routes.Stream, Resumable: true, MaxAttempts: 2, Timeout: time.Minute, Objective: 300 * time.Millisecond,
 			Shares: []routes.Share{{Service: "s", Weight: 1}},
 		}
-		_, failure := forward.New(timer.Real{}, logr.Discard(), s, directory, recorder).Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: time.Now()}, out)
+		_, failure := forward.New(timer.Real{}, logr.Discard(), s, directory, recorder, newGuard()).Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: time.Now()}, out)
 		Expect(failure).To(BeNil())
 		Expect(recorder.waits).To(HaveLen(2))
 		Expect(recorder.waits[0]).To(BeNumerically("<", route.Objective))
@@ -287,10 +294,57 @@
 		directory := backend.NewDirectory(func(backend.Server, string) {})
 		placer := scheduler.New("A", "z", func() float64 { return 0 }, func() {})
 		f := forward.New(timer.Real{}, logr.Discard(), &scriptedServers{}, directory,
-			slots.New(timer.Real{}, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {}))
+			slots.New(timer.Real{}, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {}), newGuard())
 		_, failure := f.Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: time.Now()}, &recordingWriter{})
 		Expect(failure.Code()).To(Equal(result.NoBackend))
 		Expect(failure.Ran()).To(Equal(result.RanNo))
 		Expect(failure.RetryAfter()).To(BeNumerically(">", 0))
 	})
+
+	DescribeTable("accuses the parts of a prompt under which a server went down when it had begun to answer",
+		func(down bool, accused bool, first scriptedReply) {
+			servers := &scriptedServers{down: down, replies: []scriptedReply{first, {body: numberedEvents(1, 1), truncated: true}}}
+			directory := backend.NewDirectory(func(backend.Server, string) {})
+			for _, id := range []string{"a", "b"} {
+				directory.Put(backend.Server{ID: id, Service: "s", Address: id, Zone: "z", Slots: 4})
+			}
+			placer := scheduler.New("A", "z", func() float64 { return 0.5 }, func() {})
+			guard := newGuard()
+			f := forward.New(timer.Real{}, logr.Discard(), servers, directory,
+				slots.New(timer.Real{}, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {}), guard)
+			route := routes.Route{Kind: routes.Stream, MaxAttempts: 1, Shares: []routes.Share{{Service: "s", Weight: 1}}}
+			_, failure := f.Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, SharedParts: []string{"part"}, Received: time.Now()}, &recordingWriter{})
+			Expect(failure).NotTo(BeNil())
+			Expect(guard.Accused()).To(HaveLen(map[bool]int{true: 1, false: 0}[accused]))
+		},
+		Entry("head only", true, true, scriptedReply{truncated: true}),
+		Entry("one event", true, true, scriptedReply{body: numberedEvents(1, 1), truncated: true}),
+		Entry("two events", true, false, scriptedReply{body: numberedEvents(1, 2), truncated: true}),
+		Entry("no head", true, false, scriptedReply{lost: true}),
+		Entry("a server that is up", false, false, scriptedReply{truncated: true}),
+	)
+
+	It("does not send a call again once a part of its prompt is condemned", func() {
+		servers := &scriptedServers{down: true, replies: []scriptedReply{{truncated: true}, {truncated: true}, {truncated: true}}}
+		directory := backend.NewDirectory(func(backend.Server, string) {})
+		for _, id := range []string{"a", "b", "c", "d", "e"} {
+			directory.Put(backend.Server{ID: id, Service: "s", Address: id, Zone: "z", Slots: 4})
+		}
+		placer := scheduler.New("A", "z", func() float64 { return 0.5 }, func() {})
+		f := forward.New(timer.Real{}, logr.Discard(), servers, directory,
+			slots.New(timer.Real{}, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {}), newGuard())
+		route := routes.Route{Kind: routes.Stream, Resumable: true, MaxAttempts: 5, Shares: []routes.Share{{Service: "s", Weight: 1}}}
+		call := func(id string) *exchange.Call {
+			return &exchange.Call{ID: id, Route: &route, SharedParts: []string{"part"}, Received: time.Now()}
+		}
+		_, failure := f.Serve(context.Background(), call("1"), &recordingWriter{})
+		Expect(failure.Ran()).To(Equal(result.RanYes))
+		_, failure = f.Serve(context.Background(), call("2"), &recordingWriter{})
+		Expect(failure.Code()).To(Equal(result.CrashingPart))
+		Expect(failure.Ran()).To(Equal(result.RanNo))
+		Expect(failure.RetryAfter()).To(BeNumerically(">=", time.Second))
+		Expect(servers.sent).To(HaveLen(3))
+		_, loads := placer.LocalState(time.Now())
+		Expect(loads).To(BeEmpty(), "a refused call must leave no slot taken")
+	})
 })
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -145,7 +145,7 @@
 	f := s.forwarder
 	if att.err != nil || att.reply.NotRun {
 		if att.err != nil && att.sent && ctx.Err() == nil {
-			f.logCutOff(s.call, att, att.err)
+			f.recordCutOff(ctx, s.call, att, att.err)
 		}
 		f.end(att, f.outcomeOf(ctx, att))
 		return unansweredError(att)
@@ -191,7 +191,7 @@
 				return nil
 			default:
 				if ctx.Err() == nil {
-					f.logCutOff(s.call, att, next.err)
+					f.recordCutOff(ctx, s.call, att, next.err)
 				}
 				f.end(att, scheduler.Failed)
 				return result.New(result.BackendFailed, "server %s: stream broke off: %v", att.server.ID, next.err).WithRan(result.RanYes)
@@ -244,6 +244,7 @@
 		raw = append(raw, e.Raw...)
 	}
 	att.events += len(found)
+	s.forwarder.suspects.Answering(s.call.ID, s.call.SharedParts, att.events, false)
 	now := s.forwarder.timer.Now()
 	if s.begun {
 		pauseSeconds.Update(now.Sub(s.lastEvent).Seconds())
--- a/internal/serving/forward/unary.go
+++ b/internal/serving/forward/unary.go
@@ -44,7 +44,7 @@
 		defer func() { done <- res }()
 		if res.err != nil || res.reply.NotRun {
 			if res.err != nil && res.sent && ctx.Err() == nil {
-				f.logCutOff(c, res.attempt, res.err)
+				f.recordCutOff(ctx, c, res.attempt, res.err)
 			}
 			res.failure, res.outcome = unansweredError(res.attempt), f.outcomeOf(ctx, res.attempt)
 			f.end(res.attempt, res.outcome)
@@ -61,12 +61,13 @@
 			if ctx.Err() != nil {
 				res.outcome = scheduler.Unknown
 			} else {
-				f.logCutOff(c, res.attempt, err)
+				f.recordCutOff(ctx, c, res.attempt, err)
 			}
 		case res.reply.Status >= 500:
 			res.body, res.outcome = body, scheduler.Failed
 		default:
 			res.body, res.outcome = body, scheduler.Completed
+			f.suspects.Answering(c.ID, c.SharedParts, 0, res.reply.Status/100 == 2)
 		}
 		f.end(res.attempt, res.outcome)
 	}()
--- /dev/null
+++ b/internal/serving/suspect/registry.go
@@ -0,0 +1,434 @@
+// Package suspect finds the parts of prompts that crash backend servers, and
+// keeps requests with such a part away from the servers.
+//
+// A server that ends takes all its requests with it. Those that had already got
+// events are innocent, and so are those that had not begun. The parts of the
+// others, whose answer had begun but had not brought soundEvents events, are
+// accused, unless they have been answered elsewhere: one answer proves all parts
+// of its prompt to be sound, since a part that crashes servers crashes each
+// server that begins to answer it. A part is condemned once condemnAfter servers
+// ended under it with no answer in between, on whichever hosts that was. Servers
+// that also ended under a condemned part further back in the prompt do not
+// count: the parts at the front are shared by many more requests.
+//
+// Requests with a condemned part are refused. The first answer to one that is
+// still running withdraws the accusation. After that only a trial can: at
+// growing intervals, one request with the part is sent by the one host that all
+// hosts agree on, at most maxTrials times. A condemnation expires after
+// recordTTL or is withdrawn by an operator.
+//
+// A Registry is the state machine over the records of one host and does no I/O.
+// Records are exchanged between hosts with their status messages. Each
+// withdrawal increases the version of a record; of two records of a part, the
+// one with the higher version counts, and those of the same version are united.
+// All hosts therefore arrive at the same record whatever the order of arrival.
+// A host that has answered a part within recentAnswer withdraws what others
+// tell it, so a part that many callers share is hardly ever condemned.
+//
+// Items of batch jobs are neither accused nor refused: they are owed whatever
+// crashed under them, and are delayed after crashes by package jobstate.
+package suspect
+
+import (
+	"cmp"
+	"hash/maphash"
+	"slices"
+	"time"
+)
+
+const (
+	// condemnAfter is the number of servers that must have ended under a part.
+	condemnAfter = 3
+	// recentAnswer is how long an answer protects a part that is accused though
+	// it has been answered before.
+	recentAnswer = 2 * time.Second
+	// answerTTL is how long it is known that a part has been answered.
+	answerTTL = 10 * time.Minute
+	// maxTrials is the number of trials of a condemned part. The first is due
+	// firstTrialDelay after the condemnation; each further delay is
+	// trialDelayFactor times as long.
+	maxTrials        = 3
+	firstTrialDelay  = 2 * time.Second
+	trialDelayFactor = 4
+	// recordTTL is how long a record is valid after its last crash, withdrawnTTL
+	// how long after its withdrawal.
+	recordTTL    = time.Hour
+	withdrawnTTL = 10 * time.Minute
+	// changedPeriod is how long a record that is not condemned is shared after a
+	// change. No record is shared in the last unsharedPeriod before it expires,
+	// or hosts that drop it would learn it again from slower ones.
+	changedPeriod  = 5 * time.Second
+	unsharedPeriod = 10 * time.Second
+	// maxRecords bounds the records of a host, maxShared those of a message and
+	// maxServers the servers of a record.
+	maxRecords = 1024
+	maxShared  = 32
+	maxServers = 16
+	// maxPartBytes is the longest name of a part.
+	maxPartBytes = 64
+	// answerSlots is the size of the table of answered parts, a power of two.
+	answerSlots = 1 << 12
+)
+
+// Record is what is known of one part.
+type Record struct {
+	Part string
+	// Depth is the position of the part in prompts, counted from 0.
+	Depth int
+	// Version grows with each withdrawal.
+	Version uint32
+	// Servers are those that ended under the part since the last withdrawal, in
+	// the order in which this host learned of them.
+	Servers []string
+	// Trials counts the requests that were sent since the part was condemned.
+	Trials int
+	// ExpiresAt is when the record is dropped.
+	ExpiresAt time.Time
+
+	condemned bool
+	changedAt time.Time
+	// trialAt is when the next trial is due, if Trials is below maxTrials.
+	trialAt time.Time
+}
+
+// Report is a Record as hosts tell it to each other.
+type Report struct {
+	Part    string
+	Depth   int
+	Version uint32
+	Servers []string
+	Trials  int
+	// ExpiresIn is the time until the record is dropped.
+	ExpiresIn time.Duration
+}
+
+// Condemned reports whether requests with the part are refused.
+func (r *Record) Condemned() bool { return r.condemned }
+
+// withdraw ends the accusation.
+func (r *Record) withdraw(now time.Time) {
+	r.Version++
+	r.Servers, r.Trials, r.condemned = nil, 0, false
+	r.changedAt, r.ExpiresAt = now, now.Add(withdrawnTTL)
+}
+
+// addServers adds servers that ended under the part and reports whether any of
+// them is new.
+func (r *Record) addServers(now, expiresAt time.Time, servers []string) bool {
+	before := len(r.Servers)
+	for _, s := range servers {
+		if len(r.Servers) < maxServers && !slices.Contains(r.Servers, s) {
+			r.Servers = append(r.Servers, s)
+		}
+	}
+	if len(r.Servers) == before {
+		return false
+	}
+	r.changedAt = now
+	if expiresAt.After(r.ExpiresAt) {
+		r.ExpiresAt = expiresAt
+	}
+	return true
+}
+
+// trialDelay returns the delay before the trial that follows n others.
+func trialDelay(n int) time.Duration {
+	d := firstTrialDelay
+	for range n {
+		d *= trialDelayFactor
+	}
+	return d
+}
+
+// answer is the time of the last answer to a prompt with a part.
+type answer struct {
+	part string
+	at   time.Time
+}
+
+// Registry is the state machine over the records of one host. It is not safe for
+// concurrent use.
+type Registry struct {
+	// records has at most maxRecords entries.
+	records map[string]*Record
+	// answers is a hash table without chaining: a new answer replaces that of
+	// another part in the same slot.
+	answers []answer
+	seed    maphash.Seed
+}
+
+// NewRegistry returns a Registry without records.
+func NewRegistry() *Registry {
+	return &Registry{records: make(map[string]*Record), answers: make([]answer, answerSlots), seed: maphash.MakeSeed()}
+}
+
+// RecordAnswer records that a server has begun to answer a prompt with the parts
+// and went on. It returns the records whose accusation it withdrew.
+func (g *Registry) RecordAnswer(now time.Time, parts []string) []Record {
+	var withdrawn []Record
+	for _, part := range parts {
+		*g.slot(part) = answer{part: part, at: now}
+		if r := g.lookup(now, part); r != nil && len(r.Servers) > 0 {
+			r.withdraw(now)
+			withdrawn = append(withdrawn, *r)
+		}
+	}
+	if len(withdrawn) > 0 {
+		g.judge(now)
+	}
+	return withdrawn
+}
+
+// judge condemns the parts under which condemnAfter servers ended, apart from
+// servers that ended under a condemned part further back in a prompt.
+func (g *Registry) judge(now time.Time) {
+	accused := g.Accused(now)
+	slices.SortFunc(accused, func(a, b Record) int { return cmp.Compare(b.Depth, a.Depth) })
+	explainedBy := make(map[string]int)
+	for _, a := range accused {
+		r := g.records[a.Part]
+		unexplained := 0
+		for _, s := range r.Servers {
+			if depth, explained := explainedBy[s]; !explained || depth <= r.Depth {
+				unexplained++
+			}
+		}
+		if !r.condemned && unexplained >= condemnAfter {
+			r.trialAt = now.Add(trialDelay(r.Trials))
+		}
+		r.condemned = unexplained >= condemnAfter
+		if r.condemned {
+			for _, s := range r.Servers {
+				explainedBy[s] = max(explainedBy[s], r.Depth)
+			}
+		}
+	}
+}
+
+// RecordCrash records that a server ended when it had begun to answer a prompt
+// with the parts, and returns the records that changed. It accuses the parts
+// that are not known to have been answered or, if all are, those that have not
+// been answered recently. A condemned part explains the crash, so the parts
+// before it, which more requests share, are not accused.
+func (g *Registry) RecordCrash(now time.Time, parts []string, server string) []Record {
+	accused := g.unanswered(now, parts, answerTTL)
+	if len(accused) == 0 {
+		accused = g.unanswered(now, parts, recentAnswer)
+	}
+	var changed []*Record
+	for depth, part := range slices.Backward(parts) {
+		if !slices.Contains(accused, part) {
+			continue
+		}
+		r := g.lookup(now, part)
+		if r == nil {
+			r = &Record{Part: part, Depth: depth}
+			g.put(now, r)
+		}
+		if r.addServers(now, now.Add(recordTTL), []string{server}) {
+			changed = append(changed, r)
+		}
+		if r.condemned {
+			break
+		}
+	}
+	g.judge(now)
+	var records []Record
+	for _, r := range changed {
+		records = append(records, *r)
+	}
+	return records
+}
+
+// Merge applies the reports of another host and reports whether any record
+// changed.
+func (g *Registry) Merge(now time.Time, reports []Report) bool {
+	changed := false
+	for _, in := range reports {
+		changed = g.mergeOne(now, in) || changed
+	}
+	if changed {
+		g.judge(now)
+	}
+	return changed
+}
+
+func (g *Registry) mergeOne(now time.Time, in Report) bool {
+	if in.Part == "" || len(in.Part) > maxPartBytes || in.ExpiresIn <= 0 {
+		return false
+	}
+	expiresAt := now.Add(min(in.ExpiresIn, recordTTL))
+	known := g.lookup(now, in.Part)
+	switch {
+	case known == nil || in.Version > known.Version:
+		known = &Record{Part: in.Part, Depth: in.Depth, Version: in.Version, Trials: in.Trials, ExpiresAt: expiresAt, changedAt: now}
+		known.addServers(now, expiresAt, in.Servers)
+		g.put(now, known)
+	case in.Version < known.Version:
+		// The other host gets the newer record again.
+		known.changedAt = now
+		return true
+	default:
+		known.Depth = min(known.Depth, in.Depth)
+		changed := known.addServers(now, expiresAt, in.Servers)
+		if in.Trials > known.Trials {
+			known.Trials, known.trialAt, changed = in.Trials, now.Add(trialDelay(in.Trials)), true
+		}
+		if !changed {
+			return false
+		}
+	}
+	if len(known.Servers) > 0 && g.answeredWithin(now, in.Part, recentAnswer) {
+		known.withdraw(now)
+	}
+	return true
+}
+
+// Refusing returns the record of a condemned part for which a request with the
+// parts must be refused. It returns false if there is none, or if the request
+// may be a trial of the only condemned part. isTrialHost reports whether this
+// host sends the trials of a part.
+func (g *Registry) Refusing(now time.Time, parts []string, isTrialHost func(part string) bool) (Record, bool) {
+	condemned := g.condemned(now, parts)
+	switch {
+	case len(condemned) == 0 || len(condemned) == 1 && condemned[0].trialDue(now, isTrialHost):
+		return Record{}, false
+	}
+	return *condemned[0], true
+}
+
+// BeginTrial counts a request with the parts that Refusing has let pass and that
+// is sent now. It returns the record of the part on trial, if there is one.
+func (g *Registry) BeginTrial(now time.Time, parts []string) (Record, bool) {
+	condemned := g.condemned(now, parts)
+	if len(condemned) == 0 {
+		return Record{}, false
+	}
+	r := condemned[0]
+	r.Trials++
+	r.changedAt, r.trialAt = now, now.Add(trialDelay(r.Trials))
+	return *r, true
+}
+
+func (g *Registry) condemned(now time.Time, parts []string) []*Record {
+	var list []*Record
+	for _, part := range parts {
+		if r := g.lookup(now, part); r != nil && r.condemned && !slices.Contains(list, r) {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+func (r *Record) trialDue(now time.Time, isTrialHost func(part string) bool) bool {
+	return r.Trials < maxTrials && !now.Before(r.trialAt) && isTrialHost(r.Part)
+}
+
+// NextTrial returns when the next trial is due, or when the record expires if no
+// trial is left.
+func (r *Record) NextTrial() time.Time {
+	if r.Trials < maxTrials {
+		return r.trialAt
+	}
+	return r.ExpiresAt
+}
+
+// Withdraw ends the accusation of a part at an operator's request. It returns
+// false if the part is not accused.
+func (g *Registry) Withdraw(now time.Time, part string) bool {
+	r := g.lookup(now, part)
+	if r == nil || len(r.Servers) == 0 {
+		return false
+	}
+	r.withdraw(now)
+	g.judge(now)
+	return true
+}
+
+// Accused returns the records of accused parts, those that changed last first.
+func (g *Registry) Accused(now time.Time) []Record {
+	return g.list(now, func(r *Record) bool { return len(r.Servers) > 0 })
+}
+
+// Shared returns what to tell other hosts: the condemned records and those that
+// have changed lately.
+func (g *Registry) Shared(now time.Time) []Report {
+	if len(g.records) == 0 {
+		return nil
+	}
+	list := g.list(now, func(r *Record) bool {
+		return r.ExpiresAt.Sub(now) > unsharedPeriod && (r.condemned || now.Sub(r.changedAt) <= changedPeriod)
+	})
+	var reports []Report
+	for _, r := range list[:min(maxShared, len(list))] {
+		reports = append(reports, Report{Part: r.Part, Depth: r.Depth, Version: r.Version, Servers: r.Servers, Trials: r.Trials, ExpiresIn: r.ExpiresAt.Sub(now)})
+	}
+	return reports
+}
+
+func (g *Registry) list(now time.Time, keep func(*Record) bool) []Record {
+	var list []Record
+	for _, r := range g.records {
+		if now.Before(r.ExpiresAt) && keep(r) {
+			list = append(list, *r)
+		}
+	}
+	slices.SortFunc(list, func(a, b Record) int {
+		return cmp.Or(b.changedAt.Compare(a.changedAt), cmp.Compare(a.Part, b.Part))
+	})
+	return list
+}
+
+// lookup returns the record of a part, or nil if there is none that is valid.
+func (g *Registry) lookup(now time.Time, part string) *Record {
+	r := g.records[part]
+	if r == nil || !now.Before(r.ExpiresAt) {
+		return nil
+	}
+	return r
+}
+
+// put stores a record. If there are maxRecords already, it first evicts some.
+func (g *Registry) put(now time.Time, r *Record) {
+	if _, known := g.records[r.Part]; !known && len(g.records) >= maxRecords {
+		g.evict(now)
+	}
+	g.records[r.Part] = r
+}
+
+// evict removes the expired records. If that frees no space, it also removes the
+// oldest of those with the fewest servers.
+func (g *Registry) evict(now time.Time) {
+	var evicted *Record
+	for part, r := range g.records {
+		if !now.Before(r.ExpiresAt) {
+			delete(g.records, part)
+			continue
+		}
+		if evicted == nil || cmp.Or(cmp.Compare(len(r.Servers), len(evicted.Servers)), r.changedAt.Compare(evicted.changedAt)) < 0 {
+			evicted = r
+		}
+	}
+	if len(g.records) >= maxRecords {
+		delete(g.records, evicted.Part)
+	}
+}
+
+func (g *Registry) unanswered(now time.Time, parts []string, period time.Duration) []string {
+	var list []string
+	for _, part := range parts {
+		if !g.answeredWithin(now, part, period) {
+			list = append(list, part)
+		}
+	}
+	return list
+}
+
+func (g *Registry) answeredWithin(now time.Time, part string, period time.Duration) bool {
+	a := g.slot(part)
+	return a.part == part && !a.at.IsZero() && now.Sub(a.at) < period
+}
+
+func (g *Registry) slot(part string) *answer {
+	return &g.answers[maphash.String(g.seed, part)&(answerSlots-1)]
+}
--- /dev/null
+++ b/internal/serving/suspect/registry_test.go
@@ -0,0 +1,177 @@
+package suspect_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupquay/kingcupquay/internal/serving/suspect"
+)
+
+var start = time.Unix(1000, 0)
+
+// parts returns the parts that a text names, separated by blanks.
+func parts(text string) []string { return strings.Fields(text) }
+
+func always(string) bool { return true }
+func never(string) bool  { return false }
+
+func refuses(g *suspect.Registry, now time.Time, list string) bool {
+	_, refused := g.Refusing(now, parts(list), never)
+	return refused
+}
+
+var _ = Describe("the records of a host", func() {
+	var g *suspect.Registry
+	BeforeEach(func() { g = suspect.NewRegistry() })
+
+	// Each step is "crash SERVER PARTS" or "answer PARTS".
+	run := func(steps ...string) {
+		for i, step := range steps {
+			now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+			words := parts(step)
+			if words[0] == "crash" {
+				g.RecordCrash(now, words[2:], words[1])
+			} else {
+				g.RecordAnswer(now, words[1:])
+			}
+		}
+	}
+	later := start.Add(10 * time.Second)
+
+	DescribeTable("refuse a prompt only with a part that crashed three servers and was not answered since",
+		func(prompt string, refused bool, steps ...string) {
+			run(steps...)
+			Expect(refuses(g, later, prompt)).To(Equal(refused))
+		},
+		Entry("two servers", "a b", false, "crash s1 a b", "crash s2 a b"),
+		Entry("three servers", "a b", true, "crash s1 a b", "crash s2 a b", "crash s3 a b"),
+		Entry("three losses of one server", "a b", false, "crash s1 a b", "crash s1 a b", "crash s1 a b"),
+		Entry("the part that all have in common", "a", true, "crash s1 a b", "crash s2 a c", "crash s3 a d"),
+		Entry("another part of these prompts", "b", false, "crash s1 a b", "crash s2 a c", "crash s3 a d"),
+		Entry("the first part, explained by the second", "a c", false, "crash s1 a b", "crash s2 a b", "crash s3 a b", "crash s4 a b"),
+		Entry("the first part, beyond what the second explains", "a x", true,
+			"crash s1 a b", "crash s2 a b", "crash s3 a b", "crash s4 a c", "crash s5 a d", "crash s6 a e"),
+		Entry("a part answered before", "a c", false, "answer a c", "crash s1 a b", "crash s2 a b", "crash s3 a b"),
+		Entry("a part answered in between", "a", false, "crash s1 a", "crash s2 a", "answer a", "crash s3 a"),
+		Entry("a part answered after", "a", false, "crash s1 a", "crash s2 a", "crash s3 a", "answer a"),
+	)
+
+	It("accuse a part that was answered long ago", func() {
+		g.RecordAnswer(start, parts("a b"))
+		for i := range 3 {
+			g.RecordCrash(start.Add(time.Minute), parts("a b"), fmt.Sprint("s", i))
+		}
+		Expect(refuses(g, start.Add(time.Minute), "a b")).To(BeTrue())
+	})
+
+	It("are bounded, and evict those with the fewest servers first", func() {
+		run("crash s1 bad", "crash s2 bad", "crash s3 bad")
+		for i := range 3000 {
+			g.RecordCrash(start.Add(time.Minute), parts(fmt.Sprint("part-", i)), "s1")
+		}
+		Expect(len(g.Accused(start.Add(time.Minute)))).To(Equal(1024))
+		Expect(refuses(g, start.Add(time.Minute), "bad")).To(BeTrue())
+		Expect(len(g.Shared(start.Add(time.Minute)))).To(Equal(32))
+		Expect(g.Accused(start.Add(2 * time.Hour))).To(BeEmpty())
+	})
+
+	It("let three trials pass at growing intervals, on one host and with one condemned part only", func() {
+		run("crash s1 bad", "crash s2 bad", "crash s3 bad")
+		trials := 0
+		for now := start; now.Before(start.Add(50 * time.Minute)); now = now.Add(time.Second) {
+			if _, refused := g.Refusing(now, parts("a bad"), never); !refused {
+				Fail("a host that sends no trials must refuse")
+			}
+			if _, refused := g.Refusing(now, parts("a bad"), always); !refused {
+				_, onTrial := g.BeginTrial(now, parts("a bad"))
+				Expect(onTrial).To(BeTrue())
+				trials++
+			}
+		}
+		Expect(trials).To(Equal(3))
+	})
+
+	It("take back a wrong accusation after a trial that is answered, also at hosts that only heard of it", func() {
+		run("crash s1 rare", "crash s2 rare", "crash s3 rare")
+		other := suspect.NewRegistry()
+		other.Merge(later, g.Shared(later))
+		Expect(refuses(other, later, "rare")).To(BeTrue())
+		_, onTrial := g.BeginTrial(later, parts("rare"))
+		Expect(onTrial).To(BeTrue())
+		Expect(g.RecordAnswer(later, parts("rare"))).To(HaveLen(1))
+		stale := other.Shared(later)
+		other.Merge(later, g.Shared(later))
+		Expect(refuses(other, later, "rare")).To(BeFalse())
+		g.Merge(later, stale)
+		Expect(refuses(g, later, "rare")).To(BeFalse(), "an older version must not return")
+	})
+
+	It("condemn a part whose crashes were seen by different hosts", func() {
+		other := suspect.NewRegistry()
+		run("crash s1 a bad", "crash s2 a bad")
+		other.RecordCrash(start, parts("a bad"), "s3")
+		reports := g.Shared(start)
+		g.Merge(start, other.Shared(start))
+		other.Merge(start, reports)
+		for _, host := range []*suspect.Registry{g, other} {
+			Expect(refuses(host, start, "a bad")).To(BeTrue())
+			Expect(refuses(host, start, "a good")).To(BeFalse())
+		}
+	})
+
+	It("ignore reports that no host sends", func() {
+		Expect(g.Merge(start, []suspect.Report{{Servers: parts("s1 s2 s3"), ExpiresIn: time.Minute}, {Part: "a", Servers: parts("s1 s2 s3")},
+			{Part: strings.Repeat("a", 65), Servers: parts("s1 s2 s3"), ExpiresIn: time.Minute}})).To(BeFalse())
+		g.Merge(start, []suspect.Report{{Part: "a", Servers: parts("s1 s2 s3"), ExpiresIn: 1000 * time.Hour}})
+		Expect(refuses(g, start.Add(59*time.Minute), "a")).To(BeTrue())
+		Expect(refuses(g, start.Add(time.Hour), "a")).To(BeFalse())
+	})
+
+	It("blame no part for long when servers crash for other reasons", func() {
+		const (
+			hosts, firstParts, secondParts = 7, 12, 200
+			perSecond                      = 56
+			step                           = 10 * time.Millisecond
+		)
+		random := rand.New(rand.NewPCG(1, 1))
+		registries := make([]*suspect.Registry, hosts)
+		for i := range registries {
+			registries[i] = suspect.NewRegistry()
+		}
+		refused, sent := 0, 0
+		for tick := range 6000 {
+			now := start.Add(time.Duration(tick) * step)
+			burst := tick >= 500 && tick%600 < 200
+			if random.Float64() >= perSecond*step.Seconds() {
+				continue
+			}
+			host := registries[random.IntN(hosts)]
+			prompt := parts(fmt.Sprintf("a%d b%d", random.IntN(firstParts), random.IntN(secondParts)))
+			sent++
+			if _, isRefused := host.Refusing(now, prompt, always); isRefused {
+				refused++
+				continue
+			}
+			host.BeginTrial(now, prompt)
+			if burst && random.Float64() < 0.3 {
+				host.RecordCrash(now, prompt, fmt.Sprint("s", tick))
+			} else if len(host.RecordAnswer(now, prompt)) == 0 {
+				continue
+			}
+			for _, from := range registries {
+				for _, to := range registries {
+					if from != to {
+						to.Merge(now, from.Shared(now))
+					}
+				}
+			}
+		}
+		Expect(sent).To(BeNumerically(">", 3000))
+		Expect(float64(refused) / float64(sent)).To(BeNumerically("<", 0.01))
+	})
+})
