--- a/internal/serving/suspect/guard.go
+++ b/internal/serving/suspect/guard.go
@@ -148,13 +148,13 @@
 }
 
 func (g *Guard) logAccusation(r Record, request string) {
-	message := "part accused"
-	if r.condemned {
-		message = "part condemned"
-		condemnedTotal.Inc()
-	}
 	accusedTotal.Inc()
-	g.log.Info(message, "part", r.Part, "request", request, "servers", r.Servers, "version", r.Version, "trials", r.Trials)
+	if !r.condemned {
+		g.log.Info("part accused", "part", r.Part, "request", request, "servers", r.Servers, "version", r.Version)
+		return
+	}
+	condemnedTotal.Inc()
+	g.log.Info("part condemned", "part", r.Part, "request", request, "servers", r.Servers, "version", r.Version, "trials", r.Trials)
 }
 
 // Merge applies the reports of another host.
