Streams: an unframed answer that ends without an event is cut off

What callers saw: an empty answer that looked complete, for a stream or an item whose server ended when it had sent only the head of an answer with neither a length nor chunks.

Cause: the end of the connection was taken for the end of the answer, though for such an answer a crash looks the same. The crash also counted as an answer to the prompt, which clears its parts.

The fix: such an end without any event is a cut-off; if the run resumed a stream, which may have no event left, only if the server is down. The spec of forward failed before: 1 send where 2 are expected.

--- a/internal/batch/itemrun/run.go
+++ b/internal/batch/itemrun/run.go
@@ -117,6 +117,7 @@
 	}
 	var splitter events.Splitter
 	buffer := make([]byte, readBufferBytes)
+	answered := false
 	for {
 		n, err := reply.Body.Read(buffer)
 		timeout.Cancel()
@@ -132,8 +133,14 @@
 			}
 		}
 		handle(received)
+		answered = answered || len(received) > 0
 		switch {
 		case errors.Is(err, io.EOF) && len(splitter.Remainder()) == 0:
+			// Only the end of its connection ends an unframed answer; one that
+			// resumes an item may rightly have no event left.
+			if reply.Unframed && !answered && (!resume.Set || servers.Down(ctx, server)) {
+				return End{Kind: Requeue, Outcome: scheduler.Failed, Cause: "the answer ended without an event"}
+			}
 			return End{Kind: Completed, Outcome: scheduler.Completed}
 		case ctx.Err() != nil:
 			return End{Kind: Requeue, Outcome: scheduler.Unknown, Cause: "left"}
--- a/internal/serving/exchange/call.go
+++ b/internal/serving/exchange/call.go
@@ -59,6 +59,9 @@
 	// Misdirected is set if another server answered at the address. NotRun is
 	// then set too.
 	Misdirected bool
+	// Unframed is set if the answer has neither a length nor chunks, so that its
+	// end can't be told from the end of its connection.
+	Unframed bool
 	// Body returns an error other than io.EOF if the answer was cut off.
 	Body io.ReadCloser
 }
--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -33,7 +33,9 @@
 	// after the call was sent, overloaded and misdirected that the server
 	// refuses the call.
 	unsent, lost, overloaded, misdirected bool
-	status                                int
+	// unframed means that the answer ends with its connection.
+	unframed bool
+	status   int
 	// body is the answer; truncated means that a read error follows it.
 	body      string
 	truncated bool
@@ -96,7 +98,7 @@
 	if status == 0 {
 		status = http.StatusOK
 	}
-	return &exchange.Reply{Status: status, Body: io.NopCloser(body), Fields: []exchange.Field{{Name: "Server", Value: b.ID}}}, nil
+	return &exchange.Reply{Status: status, Unframed: r.unframed, Body: io.NopCloser(body), Fields: []exchange.Field{{Name: "Server", Value: b.ID}}}, nil
 }
 
 func (s *scriptedServers) Down(context.Context, backend.Server) bool { return s.down }
@@ -223,6 +225,8 @@
 		Entry("stream, an end inside an event counts as cut off", routes.Stream, true, 2, []scriptedReply{{body: numberedEvents(1, 2) + "id: 3"}, {body: numberedEvents(3, 5)}}, 2, result.OK, result.RanNo, numberedEvents(1, 5)),
 		Entry("stream, a server that restarts the numbering is abandoned", routes.Stream, true, 3, []scriptedReply{{body: numberedEvents(1, 2), truncated: true}, {body: numberedEvents(1, 5)}, {body: numberedEvents(3, 5)}}, 3, result.OK, result.RanNo, numberedEvents(1, 5)),
 		Entry("stream, no events: the head is sent all the same", routes.Stream, true, 2, []scriptedReply{{body: ""}}, 1, result.OK, result.RanNo, ""),
+		Entry("stream, an unframed end without any event counts as cut off", routes.Stream, true, 2, []scriptedReply{{unframed: true}, {body: numberedEvents(1, 2)}}, 2, result.OK, result.RanNo, numberedEvents(1, 2)),
+		Entry("stream, an unframed end after events is complete", routes.Stream, true, 2, []scriptedReply{{unframed: true, body: numberedEvents(1, 2)}}, 1, result.OK, result.RanNo, numberedEvents(1, 2)),
 		Entry("stream, lost before its first event", routes.Stream, true, 2, []scriptedReply{{lost: true}, {body: numberedEvents(1, 2)}}, 2, result.OK, result.RanNo, numberedEvents(1, 2)),
 		Entry("stream, a server's error answer is passed on", routes.Stream, true, 1, []scriptedReply{{status: 500, body: "no"}}, 1, result.OK, result.RanNo, "no"),
 	)
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -182,7 +182,7 @@
 			switch {
 			case next.err == nil:
 				idleTimer.Reset(s.idleTimeout())
-			case errors.Is(next.err, io.EOF) && len(splitter.Remainder()) == 0:
+			case errors.Is(next.err, io.EOF) && len(splitter.Remainder()) == 0 && !s.endedUnanswered(ctx, att):
 				if !s.begun {
 					// The server sent no events, so no head was sent yet.
 					s.out.WriteComplete(att.reply.Status, att.reply.Fields, nil)
@@ -200,6 +200,17 @@
 	}
 }
 
+// endedUnanswered reports whether an answer that ended without an error and
+// without any event was cut off. Only the end of its connection ends an unframed
+// answer; one that resumes a stream may rightly have no event left.
+func (s *streamSession) endedUnanswered(ctx context.Context, att *attempt) bool {
+	if !att.reply.Unframed || att.events > 0 {
+		return false
+	}
+	_, resumed := s.sequence.Last()
+	return !resumed || s.forwarder.servers.Down(context.WithoutCancel(ctx), att.server)
+}
+
 // handleErrorStatus handles an answer with a status other than 200. It returns
 // nil if it passed the answer on to the caller.
 func (s *streamSession) handleErrorStatus(ctx context.Context, att *attempt) *result.Error {
