Refuse bodies that crash servers, whatever the ids of their requests

A body that crashes servers and is sent again under new ids was sent to two servers each time; the quarantine by body covers the product's own API only.

The fix: the body counts as a part of its own in package suspect. It is accused by each server that ended under it, cleared by one answer, and never explains the end of a server, since the retries of each bad body would otherwise hide the part that these have in common. Reports with condemned records and parts go first into a message. Result code 2008 covers both.

--- a/internal/fleet/notice/codec.go
+++ b/internal/fleet/notice/codec.go
@@ -262,7 +262,7 @@
 	list := make([]*wire.SuspectPart, 0, len(reports))
 	for _, r := range reports {
 		list = append(list, &wire.SuspectPart{
-			Part: r.Part, Depth: uint32(r.Depth), Version: r.Version, Servers: r.Servers, Trials: uint32(r.Trials), ExpiresInMs: uint32(r.ExpiresIn.Milliseconds()),
+			Part: r.Part, Depth: int32(r.Depth), Version: r.Version, Servers: r.Servers, Trials: uint32(r.Trials), ExpiresInMs: uint32(r.ExpiresIn.Milliseconds()),
 		})
 	}
 	return list
@@ -272,7 +272,7 @@
 	var reports []suspect.Report
 	for _, s := range list {
 		reports = append(reports, suspect.Report{
-			Part: s.GetPart(), Depth: int(min(s.GetDepth(), maxCount)), Version: s.GetVersion(), Servers: s.GetServers(), Trials: int(min(s.GetTrials(), maxCount)),
+			Part: s.GetPart(), Depth: int(s.GetDepth()), Version: s.GetVersion(), Servers: s.GetServers(), Trials: int(min(s.GetTrials(), maxCount)),
 			ExpiresIn: milliseconds(s.GetExpiresInMs()),
 		})
 	}
--- a/internal/operator/result/code.go
+++ b/internal/operator/result/code.go
@@ -61,7 +61,7 @@
 	DeadlineTooShort   Code = 2005
 	Quarantined        Code = 2006
 	Stopping           Code = 2007
-	CrashingPart       Code = 2008
+	CrashesBackends    Code = 2008
 
 	KeyReused        Code = 3001
 	StoreUnavailable Code = 3002
@@ -113,7 +113,7 @@
 	{DeadlineTooShort, 503, "deadline can't be met"},
 	{Quarantined, 422, "request quarantined"},
 	{Stopping, 503, "host stopping"},
-	{CrashingPart, 503, "part of the prompt crashes back ends"},
+	{CrashesBackends, 503, "request crashes back ends"},
 	{KeyReused, 409, "idempotency key reused with another body"},
 	{StoreUnavailable, 503, "records unavailable"},
 	{InProgress, 409, "request in progress"},
--- a/internal/serving/exchange/call.go
+++ b/internal/serving/exchange/call.go
@@ -8,6 +8,8 @@
 	"io"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/kingcupquay/kingcupquay/internal/operator/routes"
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 )
@@ -41,6 +43,16 @@
 	Deadline time.Time
 }
 
+// ContentHash identifies what the call asks for, whoever sends it.
+func (c *Call) ContentHash() uint64 {
+	hash := xxhash.New()
+	for _, text := range []string{c.Host, "\n", c.Method, "\n", c.Target, "\n"} {
+		_, _ = hash.WriteString(text)
+	}
+	_, _ = hash.Write(c.Body)
+	return hash.Sum64()
+}
+
 // Resume asks a server to continue a stream after an event.
 type Resume struct {
 	// After is the number of the last event that was received.
--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -22,7 +22,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
@@ -173,7 +172,7 @@
 // place picks a server for a call that is then sent. Its error carries
 // result.RanNo, as nothing was sent.
 func (f *Forwarder) place(ctx context.Context, c *exchange.Call, avoid map[string]bool, maxWait time.Duration) (scheduler.Choice, *result.Error) {
-	if failure := f.suspects.Check(c.SharedParts); failure != nil {
+	if failure := f.suspects.Check(c); failure != nil {
 		return scheduler.Choice{}, failure
 	}
 	choice, servers := f.slots.PlaceOnline(ctx, c.Service, avoid, maxWait)
@@ -184,7 +183,7 @@
 		return choice, result.New(result.Overloaded, "no slot within %d ms: %d expected at the best of %d servers, as told up to %d ms ago",
 			maxWait.Milliseconds(), choice.Wait.Milliseconds(), servers, choice.ReportAge.Milliseconds()).WithRetry(choice.RetryAfter)
 	}
-	if failure := f.suspects.Begin(c.ID, c.SharedParts); failure != nil {
+	if failure := f.suspects.Begin(c); failure != nil {
 		f.slots.EndOnline(f.timer.Now(), choice, 0, scheduler.Unknown)
 		return choice, failure
 	}
@@ -223,15 +222,16 @@
 }
 
 // recordCutOff records that an attempt's connection ended before the answer was
-// complete. If the server has gone down as it began to answer, the parts of the
-// prompt are accused.
+// complete. If the server has gone down, the call is evidence of what crashed it.
 func (f *Forwarder) recordCutOff(ctx context.Context, c *exchange.Call, a *attempt, cause error) {
 	cutOffTotal.Inc()
 	f.log.Info("cut off", "request", c.ID, "server", a.server.ID, "head", a.reply != nil, "events", a.events,
-		"after_ms", f.timer.Now().Sub(a.started).Milliseconds(), "parts", c.SharedParts, "body", strconv.FormatUint(xxhash.Sum64(c.Body), 16),
+		"after_ms", f.timer.Now().Sub(a.started).Milliseconds(), "parts", c.SharedParts, "body", strconv.FormatUint(c.ContentHash(), 16),
 		"cause", cause.Error())
-	if a.reply != nil && f.suspects.Accuses(c.SharedParts, a.events) && f.servers.Down(context.WithoutCancel(ctx), a.server) {
-		f.suspects.Crashed(c.ID, c.SharedParts, a.server.ID)
+	var failed *exchange.SendError
+	reused := errors.As(cause, &failed) && failed.Reused
+	if !reused && f.suspects.Accuses(a.events) && f.servers.Down(context.WithoutCancel(ctx), a.server) {
+		f.suspects.Crashed(c, a.server.ID, a.reply != nil)
 	}
 }
 
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -188,6 +188,7 @@
 					s.out.WriteComplete(att.reply.Status, att.reply.Fields, nil)
 				}
 				f.end(att, scheduler.Completed)
+				f.suspects.Answered(s.call)
 				return nil
 			default:
 				if ctx.Err() == nil {
@@ -254,8 +255,8 @@
 		}
 		raw = append(raw, e.Raw...)
 	}
+	s.forwarder.suspects.Answering(s.call, att.events, att.events+len(found))
 	att.events += len(found)
-	s.forwarder.suspects.Answering(s.call.ID, s.call.SharedParts, att.events, false)
 	now := s.forwarder.timer.Now()
 	if s.begun {
 		pauseSeconds.Update(now.Sub(s.lastEvent).Seconds())
--- a/internal/serving/forward/unary.go
+++ b/internal/serving/forward/unary.go
@@ -67,7 +67,7 @@
 			res.body, res.outcome = body, scheduler.Failed
 		default:
 			res.body, res.outcome = body, scheduler.Completed
-			f.suspects.Answering(c.ID, c.SharedParts, 0, res.reply.Status/100 == 2)
+			f.suspects.Answered(c)
 		}
 		f.end(res.attempt, res.outcome)
 	}()
--- a/internal/serving/suspect/registry.go
+++ b/internal/serving/suspect/registry.go
@@ -25,6 +25,10 @@
 // A host that has answered a part within recentAnswer withdraws what others
 // tell it, so a part that many callers share is hardly ever condemned.
 //
+// Requests that have no part in common, but whose body is sent again and again,
+// are found in the same way: the body counts as a part of its own. It is accused
+// whether or not its answer had begun, and explains the end of no server.
+//
 // Items of batch jobs are neither accused nor refused: they are owed whatever
 // crashed under them, and are delayed after crashes by package jobstate.
 package suspect
@@ -70,10 +74,13 @@
 	answerSlots = 1 << 12
 )
 
+// bodyDepth is the depth of a body among the parts of its prompt.
+const bodyDepth = -1
+
 // Record is what is known of one part.
 type Record struct {
 	Part string
-	// Depth is the position of the part in prompts, counted from 0.
+	// Depth is the position of the part in prompts, counted from 0, or bodyDepth.
 	Depth int
 	// Version grows with each withdrawal.
 	Version uint32
@@ -197,7 +204,7 @@
 			r.trialAt = now.Add(trialDelay(r.Trials))
 		}
 		r.condemned = unexplained >= condemnAfter
-		if r.condemned {
+		if r.condemned && r.Depth != bodyDepth {
 			for _, s := range r.Servers {
 				explainedBy[s] = max(explainedBy[s], r.Depth)
 			}
@@ -220,12 +227,8 @@
 		if !slices.Contains(accused, part) {
 			continue
 		}
-		r := g.lookup(now, part)
-		if r == nil {
-			r = &Record{Part: part, Depth: depth}
-			g.put(now, r)
-		}
-		if r.addServers(now, now.Add(recordTTL), []string{server}) {
+		r, isNew := g.accuse(now, part, depth, server)
+		if isNew {
 			changed = append(changed, r)
 		}
 		if r.condemned {
@@ -240,6 +243,40 @@
 	return records
 }
 
+// RecordBodyCrash records that a server ended while it had a request with a body,
+// and returns the record if it changed.
+func (g *Registry) RecordBodyCrash(now time.Time, body, server string) []Record {
+	r, isNew := g.accuse(now, body, bodyDepth, server)
+	if !isNew {
+		return nil
+	}
+	g.judge(now)
+	return []Record{*r}
+}
+
+// RecordBodyAnswer is RecordAnswer for a body. Answers to bodies that are not
+// accused are not remembered.
+func (g *Registry) RecordBodyAnswer(now time.Time, body string) []Record {
+	if !g.Withdraw(now, body) {
+		return nil
+	}
+	return []Record{*g.records[body]}
+}
+
+// Empty reports whether there are no records.
+func (g *Registry) Empty() bool { return len(g.records) == 0 }
+
+// accuse adds a server to the record of a part and reports whether it is new
+// there.
+func (g *Registry) accuse(now time.Time, part string, depth int, server string) (*Record, bool) {
+	r := g.lookup(now, part)
+	if r == nil {
+		r = &Record{Part: part, Depth: depth}
+		g.put(now, r)
+	}
+	return r, r.addServers(now, now.Add(recordTTL), []string{server})
+}
+
 // Merge applies the reports of another host and reports whether any record
 // changed.
 func (g *Registry) Merge(now time.Time, reports []Report) bool {
@@ -359,6 +396,7 @@
 	list := g.list(now, func(r *Record) bool {
 		return r.ExpiresAt.Sub(now) > unsharedPeriod && (r.condemned || now.Sub(r.changedAt) <= changedPeriod)
 	})
+	slices.SortStableFunc(list, func(a, b Record) int { return cmp.Compare(b.importance(), a.importance()) })
 	var reports []Report
 	for _, r := range list[:min(maxShared, len(list))] {
 		reports = append(reports, Report{Part: r.Part, Depth: r.Depth, Version: r.Version, Servers: r.Servers, Trials: r.Trials, ExpiresIn: r.ExpiresAt.Sub(now)})
@@ -366,6 +404,17 @@
 	return reports
 }
 
+// importance orders the records that do not fit into one message.
+func (r *Record) importance() int {
+	switch {
+	case r.condemned:
+		return 2
+	case r.Depth != bodyDepth:
+		return 1
+	}
+	return 0
+}
+
 func (g *Registry) list(now time.Time, keep func(*Record) bool) []Record {
 	var list []Record
 	for _, r := range g.records {
