--- a/internal/serving/exchange/call.go
+++ b/internal/serving/exchange/call.go
@@ -74,6 +74,9 @@
 	// Unframed is set if the answer has neither a length nor chunks, so that its
 	// end can't be told from the end of its connection.
 	Unframed bool
+	// RateLimit is the number of requests a second that the server takes from all
+	// hosts together, 0 if it named none.
+	RateLimit float64
 	// Body returns an error other than io.EOF if the answer was cut off.
 	Body io.ReadCloser
 }
