Keep the limits that servers name over all hosts together

What callers saw: nothing yet; the engines in need got up to 62 requests in 4 s where they allowed 17, and served them at the cost of their own recovery.

The fix: a host that gets an answer with a limit tells it to all others, and each reports how many requests it sent within the window of the limit. A server whose window is used up gets nothing, one whose window is partly used is chosen after its neighbours, and a request that no server can take is refused at once. It works because all placements, of first attempts, retries, resumed streams and items, pass the one place that counts, and a new host gets the counts of the others with their first message. Coordinators count what they have granted.

--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -126,7 +126,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a.Store = store.NewInstrumented(a.Store, t)
 	h := &Host{settings: s, timer: t, log: log, adapter: a, ctx: ctx, cancel: cancel, started: t.Now()}
-	a.Servers = &limitObserver{Servers: a.Servers, host: h, named: make(map[string]float64)}
+	a.Servers = &limitObserver{Servers: a.Servers, host: h}
 	h.self = notice.Member{Host: s.Name, Zone: s.Zone, Address: s.PeerAddress, Start: t.Now().UnixNano(), Weight: int(s.ProcessorShare * 1000)}
 	h.members = notice.NewPeerTable(h.self, h.handleLiveness)
 	h.placer = scheduler.New(s.Name, s.Zone, rand.Float64, h.sendNoticeSoon)
--- a/internal/fleet/entry/limits.go
+++ b/internal/fleet/entry/limits.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -18,10 +17,6 @@
 type limitObserver struct {
 	exchange.Servers
 	host *Host
-
-	mu sync.Mutex
-	// named holds the limits that were logged, by server.
-	named map[string]float64
 }
 
 // Send sends a call and observes the limit of the reply.
@@ -41,15 +36,7 @@
 	} else if reply.NotRun {
 		return
 	}
-	o.mu.Lock()
-	changed := o.named[s.ID] != reply.RateLimit
-	if reply.RateLimit > 0 {
-		o.named[s.ID] = reply.RateLimit
-	} else {
-		delete(o.named, s.ID)
-	}
-	o.mu.Unlock()
-	if changed {
+	if o.host.placer.SetLimit(o.host.timer.Now(), s.ID, reply.RateLimit) {
 		o.host.log.Info("limit of a server", "server", s.ID, "request", c.ID, "per_s", reply.RateLimit)
 	}
 }
--- a/internal/fleet/notice/codec.go
+++ b/internal/fleet/notice/codec.go
@@ -1,6 +1,7 @@
 package notice
 
 import (
+	"math"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -41,7 +42,7 @@
 	status := &wire.Status{
 		ConfigVersion: n.ConfigVersion, ServersRevision: n.ServersRevision, AcquiredJobs: n.AcquiredJobs, EndedJobs: n.EndedJobs,
 		KnownAddresses: n.KnownAddresses, BatchSeen: n.BatchSeen, BatchSeenStart: n.BatchSeenStart, Loads: encodeLoads(n.Loads),
-		Coordinator: n.Coordinator, Suspects: encodeSuspects(n.Suspects),
+		Coordinator: n.Coordinator, Suspects: encodeSuspects(n.Suspects), Limits: encodeLimits(n.Limits),
 	}
 	for service, b := range n.Backlogs {
 		status.Backlogs = append(status.Backlogs, &wire.Backlog{Service: service, Items: uint32(b.Items), SlackMs: b.Slack})
@@ -66,7 +67,7 @@
 		Member: decodeMember(d.GetSender()), Sequence: d.GetSequence(), ConfigVersion: status.GetConfigVersion(), ServersRevision: status.GetServersRevision(),
 		AcquiredJobs: status.GetAcquiredJobs(), EndedJobs: status.GetEndedJobs(), KnownAddresses: status.GetKnownAddresses(),
 		BatchSeen: status.GetBatchSeen(), BatchSeenStart: status.GetBatchSeenStart(), Loads: decodeLoads(status.GetLoads()),
-		Coordinator: status.GetCoordinator(), Suspects: decodeSuspects(status.GetSuspects()),
+		Coordinator: status.GetCoordinator(), Suspects: decodeSuspects(status.GetSuspects()), Limits: decodeLimits(status.GetLimits()),
 	}
 	if list := status.GetBacklogs(); len(list) > 0 {
 		n.Backlogs = make(map[string]scheduler.Backlog, len(list))
@@ -98,7 +99,7 @@
 func (s Summary) Encode() ([]byte, error) {
 	summary := &wire.Summary{
 		ConfigVersion: s.ConfigVersion, RosterVersion: s.RosterVersion, EndedJobs: s.EndedJobs, Loads: encodeLoads(s.Loads),
-		Suspects: encodeSuspects(s.Suspects),
+		Suspects: encodeSuspects(s.Suspects), Limits: encodeLimits(s.Limits),
 		Servers: &wire.Changes{
 			From: s.Servers.From, To: s.Servers.To, GraceMs: uint32(s.Servers.Grace.Milliseconds()), AwayMs: uint32(s.Servers.Away.Milliseconds()),
 		},
@@ -125,7 +126,7 @@
 		Member: decodeMember(d.GetSender()), Sequence: d.GetSequence(), ConfigVersion: summary.GetConfigVersion(), RosterVersion: summary.GetRosterVersion(),
 		EndedJobs: summary.GetEndedJobs(), Loads: decodeLoads(summary.GetLoads()), Services: make(map[string]scheduler.ZoneLoad),
 		Servers:      Changes{From: servers.GetFrom(), To: servers.GetTo(), Grace: milliseconds(servers.GetGraceMs()), Away: milliseconds(servers.GetAwayMs())},
-		AcquiredJobs: make(map[string][]string), Suspects: decodeSuspects(summary.GetSuspects()),
+		AcquiredJobs: make(map[string][]string), Suspects: decodeSuspects(summary.GetSuspects()), Limits: decodeLimits(summary.GetLimits()),
 	}
 	for _, c := range servers.GetChanges() {
 		s.Servers.Events = append(s.Servers.Events, store.Event{
@@ -234,7 +235,7 @@
 func encodeLoads(loads map[string]scheduler.Load) []*wire.ServerLoad {
 	list := make([]*wire.ServerLoad, 0, len(loads))
 	for server, l := range loads {
-		s := &wire.ServerLoad{Server: server, Online: uint32(l.Online), Batch: uint32(l.Batch)}
+		s := &wire.ServerLoad{Server: server, Online: uint32(l.Online), Batch: uint32(l.Batch), Sent: uint32(l.Sent)}
 		for _, ms := range l.Ends {
 			s.EndsMs = append(s.EndsMs, uint32(max(0, ms)))
 		}
@@ -249,7 +250,7 @@
 func decodeLoads(list []*wire.ServerLoad) map[string]scheduler.Load {
 	loads := make(map[string]scheduler.Load, len(list))
 	for _, s := range list {
-		l := scheduler.Load{Online: int(min(s.GetOnline(), maxCount)), Batch: int(min(s.GetBatch(), maxCount))}
+		l := scheduler.Load{Online: int(min(s.GetOnline(), maxCount)), Batch: int(min(s.GetBatch(), maxCount)), Sent: int(min(s.GetSent(), maxCount))}
 		for _, ms := range s.GetEndsMs() {
 			l.Ends = append(l.Ends, int(ms))
 		}
@@ -258,6 +259,25 @@
 	return loads
 }
 
+func encodeLimits(limits map[string]scheduler.Limit) []*wire.ServerLimit {
+	list := make([]*wire.ServerLimit, 0, len(limits))
+	for server, l := range limits {
+		list = append(list, &wire.ServerLimit{Server: server, PerSecond: l.PerSecond, AgeMs: uint32(l.Age.Milliseconds())})
+	}
+	return list
+}
+
+// decodeLimits leaves out values that no host sends.
+func decodeLimits(list []*wire.ServerLimit) map[string]scheduler.Limit {
+	limits := make(map[string]scheduler.Limit, len(list))
+	for _, l := range list {
+		if l.GetPerSecond() >= 0 && !math.IsInf(l.GetPerSecond(), 1) {
+			limits[l.GetServer()] = scheduler.Limit{PerSecond: l.GetPerSecond(), Age: milliseconds(l.GetAgeMs())}
+		}
+	}
+	return limits
+}
+
 func encodeSuspects(reports []suspect.Report) []*wire.SuspectPart {
 	list := make([]*wire.SuspectPart, 0, len(reports))
 	for _, r := range reports {
--- /dev/null
+++ b/internal/fleet/notice/codec_test.go
@@ -0,0 +1,47 @@
+package notice_test
+
+import (
+	"math"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupquay/kingcupquay/internal/fleet/notice"
+	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
+	"github.com/kingcupquay/kingcupquay/internal/serving/suspect"
+)
+
+var _ = Describe("datagrams", func() {
+	member := notice.Member{Host: "A", Zone: "z", Address: "10.0.0.1:1", Start: 1}
+	suspects := []suspect.Report{{Part: "body/1", Depth: -1, Version: 2, Servers: []string{"s1", "s2"}, Trials: 1, ExpiresIn: time.Minute}}
+	limits := map[string]scheduler.Limit{"s1": {PerSecond: 2.5, Age: time.Second}, "s2": {}}
+	loads := map[string]scheduler.Load{"s1": {Online: 1, Batch: 2, Sent: 3, Ends: []int{4}}}
+
+	It("carry suspects, limits and the requests sent to limited servers", func() {
+		datagram, err := notice.Notice{Member: member, Sequence: 1, Suspects: suspects, Limits: limits, Loads: loads}.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		m, err := notice.Decode(datagram)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(m.Notice.Suspects).To(Equal(suspects))
+		Expect(m.Notice.Limits).To(Equal(limits))
+		Expect(m.Notice.Loads).To(Equal(loads))
+		datagram, err = notice.Summary{Member: member, Sequence: 1, Suspects: suspects, Limits: limits, Loads: loads}.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		m, err = notice.Decode(datagram)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(m.Summary.Suspects).To(Equal(suspects))
+		Expect(m.Summary.Limits).To(Equal(limits))
+		Expect(m.Summary.Loads).To(Equal(loads))
+	})
+
+	It("leave out limits that no host sends", func() {
+		datagram, err := notice.Notice{Member: member, Sequence: 1, Limits: map[string]scheduler.Limit{
+			"a": {PerSecond: math.NaN()}, "b": {PerSecond: math.Inf(1)}, "c": {PerSecond: -1}, "d": {PerSecond: 1},
+		}}.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		m, err := notice.Decode(datagram)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(m.Notice.Limits).To(Equal(map[string]scheduler.Limit{"d": {PerSecond: 1}}))
+	})
+})
--- a/internal/fleet/notice/notice.go
+++ b/internal/fleet/notice/notice.go
@@ -80,6 +80,8 @@
 	Coordinator string `json:"-"`
 	// SlotTimes are the mean times of online requests in a slot, by service.
 	SlotTimes map[string]time.Duration `json:"-"`
+	// Limits are those that servers named in answers to the host, by server.
+	Limits map[string]scheduler.Limit `json:"-"`
 	// Suspects are the parts of prompts under which servers ended.
 	Suspects []suspect.Report `json:"-"`
 }
@@ -137,6 +139,7 @@
 	// AcquiredJobs are the jobs that hosts have recently come to own, by host.
 	AcquiredJobs map[string][]string
 	EndedJobs    []string
+	Limits       map[string]scheduler.Limit
 	Suspects     []suspect.Report
 	// Forwarded is set if the summary did not come from its relay directly.
 	Forwarded bool
--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -180,8 +180,8 @@
 		if servers == 0 {
 			return choice, result.New(result.NoBackend, "service %s has no back end", c.Service).WithRetry(noBackendRetryAfter)
 		}
-		return choice, result.New(result.Overloaded, "no slot within %d ms: %d expected at the best of %d servers, as told up to %d ms ago",
-			maxWait.Milliseconds(), choice.Wait.Milliseconds(), servers, choice.ReportAge.Milliseconds()).WithRetry(choice.RetryAfter)
+		return choice, result.New(result.Overloaded, "no slot within %d ms: %d expected at the best of %d servers, %d of them at their limit, as told up to %d ms ago",
+			maxWait.Milliseconds(), choice.Wait.Milliseconds(), servers, choice.Limited, choice.ReportAge.Milliseconds()).WithRetry(choice.RetryAfter)
 	}
 	if failure := f.suspects.Begin(c); failure != nil {
 		f.slots.EndOnline(f.timer.Now(), choice, 0, scheduler.Unknown)
--- a/internal/serving/scheduler/coordinate.go
+++ b/internal/serving/scheduler/coordinate.go
@@ -96,6 +96,9 @@
 	for _, s := range servers {
 		l, z := p.totalLoad(now, s.ID), loads[s.Service]
 		z.Slots += s.Slots
+		if allowed, _ := p.allowance(now, s.ID); allowed < s.Slots {
+			z.Slots -= max(0, s.Slots-l.Online-allowed)
+		}
 		z.Online += l.Online
 		z.Batch += l.Batch
 		loads[s.Service] = z
@@ -110,7 +113,7 @@
 	defer p.mu.Unlock()
 	loads := make(map[string]Load)
 	for _, s := range servers {
-		if l := p.totalLoad(now, s.ID); l.total() > 0 {
+		if l := p.totalLoad(now, s.ID); l.total() > 0 || l.Sent > 0 {
 			loads[s.ID] = l
 		}
 	}
@@ -131,7 +134,10 @@
 	for server, l := range loads {
 		own := p.local[server]
 		l.Online, l.Batch = max(0, l.Online-len(own.expectedEnds)), max(0, l.Batch-own.batch)
-		if l.total() > 0 {
+		if limit := p.limits[server]; limit != nil {
+			l.Sent = max(0, l.Sent-limit.sent(now))
+		}
+		if l.total() > 0 || l.Sent > 0 {
 			others[server] = l
 		}
 	}
@@ -190,7 +196,7 @@
 		return c
 	}
 	if host == p.host {
-		p.addOnline(c.Server.ID, c.expectedEnd)
+		p.addOnline(now, c.Server.ID, c.expectedEnd)
 		return c
 	}
 	p.others.change(now, host, func(r *report) {
@@ -359,15 +365,16 @@
 	defer p.mu.Unlock()
 	c := Choice{Server: s, Wait: wait, Placed: true, InFlight: p.totalLoad(now, s.ID).total()}
 	c.expectedEnd = now.Add(wait + p.meanSlotTime(s.Service))
-	p.addOnline(s.ID, c.expectedEnd)
+	p.addOnline(now, s.ID, c.expectedEnd)
 	return c
 }
 
 // TakeBatch counts a slot that the coordinator granted for a batch item, until
 // PlaceBatch uses it or returns it.
-func (p *Placer) TakeBatch(s backend.Server) {
+func (p *Placer) TakeBatch(now time.Time, s backend.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.recordSend(now, s.ID)
 	p.addBatch(s.ID, 1)
 	p.reserved[s.Service] = append(p.reserved[s.Service], s)
 }
--- a/internal/serving/scheduler/coordinate_test.go
+++ b/internal/serving/scheduler/coordinate_test.go
@@ -102,7 +102,7 @@
 		p.SetRole(scheduler.Coordinated)
 		Expect(p.PlaceBatch(epoch, "s", []backend.Server{x}, 3)).To(BeEmpty(), "nothing is granted")
 		for range 4 {
-			p.TakeBatch(x)
+			p.TakeBatch(epoch, x)
 		}
 		Expect(p.PlaceBatch(epoch, "s", []backend.Server{x}, 3)).To(HaveLen(3))
 		loads, _ := p.LocalState(epoch)
@@ -225,7 +225,7 @@
 			for _, g := range grants {
 				if g.Number > w.seen[i] {
 					w.seen[i] = g.Number
-					w.hosts[i].TakeBatch(w.server(g.Server))
+					w.hosts[i].TakeBatch(w.clock(), w.server(g.Server))
 				}
 			}
 		}
--- a/internal/serving/scheduler/occupancy.go
+++ b/internal/serving/scheduler/occupancy.go
@@ -25,6 +25,8 @@
 	// SlotTimes holds the mean slot times of the host's online requests, by
 	// service.
 	SlotTimes map[string]time.Duration
+	// Limits are those that servers named in answers to the host, by server.
+	Limits map[string]Limit
 	// Coordinator is the host whose batch grants the host waits for, empty if it
 	// waits for none.
 	Coordinator string
@@ -59,8 +61,8 @@
 
 // serverLoad is the load of one server. The numbers are the sums over byHost.
 type serverLoad struct {
-	online, batch int
-	byHost        map[string]hostLoad
+	online, batch, sent int
+	byHost              map[string]hostLoad
 	// failureRate is the sum of the reported failure rates.
 	failureRate float64
 }
@@ -155,12 +157,14 @@
 			l.at = r.at
 		}
 		l.Online++
+		l.Sent++
 		l.Ends = append(slices.Clip(l.Ends), int(max(0, c.expectedEnd.Sub(l.at).Milliseconds())))
 		loads[c.Server.ID] = l
 	}
 	for _, g := range r.batch {
 		l := loads[g.Server]
 		l.Batch++
+		l.Sent++
 		loads[g.Server] = l
 	}
 	return loads
@@ -172,6 +176,7 @@
 		t := o.server(server)
 		t.online += l.Online
 		t.batch += l.Batch
+		t.sent += l.Sent
 		t.byHost[r.Host] = l
 	}
 	for server, rate := range r.FailureRates {
@@ -193,6 +198,7 @@
 		t := o.servers[server]
 		t.online -= l.Online
 		t.batch -= l.Batch
+		t.sent -= l.Sent
 		delete(t.byHost, r.Host)
 	}
 	for server, rate := range r.FailureRates {
--- a/internal/serving/scheduler/online.go
+++ b/internal/serving/scheduler/online.go
@@ -42,6 +42,9 @@
 	// and ReportAge the age of the oldest host report in use.
 	InFlight  int
 	ReportAge time.Duration
+	// Limited is the number of servers that were passed over because their limits
+	// are used up.
+	Limited int
 	// Zone is set instead of Server if the request is to be placed by the
 	// coordinator of another zone.
 	Zone string
@@ -54,14 +57,14 @@
 
 // PlaceOnline places an online request on the server with the lowest cost. It
 // refuses the request if that server is not expected to have a free slot within
-// maxWait. Servers in avoid are skipped; servers in backoff are used only if no
-// other is left.
+// maxWait. Servers in avoid and those whose limit is used up are skipped; servers
+// in backoff are used only if no other is left.
 func (p *Placer) PlaceOnline(now time.Time, servers []backend.Server, avoid map[string]bool, maxWait time.Duration) Choice {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := p.choose(now, servers, avoid, maxWait)
 	if c.Placed {
-		p.addOnline(c.Server.ID, c.expectedEnd)
+		p.addOnline(now, c.Server.ID, c.expectedEnd)
 	}
 	return c
 }
@@ -71,18 +74,26 @@
 	p.others.expire(now)
 	var best Choice
 	bestCost := time.Duration(-1)
+	limited := 0
 	for _, allowBackoff := range []bool{false, true} {
 		for _, s := range servers {
 			if avoid[s.ID] {
 				continue
 			}
+			allowed, used := p.allowance(now, s.ID)
+			if allowed == 0 {
+				if !allowBackoff {
+					limited++
+				}
+				continue
+			}
 			inBackoff, failurePenalty := p.inBackoff(now, s.ID)
 			if inBackoff && !allowBackoff {
 				continue
 			}
 			l := p.totalLoad(now, s.ID)
 			wait := p.wait(now, s, l)
-			cost := wait + failurePenalty + p.placementPenalty(s, l, wait)
+			cost := wait + failurePenalty + p.placementPenalty(s, l, wait) + time.Duration(used*float64(limitPenalty))
 			if bestCost < 0 || cost < bestCost {
 				best, bestCost = Choice{Server: s, Wait: wait, InFlight: l.total()}, cost
 			}
@@ -94,6 +105,7 @@
 	if bestCost >= 0 {
 		best.ReportAge = p.others.age(now)
 	}
+	best.Limited = limited
 	if bestCost < 0 || best.Wait > maxWait {
 		best.Server, best.RetryAfter = backend.Server{}, p.randomRetryAfter()
 		return best
--- a/internal/serving/slots/slots.go
+++ b/internal/serving/slots/slots.go
@@ -283,6 +283,7 @@
 	defer s.mu.Unlock()
 	now := s.timer.Now()
 	n.Loads, n.Backlogs = s.placer.LocalState(now)
+	n.Limits = s.placer.OwnLimits(now)
 	n.BatchSeen, n.BatchSeenStart = s.batchSeen, s.batchSeenStart
 	for _, a := range s.asks {
 		n.Asks = append(n.Asks, a.Ask)
@@ -296,7 +297,7 @@
 // HandleNotice stores the status of another host and answers its asks.
 func (s *Slots) HandleNotice(n notice.Notice) {
 	now := s.timer.Now()
-	status := scheduler.Status{Host: n.Host, Zone: n.Zone, Loads: n.Loads, Backlogs: n.Backlogs, Asks: n.Asks, FailureRates: n.FailureRates, SlotTimes: n.SlotTimes, Coordinator: n.Coordinator}
+	status := scheduler.Status{Host: n.Host, Zone: n.Zone, Loads: n.Loads, Backlogs: n.Backlogs, Asks: n.Asks, FailureRates: n.FailureRates, SlotTimes: n.SlotTimes, Limits: n.Limits, Coordinator: n.Coordinator}
 	if n.BatchSeenStart == s.self.Start {
 		status.BatchSeen = n.BatchSeen
 	}
@@ -372,7 +373,7 @@
 		delete(s.asks, answer.ID)
 		waiting.answer <- c
 	}
-	taken := s.takeBatch(a)
+	taken := s.takeBatch(now, a)
 	s.mu.Unlock()
 	for _, k := range a.Keep {
 		s.placer.KeepBatch(k.Server, k.Items)
@@ -384,7 +385,7 @@
 
 // takeBatch counts the batch grants that are new, and reports whether there were
 // any. The caller holds s.mu.
-func (s *Slots) takeBatch(a notice.Answers) bool {
+func (s *Slots) takeBatch(now time.Time, a notice.Answers) bool {
 	if len(a.Batch) == 0 {
 		return false
 	}
@@ -398,7 +399,7 @@
 		}
 		s.batchSeen = g.Number
 		if server, usable := s.directory.Get(g.Server); usable {
-			s.placer.TakeBatch(server)
+			s.placer.TakeBatch(now, server)
 			taken = true
 		}
 	}
@@ -408,6 +409,7 @@
 // HandleSummary stores the loads that a relay reported.
 func (s *Slots) HandleSummary(m notice.Summary) {
 	now := s.timer.Now()
+	s.placer.MergeLimits(now, m.Limits)
 	if m.Zone != s.self.Zone {
 		s.placer.SetZoneLoads(now, m.Zone, m.Services)
 		return
@@ -424,7 +426,7 @@
 	for _, service := range s.directory.Services() {
 		servers = append(servers, s.directory.UsableIn(service, s.self.Zone)...)
 	}
-	m.Services, m.Loads = s.placer.ZoneLoads(now, servers), s.placer.ServerLoads(now, servers)
+	m.Services, m.Loads, m.Limits = s.placer.ZoneLoads(now, servers), s.placer.ServerLoads(now, servers), s.placer.Limits(now)
 }
 
 // coordinate makes a pass over the waiting batch items after each report while
