Jobs: never give an item up because servers crashed under it

What callers saw: nothing recorded here; reported from a system like ours. An item under which six servers had crashed was parked until its job expired, though servers had room; from the third crash on each run waited 15 s.

Cause: the rule for requests that crash servers was applied to items, which are owed whatever crashed under them.

The fix: from the third crash without progress the next run is delayed by 0.5 s, doubling to 8 s, and nothing else happens to the item. The spec "at most six times" stated the old rule and is replaced by one that lets nine servers crash and expects the item to complete; it failed before with 6 runs.

--- a/internal/batch/jobstate/job.go
+++ b/internal/batch/jobstate/job.go
@@ -38,16 +38,12 @@
 }
 
 // phase is the execution state of an item. An item moves between waiting and
-// running, or is parked; from any of these it moves to finished and then to
-// listed.
+// running, from either to finished, and then to listed.
 type phase uint8
 
 const (
 	waiting phase = iota
 	running
-	// parked items have reached parkAfterCrashes. This owner does not run them
-	// again and gives them up when the job expires.
-	parked
 	// finished items have a result that is not durable yet.
 	finished
 	// listed items have a durable result.
@@ -68,8 +64,10 @@
 	eventCount int64
 	// failures counts runs that ended with a failure reported by the server.
 	failures int
-	// crashes counts runs that ended because their server went down.
-	crashes int
+	// crashes counts runs that ended because their server went down since the item
+	// last made progress; crashedAt is the number of events after the last one.
+	crashes   int
+	crashedAt int64
 	// backoff is the earliest start of the next run after repeated crashes.
 	backoff time.Time
 	result  Result
@@ -243,29 +241,30 @@
 	// after each crash. Earlier crashes cause no delay, because a server may have
 	// crashed for a reason unrelated to the item.
 	backoffAfterCrashes = 3
-	// parkAfterCrashes is the number of crashes at which an item is parked. The
-	// platform's rules allow three more runs after the third crash.
-	parkAfterCrashes = 6
-	// crashBackoff is the delay after a crash. It is shorter than the 20 s for
-	// which the platform's rules excuse a job after an item failed.
-	crashBackoff = 15 * time.Second
+	// minCrashBackoff is the delay after the first of these crashes. It doubles
+	// with each further one up to maxCrashBackoff.
+	minCrashBackoff = 500 * time.Millisecond
+	maxCrashBackoff = 8 * time.Second
 )
 
 // RecordCrash records that a run ended because its server went down. It reports
-// whether the item is delayed and until when; a zero until means that the item
-// is parked.
-func (j *Job) RecordCrash(i int, now time.Time) (backoff bool, until time.Time) {
+// whether the item is delayed and until when. An item is never given up for
+// crashes: it is owed, and servers crash for reasons of their own.
+func (j *Job) RecordCrash(i int, now time.Time) (delayed bool, until time.Time) {
 	s := j.items[i]
-	s.crashes++
-	if s.crashes >= parkAfterCrashes {
-		s.phase = parked
-		return true, time.Time{}
+	if s.eventCount > s.crashedAt {
+		s.crashes = 0
 	}
+	s.crashes, s.crashedAt = s.crashes+1, s.eventCount
 	j.Requeue(i)
 	if s.crashes < backoffAfterCrashes {
 		return false, time.Time{}
 	}
-	s.backoff = now.Add(crashBackoff)
+	delay := minCrashBackoff
+	for n := backoffAfterCrashes; n < s.crashes && delay < maxCrashBackoff; n++ {
+		delay *= 2
+	}
+	s.backoff = now.Add(delay)
 	return true, s.backoff
 }
 
@@ -280,7 +279,7 @@
 	s.text = nil
 }
 
-// Expire gives up all waiting and parked items once GiveUpAt has passed, and
+// Expire gives up all waiting items once GiveUpAt has passed, and
 // returns their number.
 func (j *Job) Expire(now time.Time) int {
 	if j.record.GiveUpAt.IsZero() || now.Before(j.record.GiveUpAt) || j.record.Ended {
@@ -289,11 +288,11 @@
 	return j.GiveUpWaiting()
 }
 
-// GiveUpWaiting gives up all waiting and parked items and returns their number.
+// GiveUpWaiting gives up all waiting items and returns their number.
 func (j *Job) GiveUpWaiting() int {
 	n := 0
 	for i, s := range j.items {
-		if s.phase == waiting || s.phase == parked {
+		if s.phase == waiting {
 			j.GiveUp(i)
 			n++
 		}
--- a/internal/batch/ownership/running.go
+++ b/internal/batch/ownership/running.go
@@ -98,7 +98,7 @@
 	}
 }
 
-// giveUpUnrouted gives up the waiting and parked items of a job whose route the
+// giveUpUnrouted gives up the waiting items of a job whose route the
 // operator has removed.
 func (m *Manager) giveUpUnrouted(now time.Time, j *ownedJob, id string) {
 	n := j.job.GiveUpWaiting()
@@ -214,7 +214,7 @@
 		j.job.Requeue(i)
 	case itemrun.Crashed:
 		if delayed, until := j.job.RecordCrash(i, now); delayed {
-			m.Log.Info("item rests", "job", record.ID, "item", item.ID, "until", until, "for_ever", until.IsZero(), "cause", "its servers crashed during its runs")
+			m.Log.Info("item rests", "job", record.ID, "item", item.ID, "until", until, "cause", "its servers crashed during its runs")
 		}
 	case itemrun.Failed:
 		j.job.DiscardOutput(i)
--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -101,6 +101,13 @@
 	return &exchange.Reply{Status: http.StatusOK, Body: reader}, nil
 }
 
+// setCrashing sets the item that crashes its servers, "" for none.
+func (s *servers) setCrashing(item string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashing = item
+}
+
 // Down reports a server as crashed if the test has a crashing item.
 func (s *servers) Down(context.Context, backend.Server) bool {
 	s.mu.Lock()
