Jobs of the product's own API: a failing spec of an item given up after crashes

The search for the class of the report on items found that an item ends as failed after two crashes here. The spec lets five servers crash and expects the item to complete; it fails with 2 crashes where 5 are expected. Not mended: what should bound an item that does crash servers is open.

--- a/internal/batch/job/outage_test.go
+++ b/internal/batch/job/outage_test.go
@@ -11,6 +11,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/batch/item"
 	"github.com/kingcupquay/kingcupquay/internal/batch/job"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/standin/specs"
 )
 
 // reducedTotal is the number of items in tests where the largest job would take
@@ -167,6 +168,26 @@
 	})
 })
 
+var _ = Describe("an item under which backend servers crashed", func() {
+	It("completes once they are back, however many crashed", Label(specs.KnownRed), func() {
+		const crashing = 5
+		d := newDriver(reducedTotal)
+		crashes := 0
+		d.answer = func(n int) job.RunResult {
+			if n != reducedTotal-1 || crashes == crashing {
+				return successAnswer(n)
+			}
+			crashes++
+			return job.RunResult{Failure: result.New(result.BackendCrashed, "engine died").WithRan(result.RanMaybe)}
+		}
+		for !d.store.records["big"].State.Final() {
+			d.tick(50 * time.Millisecond)
+		}
+		Expect(crashes).To(Equal(crashing))
+		Expect(d.store.records["big"].Failed).To(BeZero())
+	})
+})
+
 var _ = Describe("ended jobs", func() {
 	It("are removed after the retention period", func() {
 		d := newDriver(reducedTotal)
