Suspect parts: decide on and count a trial in one step

Two requests that were sent at the same moment could both pass as the next trial of a part, since the check and the count took the lock one after the other. Found by reading; not seen in a run. A spec starts 50 at once and expects one.

--- a/internal/serving/suspect/guard.go
+++ b/internal/serving/suspect/guard.go
@@ -100,22 +100,30 @@
 
 // Begin is Check for a call that is sent right after it.
 func (g *Guard) Begin(c *exchange.Call) *result.Error {
-	if failure := g.Check(c); failure != nil {
-		return failure
-	}
-	g.mu.Lock()
-	var trial Record
-	var onTrial bool
-	if !g.registry.Empty() {
-		trial, onTrial = g.registry.BeginTrial(g.timer.Now(), subjects(c))
-	}
-	g.mu.Unlock()
+	now := g.timer.Now()
+	trial, onTrial, failure := g.begin(now, c)
 	if onTrial {
 		trialsTotal.Inc()
 		g.log.Info("trial of a part", "part", trial.Part, "request", c.ID, "trial", trial.Trials, "servers", trial.Servers)
 		g.fleet.ShareSoon()
 	}
-	return nil
+	return failure
+}
+
+// begin decides and counts a trial in one step, so that only one of several calls
+// is the next trial.
+func (g *Guard) begin(now time.Time, c *exchange.Call) (trial Record, onTrial bool, failure *result.Error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.registry.Empty() {
+		return Record{}, false, nil
+	}
+	list := subjects(c)
+	if r, refused := g.registry.Refusing(now, list, g.fleet.IsTrialHost); refused {
+		return Record{}, false, refusal(now, r)
+	}
+	trial, onTrial = g.registry.BeginTrial(now, list)
+	return trial, onTrial, nil
 }
 
 // Answering reports that a server that had sent before events of its answer has
