--- a/internal/fleet/notice/codec.go
+++ b/internal/fleet/notice/codec.go
@@ -11,6 +11,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
+	"github.com/kingcupquay/kingcupquay/internal/serving/serverlimit"
 	"github.com/kingcupquay/kingcupquay/internal/serving/suspect"
 )
 
@@ -259,7 +260,7 @@
 	return loads
 }
 
-func encodeLimits(limits map[string]scheduler.Limit) []*wire.ServerLimit {
+func encodeLimits(limits map[string]serverlimit.Limit) []*wire.ServerLimit {
 	list := make([]*wire.ServerLimit, 0, len(limits))
 	for server, l := range limits {
 		list = append(list, &wire.ServerLimit{Server: server, PerSecond: l.PerSecond, AgeMs: uint32(l.Age.Milliseconds())})
@@ -268,11 +269,11 @@
 }
 
 // decodeLimits leaves out values that no host sends.
-func decodeLimits(list []*wire.ServerLimit) map[string]scheduler.Limit {
-	limits := make(map[string]scheduler.Limit, len(list))
+func decodeLimits(list []*wire.ServerLimit) map[string]serverlimit.Limit {
+	limits := make(map[string]serverlimit.Limit, len(list))
 	for _, l := range list {
 		if l.GetPerSecond() >= 0 && !math.IsInf(l.GetPerSecond(), 1) {
-			limits[l.GetServer()] = scheduler.Limit{PerSecond: l.GetPerSecond(), Age: milliseconds(l.GetAgeMs())}
+			limits[l.GetServer()] = serverlimit.Limit{PerSecond: l.GetPerSecond(), Age: milliseconds(l.GetAgeMs())}
 		}
 	}
 	return limits
--- a/internal/fleet/notice/codec_test.go
+++ b/internal/fleet/notice/codec_test.go
@@ -9,13 +9,14 @@
 
 	"github.com/kingcupquay/kingcupquay/internal/fleet/notice"
 	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
+	"github.com/kingcupquay/kingcupquay/internal/serving/serverlimit"
 	"github.com/kingcupquay/kingcupquay/internal/serving/suspect"
 )
 
 var _ = Describe("datagrams", func() {
 	member := notice.Member{Host: "A", Zone: "z", Address: "10.0.0.1:1", Start: 1}
 	suspects := []suspect.Report{{Part: "body/1", Depth: -1, Version: 2, Servers: []string{"s1", "s2"}, Trials: 1, ExpiresIn: time.Minute}}
-	limits := map[string]scheduler.Limit{"s1": {PerSecond: 2.5, Age: time.Second}, "s2": {}}
+	limits := map[string]serverlimit.Limit{"s1": {PerSecond: 2.5, Age: time.Second}, "s2": {}}
 	loads := map[string]scheduler.Load{"s1": {Online: 1, Batch: 2, Sent: 3, Ends: []int{4}}}
 
 	It("carry suspects, limits and the requests sent to limited servers", func() {
@@ -36,12 +37,12 @@
 	})
 
 	It("leave out limits that no host sends", func() {
-		datagram, err := notice.Notice{Member: member, Sequence: 1, Limits: map[string]scheduler.Limit{
+		datagram, err := notice.Notice{Member: member, Sequence: 1, Limits: map[string]serverlimit.Limit{
 			"a": {PerSecond: math.NaN()}, "b": {PerSecond: math.Inf(1)}, "c": {PerSecond: -1}, "d": {PerSecond: 1},
 		}}.Encode()
 		Expect(err).NotTo(HaveOccurred())
 		m, err := notice.Decode(datagram)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(m.Notice.Limits).To(Equal(map[string]scheduler.Limit{"d": {PerSecond: 1}}))
+		Expect(m.Notice.Limits).To(Equal(map[string]serverlimit.Limit{"d": {PerSecond: 1}}))
 	})
 })
--- a/internal/fleet/notice/notice.go
+++ b/internal/fleet/notice/notice.go
@@ -27,6 +27,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
+	"github.com/kingcupquay/kingcupquay/internal/serving/serverlimit"
 	"github.com/kingcupquay/kingcupquay/internal/serving/suspect"
 )
 
@@ -81,7 +82,7 @@
 	// SlotTimes are the mean times of online requests in a slot, by service.
 	SlotTimes map[string]time.Duration `json:"-"`
 	// Limits are those that servers named in answers to the host, by server.
-	Limits map[string]scheduler.Limit `json:"-"`
+	Limits map[string]serverlimit.Limit `json:"-"`
 	// Suspects are the parts of prompts under which servers ended.
 	Suspects []suspect.Report `json:"-"`
 }
@@ -139,7 +140,7 @@
 	// AcquiredJobs are the jobs that hosts have recently come to own, by host.
 	AcquiredJobs map[string][]string
 	EndedJobs    []string
-	Limits       map[string]scheduler.Limit
+	Limits       map[string]serverlimit.Limit
 	Suspects     []suspect.Report
 	// Forwarded is set if the summary did not come from its relay directly.
 	Forwarded bool
--- a/internal/serving/scheduler/batch.go
+++ b/internal/serving/scheduler/batch.go
@@ -37,7 +37,7 @@
 	var placed []backend.Server
 	for i := first; i < len(slots) && len(placed) < limit; i++ {
 		placed = append(placed, slots[i])
-		p.recordSend(now, slots[i].ID)
+		p.limits.RecordSend(now, slots[i].ID)
 		p.addBatch(slots[i].ID, 1)
 	}
 	return placed
@@ -77,7 +77,7 @@
 		if inBackoff, _ := p.inBackoff(now, s.ID); inBackoff {
 			continue
 		}
-		if free := min(s.Slots-l.total(), p.batchAllowance(now, s.ID)); free > 0 {
+		if free := min(s.Slots-l.total(), p.limits.BatchAllowance(now, s.ID, p.others.at(s.ID).sent)); free > 0 {
 			candidates = append(candidates, candidate{s, free})
 			maxFree = max(maxFree, free)
 		}
--- a/internal/serving/scheduler/coordinate.go
+++ b/internal/serving/scheduler/coordinate.go
@@ -134,9 +134,7 @@
 	for server, l := range loads {
 		own := p.local[server]
 		l.Online, l.Batch = max(0, l.Online-len(own.expectedEnds)), max(0, l.Batch-own.batch)
-		if limit := p.limits[server]; limit != nil {
-			l.Sent = max(0, l.Sent-limit.sent(now))
-		}
+		l.Sent = max(0, l.Sent-p.limits.Sent(now, server))
 		if l.total() > 0 || l.Sent > 0 {
 			others[server] = l
 		}
@@ -374,7 +372,7 @@
 func (p *Placer) TakeBatch(now time.Time, s backend.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.recordSend(now, s.ID)
+	p.limits.RecordSend(now, s.ID)
 	p.addBatch(s.ID, 1)
 	p.reserved[s.Service] = append(p.reserved[s.Service], s)
 }
--- a/internal/serving/scheduler/health.go
+++ b/internal/serving/scheduler/health.go
@@ -107,5 +107,5 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.health, server)
-	delete(p.limits, server)
+	p.limits.Remove(server)
 }
--- a/internal/serving/scheduler/limits_test.go
+++ b/internal/serving/scheduler/limits_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
+	"github.com/kingcupquay/kingcupquay/internal/serving/serverlimit"
 )
 
 // limitedFleet is a fleet of hosts that place requests on servers with limits and
@@ -180,7 +181,7 @@
 		f.report(1)
 		f.advance(time.Second)
 		Expect(f.online(0)).To(BeTrue())
-		f.hosts[0].MergeLimits(f.now, map[string]scheduler.Limit{"s0": {PerSecond: 1, Age: 3 * time.Second}})
+		f.hosts[0].MergeLimits(f.now, map[string]serverlimit.Limit{"s0": {PerSecond: 1, Age: 3 * time.Second}})
 		for range 20 {
 			Expect(f.online(0)).To(BeTrue(), "an older report must not bring the limit back")
 		}
--- a/internal/serving/scheduler/occupancy.go
+++ b/internal/serving/scheduler/occupancy.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/kingcupquay/kingcupquay/internal/serving/serverlimit"
 )
 
 // Status is what a host tells other hosts about its requests.
@@ -26,7 +28,7 @@
 	// service.
 	SlotTimes map[string]time.Duration
 	// Limits are those that servers named in answers to the host, by server.
-	Limits map[string]Limit
+	Limits map[string]serverlimit.Limit
 	// Coordinator is the host whose batch grants the host waits for, empty if it
 	// waits for none.
 	Coordinator string
--- a/internal/serving/scheduler/view.go
+++ b/internal/serving/scheduler/view.go
@@ -30,6 +30,7 @@
 	"time"
 
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
+	"github.com/kingcupquay/kingcupquay/internal/serving/serverlimit"
 )
 
 // Load is the number of requests at a server.
@@ -98,7 +99,7 @@
 	local  map[string]localLoad
 	others occupancy
 	health map[string]*health
-	limits map[string]*serverLimit
+	limits *serverlimit.Table
 	// meanSlotTimes holds the mean slot time of online requests by service.
 	meanSlotTimes map[string]time.Duration
 	random        func() float64
@@ -124,7 +125,7 @@
 func New(host, zone string, random func() float64, changed func()) *Placer {
 	return &Placer{
 		host: host, zone: zone, local: make(map[string]localLoad), others: newOccupancy(),
-		health: make(map[string]*health), limits: make(map[string]*serverLimit), meanSlotTimes: make(map[string]time.Duration), random: random, changed: changed,
+		health: make(map[string]*health), limits: serverlimit.NewTable(), meanSlotTimes: make(map[string]time.Duration), random: random, changed: changed,
 		reserved: make(map[string][]backend.Server), keep: make(map[string]int), zones: make(map[string]map[string]*zoneReport),
 		backlogs: make(map[string]localBacklog),
 	}
@@ -136,7 +137,7 @@
 	defer p.mu.Unlock()
 	p.others.expire(now)
 	p.others.set(now, s)
-	p.mergeLimits(now, s.Limits)
+	p.limits.Merge(now, s.Limits)
 	for service, reported := range s.SlotTimes {
 		m := p.meanSlotTime(service)
 		p.meanSlotTimes[service] = m + time.Duration(reportedTimeWeight*float64(reported-m))
@@ -162,12 +163,10 @@
 	for server, t := range p.local {
 		loads[server] = t.toLoad(now)
 	}
-	for server, limit := range p.limits {
-		if sent := limit.sent(now); sent > 0 {
-			l := loads[server]
-			l.Sent = sent
-			loads[server] = l
-		}
+	for server, sent := range p.limits.Counts(now) {
+		l := loads[server]
+		l.Sent = sent
+		loads[server] = l
 	}
 	backlogs := make(map[string]Backlog, len(p.backlogs))
 	for service, b := range p.backlogs {
@@ -196,11 +195,7 @@
 func (p *Placer) totalLoad(now time.Time, server string) Load {
 	p.others.expire(now)
 	local, others := p.local[server], p.others.at(server)
-	l := Load{Online: len(local.expectedEnds) + others.online, Batch: local.batch + others.batch, Sent: others.sent}
-	if limit := p.limits[server]; limit != nil {
-		l.Sent += limit.sent(now)
-	}
-	return l
+	return Load{Online: len(local.expectedEnds) + others.online, Batch: local.batch + others.batch, Sent: others.sent + p.limits.Sent(now, server)}
 }
 
 // remainingTimes returns the expected remaining times of the online requests at
@@ -223,7 +218,7 @@
 }
 
 func (p *Placer) addOnline(now time.Time, server string, end time.Time) {
-	p.recordSend(now, server)
+	p.limits.RecordSend(now, server)
 	t := p.local[server]
 	t.expectedEnds = append(t.expectedEnds, end)
 	p.local[server] = t
