--- /dev/null
+++ b/internal/serving/suspect/bench_test.go
@@ -0,0 +1,34 @@
+package suspect_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
+	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
+	"github.com/kingcupquay/kingcupquay/internal/serving/suspect"
+)
+
+// BenchmarkRequest measures what the guard costs a request that is answered: two
+// checks before it is sent, and the answer.
+func BenchmarkRequest(b *testing.B) {
+	for _, records := range []int{0, 1, 1024} {
+		b.Run(fmt.Sprint(records, " records"), func(b *testing.B) {
+			guard := suspect.NewGuard(timer.NewManual(start), logr.Discard(), suspect.Alone{})
+			for i := range records {
+				guard.Merge([]suspect.Report{{Part: fmt.Sprint("bad-", i), Servers: []string{"s1"}, ExpiresIn: time.Hour}})
+			}
+			c := &exchange.Call{ID: "1", Target: "/stream/1", Body: make([]byte, 1000), SharedParts: []string{"first", "second"}}
+			b.ReportAllocs()
+			for b.Loop() {
+				if guard.Check(c) != nil || guard.Begin(c) != nil {
+					b.Fatal("refused")
+				}
+				guard.Answered(c)
+			}
+		})
+	}
+}
