Jobs: the spec of an item after crashes checks its delays again

The spec that replaced "at most six times" had dropped the check that runs after the third crash are delayed. It now expects nine runs to take the 23.5 s that the delays add up to.

--- a/internal/batch/ownership/manager_test.go
+++ b/internal/batch/ownership/manager_test.go
@@ -450,12 +450,14 @@
 	It("completes an item under which many servers crashed, and other items as usual", func() {
 		f := newFleet("A")
 		f.servers.setCrashing("j-1")
+		began := f.clock.Now()
 		Expect(f.hosts["A"].Submit(ctx, submission("j", 3, 1))).To(BeNil())
 		f.eventually(func(g Gomega) { expectComplete(g, listResults(g, f.hosts["A"], "j"), 2) })
 		f.eventually(func(g Gomega) {
 			f.clock.Advance(time.Second)
 			g.Expect(f.servers.runsOf("j-1")).To(BeNumerically(">=", 9))
 		})
+		Expect(f.clock.Now().Sub(began)).To(BeNumerically(">=", 23500*time.Millisecond), "the delays before the fourth to the ninth run")
 		f.servers.setCrashing("")
 		f.eventually(func(g Gomega) {
 			f.clock.Advance(time.Second)
