--- a/internal/batch/ownership/running.go
+++ b/internal/batch/ownership/running.go
@@ -119,7 +119,8 @@
 		r := &run{server: s, cancel: cancel}
 		w.runs[w.index] = r
 		startedTotal.Inc()
-		m.Log.V(1).Info("item placed", "job", w.job.Record().ID, "item", w.job.Item(w.index).ID, "server", s.ID, "slack_ms", w.Slack.Milliseconds(), "waiting", len(queue)-n)
+		m.Log.V(1).Info("item placed", "job", w.job.Record().ID, "item", w.job.Item(w.index).ID, "server", s.ID,
+			"software", s.SoftwareVersion, "after_event", w.job.ResumePoint(w.index).After, "slack_ms", w.Slack.Milliseconds(), "waiting", len(queue)-n)
 		m.wg.Add(1)
 		go m.runItem(ctx, w.ownedJob, w.index, r, w.route, service)
 	}
--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -131,7 +131,7 @@
 	h.members = notice.NewPeerTable(h.self, h.handleLiveness)
 	h.placer = scheduler.New(s.Name, s.Zone, rand.Float64, h.sendNoticeSoon)
 	h.directory = backend.NewDirectory(func(b backend.Server, state string) {
-		log.Info("server", "server", b.ID, "service", b.Service, "address", b.Address, "zone", b.Zone, "slots", b.Slots, "state", state)
+		log.Info("server", "server", b.ID, "service", b.Service, "address", b.Address, "zone", b.Zone, "slots", b.Slots, "software", b.SoftwareVersion, "state", state)
 	})
 	h.slots = slots.New(t, log, h.self, h.placer, h.directory, (*slotsNetwork)(h), func() { h.jobs.TriggerSchedule() })
 	h.suspects = suspect.NewGuard(t, log, (*suspectsFleet)(h))
--- a/internal/serving/backend/server.go
+++ b/internal/serving/backend/server.go
@@ -33,6 +33,9 @@
 	Draining bool
 	// Born is its start time in Unix milliseconds, or 0 if unknown.
 	Born int64
+	// SoftwareVersion is the version of its software, which is neither that of the
+	// weights nor that of the configuration; empty if unknown.
+	SoftwareVersion string
 }
 
 // sameIncarnation reports whether two entries describe the same incarnation at
--- a/internal/serving/exchange/call.go
+++ b/internal/serving/exchange/call.go
@@ -41,6 +41,17 @@
 	// there is no deadline.
 	Received time.Time
 	Deadline time.Time
+	// TakeUp is set if the caller asks for the rest of a stream.
+	TakeUp *TakeUp
+}
+
+// TakeUp names the stream that a call takes up again.
+type TakeUp struct {
+	// After is the number of the last event that the caller has, at least 1.
+	After int64
+	// Attempts are the IDs of the calls that, as the caller says, brought the first
+	// event: one, unless the caller left it out or named several.
+	Attempts []string
 }
 
 // ContentHash identifies what the call asks for, whoever sends it.
--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -50,6 +50,7 @@
 	answeredTotal = metrics.NewCounter("kingcupquay_forward_answered_total")
 	refusedTotal  = metrics.NewCounter("kingcupquay_forward_refused_total")
 	retriedTotal  = metrics.NewCounter("kingcupquay_forward_retried_total")
+	takenUpTotal  = metrics.NewCounter("kingcupquay_forward_taken_up_total")
 	resumedTotal  = metrics.NewCounter("kingcupquay_forward_resumed_total")
 	cutOffTotal   = metrics.NewCounter("kingcupquay_forward_cut_off_total")
 	brokenTotal   = metrics.NewCounter("kingcupquay_forward_broken_total")
@@ -108,6 +109,10 @@
 		ctx, cancel = context.WithTimeout(ctx, c.Deadline.Sub(f.timer.Now()))
 		defer cancel()
 	}
+	if c.TakeUp != nil {
+		takenUpTotal.Inc()
+		f.log.Info("stream taken up", "request", c.ID, "attempts", c.TakeUp.Attempts, "after_event", c.TakeUp.After)
+	}
 	if c.Route.Kind == routes.Stream {
 		begun, failure = f.serveStream(ctx, c, out)
 	} else {
@@ -187,7 +192,7 @@
 		f.slots.EndOnline(f.timer.Now(), choice, 0, scheduler.Unknown)
 		return choice, failure
 	}
-	f.log.V(1).Info("placed", "request", c.ID, "service", c.Service, "server", choice.Server.ID,
+	f.log.V(1).Info("placed", "request", c.ID, "service", c.Service, "server", choice.Server.ID, "software", choice.Server.SoftwareVersion,
 		"wait_ms", choice.Wait.Milliseconds(), "taken", choice.InFlight, "age_ms", choice.ReportAge.Milliseconds())
 	return choice, nil
 }
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -121,7 +121,8 @@
 		if resumed {
 			resumedTotal.Inc()
 		}
-		f.log.Info("moved", "request", c.ID, "from", att.server.ID, "to", choice.Server.ID, "after_event", last, "cause", failure.Error())
+		f.log.Info("moved", "request", c.ID, "from", att.server.ID, "to", choice.Server.ID, "after_event", last,
+			"from_software", att.server.SoftwareVersion, "to_software", choice.Server.SoftwareVersion, "cause", failure.Error())
 	}
 }
 
