Streams: go on within an answer only at the software version that began it

Callers got answers whose first events one software version of the service had made and the rest another one (ORDER), with nothing in the answer to show it.

Cause: a stream that broke off was placed like a new request; the choice of servers did not know versions.

A session now holds the version of the server that brought the first event, and only servers with it may go on; if none is in service the answer is broken off at once, with the new code 4008. One that is full is waited for as before. A server of the version that was tried before may be tried again if it is the only one, and silence of the last one ends nothing.

--- a/internal/operator/result/code.go
+++ b/internal/operator/result/code.go
@@ -77,6 +77,9 @@
 	BackendCrashed Code = 4005
 	Cancelled      Code = 4006
 	BackendRefused Code = 4007
+	// VersionUnavailable: no server of the software version that began a stream is
+	// in service, or the version is unknown.
+	VersionUnavailable Code = 4008
 
 	ServicesInvalid  Code = 5001
 	RevisionConflict Code = 5002
@@ -127,6 +130,7 @@
 	{BackendCrashed, 502, "back end crashed"},
 	{Cancelled, 499, "cancelled"},
 	{BackendRefused, 400, "back end refused the request"},
+	{VersionUnavailable, 503, "software version not in service"},
 	{ServicesInvalid, 400, "services text invalid"},
 	{RevisionConflict, 409, "revision conflict"},
 	{Internal, 500, "internal fault"},
--- a/internal/serving/backend/server.go
+++ b/internal/serving/backend/server.go
@@ -193,6 +193,18 @@
 	return d.byService[service]
 }
 
+// UsableWith returns the servers of a service with a software version that may get
+// new work, sorted by ID.
+func (d *Directory) UsableWith(service, software string) []Server {
+	var list []Server
+	for _, s := range d.Usable(service) {
+		if s.SoftwareVersion == software {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
 // UsableIn returns the servers of a service and a zone that may get new work,
 // sorted by ID.
 func (d *Directory) UsableIn(service, zone string) []Server {
--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -6,7 +6,8 @@
 // either no connection was made or the server's reply said so. A repeatable call
 // is retried after any failure and hedged if the first attempt is slow. A
 // resumable stream continues on another server after the last event that reached
-// the caller, within the same answer.
+// the caller, within the same answer; the server has the software version that
+// began the stream, as texts of two versions do not fit together.
 //
 // Every error says whether the call may have run; it carries result.RanNo only
 // if no server can have run the call. Silence of a server never ends an answer: a
@@ -82,8 +83,8 @@
 // Slots places calls on servers; slots.Slots implements it.
 type Slots interface {
 	// PlaceOnline picks a server for a call, and returns how many it could choose
-	// from.
-	PlaceOnline(ctx context.Context, service string, avoid map[string]bool, maxWait time.Duration) (scheduler.Choice, int)
+	// from. If software is not empty, only servers with that version are chosen.
+	PlaceOnline(ctx context.Context, service, software string, avoid map[string]bool, maxWait time.Duration) (scheduler.Choice, int)
 	// EndOnline records the end of a call that PlaceOnline placed.
 	EndOnline(now time.Time, c scheduler.Choice, took time.Duration, o scheduler.Outcome)
 }
@@ -174,14 +175,18 @@
 	cancel context.CancelFunc
 }
 
-// place picks a server for a call that is then sent. Its error carries
-// result.RanNo, as nothing was sent.
-func (f *Forwarder) place(ctx context.Context, c *exchange.Call, avoid map[string]bool, maxWait time.Duration) (scheduler.Choice, *result.Error) {
+// place picks a server for a call that is then sent, one with the given software
+// version if that is not empty. Its error carries result.RanNo, as nothing was
+// sent.
+func (f *Forwarder) place(ctx context.Context, c *exchange.Call, software string, avoid map[string]bool, maxWait time.Duration) (scheduler.Choice, *result.Error) {
 	if failure := f.suspects.Check(c); failure != nil {
 		return scheduler.Choice{}, failure
 	}
-	choice, servers := f.slots.PlaceOnline(ctx, c.Service, avoid, maxWait)
+	choice, servers := f.slots.PlaceOnline(ctx, c.Service, software, avoid, maxWait)
 	if !choice.Placed {
+		if servers == 0 && software != "" {
+			return choice, result.New(result.VersionUnavailable, "no server of service %s has software version %s", c.Service, software)
+		}
 		if servers == 0 {
 			return choice, result.New(result.NoBackend, "service %s has no back end", c.Service).WithRetry(noBackendRetryAfter)
 		}
--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -159,7 +159,7 @@
 	directory := backend.NewDirectory(func(backend.Server, string) {})
 	for i := range count {
 		id := string(rune('a' + i))
-		directory.Put(backend.Server{ID: id, Service: "s", Address: id, Zone: "z", Slots: 4})
+		directory.Put(backend.Server{ID: id, Service: "s", Address: id, Zone: "z", Slots: 4, SoftwareVersion: "v1"})
 	}
 	placer := scheduler.New("A", "z", func() float64 { return 0.5 }, func() {})
 	places := slots.New(timer.Real{}, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {})
@@ -172,9 +172,9 @@
 	waits []time.Duration
 }
 
-func (r *waitRecorder) PlaceOnline(ctx context.Context, service string, avoid map[string]bool, maxWait time.Duration) (scheduler.Choice, int) {
+func (r *waitRecorder) PlaceOnline(ctx context.Context, service, software string, avoid map[string]bool, maxWait time.Duration) (scheduler.Choice, int) {
 	r.waits = append(r.waits, maxWait)
-	return r.Slots.PlaceOnline(ctx, service, avoid, maxWait)
+	return r.Slots.PlaceOnline(ctx, service, software, avoid, maxWait)
 }
 
 var _ = Describe("a forwarder", func() {
@@ -187,7 +187,7 @@
 		s, out = &scriptedServers{replies: replies}, &recordingWriter{}
 		directory = backend.NewDirectory(func(backend.Server, string) {})
 		for _, id := range []string{"a", "b", "c", "d"} {
-			directory.Put(backend.Server{ID: id, Service: "s", Address: id, Zone: "z", Slots: 4})
+			directory.Put(backend.Server{ID: id, Service: "s", Address: id, Zone: "z", Slots: 4, SoftwareVersion: "v1"})
 		}
 		route.Shares = []routes.Share{{Service: "s", Weight: 1}}
 		if route.Timeout == 0 {
@@ -283,7 +283,7 @@
 		s, out = &scriptedServers{replies: []scriptedReply{{body: numberedEvents(1, 2), truncated: true}, {body: numberedEvents(3, 4)}}}, &recordingWriter{}
 		directory = backend.NewDirectory(func(backend.Server, string) {})
 		for _, id := range []string{"a", "b"} {
-			directory.Put(backend.Server{ID: id, Service: "s", Address: id, Zone: "z", Slots: 4})
+			directory.Put(backend.Server{ID: id, Service: "s", Address: id, Zone: "z", Slots: 4, SoftwareVersion: "v1"})
 		}
 		placer := scheduler.New("A", "z", func() float64 { return 0.5 }, func() {})
 		recorder := &waitRecorder{Slots: slots.New(timer.Real{}, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {})}
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -5,9 +5,11 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 	"github.com/kingcupquay/kingcupquay/internal/serving/events"
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
 	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
@@ -63,6 +65,10 @@
 	begun bool
 	// sequence holds the number of the last event passed to the caller.
 	sequence events.Sequence
+	// software is the version of the server that brought the stream's first event;
+	// bound is set from then on, and only servers with that version may go on.
+	software string
+	bound    bool
 	// avoid holds the ids of the servers already tried.
 	avoid map[string]bool
 	// sent counts the servers that may have received the call, unsent those
@@ -82,7 +88,7 @@
 // serveStream answers a call with a stream of numbered events.
 func (f *Forwarder) serveStream(ctx context.Context, c *exchange.Call, out ResponseWriter) (bool, *result.Error) {
 	s := &streamSession{forwarder: f, call: c, out: out, avoid: make(map[string]bool), ran: result.RanNo}
-	next, failure := f.place(ctx, c, s.avoid, slotWait(c))
+	next, failure := s.place(ctx, slotWait(c))
 	if failure != nil {
 		return false, failure
 	}
@@ -111,8 +117,9 @@
 			// than aborting it.
 			wait = max(maxSlotWait, f.remaining(c))
 		}
-		choice, refusal := f.place(ctx, c, s.avoid, wait)
+		choice, refusal := s.place(ctx, wait)
 		if refusal != nil {
+			f.log.Info("not moved", "request", c.ID, "from", att.server.ID, "software", s.software, "cause", refusal.Error())
 			return s.begun, failure.WithRan(s.ran).WithRetry(refusal.RetryAfter())
 		}
 		next = choice
@@ -126,6 +133,22 @@
 	}
 }
 
+// place picks the next server of the stream.
+func (s *streamSession) place(ctx context.Context, maxWait time.Duration) (scheduler.Choice, *result.Error) {
+	if s.bound && s.software == "" {
+		return scheduler.Choice{}, result.New(result.VersionUnavailable, "the software version that began the stream is not known")
+	}
+	return s.forwarder.place(ctx, s.call, s.software, s.avoid, maxWait)
+}
+
+// hasOther reports whether a server that was not tried may go on with the stream.
+func (s *streamSession) hasOther() bool {
+	if !s.bound {
+		return true
+	}
+	return s.software != "" && slices.ContainsFunc(s.forwarder.directory.UsableWith(s.call.Service, s.software), func(b backend.Server) bool { return !s.avoid[b.ID] })
+}
+
 // resume returns the position from which the next server must continue.
 func (s *streamSession) resume() exchange.Resume {
 	last, started := s.sequence.Last()
@@ -167,7 +190,7 @@
 			f.end(att, scheduler.Unknown)
 			return result.New(result.Cancelled, "the caller left or its time passed").WithRan(result.RanYes)
 		case <-idleTimer.C:
-			if s.canFailOver(att) {
+			if s.canFailOver(att) && s.hasOther() {
 				f.end(att, scheduler.Unreachable)
 				return result.New(result.BackendSilent, "server %s fell silent", att.server.ID).WithRan(result.RanYes)
 			}
@@ -256,6 +279,9 @@
 		}
 		raw = append(raw, e.Raw...)
 	}
+	if !s.bound {
+		s.bound, s.software = true, att.server.SoftwareVersion
+	}
 	s.forwarder.suspects.Answering(s.call, att.events, att.events+len(found))
 	att.events += len(found)
 	now := s.forwarder.timer.Now()
--- a/internal/serving/forward/unary.go
+++ b/internal/serving/forward/unary.go
@@ -33,7 +33,7 @@
 // complete answer. The result goes to done. It returns an error if no server
 // could be picked.
 func (f *Forwarder) startAttempt(ctx context.Context, c *exchange.Call, avoid map[string]bool, done chan<- attemptResult) *result.Error {
-	choice, failure := f.place(ctx, c, avoid, slotWait(c))
+	choice, failure := f.place(ctx, c, "", avoid, slotWait(c))
 	if failure != nil {
 		return failure
 	}
--- a/internal/serving/slots/slots.go
+++ b/internal/serving/slots/slots.go
@@ -157,7 +157,18 @@
 
 // PlaceOnline places an online request of a service; see scheduler.Placer. It
 // returns the number of servers that it could choose from.
-func (s *Slots) PlaceOnline(ctx context.Context, service string, avoid map[string]bool, maxWait time.Duration) (scheduler.Choice, int) {
+//
+// If software is not empty, only servers with that software version are chosen,
+// also those in avoid if there are no others. The host then decides by its own
+// view, since coordinators do not distinguish versions.
+func (s *Slots) PlaceOnline(ctx context.Context, service, software string, avoid map[string]bool, maxWait time.Duration) (scheduler.Choice, int) {
+	if software != "" {
+		servers := s.directory.UsableWith(service, software)
+		if !slices.ContainsFunc(servers, func(b backend.Server) bool { return !avoid[b.ID] }) {
+			avoid = nil
+		}
+		return s.placer.PlaceOnline(s.timer.Now(), servers, avoid, maxWait), len(servers)
+	}
 	servers := s.directory.Usable(service)
 	coordinator, coordinated := s.network.Coordinator(s.self.Zone)
 	if !coordinated || len(servers) == 0 {
--- a/internal/serving/slots/slots_test.go
+++ b/internal/serving/slots/slots_test.go
@@ -93,7 +93,7 @@
 }
 
 func (h *zoneHost) place() scheduler.Choice {
-	c, _ := h.PlaceOnline(context.Background(), "s", nil, 100*time.Millisecond)
+	c, _ := h.PlaceOnline(context.Background(), "s", "", nil, 100*time.Millisecond)
 	return c
 }
 
