Items: begin anew rather than go on at another software version

Results of batch jobs held events of two software versions of a service (ORDER).

Cause: an item that was preempted, interrupted or taken over from another owner went on after its last event at whatever server had a free slot.

A job now keeps the version that made the output of each item, also in what it leaves to the next owner; a run of another or an unknown version starts from the beginning, which an item, unlike a stream, can. To lose little, the most urgent items are assigned to the free slots so that as many as possible go on; no slot stays free for it.

--- a/internal/batch/jobstate/job.go
+++ b/internal/batch/jobstate/job.go
@@ -62,6 +62,10 @@
 	any       bool
 	// eventCount is the number of events in text.
 	eventCount int64
+	// software is the software version of the servers that made text; it is
+	// empty if the version is unknown or there is no text. A run of another
+	// version starts from the beginning.
+	software string
 	// failures counts runs that ended with a failure reported by the server.
 	failures int
 	// crashes counts runs that ended because their server went down since the item
@@ -126,11 +130,28 @@
 	return candidates
 }
 
-// Start marks a waiting item as running.
-func (j *Job) Start(i int) {
-	if s := j.items[i]; s.phase == waiting {
-		s.phase = running
+// Start marks a waiting item as running at a server with a software version. It
+// discards the output of the item if another version, or an unknown one, made it,
+// and returns the number of the events discarded.
+func (j *Job) Start(i int, software string) (discarded int64) {
+	s := j.items[i]
+	if s.phase != waiting {
+		return 0
+	}
+	s.phase = running
+	if s.any && !j.FitsSoftware(i, software) {
+		discarded = s.eventCount
+		j.DiscardOutput(i)
 	}
+	s.software = software
+	return discarded
+}
+
+// FitsSoftware reports whether a server with a software version can go on with
+// the output of an item.
+func (j *Job) FitsSoftware(i int, software string) bool {
+	s := j.items[i]
+	return !s.any || s.software != "" && s.software == software
 }
 
 // Partial is the output received so far for an unfinished item.
@@ -139,6 +160,9 @@
 	Last   int64
 	Events int64
 	Text   []byte
+	// Software is the software version of the servers that made Text, empty if
+	// unknown.
+	Software string
 }
 
 // Partials returns the output of unfinished items, those with the most events
@@ -148,7 +172,7 @@
 	var partials []Partial
 	for _, s := range j.items {
 		if s.any && (s.phase == waiting || s.phase == running) {
-			partials = append(partials, Partial{ID: s.ID, Last: s.lastEvent, Events: s.eventCount, Text: s.text})
+			partials = append(partials, Partial{ID: s.ID, Last: s.lastEvent, Events: s.eventCount, Text: s.text, Software: s.software})
 		}
 	}
 	sort.Slice(partials, func(a, b int) bool { return partials[a].Events > partials[b].Events })
@@ -169,7 +193,7 @@
 			continue
 		}
 		s := j.items[i]
-		s.text, s.lastEvent, s.any, s.eventCount = partial.Text, partial.Last, true, partial.Events
+		s.text, s.lastEvent, s.any, s.eventCount, s.software = partial.Text, partial.Last, true, partial.Events, partial.Software
 	}
 }
 
@@ -203,7 +227,7 @@
 // the beginning.
 func (j *Job) DiscardOutput(i int) {
 	s := j.items[i]
-	s.text, s.lastEvent, s.any, s.eventCount = nil, 0, false, 0
+	s.text, s.lastEvent, s.any, s.eventCount, s.software = nil, 0, false, 0, ""
 }
 
 // Events returns the number of events received for an item.
--- a/internal/batch/jobstate/job_test.go
+++ b/internal/batch/jobstate/job_test.go
@@ -31,7 +31,7 @@
 	if best < 0 {
 		return 0, false
 	}
-	j.Start(best)
+	j.Start(best, "v1")
 	return best, true
 }
 
@@ -105,6 +105,26 @@
 		Expect(j.Partials(100)).To(HaveLen(1), "only output within the size limit is handed over")
 	})
 
+	DescribeTable("never lets a server go on with the output of another software version, also under the next owner",
+		func(made, next string, after int64) {
+			j, successor := newJob(1), newJob(1)
+			j.Start(0, made)
+			j.Append(0, 1, []byte("a"))
+			j.Append(0, 2, []byte("b"))
+			successor.RestorePartials(j.Partials(1 << 20))
+			j.Requeue(0)
+			for _, job := range []*jobstate.Job{j, successor} {
+				Expect(job.Start(0, next)).To(Equal(2 - after))
+				Expect(job.ResumePoint(0).After).To(Equal(after))
+			}
+		},
+		Entry("the same version goes on", "v1", "v1", int64(2)),
+		Entry("another version begins anew", "v1", "v2", int64(0)),
+		Entry("output of an unknown version is made again", "", "v1", int64(0)),
+		Entry("an unknown version does not go on", "v1", "", int64(0)),
+		Entry("two unknown versions are not one", "", "", int64(0)),
+	)
+
 	It("gives an item up at the maximum number of failures and not before", func() {
 		j := newJob(1)
 		for n := 1; n <= 3; n++ {
@@ -120,7 +140,7 @@
 		now := time.Unix(0, 0)
 		for n := 1; n <= 50; n++ {
 			Expect(j.Candidates(now)).To(HaveLen(1), "run %d", n)
-			j.Start(0)
+			j.Start(0, "v1")
 			delayed, until := j.RecordCrash(0, now)
 			Expect(delayed).To(Equal(n >= 3))
 			if delayed {
@@ -137,7 +157,7 @@
 	It("does not delay an item that makes progress between crashes", func() {
 		j := newJob(1)
 		for n := 1; n <= 10; n++ {
-			j.Start(0)
+			j.Start(0, "v1")
 			j.Append(0, int64(n), []byte("x"))
 			delayed, _ := j.RecordCrash(0, time.Unix(0, 0))
 			Expect(delayed).To(BeFalse(), "crash %d", n)
--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -43,6 +43,7 @@
 	acceptedTotal  = metrics.NewCounter("kingcupquay_jobs_accepted_total")
 	refusedTotal   = metrics.NewCounter("kingcupquay_jobs_refused_total")
 	listedTotal    = metrics.NewCounter("kingcupquay_jobs_items_listed_total")
+	restartedTotal = metrics.NewCounter("kingcupquay_jobs_items_restarted_total")
 	startedTotal   = metrics.NewCounter("kingcupquay_jobs_items_started_total")
 	preemptedTotal = metrics.NewCounter("kingcupquay_jobs_items_yielded_total")
 	takenOverTotal = metrics.NewCounter("kingcupquay_jobs_taken_over_total")
--- a/internal/batch/ownership/running.go
+++ b/internal/batch/ownership/running.go
@@ -112,9 +112,12 @@
 // and returns how many it started.
 func (m *Manager) startQueued(service string, queue []*queuedItem, now time.Time) int {
 	placed := m.Placer.PlaceBatch(now, service, m.ServerDirectory.Usable(service), len(queue))
-	for n, s := range placed {
-		w := queue[n]
-		w.job.Start(w.index)
+	for n, chosen := range assign(placed, queue, func(w *queuedItem, s backend.Server) bool { return w.job.FitsSoftware(w.index, s.SoftwareVersion) }) {
+		s, w := placed[n], queue[chosen]
+		if discarded := w.job.Start(w.index, s.SoftwareVersion); discarded > 0 {
+			restartedTotal.Inc()
+			m.Log.Info("item begins anew", "job", w.job.Record().ID, "item", w.job.Item(w.index).ID, "server", s.ID, "software", s.SoftwareVersion, "events", discarded)
+		}
 		ctx, cancel := context.WithCancel(m.ctx)
 		r := &run{server: s, cancel: cancel}
 		w.runs[w.index] = r
--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -302,7 +302,7 @@
 
 func (f *fleet) addHost(name, writer string) *host {
 	list := backend.NewDirectory(func(backend.Server, string) {})
-	list.Put(backend.Server{ID: "e", Service: "s", Address: "10.0.0.1:1", Zone: "a", Slots: 8})
+	list.Put(backend.Server{ID: "e", Service: "s", Address: "10.0.0.1:1", Zone: "a", Slots: 8, SoftwareVersion: "v1"})
 	config := new(routes.Holder)
 	config.SetIfNewer(routes.New(1, nil, []*routes.Route{route}, nil, routes.Limits{}))
 	h := &host{fleet: f, name: name}
