Streams: a caller's take-up goes on only at the software version that began it

Callers that took up a broken stream (Last-Event-Id, Resumes) at any host got the rest from whatever version had a free slot (ORDER).

Cause: no host kept which version began a stream; a take-up was placed like a new request.

Package origin keeps the version of each resumable stream until its caller's deadline. While several versions of a service are in service, and 10 s longer, each host writes its entries to the store at most every 200 ms (one call, its own key), and a host that does not know a stream reads all records, twice if needed. If there has been one version only for the longest life of a stream and the list of servers is current, that is the version, without a call.

Why it holds: what no record shows is refused, never guessed; records begin when a second version is first seen and hold what is in memory by then. Both tables are bounded and drop the oldest first.

--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -94,6 +94,7 @@
 	placer    *scheduler.Placer
 	slots     *slots.Slots
 	suspects  *suspect.Guard
+	origins   *origins
 	forwarder *forward.Forwarder
 	jobs      *ownership.Manager
 	members   *notice.PeerTable
@@ -135,7 +136,8 @@
 	})
 	h.slots = slots.New(t, log, h.self, h.placer, h.directory, (*slotsNetwork)(h), func() { h.jobs.TriggerSchedule() })
 	h.suspects = suspect.NewGuard(t, log, (*suspectsFleet)(h))
-	h.forwarder = forward.New(t, log, a.Servers, h.directory, h.slots, h.suspects)
+	h.origins = newOrigins(h)
+	h.forwarder = forward.New(t, log, a.Servers, h.directory, h.slots, h.suspects, h.origins)
 	h.peers = newPeers(h)
 	h.configFollower = follow.New(t, log, a.Store, a.ConfigKey, (*configHandler)(h), h.readsStore, h.readerCount)
 	h.serverFollower = follow.New(t, log, a.Store, a.ServerPrefix, (*serverHandler)(h), h.readsStore, h.readerCount)
@@ -210,8 +212,9 @@
 	h.slots.Start()
 	h.runFollower(h.configFollower)
 	h.runFollower(h.serverFollower)
-	h.wait.Add(1)
+	h.wait.Add(2)
 	go h.keepLease()
+	go h.origins.run()
 	h.jobs.Start()
 	h.expiry = h.timer.Every(expiryInterval, func(now time.Time) { h.tick(now) })
 	h.log.Info("started", "host", h.settings.Name, "zone", h.settings.Zone, "callers", h.settings.CallerAddress, "peers", h.settings.PeerAddress, "seeds", len(h.settings.Seeds))
@@ -366,6 +369,7 @@
 		list = append(list, s)
 	}
 	r.directory.Replace(r.timer.Now(), list, grace)
+	r.origins.observe()
 }
 
 // Changed applies one changed entry. An entry that can't be parsed removes its
@@ -385,6 +389,7 @@
 		return
 	}
 	r.directory.Put(s)
+	r.origins.observe()
 	(*Host)(r).passOn()
 }
 
--- /dev/null
+++ b/internal/fleet/entry/origins.go
@@ -0,0 +1,241 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
+	"github.com/kingcupquay/kingcupquay/internal/record/store"
+	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
+	"github.com/kingcupquay/kingcupquay/internal/serving/forward"
+	"github.com/kingcupquay/kingcupquay/internal/serving/origin"
+)
+
+const (
+	// A host writes its record of streams at most once in recordInterval, or less
+	// often in a large fleet: all hosts together write one in recordSpacing.
+	recordInterval = 200 * time.Millisecond
+	recordSpacing  = 10 * time.Millisecond
+	// readSpacing is the least time between two readings of all records.
+	readSpacing = 60 * time.Millisecond
+	// findTimeout bounds the search for the origin of a stream: callers soon leave.
+	findTimeout = 800 * time.Millisecond
+	// recordTTL is the age at which a record is deleted by whoever reads it. Its
+	// host has been gone for long.
+	recordTTL = 10 * time.Minute
+	// takeUpMargin is added to the time for which callers wait, since they count it
+	// from before the request arrived.
+	takeUpMargin = time.Second
+	// takeUpPeriod is for how long a stream can be taken up if its caller does not
+	// say how long it waits.
+	takeUpPeriod = 10 * time.Second
+)
+
+var (
+	recordsReadTotal    = metrics.NewCounter("kingcupquay_origin_reads_total")
+	recordsWrittenTotal = metrics.NewCounter("kingcupquay_origin_writes_total")
+	takeUpsTotal        = map[origin.Knowledge]*metrics.Counter{
+		origin.Unknown:  metrics.NewCounter(`kingcupquay_origin_take_ups_total{origin="unknown"}`),
+		origin.Inferred: metrics.NewCounter(`kingcupquay_origin_take_ups_total{origin="inferred"}`),
+		origin.Known:    metrics.NewCounter(`kingcupquay_origin_take_ups_total{origin="known"}`),
+	}
+)
+
+// origins finds the origins of streams for this host's callers, and keeps the
+// host's record of them in the store.
+type origins struct {
+	host  *Host
+	table *origin.Table
+
+	mu sync.Mutex
+	// next is the reading that has not begun yet, if any.
+	next *reading
+	// readMu is held during a reading.
+	readMu sync.Mutex
+}
+
+// reading is one reading of the records of all hosts.
+type reading struct {
+	done chan struct{}
+	// err is valid once done is closed.
+	err error
+}
+
+var _ forward.Origins = (*origins)(nil)
+
+func newOrigins(h *Host) *origins {
+	return &origins{host: h, table: origin.NewTable(h.timer.Now())}
+}
+
+// observe stores which software versions are in service.
+func (o *origins) observe() {
+	for _, service := range o.host.directory.Services() {
+		var versions []string
+		for _, s := range o.host.directory.Usable(service) {
+			if !slices.Contains(versions, s.SoftwareVersion) {
+				versions = append(versions, s.SoftwareVersion)
+			}
+		}
+		slices.Sort(versions)
+		o.table.Observe(o.host.timer.Now(), service, versions)
+	}
+}
+
+// Begin keeps the origin of a call's stream.
+func (o *origins) Begin(c *exchange.Call, software string, deadline time.Time) {
+	calls := []string{c.ID}
+	if c.TakeUp != nil {
+		calls = append(calls, c.TakeUp.Attempts...)
+	}
+	if deadline.IsZero() {
+		deadline = c.Received.Add(takeUpPeriod)
+	}
+	o.table.Begin(o.host.timer.Now(), calls, origin.Stream{Service: c.Service, Software: software}, deadline.Add(takeUpMargin))
+}
+
+// Find returns the origin of the stream that a call takes up. It reads the other
+// hosts' records if this host does not know it, twice if it is not recorded yet.
+func (o *origins) Find(ctx context.Context, c *exchange.Call) (origin.Stream, bool) {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	began := o.host.timer.Now()
+	s, knowledge := o.find(c)
+	reads := 0
+	var err error
+	for knowledge == origin.Unknown && reads < 2 && err == nil {
+		if reads > 0 && !timer.Pause(o.host.timer, ctx.Done(), o.interval()) {
+			break
+		}
+		err = o.read(ctx)
+		reads++
+		s, knowledge = o.find(c)
+	}
+	takeUpsTotal[knowledge].Inc()
+	cause := ""
+	if err != nil {
+		cause = err.Error()
+	}
+	o.host.log.Info("origin of a stream", "request", c.ID, "attempts", c.TakeUp.Attempts, "service", s.Service, "software", s.Software,
+		"known", knowledge == origin.Known, "reads", reads, "took_ms", o.host.timer.Now().Sub(began).Milliseconds(), "cause", cause)
+	return s, knowledge != origin.Unknown
+}
+
+func (o *origins) find(c *exchange.Call) (origin.Stream, origin.Knowledge) {
+	return o.table.Find(o.host.timer.Now(), c.TakeUp.Attempts, c.Service, o.host.serversCurrent())
+}
+
+// read reads the records of all hosts, in a reading that begins after the call.
+// Calls share readings, so that callers that name unknown streams cause few.
+func (o *origins) read(ctx context.Context) error {
+	o.mu.Lock()
+	r := o.next
+	if r == nil {
+		r = &reading{done: make(chan struct{})}
+		o.next = r
+		go o.readOnce(r)
+	}
+	o.mu.Unlock()
+	select {
+	case <-r.done:
+		return r.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (o *origins) readOnce(r *reading) {
+	defer close(r.done)
+	o.readMu.Lock()
+	defer o.readMu.Unlock()
+	o.mu.Lock()
+	o.next = nil
+	o.mu.Unlock()
+	h := o.host
+	recordsReadTotal.Inc()
+	entries, _, err := store.RangeAll(h.ctx, h.adapter.Store, origin.RecordPrefix, 0)
+	if err != nil {
+		r.err = err
+		h.log.Info("records of streams not read", "cause", err.Error())
+		return
+	}
+	wall := time.Now()
+	var records []origin.Record
+	var old store.Txn
+	for _, e := range entries {
+		record, err := origin.DecodeRecord(e.Value)
+		if err != nil {
+			h.log.Error(err, "record of streams can't be read", "key", e.Key)
+			continue
+		}
+		records = append(records, record)
+		if record.Age(wall) > recordTTL && len(old.Deletes) == 0 {
+			old.Compares = append(old.Compares, store.Compare{Key: e.Key, Target: store.ModRevision, Revision: e.ModRevision})
+			old.Deletes = append(old.Deletes, e.Key)
+		}
+	}
+	o.table.Merge(h.timer.Now(), wall, records)
+	if len(old.Deletes) > 0 {
+		if _, err := h.adapter.Store.Commit(h.ctx, old); err != nil {
+			h.log.Info("old record of streams not deleted", "key", old.Deletes[0], "cause", err.Error())
+		}
+	}
+	timer.Pause(h.timer, h.ctx.Done(), readSpacing)
+}
+
+// interval returns the time between two writes of this host's record.
+func (o *origins) interval() time.Duration {
+	return max(recordInterval, recordSpacing*time.Duration(1+len(o.host.members.Live())))
+}
+
+// run writes this host's record whenever it has changed, until the host stops.
+func (o *origins) run() {
+	h := o.host
+	defer h.wait.Done()
+	for timer.Pause(h.timer, h.ctx.Done(), o.interval()) {
+		o.observe()
+		o.write()
+	}
+}
+
+// write writes or deletes this host's record if it has to.
+func (o *origins) write() {
+	h := o.host
+	record, action := o.table.NextRecord(h.timer.Now(), time.Now())
+	var txn store.Txn
+	key := origin.RecordKey(h.settings.Name)
+	switch action {
+	case origin.Leave:
+		return
+	case origin.Write:
+		text, err := record.Encode()
+		if err != nil {
+			h.log.Error(err, "record of streams can't be written")
+			return
+		}
+		txn.Puts = []store.Put{{Key: key, Value: text}}
+	case origin.Delete:
+		txn.Deletes = []string{key}
+	}
+	recordsWrittenTotal.Inc()
+	if _, err := h.adapter.Store.Commit(h.ctx, txn); err != nil {
+		o.table.Failed()
+		h.log.Info("record of streams not written", "streams", len(record.Streams), "cause", err.Error())
+	}
+}
+
+// serversCurrent reports whether this host's list of servers is up to date as far
+// as it can tell: it or the relay that it hears is in touch with the store, or no
+// host that it hears has a newer list.
+func (h *Host) serversCurrent() bool {
+	now := h.timer.Now()
+	switch {
+	case h.readsStore():
+		return h.serverFollower.InTouch() || len(h.members.Live()) > 0 && !h.serverFollower.Behind()
+	default:
+		return h.members.HeardRelay(now)
+	}
+}
--- a/internal/record/follow/follow.go
+++ b/internal/record/follow/follow.go
@@ -160,6 +160,21 @@
 // Applied returns the revision of the newest change that the Handler received.
 func (f *Follower) Applied() int64 { return f.applied.Load() }
 
+// InTouch reports whether the list was read and the last call to the store
+// succeeded.
+func (f *Follower) InTouch() bool {
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
+	return f.everListed && f.unavailableSince.IsZero()
+}
+
+// Behind reports whether another follower has read a change that this one has not.
+func (f *Follower) Behind() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reportedRevision > max(f.applied.Load(), f.seen.Load())
+}
+
 // ReportRevision reports that another follower has read a change at a revision.
 // If the waiting poll does not return the change within reportDelay, it is
 // cancelled and repeated with almost no wait.
--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -30,6 +30,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/operator/routes"
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
+	"github.com/kingcupquay/kingcupquay/internal/serving/origin"
 	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
 	"github.com/kingcupquay/kingcupquay/internal/serving/suspect"
 )
@@ -78,6 +79,17 @@
 	directory *backend.Directory
 	slots     Slots
 	suspects  *suspect.Guard
+	origins   Origins
+}
+
+// Origins keeps which software version began the streams of callers.
+type Origins interface {
+	// Begin keeps the software version of the server that brought the first event
+	// of a call, until the caller's deadline; zero if it has none.
+	Begin(c *exchange.Call, software string, deadline time.Time)
+	// Find returns where the stream that a call takes up began, false if that is
+	// not known.
+	Find(ctx context.Context, c *exchange.Call) (origin.Stream, bool)
 }
 
 // Slots places calls on servers; slots.Slots implements it.
@@ -90,8 +102,8 @@
 }
 
 // New returns a forwarder.
-func New(t timer.Service, log logr.Logger, servers exchange.Servers, directory *backend.Directory, s Slots, g *suspect.Guard) *Forwarder {
-	return &Forwarder{timer: t, log: log, servers: servers, directory: directory, slots: s, suspects: g}
+func New(t timer.Service, log logr.Logger, servers exchange.Servers, directory *backend.Directory, s Slots, g *suspect.Guard, o Origins) *Forwarder {
+	return &Forwarder{timer: t, log: log, servers: servers, directory: directory, slots: s, suspects: g, origins: o}
 }
 
 // Serve answers a call through out. It returns nil if the complete answer was
@@ -100,6 +112,7 @@
 // with.
 func (f *Forwarder) Serve(ctx context.Context, c *exchange.Call, out ResponseWriter) (begun bool, failure *result.Error) {
 	c.Service = c.Route.Pick(rand.Float64())
+	callerDeadline := c.Deadline
 	if c.Route.Timeout > 0 {
 		if routeDeadline := c.Received.Add(c.Route.Timeout); c.Deadline.IsZero() || routeDeadline.Before(c.Deadline) {
 			c.Deadline = routeDeadline
@@ -115,7 +128,7 @@
 		f.log.Info("stream taken up", "request", c.ID, "attempts", c.TakeUp.Attempts, "after_event", c.TakeUp.After)
 	}
 	if c.Route.Kind == routes.Stream {
-		begun, failure = f.serveStream(ctx, c, out)
+		begun, failure = f.serveStream(ctx, c, callerDeadline, out)
 	} else {
 		failure = f.serveUnary(ctx, c, out)
 	}
--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -23,6 +23,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
 	"github.com/kingcupquay/kingcupquay/internal/serving/forward"
+	"github.com/kingcupquay/kingcupquay/internal/serving/origin"
 	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
 	"github.com/kingcupquay/kingcupquay/internal/serving/slots"
 	"github.com/kingcupquay/kingcupquay/internal/serving/suspect"
@@ -150,6 +151,24 @@
 	return b.String()
 }
 
+// keptOrigins keeps the software versions of streams by the ID of their call.
+type keptOrigins struct{ versions map[string]string }
+
+func (o *keptOrigins) Begin(c *exchange.Call, software string, _ time.Time) {
+	if o.versions == nil {
+		o.versions = make(map[string]string)
+	}
+	o.versions[c.ID] = software
+}
+
+func (o *keptOrigins) Find(_ context.Context, c *exchange.Call) (origin.Stream, bool) {
+	if len(c.TakeUp.Attempts) != 1 {
+		return origin.Stream{}, false
+	}
+	version, known := o.versions[c.TakeUp.Attempts[0]]
+	return origin.Stream{Service: c.Service, Software: version}, known
+}
+
 func newGuard() *suspect.Guard {
 	return suspect.NewGuard(timer.Real{}, logr.Discard(), suspect.Alone{})
 }
@@ -163,7 +182,7 @@
 	}
 	placer := scheduler.New("A", "z", func() float64 { return 0.5 }, func() {})
 	places := slots.New(timer.Real{}, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {})
-	return forward.New(timer.Real{}, logr.Discard(), servers, directory, places, guard), placer
+	return forward.New(timer.Real{}, logr.Discard(), servers, directory, places, guard, &keptOrigins{}), placer
 }
 
 // waitRecorder records how long each placed call may wait for a slot.
@@ -199,7 +218,7 @@
 		clock := timer.Real{}
 		placer := scheduler.New("A", "z", func() float64 { return 0.5 }, func() {})
 		f := forward.New(clock, logr.Discard(), s, directory,
-			slots.New(clock, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {}), newGuard())
+			slots.New(clock, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {}), newGuard(), &keptOrigins{})
 		begun, failure := f.Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: clock.Now()}, out)
 		Eventually(func() int { loads, _ := placer.LocalState(clock.Now()); return len(loads) }, 10*time.Second).Should(BeZero(), "all slots must be released")
 		return begun, failure
@@ -291,7 +310,7 @@
 			Kind: routes.Stream, Resumable: true, MaxAttempts: 2, Timeout: time.Minute, Objective: 300 * time.Millisecond,
 			Shares: []routes.Share{{Service: "s", Weight: 1}},
 		}
-		_, failure := forward.New(timer.Real{}, logr.Discard(), s, directory, recorder, newGuard()).Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: time.Now()}, out)
+		_, failure := forward.New(timer.Real{}, logr.Discard(), s, directory, recorder, newGuard(), &keptOrigins{}).Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: time.Now()}, out)
 		Expect(failure).To(BeNil())
 		Expect(recorder.waits).To(HaveLen(2))
 		Expect(recorder.waits[0]).To(BeNumerically("<", route.Objective))
@@ -311,7 +330,7 @@
 		directory := backend.NewDirectory(func(backend.Server, string) {})
 		placer := scheduler.New("A", "z", func() float64 { return 0 }, func() {})
 		f := forward.New(timer.Real{}, logr.Discard(), &scriptedServers{}, directory,
-			slots.New(timer.Real{}, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {}), newGuard())
+			slots.New(timer.Real{}, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {}), newGuard(), &keptOrigins{})
 		_, failure := f.Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: time.Now()}, &recordingWriter{})
 		Expect(failure.Code()).To(Equal(result.NoBackend))
 		Expect(failure.Ran()).To(Equal(result.RanNo))
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -61,6 +61,9 @@
 	forwarder *Forwarder
 	call      *exchange.Call
 	out       ResponseWriter
+	// callerDeadline is when the caller stops waiting, also by taking the stream up
+	// again; zero if it does not say so.
+	callerDeadline time.Time
 	// begun is set once the response head was sent to the caller.
 	begun bool
 	// sequence holds the number of the last event passed to the caller.
@@ -86,8 +89,13 @@
 )
 
 // serveStream answers a call with a stream of numbered events.
-func (f *Forwarder) serveStream(ctx context.Context, c *exchange.Call, out ResponseWriter) (bool, *result.Error) {
-	s := &streamSession{forwarder: f, call: c, out: out, avoid: make(map[string]bool), ran: result.RanNo}
+func (f *Forwarder) serveStream(ctx context.Context, c *exchange.Call, callerDeadline time.Time, out ResponseWriter) (bool, *result.Error) {
+	s := &streamSession{forwarder: f, call: c, callerDeadline: callerDeadline, out: out, avoid: make(map[string]bool), ran: result.RanNo}
+	if c.TakeUp != nil {
+		if failure := s.takeUp(ctx); failure != nil {
+			return false, failure
+		}
+	}
 	next, failure := s.place(ctx, slotWait(c))
 	if failure != nil {
 		return false, failure
@@ -133,6 +141,22 @@
 	}
 }
 
+// takeUp binds the stream to the software version that began it. It returns an
+// error, with result.RanNo, if that is not known.
+func (s *streamSession) takeUp(ctx context.Context) *result.Error {
+	c := s.call
+	began, known := s.forwarder.origins.Find(ctx, c)
+	if !known {
+		return result.New(result.VersionUnavailable, "the software version that began the stream is not known").WithRetry(noBackendRetryAfter)
+	}
+	if c.Route.Allows(began.Service) {
+		c.Service = began.Service
+	}
+	s.bound, s.software = true, began.Software
+	s.sequence = events.StartAfter(c.TakeUp.After)
+	return nil
+}
+
 // place picks the next server of the stream.
 func (s *streamSession) place(ctx context.Context, maxWait time.Duration) (scheduler.Choice, *result.Error) {
 	if s.bound && s.software == "" {
@@ -282,6 +306,9 @@
 	if !s.bound {
 		s.bound, s.software = true, att.server.SoftwareVersion
 	}
+	if !s.begun && s.call.Route.Resumable {
+		s.forwarder.origins.Begin(s.call, s.software, s.callerDeadline)
+	}
 	s.forwarder.suspects.Answering(s.call, att.events, att.events+len(found))
 	att.events += len(found)
 	now := s.forwarder.timer.Now()
