Streams: hosts that lost their memory go on with what their records show

After all entry hosts lost power at once, callers could not take up streams that were safe to go on with: in a fleet with one software version none for 10 s, and after a second loss of memory none of those from before the first one.

Cause: a host that had just started inferred nothing, however the fleet stood, and its first record replaced the one of its earlier run.

A host now reads all records once at its start, before it writes its own. The entries of its earlier run become its own; a fleet whose records show no second version within the last 10 s has one version. After a failed call to the store it waits a second.

Both specs failed before and pass now.

--- a/internal/fleet/entry/origins.go
+++ b/internal/fleet/entry/origins.go
@@ -20,6 +20,8 @@
 	// often in a large fleet: all hosts together write one in recordSpacing.
 	recordInterval = 200 * time.Millisecond
 	recordSpacing  = 10 * time.Millisecond
+	// retryPause is the least time between two calls after one that failed.
+	retryPause = time.Second
 	// readSpacing is the least time between two readings of all records.
 	readSpacing = 60 * time.Millisecond
 	// findTimeout bounds the search for the origin of a stream: callers soon leave.
@@ -164,6 +166,7 @@
 	}
 	wall := time.Now()
 	var records []origin.Record
+	var own origin.Record
 	var old store.Txn
 	for _, e := range entries {
 		record, err := origin.DecodeRecord(e.Value)
@@ -172,12 +175,15 @@
 			continue
 		}
 		records = append(records, record)
+		if e.Key == origin.RecordKey(h.settings.Name) {
+			own = record
+		}
 		if record.Age(wall) > recordTTL && len(old.Deletes) == 0 {
 			old.Compares = append(old.Compares, store.Compare{Key: e.Key, Target: store.ModRevision, Revision: e.ModRevision})
 			old.Deletes = append(old.Deletes, e.Key)
 		}
 	}
-	o.table.Merge(h.timer.Now(), wall, records)
+	o.table.Merge(h.timer.Now(), wall, records, own)
 	if len(old.Deletes) > 0 {
 		if _, err := h.adapter.Store.Commit(h.ctx, old); err != nil {
 			h.log.Info("old record of streams not deleted", "key", old.Deletes[0], "cause", err.Error())
@@ -191,51 +197,65 @@
 	return max(recordInterval, recordSpacing*time.Duration(1+len(o.host.members.Live())))
 }
 
-// run writes this host's record whenever it has changed, until the host stops.
+// run reads the records of the time before this host started, and then writes its
+// own whenever it has changed, until the host stops. Nothing is written before the
+// record of the host's earlier run was read, which it would replace.
 func (o *origins) run() {
 	h := o.host
 	defer h.wait.Done()
-	for timer.Pause(h.timer, h.ctx.Done(), o.interval()) {
+	for {
 		o.observe()
-		o.write()
+		pause := o.interval()
+		if err := o.keepRecord(); err != nil {
+			pause = max(pause, retryPause)
+		}
+		if !timer.Pause(h.timer, h.ctx.Done(), pause) {
+			return
+		}
+	}
+}
+
+func (o *origins) keepRecord() error {
+	if !o.table.Restored() {
+		return o.read(o.host.ctx)
 	}
+	return o.write()
 }
 
 // write writes or deletes this host's record if it has to.
-func (o *origins) write() {
+func (o *origins) write() error {
 	h := o.host
 	record, action := o.table.NextRecord(h.timer.Now(), time.Now())
 	var txn store.Txn
 	key := origin.RecordKey(h.settings.Name)
 	switch action {
 	case origin.Leave:
-		return
+		return nil
 	case origin.Write:
 		text, err := record.Encode()
 		if err != nil {
 			h.log.Error(err, "record of streams can't be written")
-			return
+			return err
 		}
 		txn.Puts = []store.Put{{Key: key, Value: text}}
 	case origin.Delete:
 		txn.Deletes = []string{key}
 	}
 	recordsWrittenTotal.Inc()
-	if _, err := h.adapter.Store.Commit(h.ctx, txn); err != nil {
+	_, err := h.adapter.Store.Commit(h.ctx, txn)
+	if err != nil {
 		o.table.Failed()
 		h.log.Info("record of streams not written", "streams", len(record.Streams), "cause", err.Error())
 	}
+	return err
 }
 
 // serversCurrent reports whether this host's list of servers is up to date as far
 // as it can tell: it or the relay that it hears is in touch with the store, or no
 // host that it hears has a newer list.
 func (h *Host) serversCurrent() bool {
-	now := h.timer.Now()
-	switch {
-	case h.readsStore():
-		return h.serverFollower.InTouch() || len(h.members.Live()) > 0 && !h.serverFollower.Behind()
-	default:
-		return h.members.HeardRelay(now)
+	if h.members.LargeFleet() && !h.readsStore() {
+		return h.members.HeardRelay(h.timer.Now())
 	}
+	return h.serverFollower.InTouch() || len(h.members.Live()) > 0 && !h.serverFollower.Behind()
 }
--- a/internal/serving/origin/record.go
+++ b/internal/serving/origin/record.go
@@ -108,10 +108,13 @@
 }
 
 // Merge stores the records of all hosts, as they were read from the store at a
-// time of day.
-func (t *Table) Merge(now, wall time.Time, records []Record) {
+// time of day. own is the one of this host; if it is that of an earlier run, its
+// entries become this host's.
+func (t *Table) Merge(now, wall time.Time, records []Record, own Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	first := !t.recordsRead
+	t.recordsRead = true
 	t.recorded = make(map[string]Stream)
 	for _, r := range records {
 		for _, s := range r.Streams {
@@ -130,4 +133,18 @@
 			}
 		}
 	}
+	if !first {
+		return
+	}
+	for _, s := range own.Streams {
+		t.keep(now, s.Calls, s.Stream, now.Add(t.life))
+	}
+	t.stored = t.stored || len(own.MixedMs) > 0
+}
+
+// Restored reports whether the record of this host's earlier run has been read.
+func (t *Table) Restored() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.recordsRead
 }
--- a/internal/serving/origin/table.go
+++ b/internal/serving/origin/table.go
@@ -9,8 +9,9 @@
 // its own next start; see Record.
 //
 // A stream that is in no record began at the only version of its service, provided
-// that there has been no other one for that long. Otherwise its version is
-// unknown, and unknown is not any version: no server may go on with the stream.
+// that there has been no other one for that long, as this host has seen or as the
+// records that it read after its start show. Otherwise its version is unknown, and
+// unknown is not any version: no server may go on with the stream.
 //
 // The package reads neither the clock nor the network. A Table is safe for
 // concurrent use.
@@ -80,6 +81,9 @@
 	services map[string]*service
 	// life is the longest time in which a stream may be taken up.
 	life time.Duration
+	// recordsRead is set once the records of all hosts have been read: none shows a
+	// second version that this host did not see.
+	recordsRead bool
 	// changed is set if the record in the store is out of date, stored if there is
 	// one.
 	changed, stored bool
@@ -200,7 +204,7 @@
 // that is not kept began at its one version. The caller holds t.mu.
 func (t *Table) infers(now time.Time, name string) bool {
 	s := t.services[name]
-	return s != nil && len(s.versions) == 1 && s.versions[0] != "" && !t.mixed(now, name) && now.Sub(t.started) > t.life
+	return s != nil && len(s.versions) == 1 && s.versions[0] != "" && !t.mixed(now, name) && (t.recordsRead || now.Sub(t.started) > t.life)
 }
 
 func (t *Table) find(id string) (Stream, bool) {
--- a/internal/serving/origin/table_test.go
+++ b/internal/serving/origin/table_test.go
@@ -37,7 +37,7 @@
 	read, err := origin.DecodeRecord(text)
 	Expect(err).NotTo(HaveOccurred())
 	for _, t := range to {
-		t.Merge(c.now, c.now, []origin.Record{read})
+		t.Merge(c.now, c.now, []origin.Record{read}, origin.Record{})
 	}
 	return action
 }
@@ -142,6 +142,37 @@
 		Expect(s).To(Equal(v2))
 	})
 
+	It("takes over the record of the host's earlier run, and does so once", func() {
+		a.Observe(clock.now, "s", []string{"v1", "v2"})
+		clock.begin(a, "x", v1)
+		old, _ := a.NextRecord(clock.now, clock.now)
+		clock.pass(3 * time.Second)
+		a = origin.NewTable(clock.now)
+		a.Observe(clock.now, "s", []string{"v2"})
+		_, known := find(a, "y")
+		Expect(known).To(Equal(origin.Unknown))
+		a.Merge(clock.now, clock.now, []origin.Record{old}, old)
+		_, known = find(a, "y")
+		Expect(known).To(Equal(origin.Unknown), "two versions were in service 3 s ago")
+		Expect(clock.share(a, b)).To(Equal(origin.Write))
+		s, known := find(b, "x")
+		Expect(known).To(Equal(origin.Known))
+		Expect(s).To(Equal(v1))
+		clock.pass(11 * time.Second)
+		a.Merge(clock.now, clock.now, nil, origin.Record{})
+		_, known = find(a, "z")
+		Expect(known).To(Equal(origin.Inferred))
+	})
+
+	It("infers the one version right after its start once no record shows another", func() {
+		a = origin.NewTable(clock.now)
+		a.Observe(clock.now, "s", []string{"v1"})
+		a.Merge(clock.now, clock.now, nil, origin.Record{})
+		s, known := find(a, "x")
+		Expect(known).To(Equal(origin.Inferred))
+		Expect(s).To(Equal(v1))
+	})
+
 	It("writes again after a failed write", func() {
 		a.Observe(clock.now, "s", []string{"v1", "v2"})
 		Expect(clock.share(a)).To(Equal(origin.Write))
