--- a/internal/serving/engine/run_test.go
+++ b/internal/serving/engine/run_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -15,6 +17,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/engine"
 	"github.com/kingcupquay/kingcupquay/internal/serving/request"
 	standin "github.com/kingcupquay/kingcupquay/internal/standin/engine"
+	"github.com/kingcupquay/kingcupquay/internal/standin/specs"
 )
 
 var _ = Describe("Client", func() {
@@ -68,6 +71,39 @@
 		Entry("after the first token", 1), Entry("in the middle", 5), Entry("before the last token", limit-1),
 		Entry("after the last token", limit))
 
+	DescribeTable("never passes a byte of an error, or an end that only looks complete, into a stream that has begun",
+		func(status int, contentType, body, passed string) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", contentType)
+				w.WriteHeader(status)
+				_, _ = w.Write([]byte(body))
+			}))
+			DeferCleanup(server.Close)
+			backend.Address = server.Listener.Addr().String()
+			r := request.New(request.Options{
+				ID: "r", Model: "m", Method: "POST", Path: "/v1/completions", Engine: true, Body: []byte(`{"prompt":"a"}`), Resume: "half", ResumeTokens: 1,
+			})
+			transcript, text := engine.NewTranscript(r), ""
+			failure := engine.NewClient(timer.Real{}).Run(context.Background(), engine.Attempt{
+				Request: r, Backend: &backend, Service: new(services.Service), Transcript: transcript,
+				Accept: func(chunk []byte) bool { transcript.Add(chunk); return true },
+			}, func(event request.Event) error {
+				text += string(event.Data)
+				return nil
+			})
+			Expect(failure).NotTo(BeNil())
+			Expect(text).To(Equal(passed))
+		},
+		Entry("a 404", 404, "application/json", `{"error":"no"}`, ""),
+		Entry("a 500", 500, "text/event-stream", "data: {\"error\":\"no\"}\n\ndata: [DONE]\n\n", ""),
+		Entry("a 200 of another type", 200, "application/json", "data: {}\n\ndata: [DONE]\n\n", ""),
+		Entry("a 200 without events", 200, "text/event-stream", "", ""),
+		Entry("an end before the last event", 200, "text/event-stream", "data: {\"a\":1}\n\n", `{"a":1}`),
+		Entry("an error event, then the end", 200, "text/event-stream", "data: {\"error\":{\"message\":\"no\"}}\n\ndata: [DONE]\n\n", "", Label(specs.KnownRed)),
+		Entry("a second head", 200, "text/event-stream", "data: {\"a\":1}\n\nHTTP/1.1 500 No\r\n\r\nno", `{"a":1}`),
+		Entry("text that is no event", 200, "text/event-stream", "data: out of memory\n\ndata: [DONE]\n\n", "", Label(specs.KnownRed)),
+	)
+
 	It("ends the stream at the first chunk that is not accepted", func() {
 		r := request.New(request.Options{ID: "r", Model: "m", Method: "POST", Path: "/v1/completions", Engine: true, Body: []byte(`{"prompt":"a"}`)})
 		seen := 0
--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -27,6 +27,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
 	"github.com/kingcupquay/kingcupquay/internal/serving/slots"
 	"github.com/kingcupquay/kingcupquay/internal/serving/suspect"
+	"github.com/kingcupquay/kingcupquay/internal/standin/specs"
 )
 
 // scriptedReply is how a scripted server handles one call to Send.
@@ -35,9 +36,10 @@
 	// after the call was sent, overloaded and misdirected that the server
 	// refuses the call.
 	unsent, lost, overloaded, misdirected bool
-	// unframed means that the answer ends with its connection.
-	unframed bool
-	status   int
+	// unframed means that the answer ends with its connection, other that it is not
+	// a stream of events.
+	unframed, other bool
+	status          int
 	// body is the answer; truncated means that a read error follows it.
 	body      string
 	truncated bool
@@ -276,6 +278,50 @@
 		Expect(directory.Usable("s")).To(HaveLen(3))
 	})
 
+	DescribeTable("never passes a byte of an error, or an end that only looks complete, into a stream that has begun", Label(specs.KnownRed),
+		func(second scriptedReply, after int) {
+			route := routes.Route{Kind: routes.Stream, Resumable: true, MaxAttempts: 3, PauseObjective: 40 * time.Millisecond, Timeout: 3 * time.Second}
+			first, third := scriptedReply{body: numberedEvents(1, 2), truncated: true}, scriptedReply{body: numberedEvents(after+1, 5)}
+			_, failure := serve(route, first, second, third)
+			Expect(failure).To(BeNil())
+			Expect(out.body.String()).To(Equal(numberedEvents(1, 5)))
+			Expect(out.heads).To(Equal(1))
+			Expect(s.resumedAfter).To(Equal([]int64{2, int64(after)}))
+		},
+		Entry("a 404", scriptedReply{status: 404, body: "not here"}, 2),
+		Entry("a 500", scriptedReply{status: 500, body: "id: 3\ndata: 3\n\n"}, 2),
+		Entry("a 500 whose body never ends", scriptedReply{status: 500, body: "no", hold: true}, 2),
+		Entry("a 200 of another type", scriptedReply{other: true, body: "{\n\n}"}, 2),
+		Entry("a 200 of another type without a body", scriptedReply{other: true}, 2),
+		Entry("a second head", scriptedReply{body: numberedEvents(3, 3) + "HTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\nno"}, 3),
+		Entry("a second head before the next event", scriptedReply{body: "HTTP/1.1 500 No\nid: 3\ndata: 3\n\n"}, 2),
+		Entry("text without a blank line before the next event", scriptedReply{body: "out of memory\nid: 3\ndata: 3\n\n"}, 2),
+		Entry("an end in the middle of an event", scriptedReply{body: numberedEvents(3, 3) + "id: 4\nda"}, 3),
+	)
+
+	It("never takes the end of an unframed stream for complete if its server went down", Label(specs.KnownRed), func() {
+		servers := &scriptedServers{down: true, replies: []scriptedReply{{unframed: true, body: numberedEvents(1, 2)}, {body: numberedEvents(3, 5)}}}
+		f, _ := newForwarder(servers, 3, newGuard())
+		answer := &recordingWriter{}
+		route := routes.Route{Kind: routes.Stream, Resumable: true, MaxAttempts: 2, Timeout: time.Minute, Objective: time.Minute, Shares: []routes.Share{{Service: "s", Weight: 1}}}
+		_, failure := f.Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: time.Now()}, answer)
+		Expect(failure).To(BeNil())
+		Expect(answer.body.String()).To(Equal(numberedEvents(1, 5)))
+	})
+
+	DescribeTable("passes an answer on that is no stream only if nothing was sent and no server may answer",
+		func(attempts, status int, replies ...scriptedReply) {
+			_, failure := serve(routes.Route{Kind: routes.Stream, Resumable: true, MaxAttempts: attempts}, replies...)
+			Expect(out.status).To(Equal(status))
+			Expect(failure == nil).To(Equal(status != 0))
+		},
+		Entry("a 404", 2, 404, scriptedReply{status: 404, body: "no"}),
+		Entry("a 500 at the last attempt", 1, 500, scriptedReply{status: 500, body: "no"}),
+		Entry("a 500, then a stream", 2, 200, scriptedReply{status: 500, body: "no"}, scriptedReply{body: numberedEvents(1, 2)}),
+		Entry("a 500 that breaks off", 1, 0, scriptedReply{status: 500, body: "no", truncated: true}),
+		Entry("a 200 of another type at the last attempt", 1, 0, scriptedReply{other: true, body: "{}"}),
+	)
+
 	DescribeTable("returns at the route's timeout and cancels running attempts", func(kind routes.Kind, begun bool, reply scriptedReply) {
 		started, failure := serve(routes.Route{Kind: kind, MaxAttempts: 1, Timeout: 30 * time.Millisecond}, reply)
 		Expect(started).To(Equal(begun))
