Streams: pass on the events that arrive together with bytes that are none

Callers missed an event when a server wrote something else right behind it (ORDER).

Cause: the events of one read counted as passed on before the first bad one ended the attempt, but none of them was written; the next server went on after them. Evidence: the case 'a second head', where event 3 of 5 was missing.

The events before the bad one are written, and then the attempt fails. The case failed before and passes now.

--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -289,20 +289,19 @@
 	if len(data) == 0 {
 		return nil
 	}
-	found, err := splitter.Add(data)
-	if err != nil {
-		return err
-	}
-	if len(found) == 0 {
-		return nil
-	}
+	found, invalid := splitter.Add(data)
 	var raw []byte
-	for _, e := range found {
+	for i, e := range found {
 		if !s.sequence.Advance(e) {
-			return errOutOfOrder
+			// The events before it count as passed on, so they must be.
+			found, invalid = found[:i], errOutOfOrder
+			break
 		}
 		raw = append(raw, e.Raw...)
 	}
+	if len(found) == 0 {
+		return invalid
+	}
 	if !s.bound {
 		s.bound, s.software = true, att.server.SoftwareVersion
 	}
@@ -323,5 +322,5 @@
 	if err := s.out.Write(raw); err != nil {
 		return errCallerGone
 	}
-	return nil
+	return invalid
 }
