Events: refuse one that holds lines of something else

Cause: whatever stood before an event without a blank line was passed on as a part of it; only the number was checked.

A line that is neither a field in lower case with a colon, nor one of the standard fields alone, nor a comment makes its event malformed, which no stream and no item takes: the attempt fails and the next server is asked for that event.

--- a/internal/serving/events/sequence.go
+++ b/internal/serving/events/sequence.go
@@ -14,9 +14,9 @@
 func (s *Sequence) Last() (int64, bool) { return s.last, s.started }
 
 // Advance reports whether e is the next event and, if so, advances the sequence.
-// An event without a number is never the next one.
+// An event without a number, or a malformed one, is never the next one.
 func (s *Sequence) Advance(e Event) bool {
-	if !e.HasID || (s.started && e.ID != s.last+1) {
+	if !e.HasID || e.Malformed || (s.started && e.ID != s.last+1) {
 		return false
 	}
 	s.last, s.started = e.ID, true
--- a/internal/serving/events/splitter.go
+++ b/internal/serving/events/splitter.go
@@ -20,6 +20,9 @@
 	// ID is the event's number, valid if HasID is set.
 	ID    int64
 	HasID bool
+	// Malformed is set if a line of it is no field of an event, such as the head or
+	// the text of an error.
+	Malformed bool
 	// Data is the content of the data lines, joined by line feeds.
 	Data []byte
 }
@@ -74,7 +77,10 @@
 	firstData := true
 	for line := range bytes.Lines(raw) {
 		line = bytes.TrimRight(line, "\r\n")
-		name, value, _ := bytes.Cut(line, []byte(":"))
+		name, value, hasColon := bytes.Cut(line, []byte(":"))
+		if len(line) > 0 && !isField(name, hasColon) {
+			e.Malformed = true
+		}
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(name) {
 		case "id":
@@ -91,3 +97,22 @@
 	}
 	return e
 }
+
+// isField reports whether a line begins like a field of an event: with a name in
+// lower case and a colon. The standard fields need no colon, and a comment has no
+// name.
+func isField(name []byte, hasColon bool) bool {
+	if !hasColon {
+		switch string(name) {
+		case "id", "data", "event", "retry":
+			return true
+		}
+		return false
+	}
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return false
+		}
+	}
+	return true
+}
