Streams: leave an error answer at once if its body is not passed on

A stream that had begun stood still until the route's timeout when the next server answered with an error whose body did not end.

Cause: the body was read to its end before it was decided that it is of no use. Evidence: the case 'a 500 whose body never ends', which took 3 s, the whole timeout of its route, and failed.

The body is read only if it goes to the caller; one over 16 MiB, which was cut without a sign, is a failure now. The case passes.

--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -264,10 +264,15 @@
 // nil if it passed the answer on to the caller.
 func (s *streamSession) handleErrorStatus(ctx context.Context, att *attempt) *result.Error {
 	f := s.forwarder
-	body, err := io.ReadAll(io.LimitReader(att.reply.Body, maxAnswerBytes))
 	failure := result.New(result.BackendFailed, "server %s answered %d", att.server.ID, att.reply.Status).WithRan(result.RanYes)
+	if s.begun || (att.reply.Status >= 500 && s.canFailOver(att)) {
+		// The body is of no use, and may have no end.
+		f.end(att, f.outcomeOf(ctx, att))
+		return failure
+	}
+	body, err := io.ReadAll(io.LimitReader(att.reply.Body, maxAnswerBytes+1))
 	f.end(att, f.outcomeOf(ctx, att))
-	if err != nil || s.begun || (att.reply.Status >= 500 && s.canFailOver(att)) {
+	if err != nil || len(body) > maxAnswerBytes {
 		return failure
 	}
 	s.out.WriteComplete(att.reply.Status, att.reply.Fields, body)
