Streams and items: an end counts only if it is that of a stream of events

Cause: an answer without events ended the stream whatever its type, and the end of a connection ended an unframed one also if the server had crashed. Evidence: the cases 'a 200 of another type without a body' and 'never takes the end of an unframed stream for complete if its server went down', which failed before.

A 200 counts as the answer of a stream or item only with the type of an event stream. An unframed end counts only if the server still listens; if it has left after a complete answer, the next server says that nothing is left.

--- a/internal/batch/itemrun/run.go
+++ b/internal/batch/itemrun/run.go
@@ -110,6 +110,8 @@
 		return End{Kind: Failed, Outcome: scheduler.Unknown, Cause: "the server failed"}
 	case reply.Status != http.StatusOK:
 		return End{Kind: Requeue, Outcome: scheduler.Failed, Cause: http.StatusText(reply.Status)}
+	case !reply.EventStream:
+		return End{Kind: Requeue, Outcome: scheduler.Failed, Cause: "the answer is no stream of events"}
 	}
 	sequence := events.Sequence{}
 	if resume.Set {
@@ -136,10 +138,11 @@
 		answered = answered || len(received) > 0
 		switch {
 		case errors.Is(err, io.EOF) && len(splitter.Remainder()) == 0:
-			// Only the end of its connection ends an unframed answer; one that
-			// resumes an item may rightly have no event left.
-			if reply.Unframed && !answered && (!resume.Set || servers.Down(ctx, server)) {
-				return End{Kind: Requeue, Outcome: scheduler.Failed, Cause: "the answer ended without an event"}
+			// Only the end of its connection ends an unframed answer, and a crash
+			// looks the same; one that resumes an item may rightly have no event
+			// left.
+			if reply.Unframed && (!answered && !resume.Set || servers.Down(ctx, server)) {
+				return End{Kind: Requeue, Outcome: scheduler.Failed, Cause: "the answer ended with its connection, perhaps early"}
 			}
 			return End{Kind: Completed, Outcome: scheduler.Completed}
 		case ctx.Err() != nil:
--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -98,7 +98,7 @@
 		}
 		_ = writer.Close()
 	}()
-	return &exchange.Reply{Status: http.StatusOK, Body: reader}, nil
+	return &exchange.Reply{Status: http.StatusOK, EventStream: true, Body: reader}, nil
 }
 
 // setCrashing sets the item that crashes its servers, "" for none.
--- a/internal/serving/exchange/call.go
+++ b/internal/serving/exchange/call.go
@@ -85,6 +85,8 @@
 	// Unframed is set if the answer has neither a length nor chunks, so that its
 	// end can't be told from the end of its connection.
 	Unframed bool
+	// EventStream is set if the body is declared to be a stream of events.
+	EventStream bool
 	// RateLimit is the number of requests a second that the server takes from all
 	// hosts together, 0 if it named none.
 	RateLimit float64
--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -27,7 +27,6 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
 	"github.com/kingcupquay/kingcupquay/internal/serving/slots"
 	"github.com/kingcupquay/kingcupquay/internal/serving/suspect"
-	"github.com/kingcupquay/kingcupquay/internal/standin/specs"
 )
 
 // scriptedReply is how a scripted server handles one call to Send.
@@ -102,7 +101,7 @@
 	if status == 0 {
 		status = http.StatusOK
 	}
-	return &exchange.Reply{Status: status, Unframed: r.unframed, Body: io.NopCloser(body), Fields: []exchange.Field{{Name: "Server", Value: b.ID}}}, nil
+	return &exchange.Reply{Status: status, Unframed: r.unframed, EventStream: !r.other, Body: io.NopCloser(body), Fields: []exchange.Field{{Name: "Server", Value: b.ID}}}, nil
 }
 
 func (s *scriptedServers) Down(context.Context, backend.Server) bool { return s.down }
@@ -278,7 +277,7 @@
 		Expect(directory.Usable("s")).To(HaveLen(3))
 	})
 
-	DescribeTable("never passes a byte of an error, or an end that only looks complete, into a stream that has begun", Label(specs.KnownRed),
+	DescribeTable("never passes a byte of an error, or an end that only looks complete, into a stream that has begun",
 		func(second scriptedReply, after int) {
 			route := routes.Route{Kind: routes.Stream, Resumable: true, MaxAttempts: 3, PauseObjective: 40 * time.Millisecond, Timeout: 3 * time.Second}
 			first, third := scriptedReply{body: numberedEvents(1, 2), truncated: true}, scriptedReply{body: numberedEvents(after+1, 5)}
@@ -299,7 +298,7 @@
 		Entry("an end in the middle of an event", scriptedReply{body: numberedEvents(3, 3) + "id: 4\nda"}, 3),
 	)
 
-	It("never takes the end of an unframed stream for complete if its server went down", Label(specs.KnownRed), func() {
+	It("never takes the end of an unframed stream for complete if its server went down", func() {
 		servers := &scriptedServers{down: true, replies: []scriptedReply{{unframed: true, body: numberedEvents(1, 2)}, {body: numberedEvents(3, 5)}}}
 		f, _ := newForwarder(servers, 3, newGuard())
 		answer := &recordingWriter{}
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -201,6 +201,10 @@
 	if att.reply.Status != http.StatusOK {
 		return s.handleErrorStatus(ctx, att)
 	}
+	if !att.reply.EventStream {
+		f.end(att, scheduler.Failed)
+		return result.New(result.BackendFailed, "server %s answered %d without a stream of events", att.server.ID, att.reply.Status).WithRan(result.RanYes)
+	}
 	chunks, stop := make(chan chunk), make(chan struct{})
 	go readChunks(att.reply.Body, chunks, stop)
 	defer close(stop)
@@ -230,7 +234,7 @@
 			switch {
 			case next.err == nil:
 				idleTimer.Reset(s.idleTimeout())
-			case errors.Is(next.err, io.EOF) && len(splitter.Remainder()) == 0 && !s.endedUnanswered(ctx, att):
+			case errors.Is(next.err, io.EOF) && len(splitter.Remainder()) == 0 && !s.endedEarly(ctx, att):
 				if !s.begun {
 					// The server sent no events, so no head was sent yet.
 					s.out.WriteComplete(att.reply.Status, att.reply.Fields, nil)
@@ -249,15 +253,17 @@
 	}
 }
 
-// endedUnanswered reports whether an answer that ended without an error and
-// without any event was cut off. Only the end of its connection ends an unframed
-// answer; one that resumes a stream may rightly have no event left.
-func (s *streamSession) endedUnanswered(ctx context.Context, att *attempt) bool {
-	if !att.reply.Unframed || att.events > 0 {
+// endedEarly reports whether an answer that ended without an error was cut off.
+// Only the end of its connection ends an unframed answer, and a crash looks the
+// same; one that resumes a stream may rightly have no event left.
+func (s *streamSession) endedEarly(ctx context.Context, att *attempt) bool {
+	if !att.reply.Unframed {
 		return false
 	}
-	_, resumed := s.sequence.Last()
-	return !resumed || s.forwarder.servers.Down(context.WithoutCancel(ctx), att.server)
+	if _, begun := s.sequence.Last(); !begun {
+		return true
+	}
+	return s.forwarder.servers.Down(context.WithoutCancel(ctx), att.server)
 }
 
 // handleErrorStatus handles an answer with a status other than 200. It returns
