OpenAI form: an error event of an engine fails the attempt

Callers of the OpenAI form got an engine's error, or text that is no JSON, as a chunk of their stream, and then its end as if it were complete.

Cause: every data line of an engine's stream was passed on, and only [DONE] was looked for. Evidence: two cases of the table in serving/engine, which failed before.

An event that is no JSON object or has an error ends the attempt as failed; the answer goes on at another server after what was produced, or ends without [DONE]. Both cases pass now.

--- a/internal/serving/engine/run.go
+++ b/internal/serving/engine/run.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 
+	"github.com/tidwall/gjson"
+
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
 	"github.com/kingcupquay/kingcupquay/internal/operator/services"
 	"github.com/kingcupquay/kingcupquay/internal/serving/request"
@@ -84,6 +86,9 @@
 		return err
 	}
 	return readEvents(body, func(data []byte) error {
+		if failure := errorInStream(data); failure != nil {
+			return failure
+		}
 		if limitReached {
 			data = clearText(data)
 		}
@@ -94,6 +99,19 @@
 	})
 }
 
+// errorInStream returns an error if an event of an engine's stream is no chunk of
+// the answer but an error of the engine, or no JSON object.
+func errorInStream(data []byte) *result.Error {
+	chunk := gjson.ParseBytes(data)
+	if !gjson.ValidBytes(data) || !chunk.IsObject() {
+		return result.New(result.BackendFailed, "engine sent an event that is no JSON object").WithRan(result.RanYes)
+	}
+	if e := chunk.Get("error"); e.Exists() && e.Type != gjson.Null {
+		return result.New(result.BackendFailed, "engine sent an error in its stream: %.200s", e.Raw).WithRan(result.RanYes)
+	}
+	return nil
+}
+
 // errorFromResponse converts an engine's error answer to a result error. Status
 // 429 and 5xx can be retried on another server; any other 4xx is a refusal of
 // the request itself.
--- a/internal/serving/engine/run_test.go
+++ b/internal/serving/engine/run_test.go
@@ -17,7 +17,6 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/engine"
 	"github.com/kingcupquay/kingcupquay/internal/serving/request"
 	standin "github.com/kingcupquay/kingcupquay/internal/standin/engine"
-	"github.com/kingcupquay/kingcupquay/internal/standin/specs"
 )
 
 var _ = Describe("Client", func() {
@@ -99,9 +98,9 @@
 		Entry("a 200 of another type", 200, "application/json", "data: {}\n\ndata: [DONE]\n\n", ""),
 		Entry("a 200 without events", 200, "text/event-stream", "", ""),
 		Entry("an end before the last event", 200, "text/event-stream", "data: {\"a\":1}\n\n", `{"a":1}`),
-		Entry("an error event, then the end", 200, "text/event-stream", "data: {\"error\":{\"message\":\"no\"}}\n\ndata: [DONE]\n\n", "", Label(specs.KnownRed)),
+		Entry("an error event, then the end", 200, "text/event-stream", "data: {\"error\":{\"message\":\"no\"}}\n\ndata: [DONE]\n\n", ""),
 		Entry("a second head", 200, "text/event-stream", "data: {\"a\":1}\n\nHTTP/1.1 500 No\r\n\r\nno", `{"a":1}`),
-		Entry("text that is no event", 200, "text/event-stream", "data: out of memory\n\ndata: [DONE]\n\n", "", Label(specs.KnownRed)),
+		Entry("text that is no event", 200, "text/event-stream", "data: out of memory\n\ndata: [DONE]\n\n", ""),
 	)
 
 	It("ends the stream at the first chunk that is not accepted", func() {
