Take-ups: let a stream that is taken up wait for a slot of its version

While few servers of an old version were left, callers that took streams up were refused after the wait of a new stream, though new ones could go to any server.

Cause: a take-up waited as long as a new stream (220 ms where the objective is 300 ms), but only a part of the servers may go on with it.

It may wait 2 s, less than callers allow between two events. The spec 'may wait longer for a slot than a new stream' failed before (220 ms) and passes. Specs of take-ups in forward were added: version, position, refusals.

--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -343,6 +343,57 @@
 		Expect(out.body.String()).To(Equal(numberedEvents(1, 4)))
 	})
 
+	Describe("a stream that its caller takes up", func() {
+		var recorder *waitRecorder
+		takeUp := func(attempts []string, replies ...scriptedReply) *result.Error {
+			s, out = &scriptedServers{replies: replies}, &recordingWriter{}
+			directory = backend.NewDirectory(func(backend.Server, string) {})
+			for id, version := range map[string]string{"a": "v1", "b": "v1", "c": "v2", "d": "v2"} {
+				directory.Put(backend.Server{ID: id, Service: "s", Address: id, Zone: "z", Slots: 4, SoftwareVersion: version})
+			}
+			placer := scheduler.New("A", "z", func() float64 { return 0.5 }, func() {})
+			recorder = &waitRecorder{Slots: slots.New(timer.Real{}, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {})}
+			began := &keptOrigins{versions: map[string]string{"x": "v2", "gone": "v0", "unnamed": ""}}
+			route := routes.Route{
+				Kind: routes.Stream, Resumable: true, MaxAttempts: 3, Timeout: time.Minute, Objective: 300 * time.Millisecond, Shares: []routes.Share{{Service: "s", Weight: 1}},
+			}
+			call := &exchange.Call{ID: "y", Route: &route, Received: time.Now(), TakeUp: &exchange.TakeUp{After: 2, Attempts: attempts}}
+			_, failure := forward.New(timer.Real{}, logr.Discard(), s, directory, recorder, newGuard(), began).Serve(context.Background(), call, out)
+			return failure
+		}
+
+		It("goes on after the caller's last event, at the version that began it, also when that breaks off again", func() {
+			Expect(takeUp([]string{"x"}, scriptedReply{body: numberedEvents(3, 3), truncated: true}, scriptedReply{body: numberedEvents(4, 5)})).To(BeNil())
+			Expect(out.body.String()).To(Equal(numberedEvents(3, 5)))
+			Expect(s.sent).To(ConsistOf("c", "d"))
+			Expect(s.resumedAfter).To(Equal([]int64{2, 3}))
+		})
+
+		It("passes on no event of a server that ignores where it has to go on", func() {
+			Expect(takeUp([]string{"x"}, scriptedReply{body: numberedEvents(1, 5)}, scriptedReply{body: numberedEvents(3, 5)})).To(BeNil())
+			Expect(out.body.String()).To(Equal(numberedEvents(3, 5)))
+		})
+
+		DescribeTable("is refused at once, as not run, when no server may go on", func(attempts ...string) {
+			failure := takeUp(attempts)
+			Expect(failure).NotTo(BeNil())
+			Expect(failure.Code()).To(Equal(result.VersionUnavailable))
+			Expect(failure.Ran()).To(Equal(result.RanNo))
+			Expect(out.heads).To(BeZero())
+		},
+			Entry("the version is not in service", "gone"),
+			Entry("its server named no version", "unnamed"),
+			Entry("the attempt never was", "never"),
+			Entry("several attempts are named", "x", "gone"),
+			Entry("no attempt is named"),
+		)
+
+		It("may wait longer for a slot than a new stream, as its caller has a part of it", func() {
+			Expect(takeUp([]string{"x"}, scriptedReply{body: numberedEvents(3, 3)})).To(BeNil())
+			Expect(recorder.waits).To(Equal([]time.Duration{2 * time.Second}))
+		})
+	})
+
 	It("lets a begun stream wait for another slot until its deadline, and a new one only as its objective allows", func() {
 		s, out = &scriptedServers{replies: []scriptedReply{{body: numberedEvents(1, 2), truncated: true}, {body: numberedEvents(3, 4)}}}, &recordingWriter{}
 		directory = backend.NewDirectory(func(backend.Server, string) {})
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -91,12 +91,15 @@
 // serveStream answers a call with a stream of numbered events.
 func (f *Forwarder) serveStream(ctx context.Context, c *exchange.Call, callerDeadline time.Time, out ResponseWriter) (bool, *result.Error) {
 	s := &streamSession{forwarder: f, call: c, callerDeadline: callerDeadline, out: out, avoid: make(map[string]bool), ran: result.RanNo}
+	wait := slotWait(c)
 	if c.TakeUp != nil {
 		if failure := s.takeUp(ctx); failure != nil {
 			return false, failure
 		}
+		// The caller has a part of the stream, and fewer servers may go on with it.
+		wait = maxSlotWait
 	}
-	next, failure := s.place(ctx, slotWait(c))
+	next, failure := s.place(ctx, wait)
 	if failure != nil {
 		return false, failure
 	}
@@ -119,7 +122,6 @@
 		if ctx.Err() != nil || failure.Code() == result.Cancelled || !s.canFailOver(att) {
 			return s.begun, failure.WithRan(s.ran)
 		}
-		wait := slotWait(c)
 		if s.begun {
 			// Part of the answer was sent already; finishing it late is better
 			// than aborting it.
