Origins: bound what repeated take-ups of one stream add to the table

A caller that takes one stream up again and again could fill the list of expiry times of a host, by one entry a call for up to a minute.

Cause: the bound counted the streams kept and not the entries of the list. Found by reading. The test failed before (24576 entries after as many take-ups, at most 8192 allowed) and passes; the stream itself stays known.

--- a/internal/serving/origin/table.go
+++ b/internal/serving/origin/table.go
@@ -28,8 +28,8 @@
 	// longer one was seen. maxLife bounds what callers ask for.
 	initialLife = 10 * time.Second
 	maxLife     = time.Minute
-	// maxStreams bounds the calls that a host keeps, and maxRecorded those in its
-	// record; the oldest are dropped first.
+	// maxStreams bounds the calls that a host keeps, each take-up of a stream
+	// counted, and maxRecorded those in its record; the oldest are dropped first.
 	maxStreams  = 8192
 	maxRecorded = 1024
 )
@@ -163,7 +163,7 @@
 // expire drops the entries that are over, and the oldest ones beyond maxStreams.
 // The caller holds t.mu.
 func (t *Table) expire(now time.Time) {
-	for len(t.order) > 0 && (now.After(t.order[0].until) || len(t.streams) > maxStreams) {
+	for len(t.order) > 0 && (now.After(t.order[0].until) || len(t.order) > maxStreams) {
 		if oldest := t.order[0]; t.streams[oldest.id].until.Equal(oldest.until) {
 			delete(t.streams, oldest.id)
 		}
