Origins: a host that starts remembers as long as the others that versions were mixed

A host that had just started took the one version in service for that of every stream 10 s after the last other one had left, also where callers may take streams up for longer.

Cause: it knew the longest time that callers wait only from calls of its own. Found by reading. Records now carry that time. The spec 'remembers after its start ...' (a deadline of 40 s, 30 s after two versions) failed before, with a version inferred, and passes.

--- a/internal/serving/origin/record.go
+++ b/internal/serving/origin/record.go
@@ -22,6 +22,9 @@
 	// long before the record was written several were last in service, in
 	// milliseconds.
 	MixedMs map[string]int64 `json:"mixed_ms"`
+	// LifeMs is the longest time, in milliseconds, in which a stream may be taken up,
+	// as far as the writer has seen.
+	LifeMs  int64            `json:"life_ms"`
 	Streams []RecordedStream `json:"streams,omitempty"`
 }
 
@@ -68,7 +71,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	r := Record{WrittenMs: wall.UnixMilli(), MixedMs: make(map[string]int64)}
+	r := Record{WrittenMs: wall.UnixMilli(), LifeMs: t.life.Milliseconds(), MixedMs: make(map[string]int64)}
 	for name, s := range t.services {
 		if t.mixed(now, name) {
 			r.MixedMs[name] = now.Sub(s.mixedAt).Milliseconds()
@@ -117,6 +120,7 @@
 	t.recordsRead = true
 	t.recorded = make(map[string]Stream)
 	for _, r := range records {
+		t.life = max(t.life, min(maxLife, time.Duration(r.LifeMs)*time.Millisecond))
 		for _, s := range r.Streams {
 			for _, id := range s.Calls {
 				t.recorded[id] = s.Stream
--- a/internal/serving/origin/table_test.go
+++ b/internal/serving/origin/table_test.go
@@ -164,6 +164,18 @@
 		Expect(known).To(Equal(origin.Inferred))
 	})
 
+	It("remembers after its start for as long as the callers of other hosts may take streams up", func() {
+		a.Begin(clock.now, []string{"x"}, v1, clock.now.Add(40*time.Second))
+		a.Observe(clock.now, "s", []string{"v1", "v2"})
+		old, _ := a.NextRecord(clock.now, clock.now)
+		clock.pass(30 * time.Second)
+		b = origin.NewTable(clock.now)
+		b.Observe(clock.now, "s", []string{"v2"})
+		b.Merge(clock.now, clock.now, []origin.Record{old}, origin.Record{})
+		_, known := find(b, "y")
+		Expect(known).To(Equal(origin.Unknown))
+	})
+
 	It("infers the one version right after its start once no record shows another", func() {
 		a = origin.NewTable(clock.now)
 		a.Observe(clock.now, "s", []string{"v1"})
