Jobs: log when an owner learns that another host ended its job

The ending host writes 'job ended for its owner'; nothing showed when the owner learned of it, so the time in which it may still start items could not be read from logs.

--- a/internal/batch/ownership/writing.go
+++ b/internal/batch/ownership/writing.go
@@ -228,6 +228,9 @@
 			m.mu.Lock()
 			c.j.revision = e.ModRevision
 			c.j.job.ApplyWrite(current, nil)
+			if current.Ended {
+				m.Log.Info("job ended elsewhere", "job", current.ID, "writer", current.Writer, "running", len(c.j.runs), "revision", e.ModRevision)
+			}
 			m.cancelRuns(c.j, current.Ended)
 			c.j.notify()
 			m.mu.Unlock()
