--- /dev/null
+++ b/internal/batch/ownership/ending_test.go
@@ -0,0 +1,95 @@
+package ownership_test
+
+import (
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupquay/kingcupquay/internal/batch/jobstate"
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/standin/specs"
+)
+
+// endGrace is how long after the acknowledgement of a job's end its items may
+// still reach a server.
+const endGrace = 3 * time.Second
+
+var _ = Describe("the end of a job", Label(specs.KnownRed), func() {
+	// waitingJob returns a fleet in which host A, which is no scanner, owns job j,
+	// whose items wait for a server.
+	waitingJob := func() *fleet {
+		f := newFleet("A")
+		f.noScanners = true
+		f.hosts["A"].directory.Remove(f.clock.Now(), backendServer.ID, 0)
+		Expect(f.hosts["A"].Submit(ctx, submission("j", 20, 1))).To(BeNil())
+		return f
+	}
+	// pass lets time pass in steps that the hosts can follow.
+	pass := func(f *fleet, period time.Duration) {
+		for began := f.clock.Now(); f.clock.Now().Sub(began) < period; {
+			f.tick()
+			time.Sleep(time.Millisecond)
+		}
+	}
+
+	DescribeTable("keeps items from being sent that the owner's record no longer allows, though nobody told the owner", func(change func(*jobstate.Record)) {
+		f := waitingJob()
+		f.rewrite("j", change)
+		pass(f, endGrace)
+		f.hosts["A"].directory.Put(backendServer)
+		pass(f, endGrace)
+		Expect(f.servers.totalRuns()).To(BeZero())
+	},
+		Entry("the job was ended by another host", func(r *jobstate.Record) { r.Ended, r.Writer, r.Serial = true, "B/1", r.Serial+1 }),
+		Entry("another host has taken the job over", func(r *jobstate.Record) { r.Owner, r.Writer, r.Serial = "B", "B/1", r.Serial+1 }),
+	)
+
+	It("keeps items from being sent that an heir loads while the job is ended", func() {
+		f := waitingJob()
+		f.hosts["A"].Kill()
+		heir := f.addHost("B", "B/1")
+		heir.directory.Remove(f.clock.Now(), backendServer.ID, 0)
+		f.rewrite("j", func(r *jobstate.Record) { r.Owner, r.Serial = "B", r.Serial+1 })
+		var once sync.Once
+		heir.beforeCall.set(func(op string) {
+			if op == "range" {
+				once.Do(func() {
+					f.rewrite("j", func(r *jobstate.Record) { r.Ended, r.Writer, r.Serial = true, "C/1", r.Serial+1 })
+				})
+			}
+		})
+		Expect(heir.Manager.Adopt(ctx, "j")).To(BeNil())
+		pass(f, endGrace)
+		heir.directory.Put(backendServer)
+		pass(f, endGrace)
+		Expect(f.servers.totalRuns()).To(BeZero())
+	})
+
+	It("cancels the items that start while it is being written", func() {
+		f := newFleet("A")
+		f.servers.block = make(chan struct{})
+		defer close(f.servers.block)
+		Expect(f.hosts["A"].Submit(ctx, submission("j", 20, 1))).To(BeNil())
+		f.eventually(func(g Gomega) { g.Expect(f.servers.activeRuns()).To(BeNumerically(">", 0)) })
+		committing, release := make(chan struct{}), make(chan struct{})
+		var once sync.Once
+		f.hosts["A"].beforeCall.set(func(op string) {
+			if op == "commit" {
+				once.Do(func() {
+					close(committing)
+					<-release
+				})
+			}
+		})
+		ended := make(chan *result.Error, 1)
+		before := f.servers.totalRuns()
+		go func() { ended <- f.hosts["A"].Manager.End(ctx, "j", true) }()
+		f.eventually(func(g Gomega) { g.Expect(committing).To(BeClosed()) })
+		f.eventually(func(g Gomega) { g.Expect(f.servers.totalRuns()).To(BeNumerically(">", before)) })
+		close(release)
+		Eventually(ended, waitTimeout).Should(Receive(BeNil()))
+		Eventually(f.servers.activeRuns, time.Second).Should(BeZero())
+	})
+})
--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -37,6 +37,8 @@
 	// which runs were resumed.
 	runs    map[string]int
 	resumed []int64
+	// active is the number of runs in progress.
+	active int
 	// status maps items to an HTTP status that is returned instead of 200.
 	status map[string]int
 	// breakAfter, if positive, is the number of events after which the first run
@@ -74,7 +76,9 @@
 		return &exchange.Reply{Status: status, Body: io.NopCloser(bytes.NewReader(nil))}, nil
 	}
 	reader, writer := io.Pipe()
+	s.addActive(1)
 	go func() {
+		defer s.addActive(-1)
 		for n := resume.After + 1; n <= eventsPerItem; n++ {
 			if breakAfter > 0 && first && n > int64(breakAfter) {
 				_ = writer.CloseWithError(io.ErrUnexpectedEOF)
@@ -101,6 +105,29 @@
 	return &exchange.Reply{Status: http.StatusOK, EventStream: true, Body: reader}, nil
 }
 
+func (s *servers) addActive(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active += n
+}
+
+func (s *servers) activeRuns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.active
+}
+
+// totalRuns returns the number of runs of all items.
+func (s *servers) totalRuns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total := 0
+	for _, n := range s.runs {
+		total += n
+	}
+	return total
+}
+
 // setCrashing sets the item that crashes its servers, "" for none.
 func (s *servers) setCrashing(item string) {
 	s.mu.Lock()
@@ -151,6 +178,29 @@
 	cutOff *atomic.Bool
 	// delayedWrites holds writes back and returns no reply while it is enabled.
 	delayedWrites *delayedWrites
+	// before is called before each call with its kind.
+	before *callHook
+}
+
+// callHook is called before each call of a host to the store.
+type callHook struct {
+	mu   sync.Mutex
+	hook func(op string)
+}
+
+func (c *callHook) set(hook func(op string)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hook = hook
+}
+
+func (c *callHook) call(op string) {
+	c.mu.Lock()
+	hook := c.hook
+	c.mu.Unlock()
+	if hook != nil {
+		hook(op)
+	}
 }
 
 // delayedWrites is a fault that holds writes back, so that a test can apply them
@@ -184,6 +234,7 @@
 }
 
 func (s hostStore) Get(ctx context.Context, key string) (store.Entry, bool, error) {
+	s.before.call("get")
 	if s.cutOff.Load() {
 		return store.Entry{}, false, store.ErrUnavailable
 	}
@@ -191,6 +242,7 @@
 }
 
 func (s hostStore) Range(ctx context.Context, from, to string, limit int) ([]store.Entry, int64, error) {
+	s.before.call("range")
 	if s.cutOff.Load() {
 		return nil, 0, store.ErrUnavailable
 	}
@@ -205,6 +257,7 @@
 }
 
 func (s hostStore) Commit(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+	s.before.call("commit")
 	if s.cutOff.Load() {
 		return store.TxnResult{}, store.ErrUnavailable
 	}
@@ -225,6 +278,9 @@
 	// cutOff makes the store unavailable to this host.
 	cutOff        atomic.Bool
 	delayedWrites delayedWrites
+	beforeCall    callHook
+	// directory holds backendServer unless a test removes it.
+	directory *backend.Directory
 }
 
 func (h *host) peer(name string) (*host, *result.Error) {
@@ -291,6 +347,8 @@
 	MaxAttempts: 3, DueAfter: 18 * time.Second, GiveUpAfter: 24 * time.Hour, TokenCap: 100,
 }
 
+var backendServer = backend.Server{ID: "e", Service: "s", Address: "10.0.0.1:1", Zone: "a", Slots: 8, SoftwareVersion: "v1"}
+
 func newFleet(names ...string) *fleet {
 	clock := timer.NewManual(time.Unix(1000, 0))
 	f := &fleet{clock: clock, kv: platform.NewKV(clock), servers: newServers(), hosts: make(map[string]*host)}
@@ -302,12 +360,12 @@
 
 func (f *fleet) addHost(name, writer string) *host {
 	list := backend.NewDirectory(func(backend.Server, string) {})
-	list.Put(backend.Server{ID: "e", Service: "s", Address: "10.0.0.1:1", Zone: "a", Slots: 8, SoftwareVersion: "v1"})
+	list.Put(backendServer)
 	config := new(routes.Holder)
 	config.SetIfNewer(routes.New(1, nil, []*routes.Route{route}, nil, routes.Limits{}))
-	h := &host{fleet: f, name: name}
+	h := &host{fleet: f, name: name, directory: list}
 	h.Manager = ownership.New(ownership.Options{
-		Host: name, Writer: writer, Timer: f.clock, Log: logr.Discard(), Store: hostStore{f.kv, &h.cutOff, &h.delayedWrites}, Servers: f.servers, ServerDirectory: list,
+		Host: name, Writer: writer, Timer: f.clock, Log: logr.Discard(), Store: hostStore{f.kv, &h.cutOff, &h.delayedWrites, &h.beforeCall}, Servers: f.servers, ServerDirectory: list,
 		Placer: scheduler.New(name, "a", func() float64 { return 0.5 }, func() {}), Config: config, Peers: h,
 		Accepted: func(string) {}, Ended: func(id string) {
 			for _, p := range f.hosts {
