Jobs: start no item while the end of its job is written

Callers saw: a back end works on items of a job whose end was acknowledged; this can become UNASKED where the write of the end takes long.

Cause: the owner cancelled the runs of the job before it wrote the end. The items went back to the queue, were placed again while the write waited for another one or for the store, and nothing cancelled these runs after it.

Change: no item of a job is placed or sent while its end is written, and the write cancels what runs then.

--- a/internal/batch/ownership/allowing.go
+++ b/internal/batch/ownership/allowing.go
@@ -46,7 +46,7 @@
 		now := m.Timer.Now()
 		id := j.job.Record().ID
 		switch {
-		case m.jobs[id] != j || j.job.Record().Ended || now.Before(j.heldUntil):
+		case m.jobs[id] != j || j.job.Record().Ended || j.ending > 0 || now.Before(j.heldUntil):
 			m.mu.Unlock()
 			return false
 		case now.Sub(j.allowedAt) <= m.recordAge():
--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -122,6 +122,8 @@
 	// endReportedAt is when another host last said that it ended the job; it is zero
 	// if the record was read since.
 	endReportedAt time.Time
+	// ending counts the calls that end the job; no item starts meanwhile.
+	ending int
 	// heldUntil is until when no item starts, since the record did not allow it.
 	heldUntil time.Time
 	// checking is closed when the read of the record ends that runs wait for; it is
--- a/internal/batch/ownership/running.go
+++ b/internal/batch/ownership/running.go
@@ -71,7 +71,7 @@
 
 // enqueue adds a job's waiting items to the queues of their services.
 func (m *Manager) enqueue(now time.Time, config *routes.Config, j *ownedJob, queues map[string][]*queuedItem) {
-	if now.Before(j.heldUntil) {
+	if j.ending > 0 || now.Before(j.heldUntil) {
 		return
 	}
 	candidates := j.job.Candidates(now)
--- a/internal/batch/ownership/writing.go
+++ b/internal/batch/ownership/writing.go
@@ -188,6 +188,7 @@
 		c.j.revision = revision
 		c.j.allow(began)
 		c.j.job.ApplyWrite(c.after, c.added)
+		m.cancelRuns(c.j, c.after.Ended)
 		c.j.unlistedSince = time.Time{}
 		if len(c.j.job.Unlisted()) > 0 {
 			c.j.unlistedSince = now
@@ -329,8 +330,14 @@
 
 func (m *Manager) endOwned(ctx context.Context, j *ownedJob) *result.Error {
 	m.mu.Lock()
+	j.ending++
 	m.cancelRuns(j, true)
 	m.mu.Unlock()
+	defer func() {
+		m.mu.Lock()
+		j.ending--
+		m.mu.Unlock()
+	}()
 	m.writeMu.Lock()
 	defer m.writeMu.Unlock()
 	for range maxWriteAttempts {
