Jobs: end a job without its owner if the owner can't reach the store

Cause: a host that does not own the job passes the end to the owner and wrote the record itself only if the owner could not be reached or had lost the job.

Change: the same if the owner answers that the store is unavailable.

Evidence: the spec failed before (records unavailable: the end of the job could not be kept) and passes now.

--- a/internal/batch/ownership/ending_test.go
+++ b/internal/batch/ownership/ending_test.go
@@ -105,4 +105,12 @@
 		Eventually(ended, waitTimeout).Should(Receive(BeNil()))
 		Eventually(f.servers.activeRuns, time.Second).Should(BeZero())
 	})
+
+	It("is acknowledged by a host that reaches the store though the owner does not", func() {
+		f := newFleet("A", "B")
+		Expect(f.hosts["A"].Submit(ctx, submission("j", 20, 1))).To(BeNil())
+		f.hosts["B"].LearnOwner("A", []string{"j"})
+		f.hosts["A"].cutOff.Store(true)
+		Expect(f.hosts["B"].Manager.End(ctx, "j", true)).To(BeNil())
+	})
 })
--- a/internal/batch/ownership/writing.go
+++ b/internal/batch/ownership/writing.go
@@ -321,13 +321,19 @@
 	}
 	if mayForward && owner != "" && owner != m.Host {
 		failure := m.Peers.End(ctx, owner, id)
-		if failure == nil || failure.Code() != result.LeaseLost && failure.Code() != result.NoBackend {
+		if failure == nil || !endsElsewhere(failure.Code()) {
 			return failure
 		}
 	}
 	return m.endUnowned(ctx, id)
 }
 
+// endsElsewhere reports whether a job can be ended without its owner after the owner
+// answered with a code: it does not have the job, or can't reach the store.
+func endsElsewhere(code result.Code) bool {
+	return code == result.LeaseLost || code == result.NoBackend || code == result.StoreUnavailable
+}
+
 func (m *Manager) endOwned(ctx context.Context, j *ownedJob) *result.Error {
 	m.mu.Lock()
 	j.ending++
