Jobs: repeat a failed read of a record instead of sending items without it

Cause: after any read that failed, items were sent for 1 s on the owner's memory alone, and again after each further failure.

Change: a job is held for 0.3 s after a failed read, then read again. Items go without a read only once no record could be read for as long as items of an ended job may still arrive; the store is then away and other rules apply.

Evidence: found by a review. The spec 'after one read of the record has failed' failed before (20 items sent, 0 expected) and passes now. The spec on items that wait during an outage now lets 6 s pass instead of 3, as they are held for 3 s first; it still expects all 20 of them.

--- a/internal/batch/ownership/allowing.go
+++ b/internal/batch/ownership/allowing.go
@@ -15,8 +15,8 @@
 	// recordCheckTimeout bounds the read of a record that a run waits for. A
 	// reachable store answers in a tenth of it.
 	recordCheckTimeout = 300 * time.Millisecond
-	// unreadAllowance is for how long items are sent after a read that failed,
-	// before the next is tried.
+	// unreadAllowance is for how long items are sent, or held, after a read that
+	// failed, before the next is tried, once the store counts as unavailable.
 	unreadAllowance = time.Second
 )
 
@@ -38,7 +38,8 @@
 }
 
 // mayRun reports whether an item of a job may be sent, and reads the job's record
-// before if that is necessary. While the store can't be read, items are sent unless
+// before if that is necessary. A read that fails is repeated. Items are sent without
+// one if no record could be read for EndWithin, as the store is then away, unless
 // another host has said that it ended the job.
 func (m *Manager) mayRun(ctx context.Context, j *ownedJob) bool {
 	for {
@@ -80,26 +81,35 @@
 		r, err = jobstate.DecodeRecord(e.Value)
 	}
 	m.mu.Lock()
-	allowed := false
+	allowed, hold := false, minRefreshInterval
 	switch {
 	case err != nil:
-		if allowed = j.endReportedAt.IsZero(); allowed {
-			j.allowedAt = m.Timer.Now().Add(unreadAllowance - m.recordAge())
+		if m.unreadSince.IsZero() {
+			m.unreadSince = began
 		}
-		m.Log.Info("record not read before a run", "job", id, "sent", allowed, "cause", err.Error())
+		if now := m.Timer.Now(); now.Sub(m.unreadSince) >= m.EndWithin {
+			allowed, hold = j.endReportedAt.IsZero(), unreadAllowance
+			if allowed {
+				j.allowedAt = now.Add(unreadAllowance - m.recordAge())
+			}
+		}
+		m.Log.Info("record not read before a run", "job", id, "sent", allowed, "unread_ms", m.Timer.Now().Sub(m.unreadSince).Milliseconds(), "cause", err.Error())
 	case found && !r.Ended && r.Owner == m.Host:
 		allowed = true
 		j.allow(began)
 	default:
 		m.Log.Info("items held", "job", id, "ended", r.Ended, "owner", r.Owner, "found", found)
 	}
+	if err == nil {
+		m.unreadSince = time.Time{}
+	}
 	if !allowed {
-		j.heldUntil = m.Timer.Now().Add(minRefreshInterval)
+		j.heldUntil = m.Timer.Now().Add(hold)
 	}
 	close(j.checking)
 	j.checking = nil
 	m.mu.Unlock()
-	if !allowed {
+	if !allowed && err == nil {
 		m.refresh(id)
 	}
 	return allowed
--- a/internal/batch/ownership/ending_test.go
+++ b/internal/batch/ownership/ending_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -45,6 +46,32 @@
 		Entry("another host has taken the job over", func(r *jobstate.Record) { r.Owner, r.Writer, r.Serial = "B", "B/1", r.Serial+1 }),
 	)
 
+	It("keeps items from being sent at any time after it, not only at the latest allowed one", func() {
+		f := waitingJob()
+		f.rewrite("j", func(r *jobstate.Record) { r.Ended, r.Writer, r.Serial = true, "B/1", r.Serial+1 })
+		pass(f, endGrace*2/3)
+		f.hosts["A"].directory.Put(backendServer)
+		pass(f, endGrace)
+		Expect(f.servers.totalRuns()).To(BeZero())
+	})
+
+	It("keeps items from being sent after one read of the record has failed", func() {
+		f := waitingJob()
+		hostA := f.hosts["A"]
+		f.rewrite("j", func(r *jobstate.Record) { r.Ended, r.Writer, r.Serial = true, "B/1", r.Serial+1 })
+		pass(f, endGrace)
+		var reads atomic.Int32
+		hostA.beforeCall.set(func(op string) {
+			if op == "get" {
+				hostA.cutOff.Store(reads.Add(1) == 1)
+			}
+		})
+		hostA.directory.Put(backendServer)
+		pass(f, endGrace)
+		Expect(f.servers.totalRuns()).To(BeZero())
+		Eventually(hostA.OwnedJobs, waitTimeout).Should(BeEmpty())
+	})
+
 	DescribeTable("decides about items that wait while the store can't be read", func(told bool, sent int) {
 		f := waitingJob()
 		f.hosts["A"].cutOff.Store(true)
@@ -53,7 +80,7 @@
 		}
 		pass(f, endGrace)
 		f.hosts["A"].directory.Put(backendServer)
-		pass(f, endGrace)
+		pass(f, 2*endGrace)
 		Expect(f.servers.totalRuns()).To(Equal(sent))
 	},
 		Entry("they are sent", false, 20),
--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -164,6 +164,9 @@
 	// owners maps jobs of other hosts to their last known owners.
 	owners map[string]string
 	quotas map[string]quotaUsage
+	// unreadSince is when the first read before a run began that failed since the
+	// last one that did not; it is zero if none did.
+	unreadSince time.Time
 	// backlogged holds the services with a backlog at the placer.
 	backlogged  map[string]bool
 	resultCache *resultcache.Cache
