--- a/internal/batch/ownership/ending_test.go
+++ b/internal/batch/ownership/ending_test.go
@@ -113,7 +113,7 @@
 		f.servers.block = make(chan struct{})
 		defer close(f.servers.block)
 		Expect(f.hosts["A"].Submit(ctx, submission("j", 20, 1))).To(BeNil())
-		f.eventually(func(g Gomega) { g.Expect(f.servers.activeRuns()).To(BeNumerically(">", 0)) })
+		f.eventually(func(g Gomega) { g.Expect(f.servers.activeRuns()).To(Equal(backendServer.Slots)) })
 		committing, release := make(chan struct{}), make(chan struct{})
 		var once sync.Once
 		f.hosts["A"].beforeCall.set(func(op string) {
@@ -125,9 +125,11 @@
 			}
 		})
 		ended := make(chan *result.Error, 1)
+		before := f.servers.totalRuns()
 		go func() { ended <- f.hosts["A"].Manager.End(ctx, "j", true) }()
 		f.eventually(func(g Gomega) { g.Expect(committing).To(BeClosed()) })
 		pass(f, 100*time.Millisecond)
+		Expect(f.servers.totalRuns()).To(Equal(before))
 		close(release)
 		Eventually(ended, waitTimeout).Should(Receive(BeNil()))
 		Eventually(f.servers.activeRuns, time.Second).Should(BeZero())
