Jobs: pursue the end of a job whose caller has left

Callers saw: a job that they ended goes on if their connection broke before the answer; an end without an answer counts as acknowledged after ackMs, and items that start later are UNASKED.

Cause: the write of the end ran under the context of the caller's request, so a caller that left cancelled it, and the items of the job started again.

Change: the end is pursued for up to 5 s, whoever waits for it.

The spec 'is written though the caller leaves while it waits' failed before (the record was not ended) and passes now. The store of the specs now fails calls whose context has ended, as the real one does.

--- a/internal/batch/ownership/ending_test.go
+++ b/internal/batch/ownership/ending_test.go
@@ -1,6 +1,7 @@
 package ownership_test
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -142,4 +143,23 @@
 		f.hosts["A"].cutOff.Store(true)
 		Expect(f.hosts["B"].Manager.End(ctx, "j", true)).To(BeNil())
 	})
+
+	It("is written though the caller leaves while it waits", func() {
+		f := waitingJob()
+		calling, leave := context.WithCancel(ctx)
+		var once sync.Once
+		f.hosts["A"].beforeCall.set(func(op string) {
+			if op == "commit" {
+				once.Do(leave)
+			}
+		})
+		_ = f.hosts["A"].Manager.End(calling, "j", true)
+		f.eventually(func(g Gomega) {
+			e, _, err := f.kv.Get(ctx, jobstate.RecordKey("j"))
+			g.Expect(err).NotTo(HaveOccurred())
+			r, err := jobstate.DecodeRecord(e.Value)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(r.Ended).To(BeTrue())
+		})
+	})
 })
--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -235,7 +235,7 @@
 
 func (s hostStore) Get(ctx context.Context, key string) (store.Entry, bool, error) {
 	s.before.call("get")
-	if s.cutOff.Load() {
+	if s.cutOff.Load() || ctx.Err() != nil {
 		return store.Entry{}, false, store.ErrUnavailable
 	}
 	return s.KV.Get(ctx, key)
@@ -258,6 +258,9 @@
 
 func (s hostStore) Commit(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
 	s.before.call("commit")
+	if ctx.Err() != nil {
+		return store.TxnResult{}, store.ErrOutcomeUnknown
+	}
 	if s.cutOff.Load() {
 		return store.TxnResult{}, store.ErrUnavailable
 	}
--- a/internal/batch/ownership/writing.go
+++ b/internal/batch/ownership/writing.go
@@ -306,9 +306,15 @@
 	}
 }
 
+// endTimeout bounds the time in which an end is pursued whose caller has left.
+const endTimeout = 5 * time.Second
+
 // End ends a job on behalf of a caller: listed results stay, and no item runs any
-// more. mayForward allows passing the request on to the owner.
+// more. mayForward allows passing the request on to the owner. The end is pursued
+// even if the caller leaves meanwhile, since the caller counts on it.
 func (m *Manager) End(ctx context.Context, id string, mayForward bool) *result.Error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
+	defer cancel()
 	m.mu.Lock()
 	j, owned := m.jobs[id]
 	m.mu.Unlock()
