Crash: a host cut off from all servers accuses no prompt and counts no crash

What callers saw: a host whose connections to all servers are reset, and whose new ones are refused, took each server for crashed. The parts and bodies of the prompts whose streams were cut off were accused at all hosts, so that sound prompts may be refused as crashing servers, and batch items counted crashes and rested.

Cause: exchange.Servers.Down is true for a refused connection, and was taken as evidence of a crash of that one server. It says as much of this host's own links.

Fix: crash.Detector believes a refusal only if this host reaches another server by a new connection, and if the refusal lasts after that. The other servers are of the same zone if it has enough, since a host may lose a single zone. A host that reaches none of three says nothing about crashes. The end of an unframed answer is still judged by Down alone: there, doubt means that the answer may be incomplete.

--- a/internal/batch/itemrun/run.go
+++ b/internal/batch/itemrun/run.go
@@ -67,19 +67,19 @@
 // Run runs an item on a server until its answer is complete, ctx is done or the
 // run fails. It calls handle with the events in order.
 //
-// If the server failed during the run and nothing listens at its address any
-// more, the end is Crashed instead of Requeue.
-func Run(ctx context.Context, timers timer.Service, servers exchange.Servers, server backend.Server, call *exchange.Call, resume exchange.Resume,
+// If the server failed during the run and has crashed, the end is Crashed instead
+// of Requeue.
+func Run(ctx context.Context, timers timer.Service, servers exchange.MonitoredServers, server backend.Server, call *exchange.Call, resume exchange.Resume,
 	handle func([]events.Event)) End {
 	end := attempt(ctx, timers, servers, server, call, resume, handle)
-	if end.Kind == Requeue && end.Outcome == scheduler.Failed && servers.Down(ctx, server) {
+	if end.Kind == Requeue && end.Outcome == scheduler.Failed && servers.Crashed(ctx, server) {
 		end.Kind = Crashed
 	}
 	return end
 }
 
-// attempt is Run without the check whether a failed server is down.
-func attempt(ctx context.Context, timers timer.Service, servers exchange.Servers, server backend.Server, call *exchange.Call, resume exchange.Resume,
+// attempt is Run without the check whether a failed server has crashed.
+func attempt(ctx context.Context, timers timer.Service, servers exchange.MonitoredServers, server backend.Server, call *exchange.Call, resume exchange.Resume,
 	handle func([]events.Event)) End {
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/batch/itemrun/run_test.go
+++ b/internal/batch/itemrun/run_test.go
@@ -29,7 +29,8 @@
 	// brokenOff makes the body end with an error.
 	brokenOff bool
 	err       error
-	down      bool
+	// down is the answer of Down, and of Crashed unless cutOff is set.
+	down, cutOff bool
 }
 
 func (s *fakeServers) Send(context.Context, backend.Server, *exchange.Call, exchange.Resume, time.Duration) (*exchange.Reply, error) {
@@ -47,6 +48,8 @@
 
 func (s *fakeServers) Down(context.Context, backend.Server) bool { return s.down }
 
+func (s *fakeServers) Crashed(context.Context, backend.Server) bool { return s.down && !s.cutOff }
+
 type errorReader struct{}
 
 func (errorReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
@@ -77,6 +80,8 @@
 	Entry("that ends unframed after an event", &fakeServers{reply: exchange.Reply{EventStream: true, Status: 200, Unframed: true}, body: "id: 1\n\n"}, exchange.Resume{}, itemrun.Completed, scheduler.Completed, int64(1)),
 	Entry("that resumes after the last event, unframed", &fakeServers{reply: exchange.Reply{EventStream: true, Status: 200, Unframed: true}}, exchange.Resume{After: 2, Set: true}, itemrun.Completed, scheduler.Completed),
 	Entry("that resumes unframed at a server that goes down", &fakeServers{reply: exchange.Reply{EventStream: true, Status: 200, Unframed: true}, down: true}, exchange.Resume{After: 2, Set: true}, itemrun.Crashed, scheduler.Failed),
+	Entry("whose server refuses connections while all others do", &fakeServers{reply: exchange.Reply{EventStream: true, Status: 200}, body: "id: 1\n\n", brokenOff: true, down: true, cutOff: true}, exchange.Resume{}, itemrun.Requeue, scheduler.Failed, int64(1)),
+	Entry("that ends unframed after an event while all servers refuse connections", &fakeServers{reply: exchange.Reply{EventStream: true, Status: 200, Unframed: true}, body: "id: 1\n\n", down: true, cutOff: true}, exchange.Resume{}, itemrun.Requeue, scheduler.Failed, int64(1)),
 	Entry("whose server goes down", &fakeServers{reply: exchange.Reply{EventStream: true, Status: 200}, body: "id: 1\n\n", brokenOff: true, down: true}, exchange.Resume{}, itemrun.Crashed, scheduler.Failed, int64(1)),
 	Entry("refused for lack of capacity", &fakeServers{reply: exchange.Reply{Status: 503, NotRun: true}}, exchange.Resume{}, itemrun.Requeue, scheduler.Overloaded),
 	Entry("answered by another server", &fakeServers{reply: exchange.Reply{Status: 421, NotRun: true, Misdirected: true}}, exchange.Resume{}, itemrun.Requeue, scheduler.Unknown),
--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -91,7 +91,7 @@
 	Timer           timer.Service
 	Log             logr.Logger
 	Store           Store
-	Servers         exchange.Servers
+	Servers         exchange.MonitoredServers
 	ServerDirectory *backend.Directory
 	Placer          *scheduler.Placer
 	Config          *routes.Holder
--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -108,6 +108,9 @@
 	s.crashing = item
 }
 
+// Crashed returns the same as Down.
+func (s *servers) Crashed(ctx context.Context, b backend.Server) bool { return s.Down(ctx, b) }
+
 // Down reports a server as crashed if the test has a crashing item.
 func (s *servers) Down(context.Context, backend.Server) bool {
 	s.mu.Lock()
--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -35,6 +35,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/record/follow"
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
+	"github.com/kingcupquay/kingcupquay/internal/serving/crash"
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
 	"github.com/kingcupquay/kingcupquay/internal/serving/forward"
 	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
@@ -137,13 +138,14 @@
 	h.slots = slots.New(t, log, h.self, h.placer, h.directory, (*slotsNetwork)(h), func() { h.jobs.TriggerSchedule() })
 	h.suspects = suspect.NewGuard(t, log, (*suspectsFleet)(h))
 	h.origins = newOrigins(h)
-	h.forwarder = forward.New(t, log, a.Servers, h.directory, h.slots, h.suspects, h.origins)
+	servers := crash.NewDetector(log, a.Servers, h.directory)
+	h.forwarder = forward.New(t, log, servers, h.directory, h.slots, h.suspects, h.origins)
 	h.peers = newPeers(h)
 	h.configFollower = follow.New(t, log, a.Store, a.ConfigKey, (*configHandler)(h), h.readsStore, h.readerCount)
 	h.serverFollower = follow.New(t, log, a.Store, a.ServerPrefix, (*serverHandler)(h), h.readsStore, h.readerCount)
 	h.jobs = ownership.New(ownership.Options{
 		Host: s.Name, Writer: s.Name + "/" + strconv.FormatInt(t.Now().UnixNano(), 36), Timer: t, Log: log, Store: a.Store,
-		Servers: a.Servers, ServerDirectory: h.directory, Placer: h.placer, Config: &h.config, Peers: h.peers,
+		Servers: servers, ServerDirectory: h.directory, Placer: h.placer, Config: &h.config, Peers: h.peers,
 		Accepted: func(id string) { h.announceJob(&h.announcements.owned, id) }, Ended: func(id string) { h.announceJob(&h.announcements.ended, id) },
 	})
 	return h
--- /dev/null
+++ b/internal/serving/crash/detector.go
@@ -0,0 +1,116 @@
+// Package crash decides whether a backend server has crashed.
+//
+// A crashed server refuses connections, but so do all servers if this host is cut
+// off from them. A refusal is therefore evidence of a crash only if this host
+// reaches another server.
+package crash
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"github.com/go-logr/logr"
+
+	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
+	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
+)
+
+const (
+	// maxWitnesses is how many other servers are dialled at most. Some may have
+	// crashed too, as under a prompt that crashes each server it is sent to.
+	maxWitnesses = 3
+	// minZoneWitnesses is how many other servers of the server's zone suffice as
+	// witnesses. If there are fewer, those of other zones are dialled too.
+	minZoneWitnesses = 2
+)
+
+// Detector sends calls to backend servers and tells crashed servers from those
+// that this host is cut off from.
+type Detector struct {
+	exchange.Servers
+	log       logr.Logger
+	directory *backend.Directory
+}
+
+var _ exchange.MonitoredServers = (*Detector)(nil)
+
+// NewDetector returns a detector for the servers of a directory.
+func NewDetector(log logr.Logger, servers exchange.Servers, directory *backend.Directory) *Detector {
+	return &Detector{Servers: servers, log: log, directory: directory}
+}
+
+// Crashed reports whether nothing listens at a server's address while this host
+// reaches another server.
+func (d *Detector) Crashed(ctx context.Context, s backend.Server) bool {
+	if !d.Down(ctx, s) {
+		return false
+	}
+	dialled := witnesses(s, d.listed())
+	if !d.reachesAny(ctx, dialled) {
+		d.log.Info("crash not confirmed", "server", s.ID, "dialled", len(dialled), "cause", "no other server can be reached")
+		return false
+	}
+	// The refusal counts only if it lasts longer than a cut that has just ended.
+	return d.Down(ctx, s)
+}
+
+func (d *Detector) listed() []backend.Server {
+	var list []backend.Server
+	for _, service := range d.directory.Services() {
+		list = append(list, d.directory.Usable(service)...)
+	}
+	return list
+}
+
+// reachesAny dials servers at once and reports whether one accepts.
+func (d *Detector) reachesAny(ctx context.Context, servers []backend.Server) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan bool, len(servers))
+	for _, s := range servers {
+		go func() { results <- d.reaches(ctx, s) }()
+	}
+	for range servers {
+		if <-results {
+			return true
+		}
+	}
+	return false
+}
+
+// reaches reports whether a new connection to a server can be opened.
+func (d *Detector) reaches(ctx context.Context, s backend.Server) bool {
+	opened := false
+	d.Down(exchange.WithOpened(ctx, func() { opened = true }), s)
+	return opened
+}
+
+// witnesses returns the servers to dial, to learn whether this host is cut off: those of
+// the same zone, since a host may also be cut off from a single zone, and of other
+// zones if these are too few. The first ones by ID after that of the server are
+// chosen, so that no server is dialled for all others.
+func witnesses(s backend.Server, listed []backend.Server) []backend.Server {
+	others := slices.DeleteFunc(slices.Clone(listed), func(o backend.Server) bool { return o.ID == s.ID || o.Address == s.Address })
+	distance := func(o backend.Server) int {
+		n := 0
+		if o.Zone != s.Zone {
+			n += 2
+		}
+		if o.ID < s.ID {
+			n++
+		}
+		return n
+	}
+	slices.SortFunc(others, func(a, b backend.Server) int {
+		return cmp.Or(cmp.Compare(distance(a), distance(b)), cmp.Compare(a.ID, b.ID))
+	})
+	near := 0
+	for near < len(others) && others[near].Zone == s.Zone {
+		near++
+	}
+	if near >= minZoneWitnesses {
+		others = others[:near]
+	}
+	return others[:min(len(others), maxWitnesses)]
+}
--- a/internal/serving/exchange/call.go
+++ b/internal/serving/exchange/call.go
@@ -113,13 +113,23 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Err }
 
-// Servers sends calls to backend servers.
+// Servers sends calls to backend servers. Both methods report a connection that
+// they open by Opened.
 type Servers interface {
 	// Send sends a call to a server and returns the head of its answer. timeout
 	// is the time that the server may take, 0 for no bound. The error is a
 	// *SendError. Cancelling ctx ends the call and closes its connection.
 	Send(ctx context.Context, s backend.Server, c *Call, resume Resume, timeout time.Duration) (*Reply, error)
 	// Down reports whether nothing listens at a server's address, as after a
-	// crash. It returns false for a server that can't be reached.
+	// crash. It returns false for a server that can't be reached. It also returns
+	// true while new connections of this host to any server are refused.
 	Down(ctx context.Context, s backend.Server) bool
 }
+
+// MonitoredServers are servers whose crashes are told from a loss of this host's
+// own connections.
+type MonitoredServers interface {
+	Servers
+	// Crashed reports whether a server is down while this host reaches others.
+	Crashed(ctx context.Context, s backend.Server) bool
+}
--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -75,7 +75,7 @@
 type Forwarder struct {
 	timer     timer.Service
 	log       logr.Logger
-	servers   exchange.Servers
+	servers   exchange.MonitoredServers
 	directory *backend.Directory
 	slots     Slots
 	suspects  *suspect.Guard
@@ -102,7 +102,7 @@
 }
 
 // New returns a forwarder.
-func New(t timer.Service, log logr.Logger, servers exchange.Servers, directory *backend.Directory, s Slots, g *suspect.Guard, o Origins) *Forwarder {
+func New(t timer.Service, log logr.Logger, servers exchange.MonitoredServers, directory *backend.Directory, s Slots, g *suspect.Guard, o Origins) *Forwarder {
 	return &Forwarder{timer: t, log: log, servers: servers, directory: directory, slots: s, suspects: g, origins: o}
 }
 
@@ -245,7 +245,7 @@
 }
 
 // recordCutOff records that an attempt's connection ended before the answer was
-// complete. If the server has gone down, the call is evidence of what crashed it.
+// complete. If the server has crashed, the call is evidence of what crashed it.
 func (f *Forwarder) recordCutOff(ctx context.Context, c *exchange.Call, a *attempt, cause error) {
 	cutOffTotal.Inc()
 	f.log.Info("cut off", "request", c.ID, "server", a.server.ID, "head", a.reply != nil, "events", a.events,
@@ -253,7 +253,7 @@
 		"cause", cause.Error())
 	var failed *exchange.SendError
 	reused := errors.As(cause, &failed) && failed.Reused
-	if !reused && f.suspects.Accuses(a.events) && f.servers.Down(context.WithoutCancel(ctx), a.server) {
+	if !reused && f.suspects.Accuses(a.events) && f.servers.Crashed(context.WithoutCancel(ctx), a.server) {
 		f.suspects.Crashed(c, a.server.ID, a.reply != nil)
 	}
 }
--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -57,8 +57,8 @@
 	resumedAfter []int64
 	remaining    []time.Duration
 	cancelled    int
-	// down is the answer of Down.
-	down bool
+	// down is the answer of Down, and of Crashed unless cutOff is set.
+	down, cutOff bool
 }
 
 func (s *scriptedServers) Send(ctx context.Context, b backend.Server, _ *exchange.Call, resume exchange.Resume, remaining time.Duration) (*exchange.Reply, error) {
@@ -106,6 +106,8 @@
 
 func (s *scriptedServers) Down(context.Context, backend.Server) bool { return s.down }
 
+func (s *scriptedServers) Crashed(context.Context, backend.Server) bool { return s.down && !s.cutOff }
+
 type failingReader struct{}
 
 func (failingReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
@@ -175,7 +177,7 @@
 }
 
 // newForwarder returns a forwarder with a directory of count servers.
-func newForwarder(servers exchange.Servers, count int, guard *suspect.Guard) (*forward.Forwarder, *scheduler.Placer) {
+func newForwarder(servers exchange.MonitoredServers, count int, guard *suspect.Guard) (*forward.Forwarder, *scheduler.Placer) {
 	directory := backend.NewDirectory(func(backend.Server, string) {})
 	for i := range count {
 		id := string(rune('a' + i))
@@ -434,8 +436,8 @@
 	})
 
 	DescribeTable("accuses the parts of a prompt under which a server went down when it had begun to answer",
-		func(down bool, accused bool, first scriptedReply) {
-			servers := &scriptedServers{down: down, replies: []scriptedReply{first, {body: numberedEvents(1, 1), truncated: true}}}
+		func(down, cutOff, accused bool, first scriptedReply) {
+			servers := &scriptedServers{down: down, cutOff: cutOff, replies: []scriptedReply{first, {body: numberedEvents(1, 1), truncated: true}}}
 			guard := newGuard()
 			f, _ := newForwarder(servers, 2, guard)
 			route := routes.Route{Kind: routes.Stream, MaxAttempts: 1, Shares: []routes.Share{{Service: "s", Weight: 1}}}
@@ -444,11 +446,12 @@
 			isPart := func(r suspect.Record) bool { return r.Part == "part" }
 			Expect(slices.ContainsFunc(guard.Accused(), isPart)).To(Equal(accused))
 		},
-		Entry("head only", true, true, scriptedReply{truncated: true}),
-		Entry("one event", true, true, scriptedReply{body: numberedEvents(1, 1), truncated: true}),
-		Entry("two events", true, false, scriptedReply{body: numberedEvents(1, 2), truncated: true}),
-		Entry("no head", true, false, scriptedReply{lost: true}),
-		Entry("a server that is up", false, false, scriptedReply{truncated: true}),
+		Entry("head only", true, false, true, scriptedReply{truncated: true}),
+		Entry("one event", true, false, true, scriptedReply{body: numberedEvents(1, 1), truncated: true}),
+		Entry("two events", true, false, false, scriptedReply{body: numberedEvents(1, 2), truncated: true}),
+		Entry("no head", true, false, false, scriptedReply{lost: true}),
+		Entry("head only, while all servers refuse connections", true, true, false, scriptedReply{truncated: true}),
+		Entry("a server that is up", false, false, false, scriptedReply{truncated: true}),
 	)
 
 	It("does not send a call again once a part of its prompt is condemned", func() {
