Scheduler: the failures of a host cut off from all servers are no evidence

What callers saw: while a host is cut off, it reports a failure rate of 1 for each server it tries. In a large fleet its coordinator adds that to the cost of the servers for all hosts of the zone. A coordinator that is cut off itself leaves its zone's servers out of what it grants, as they are in backoff at it. After the cut the host leaves sound servers alone for up to 4 s.

Cause: each failed attempt counts against its server, whoever lost the connection.

--- a/internal/serving/scheduler/coordinate.go
+++ b/internal/serving/scheduler/coordinate.go
@@ -420,10 +420,14 @@
 	return surplus
 }
 
-// FailureRates returns the failure rates of the servers that failed lately.
+// FailureRates returns the failure rates of the servers that failed lately, none
+// while this host is cut off from all servers.
 func (p *Placer) FailureRates(now time.Time) map[string]float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.cut.off {
+		return nil
+	}
 	rates := make(map[string]float64)
 	for server, h := range p.health {
 		rate := h.decayedFailureRate(now)
--- a/internal/serving/scheduler/health.go
+++ b/internal/serving/scheduler/health.go
@@ -92,10 +92,14 @@
 // inBackoff reports whether a server gets no work now because it was unreachable
 // or at capacity, and returns the waiting time that its failure rate adds to its
 // cost. The rates that other hosts report are added to this host's own, which
-// sees few of the requests of a large fleet.
+// sees few of the requests of a large fleet. A host that is cut off from all
+// servers goes by the others alone.
 func (p *Placer) inBackoff(now time.Time, server string) (bool, time.Duration) {
 	rate := p.others.at(server).failureRate
 	h := p.health[server]
+	if p.cut.off {
+		h = nil
+	}
 	if h != nil {
 		rate += h.decayedFailureRate(now)
 	}
--- a/internal/serving/scheduler/view.go
+++ b/internal/serving/scheduler/view.go
@@ -104,6 +104,7 @@
 	meanSlotTimes map[string]time.Duration
 	random        func() float64
 	role          Role
+	cut           cut
 	// If another host coordinates the slots, reserved holds the slots that it
 	// granted for batch items, by service, and keep how many batch items may stay
 	// at a server.
