Scheduler: a host cut off from all servers takes no batch slots

What callers saw: items of hosts that reach servers waited while a host that is cut off took slots. In a small fleet its backlog comes before less urgent ones; in a large one its coordinator grants it slots, each of which it gives back after a failed dial and asks for again. A coordinator that is cut off places its own items first.

Cause: a backlog says nothing of whether the host can use a slot.

Fix: while SetCutOff is set, the host reports no backlog, places no items, gives back what was granted, and as the coordinator leaves its own backlog out. Items that still run on live connections keep their slots.

--- a/internal/serving/scheduler/batch.go
+++ b/internal/serving/scheduler/batch.go
@@ -25,10 +25,14 @@
 // EndBatch is called. All hosts derive the same order of free slots: the host
 // whose most urgent item has the least slack takes the first slots.
 //
-// If another host coordinates the slots, the items get those that it granted.
+// If another host coordinates the slots, the items get those that it granted. A
+// host that is cut off from all servers gives these back and places no items.
 func (p *Placer) PlaceBatch(now time.Time, service string, servers []backend.Server, limit int) []backend.Server {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.cut.off {
+		return p.placeReserved(service, 0)
+	}
 	if p.role == Coordinated || len(p.reserved[service]) > 0 {
 		return p.placeReserved(service, limit)
 	}
--- a/internal/serving/scheduler/coordinate.go
+++ b/internal/serving/scheduler/coordinate.go
@@ -292,7 +292,7 @@
 			queue = append(queue, waitingHost{host, n, time.Duration(b.Slack)*time.Millisecond - now.Sub(r.at)})
 		}
 	}
-	if b := p.backlogs[service]; b.Items > 0 {
+	if b := p.backlogs[service]; b.Items > 0 && !p.cut.off {
 		queue = append(queue, waitingHost{p.host, b.Items, b.slackAt(now)})
 	}
 	slices.SortFunc(queue, func(a, b waitingHost) int { return cmp.Or(cmp.Compare(a.slack, b.slack), cmp.Compare(a.host, b.host)) })
--- a/internal/serving/scheduler/cutoff.go
+++ b/internal/serving/scheduler/cutoff.go
@@ -4,7 +4,8 @@
 
 // While a host is cut off from all servers, the failures of its attempts say
 // nothing about the servers: it does not report them, and if it coordinates, it
-// does not grant by them.
+// does not grant by them. Its batch items wait and take no slots from those of
+// other hosts.
 
 // cut is what a Placer knows about this host's connections to servers.
 type cut struct {
--- a/internal/serving/scheduler/cutoff_test.go
+++ b/internal/serving/scheduler/cutoff_test.go
@@ -60,4 +60,37 @@
 		p.Report(at(time.Second), scheduler.Status{Host: "B", Zone: "a", Backlogs: map[string]scheduler.Backlog{"s": {Items: 9}}})
 		Expect(p.GrantBatch(at(time.Second), "s", servers)["B"]).To(HaveLen(4))
 	})
+
+	It("takes no slot for its batch items and reports no backlog, whoever grants", func() {
+		p.SetBacklog(epoch, "s", 3, 0)
+		p.SetCutOff(true, epoch)
+		Expect(p.PlaceBatch(epoch, "s", servers, 3)).To(BeEmpty())
+		_, backlogs := p.LocalState(epoch)
+		Expect(backlogs).To(BeEmpty())
+		p.SetRole(scheduler.Coordinated)
+		p.TakeBatch(epoch, servers[0])
+		Expect(p.PlaceBatch(epoch, "s", servers, 3)).To(BeEmpty())
+		loads, _ := p.LocalState(epoch)
+		Expect(loads).To(BeEmpty(), "the granted slot must be given back")
+		p.SetCutOff(false, time.Time{})
+		_, backlogs = p.LocalState(epoch)
+		Expect(backlogs).To(Equal(map[string]scheduler.Backlog{"s": {Items: 3}}))
+	})
+
+	It("as the coordinator does not let its own items come before those of others", func() {
+		p.SetRole(scheduler.Coordinator)
+		p.SetBacklog(epoch, "s", 9, 0)
+		p.SetCutOff(true, epoch)
+		p.Report(epoch, scheduler.Status{Host: "B", Zone: "a", Backlogs: map[string]scheduler.Backlog{"s": {Items: 9, Slack: 9000}}})
+		Expect(p.GrantBatch(epoch, "s", servers)["B"]).To(HaveLen(4))
+	})
+
+	It("keeps the slots of the items that still run", func() {
+		running := p.PlaceBatch(epoch, "s", servers, 1)
+		Expect(running).To(HaveLen(1))
+		p.SetCutOff(true, epoch)
+		Expect(p.PlaceBatch(epoch, "s", servers, 1)).To(BeEmpty())
+		loads, _ := p.LocalState(epoch)
+		Expect(loads).To(Equal(map[string]scheduler.Load{running[0].ID: {Batch: 1}}))
+	})
 })
--- a/internal/serving/scheduler/view.go
+++ b/internal/serving/scheduler/view.go
@@ -156,7 +156,8 @@
 	return maps.Clone(p.meanSlotTimes)
 }
 
-// LocalState returns the counts and the backlogs of this host as of now.
+// LocalState returns the counts and the backlogs of this host as of now. A host
+// that is cut off from all servers has no backlogs, as its items can't use a slot.
 func (p *Placer) LocalState(now time.Time) (map[string]Load, map[string]Backlog) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -170,6 +171,9 @@
 		loads[server] = l
 	}
 	backlogs := make(map[string]Backlog, len(p.backlogs))
+	if p.cut.off {
+		return loads, backlogs
+	}
 	for service, b := range p.backlogs {
 		backlogs[service] = Backlog{Items: b.Items, Slack: b.slackAt(now).Milliseconds()}
 	}
