Entry: a host that reaches no server serves its callers through other hosts

Cause: a host sends each call to servers itself, and nothing else could. Its readiness doesn't help callers whose connections it keeps.

Evidence: in the first second of the cut, 42 causes at one host were connections that couldn't be opened, while the other hosts served everything.

Why this works: the host learns from the opening of connections that it is cut off, and has another host carry out single attempts: place the call, send it, and pass the reply on as it arrives. The first host keeps the call: attempts, deadline, hedging, resume position and software version. The other one has the slot and judges the server. Nothing is passed on twice, so there are no loops, and each passed call has a connection of its own, whose end ends the call at the server. A call whose own tries found two servers unreachable and none reachable goes through another host too, so callers of the first second lose two dials at most. Probes of varying servers notice the end of the cut.

New connections are reported when they are opened, not when the server answers: an answer may come long after the host was cut off.

--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -37,6 +37,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
 	"github.com/kingcupquay/kingcupquay/internal/serving/forward"
+	"github.com/kingcupquay/kingcupquay/internal/serving/reach"
 	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
 	"github.com/kingcupquay/kingcupquay/internal/serving/slots"
 	"github.com/kingcupquay/kingcupquay/internal/serving/suspect"
@@ -100,6 +101,10 @@
 	members   *notice.PeerTable
 	notices   *notice.Exchange
 	peers     *peers
+	// reach is what is known of connections to servers, passing how calls are served
+	// while none can be opened.
+	reach   *reach.Tracker
+	passing *passing
 	// configFollower and serverFollower follow ConfigKey and ServerPrefix in the
 	// store.
 	configFollower *follow.Follower
@@ -127,7 +132,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a.Store = store.NewInstrumented(a.Store, t)
 	h := &Host{settings: s, timer: t, log: log, adapter: a, ctx: ctx, cancel: cancel, started: t.Now()}
-	a.Servers = &limitObserver{Servers: a.Servers, host: h}
+	a.Servers = &reachObserver{Servers: &limitObserver{Servers: a.Servers, host: h}, host: h}
+	h.adapter.Servers = a.Servers
+	h.reach, h.passing = reach.NewTracker(), newPassing(h)
 	h.self = notice.Member{Host: s.Name, Zone: s.Zone, Address: s.PeerAddress, Start: t.Now().UnixNano(), Weight: int(s.ProcessorShare * 1000)}
 	h.members = notice.NewPeerTable(h.self, h.handleLiveness)
 	h.placer = scheduler.New(s.Name, s.Zone, rand.Float64, h.sendNoticeSoon)
@@ -138,6 +145,7 @@
 	h.suspects = suspect.NewGuard(t, log, (*suspectsFleet)(h))
 	h.origins = newOrigins(h)
 	h.forwarder = forward.New(t, log, a.Servers, h.directory, h.slots, h.suspects, h.origins)
+	h.forwarder.SetPeers(h.passing)
 	h.peers = newPeers(h)
 	h.configFollower = follow.New(t, log, a.Store, a.ConfigKey, (*configHandler)(h), h.readsStore, h.readerCount)
 	h.serverFollower = follow.New(t, log, a.Store, a.ServerPrefix, (*serverHandler)(h), h.readsStore, h.readerCount)
@@ -234,6 +242,7 @@
 func (h *Host) tick(now time.Time) {
 	h.directory.Expire(now)
 	h.slots.Tick()
+	h.probeServers(now)
 }
 
 // Kill stops the host at once, as if its process were killed. It is for tests.
--- a/internal/fleet/entry/peers.go
+++ b/internal/fleet/entry/peers.go
@@ -57,6 +57,10 @@
 	RetryMS int64  `json:"retry_ms"`
 }
 
+func (f failureBody) toError() *result.Error {
+	return result.New(result.Code(f.Code), "%s", f.Message).WithRan(result.Ran(f.Ran)).WithRetry(time.Duration(f.RetryMS) * time.Millisecond)
+}
+
 // handler returns the handler of other hosts' calls. A failure has status 409
 // and a failureBody.
 func (p *peers) handler() http.Handler {
@@ -83,6 +87,7 @@
 		}
 		writeBody(w, text)
 	})
+	mux.HandleFunc("POST /calls", p.host.passing.handle)
 	mux.HandleFunc("GET /suspects", p.host.handleSuspects)
 	mux.HandleFunc("DELETE /suspects/{part}", p.host.handleWithdraw)
 	mux.HandleFunc("GET /jobs/{id}/results", func(w http.ResponseWriter, r *http.Request) {
@@ -165,7 +170,7 @@
 	if err := json.Unmarshal(body, &failure); err != nil {
 		return nil, result.New(result.NoBackend, "status %d", resp.StatusCode)
 	}
-	return nil, result.New(result.Code(failure.Code), "%s", failure.Message).WithRan(result.Ran(failure.Ran)).WithRetry(time.Duration(failure.RetryMS) * time.Millisecond)
+	return nil, failure.toError()
 }
 
 // callHost sends one call to a live host by name.
--- a/internal/serving/exchange/call.go
+++ b/internal/serving/exchange/call.go
@@ -113,7 +113,8 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Err }
 
-// Servers sends calls to backend servers.
+// Servers sends calls to backend servers. Both methods report a connection that
+// they open by Opened.
 type Servers interface {
 	// Send sends a call to a server and returns the head of its answer. timeout
 	// is the time that the server may take, 0 for no bound. The error is a
--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -80,6 +80,7 @@
 	slots     Slots
 	suspects  *suspect.Guard
 	origins   Origins
+	peers     Peers
 }
 
 // Origins keeps which software version began the streams of callers.
@@ -103,7 +104,7 @@
 
 // New returns a forwarder.
 func New(t timer.Service, log logr.Logger, servers exchange.Servers, directory *backend.Directory, s Slots, g *suspect.Guard, o Origins) *Forwarder {
-	return &Forwarder{timer: t, log: log, servers: servers, directory: directory, slots: s, suspects: g, origins: o}
+	return &Forwarder{timer: t, log: log, servers: servers, directory: directory, slots: s, suspects: g, origins: o, peers: alone{}}
 }
 
 // Serve answers a call through out. It returns nil if the complete answer was
@@ -173,6 +174,10 @@
 
 // attempt is a call sent to one server, and its outcome.
 type attempt struct {
+	// host is the host that sent the call, "" for this one. Only that host has a
+	// slot of the server for it and judges the server by it.
+	host string
+	// choice is set if this host sent the call.
 	choice  scheduler.Choice
 	server  backend.Server
 	started time.Time
@@ -240,6 +245,9 @@
 	if a.reply != nil {
 		_ = a.reply.Body.Close()
 	}
+	if a.host != "" {
+		return
+	}
 	now := f.timer.Now()
 	f.slots.EndOnline(now, a.choice, now.Sub(a.started), o)
 }
@@ -248,9 +256,12 @@
 // complete. If the server has gone down, the call is evidence of what crashed it.
 func (f *Forwarder) recordCutOff(ctx context.Context, c *exchange.Call, a *attempt, cause error) {
 	cutOffTotal.Inc()
-	f.log.Info("cut off", "request", c.ID, "server", a.server.ID, "head", a.reply != nil, "events", a.events,
+	f.log.Info("cut off", "request", c.ID, "server", a.server.ID, "host", a.host, "head", a.reply != nil, "events", a.events,
 		"after_ms", f.timer.Now().Sub(a.started).Milliseconds(), "parts", c.SharedParts, "body", strconv.FormatUint(c.ContentHash(), 16),
 		"cause", cause.Error())
+	if a.host != "" {
+		return
+	}
 	var failed *exchange.SendError
 	reused := errors.As(cause, &failed) && failed.Reused
 	if !reused && f.suspects.Accuses(a.events) && f.servers.Down(context.WithoutCancel(ctx), a.server) {
@@ -274,7 +285,9 @@
 		}
 		return scheduler.Failed
 	case a.reply.Misdirected:
-		f.directory.MarkMisdirected(a.server)
+		if a.host == "" {
+			f.directory.MarkMisdirected(a.server)
+		}
 		return scheduler.Unknown
 	case a.reply.NotRun:
 		return scheduler.Overloaded
--- /dev/null
+++ b/internal/serving/forward/passing.go
@@ -0,0 +1,167 @@
+package forward
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
+	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
+)
+
+const (
+	// maxHosts bounds the other hosts that one attempt is passed to. All but the
+	// last did not send it to a server.
+	maxHosts = 3
+	// minUnreached is how many servers a call finds unreachable before its next
+	// attempt goes through another host, if no server was reached. One may have
+	// failed alone.
+	minUnreached = 2
+)
+
+var (
+	passedOnTotal    = metrics.NewCounter("kingcupquay_passed_on_total")
+	notPassedOnTotal = metrics.NewCounter("kingcupquay_passed_on_refused_total")
+)
+
+// Order says how another host has to carry out an attempt of a call.
+type Order struct {
+	// Software is the software version that the server must have, "" for any.
+	Software string
+	// Avoid holds the ids of servers that had the call already.
+	Avoid []string
+	// MaxWait bounds the wait for a slot.
+	MaxWait time.Duration
+	Resume  exchange.Resume
+}
+
+// PeerReply is what another host says of an attempt that it carried out.
+type PeerReply struct {
+	// Server is the server that the host picked, with its ID and SoftwareVersion;
+	// the ID is empty if it picked none.
+	Server backend.Server
+	// Reply is the server's reply. The body is cut off, with an error, if the
+	// server's answer or the connection to the host breaks off.
+	Reply *exchange.Reply
+	// Failure says why there is no reply.
+	Failure *result.Error
+	// Unable is set if the host could not or would not carry out the attempt, so
+	// that another host may. Nothing was sent to a server.
+	Unable bool
+}
+
+// Peers has other hosts carry out attempts of calls for a host that reaches no
+// server.
+type Peers interface {
+	// CutOff reports whether this host reaches no server.
+	CutOff() bool
+	// Pick returns a host to pass an attempt to, none of those tried; "" if there is
+	// none.
+	Pick(tried []string) string
+	// Send has a host carry out one attempt of a call. Cancelling ctx ends it there
+	// and at the server.
+	Send(ctx context.Context, host string, c *exchange.Call, o Order) PeerReply
+}
+
+// alone is the Peers of a host without others.
+type alone struct{}
+
+func (alone) CutOff() bool         { return false }
+func (alone) Pick([]string) string { return "" }
+func (alone) Send(context.Context, string, *exchange.Call, Order) PeerReply {
+	return PeerReply{Unable: true, Failure: result.New(result.NoBackend, "there is no other host")}
+}
+
+// SetPeers sets the hosts through which calls are passed on. It must be called
+// before the first call.
+func (f *Forwarder) SetPeers(p Peers) { f.peers = p }
+
+// reaching is which servers one call found reachable from this host.
+type reaching struct {
+	unreached map[string]bool
+	reached   bool
+}
+
+// observe records whether an attempt's server was reached.
+func (r *reaching) observe(a *attempt) {
+	switch {
+	case a.host != "":
+	case a.err == nil:
+		r.reached = true
+	case !a.sent:
+		if r.unreached == nil {
+			r.unreached = make(map[string]bool)
+		}
+		r.unreached[a.server.ID] = true
+	}
+}
+
+// cause returns why the next attempt of a call has to go through another host, ""
+// if it has not.
+func (f *Forwarder) passOnCause(r *reaching) string {
+	switch {
+	case f.peers.CutOff():
+		return "this host is cut off from all servers"
+	case !r.reached && len(r.unreached) >= minUnreached:
+		return "the request reached no server"
+	}
+	return ""
+}
+
+// order returns the order for an attempt that avoids servers that had the call.
+// Those that this host can't reach may be reached from elsewhere.
+func (r *reaching) order(software string, avoid map[string]bool, maxWait time.Duration, resume exchange.Resume) Order {
+	o := Order{Software: software, MaxWait: maxWait, Resume: resume}
+	for _, id := range slices.Sorted(maps.Keys(avoid)) {
+		if !r.unreached[id] {
+			o.Avoid = append(o.Avoid, id)
+		}
+	}
+	return o
+}
+
+// passOn has another host carry out one attempt. It returns an error, with
+// result.RanNo, if none picked a server, and nothing at all if there is no other
+// host.
+func (f *Forwarder) passOn(ctx context.Context, c *exchange.Call, o Order, cause string) (*attempt, *result.Error) {
+	var tried []string
+	var refusal *result.Error
+	for len(tried) < maxHosts && ctx.Err() == nil {
+		host := f.peers.Pick(tried)
+		if host == "" {
+			break
+		}
+		tried = append(tried, host)
+		ctx, cancel := context.WithCancel(ctx)
+		a := &attempt{host: host, started: f.timer.Now(), cancel: cancel}
+		reply := f.peers.Send(ctx, host, c, o)
+		a.server = reply.Server
+		switch {
+		case reply.Failure == nil:
+			a.reply, a.sent = reply.Reply, !reply.Reply.NotRun
+		case reply.Unable || reply.Server.ID == "" && reply.Failure.Ran() == result.RanNo:
+			cancel()
+			notPassedOnTotal.Inc()
+			f.log.Info("not passed on", "request", c.ID, "host", host, "cause", reply.Failure.Error())
+			refusal = reply.Failure
+			if !reply.Unable {
+				return nil, refusal
+			}
+			continue
+		default:
+			a.sent = reply.Failure.Ran() != result.RanNo
+			a.err = &exchange.SendError{Err: reply.Failure, Sent: a.sent}
+		}
+		passedOnTotal.Inc()
+		f.log.Info("passed on", "request", c.ID, "host", host, "server", a.server.ID, "software", a.server.SoftwareVersion, "cause", cause)
+		return a, nil
+	}
+	if refusal == nil {
+		return nil, nil
+	}
+	return nil, result.New(result.NoBackend, "none of %d other hosts reached a server: %v", len(tried), refusal).WithRetry(noBackendRetryAfter)
+}
--- a/internal/serving/reach/tracker.go
+++ b/internal/serving/reach/tracker.go
@@ -20,9 +20,9 @@
 	// may see the failures of servers that fail one after the other, with no
 	// success between them.
 	failureWindow = 10 * time.Second
-	// probeInterval is the time between two probes of a host that is cut off. The
-	// longest dial ends within it.
-	probeInterval = 200 * time.Millisecond
+	// probeInterval is the least time between two probes of a host that is cut off.
+	// The longest dial ends within it.
+	probeInterval = 180 * time.Millisecond
 	// probeStride is a prime larger than any list of servers, so that successive
 	// probes visit all of a list, in places far from each other.
 	probeStride = 1_000_003
