Entry: the placer learns of a cut, so items aren't tried at lost servers

What callers saw: items of a host that is cut off were placed at one server after the other, each time with a dial that failed, for the whole cut.

Cause: the placer was not told of what the tracker of reached servers knows.

--- a/internal/fleet/entry/reaching.go
+++ b/internal/fleet/entry/reaching.go
@@ -49,6 +49,7 @@
 	if !h.reach.Observe(now, s.ID, connected) {
 		return
 	}
+	h.applyReach(!connected, before.LastConnected)
 	h.sendNoticeSoon()
 	h.passOn()
 	if connected {
