Notice: a host that is cut off from all servers says so

Another host that is cut off too can't help, and finding out costs a round trip for each call. A member now carries a flag, which relays pass on in their rosters; hosts with the flag are picked last, not never, since it may be out of date.

Of several lists the newest description of a host counts now. What a host says of itself still goes before what others say.

--- a/internal/fleet/entry/passing.go
+++ b/internal/fleet/entry/passing.go
@@ -139,7 +139,7 @@
 		p.listed, p.hosts = now, p.hosts[:0]
 		for _, m := range p.host.members.Live() {
 			if !m.Legacy {
-				p.hosts = append(p.hosts, reach.Host{Name: m.Host, Zone: m.Zone, Weight: m.Weight})
+				p.hosts = append(p.hosts, reach.Host{Name: m.Host, Zone: m.Zone, Weight: m.Weight, CutOff: m.CutOff})
 			}
 		}
 	}
--- a/internal/fleet/entry/reaching.go
+++ b/internal/fleet/entry/reaching.go
@@ -49,8 +49,9 @@
 	if !h.reach.Observe(now, s.ID, connected) {
 		return
 	}
-	h.sendNoticeSoon()
-	h.passOn()
+	if h.notices != nil {
+		h.notices.SetCutOff(!connected)
+	}
 	if connected {
 		h.log.Info("servers reached again", "server", s.ID, "after_ms", now.Sub(before.Since).Milliseconds(), "passed_on", h.passing.takeCount())
 		return
--- a/internal/fleet/notice/codec.go
+++ b/internal/fleet/notice/codec.go
@@ -226,11 +226,11 @@
 }
 
 func encodeMember(m Member) *wire.Member {
-	return &wire.Member{Host: m.Host, Zone: m.Zone, Address: m.Address, Start: m.Start, Weight: uint32(m.Weight), Stopping: m.Stopping}
+	return &wire.Member{Host: m.Host, Zone: m.Zone, Address: m.Address, Start: m.Start, Weight: uint32(m.Weight), Stopping: m.Stopping, CutOff: m.CutOff}
 }
 
 func decodeMember(m *wire.Member) Member {
-	return Member{Host: m.GetHost(), Zone: m.GetZone(), Address: m.GetAddress(), Start: m.GetStart(), Weight: int(m.GetWeight()), Stopping: m.GetStopping()}
+	return Member{Host: m.GetHost(), Zone: m.GetZone(), Address: m.GetAddress(), Start: m.GetStart(), Weight: int(m.GetWeight()), Stopping: m.GetStopping(), CutOff: m.GetCutOff()}
 }
 
 func encodeLoads(loads map[string]scheduler.Load) []*wire.ServerLoad {
--- a/internal/fleet/notice/codec_test.go
+++ b/internal/fleet/notice/codec_test.go
@@ -36,6 +36,21 @@
 		Expect(m.Summary.Loads).To(Equal(loads))
 	})
 
+	It("tell that their sender, or a host of its roster, is cut off from all servers", func() {
+		lost := member
+		lost.CutOff = true
+		datagram, err := notice.Notice{Member: lost, Sequence: 1}.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		m, err := notice.Decode(datagram)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(m.Notice.Member).To(Equal(lost))
+		datagram, err = notice.Summary{Member: member, Sequence: 1, Roster: []notice.Member{member, lost}}.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		m, err = notice.Decode(datagram)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(m.Summary.Roster).To(Equal([]notice.Member{member, lost}))
+	})
+
 	It("leave out limits that no host sends", func() {
 		datagram, err := notice.Notice{Member: member, Sequence: 1, Limits: map[string]serverlimit.Limit{
 			"a": {PerSecond: math.NaN()}, "b": {PerSecond: math.Inf(1)}, "c": {PerSecond: -1}, "d": {PerSecond: 1},
--- a/internal/fleet/notice/notice.go
+++ b/internal/fleet/notice/notice.go
@@ -43,6 +43,8 @@
 	Start int64 `json:"s"`
 	// Stopping is set once the host is stopping and takes no new jobs.
 	Stopping bool `json:"x,omitempty"`
+	// CutOff is set while the host can open no connection to any backend server.
+	CutOff bool `json:"-"`
 	// Weight is the host's share of a processor core in thousandths, 0 if
 	// unknown. Hosts with a higher weight become relays first.
 	Weight int `json:"-"`
--- a/internal/fleet/notice/relay_test.go
+++ b/internal/fleet/notice/relay_test.go
@@ -266,6 +266,28 @@
 	}
 }
 
+// TestHostsCutOffFromServersAreTold checks that the hosts of all zones hear of hosts
+// that reach no backend server, and of the end of that.
+func TestHostsCutOffFromServersAreTold(t *testing.T) {
+	f := newSimFleet(t, 3, 12)
+	f.run(4 * time.Second)
+	lost := []*simHost{f.relay("b", 0), f.hosts["b-07:1"], f.hosts["c-05:1"]}
+	for _, cutOff := range []bool{true, false} {
+		for _, h := range lost {
+			h.exchange.SetCutOff(cutOff)
+		}
+		f.run(2 * time.Second)
+		for _, watcher := range f.sorted() {
+			for _, m := range watcher.table.Live() {
+				want := cutOff && slices.ContainsFunc(lost, func(h *simHost) bool { return h.Host == m.Host })
+				if m.CutOff != want {
+					t.Errorf("told %t: to %s the host %s is cut off: %t", cutOff, watcher.Host, m.Host, m.CutOff)
+				}
+			}
+		}
+	}
+}
+
 // TestZoneIsCutOff cuts a zone off: both sides count the other's hosts as dead in
 // time, go on among themselves and find each other again.
 func TestZoneIsCutOff(t *testing.T) {
--- a/internal/fleet/notice/sender.go
+++ b/internal/fleet/notice/sender.go
@@ -95,6 +95,7 @@
 	// learn what became of this host's requests.
 	asked    map[string]time.Time
 	stopping bool
+	cutOff   bool
 	// forwarded holds the summaries that were last passed on, by relay.
 	forwarded map[string]forwardedRoster
 }
@@ -165,6 +166,17 @@
 	e.TriggerSummary()
 }
 
+// SetCutOff tells other hosts whether this one can open no connection to any
+// backend server.
+func (e *Exchange) SetCutOff(cutOff bool) {
+	e.mu.Lock()
+	e.cutOff = cutOff
+	e.mu.Unlock()
+	e.table.SetCutOff(cutOff)
+	e.TriggerSend()
+	e.TriggerSummary()
+}
+
 // Close stops sending and receiving.
 func (e *Exchange) Close() {
 	close(e.done)
@@ -178,7 +190,7 @@
 	defer e.mu.Unlock()
 	e.sequence++
 	m := e.self
-	m.Stopping = e.stopping
+	m.Stopping, m.CutOff = e.stopping, e.cutOff
 	return m, e.sequence
 }
 
--- a/internal/fleet/notice/table.go
+++ b/internal/fleet/notice/table.go
@@ -55,8 +55,10 @@
 	sequence   int64
 	receivedAt time.Time
 	// direct is when a summary last came from the relay itself.
-	direct  time.Time
-	members map[string]Member
+	direct time.Time
+	// members are the hosts listed at listedAt.
+	members  map[string]Member
+	listedAt time.Time
 }
 
 // PeerTable holds what is known of the other hosts: the last notices, the
@@ -176,7 +178,7 @@
 		r.direct = now
 	}
 	if s.Roster != nil {
-		r.members = make(map[string]Member, len(s.Roster))
+		r.members, r.listedAt = make(map[string]Member, len(s.Roster)), now
 		// Of this host's own zone its relays know more than those of other zones,
 		// whose word counts only while none of them is heard.
 		hearsOwn := t.hearsOwnZone(now)
@@ -259,28 +261,47 @@
 	t.ranked = nil
 }
 
-// member returns the last known description of a host: that of its latest start,
-// and from the host itself rather than from others.
+// description is what is known of a host.
+type description struct {
+	Member
+	// at is when it was received. What a host says of itself counts as newer by
+	// PeerTimeout, since others learn it later.
+	at time.Time
+}
+
+// replaces reports whether a description goes before another one of the host: that
+// of the latest start, and then the newest.
+func (d description) replaces(old description) bool {
+	return d.Start > old.Start || d.Start == old.Start && !d.at.Before(old.at)
+}
+
+func (r *roster) describeRelay() description {
+	return description{r.relay, r.receivedAt.Add(PeerTimeout)}
+}
+
+func (p *Peer) describe() description { return description{p.Member, p.ReceivedAt.Add(PeerTimeout)} }
+
+// member returns the last known description of a host.
 func (t *PeerTable) member(host string) (Member, bool) {
-	var found Member
+	var found description
 	ok := false
-	consider := func(m Member) {
-		if !ok || m.Start >= found.Start {
-			found, ok = m, true
+	consider := func(d description) {
+		if !ok || d.replaces(found) {
+			found, ok = d, true
 		}
 	}
 	for _, r := range t.rosters {
 		if m, listed := r.members[host]; listed {
-			consider(m)
+			consider(description{m, r.listedAt})
 		}
 	}
 	if r := t.rosters[host]; r != nil {
-		consider(r.relay)
+		consider(r.describeRelay())
 	}
 	if p := t.peers[host]; p != nil {
-		consider(p.Member)
+		consider(p.describe())
 	}
-	return found, ok
+	return found.Member, ok
 }
 
 // Peer returns the last known description of a host.
@@ -292,25 +313,21 @@
 
 // known returns the other hosts that were heard or listed in the last
 // removeAfter, without those of which only the address is known.
-func (t *PeerTable) known() map[string]Member {
-	members := make(map[string]Member, len(t.peers))
-	// What a host says of itself goes before what others say, but a relay that was
-	// restarted may have told only others so far.
-	consider := func(m Member) {
-		if old, ok := members[m.Host]; !ok || m.Start >= old.Start {
-			members[m.Host] = m
+func (t *PeerTable) known() map[string]description {
+	members := make(map[string]description, len(t.peers))
+	consider := func(d description) {
+		if old, ok := members[d.Host]; !ok || d.replaces(old) {
+			members[d.Host] = d
 		}
 	}
 	for _, r := range t.rosters {
 		for _, m := range r.members {
-			consider(m)
+			consider(description{m, r.listedAt})
 		}
-	}
-	for _, r := range t.rosters {
-		consider(r.relay)
+		consider(r.describeRelay())
 	}
 	for _, p := range t.peers {
-		consider(p.Member)
+		consider(p.describe())
 	}
 	return members
 }
@@ -347,7 +364,7 @@
 	var list []Member
 	for host, m := range t.known() {
 		if _, live := t.liveSince[host]; live && !m.Stopping && (zone == "" || m.Zone == zone) {
-			list = append(list, m)
+			list = append(list, m.Member)
 		}
 	}
 	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Host, b.Host) })
@@ -438,6 +455,13 @@
 	t.ranked = nil
 }
 
+// SetCutOff marks this host in its own roster.
+func (t *PeerTable) SetCutOff(cutOff bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.self.CutOff = cutOff
+}
+
 // Targets are the addresses that this host sends messages to.
 type Targets struct {
 	// OnChange get a notice after each change, Regular ones only at each interval.
@@ -578,7 +602,7 @@
 	byZone := make(map[string][]Member)
 	for _, m := range t.known() {
 		if m.Zone != t.self.Zone {
-			byZone[m.Zone] = append(byZone[m.Zone], m)
+			byZone[m.Zone] = append(byZone[m.Zone], m.Member)
 		}
 	}
 	var list []string
--- a/internal/serving/reach/pick.go
+++ b/internal/serving/reach/pick.go
@@ -18,14 +18,15 @@
 const defaultWeight = 1000
 
 // Pick returns the host to pass a call to, none of those tried; false if there is
-// none. It prefers hosts that may help, and among these the own zone unless a host
-// of it was tried already, and spreads the calls by weight. random is a uniformly
-// distributed number in [0, 1).
+// none. It prefers hosts that aren't cut off, then those that could help lately,
+// then the own zone unless a host of it was tried already, and spreads the calls by
+// weight. One that said that it is cut off may have been reached again since.
+// random is a uniformly distributed number in [0, 1).
 func Pick(hosts []Host, zone string, tried []string, random float64) (Host, bool) {
 	triedOwnZone := slices.ContainsFunc(hosts, func(h Host) bool { return h.Zone == zone && slices.Contains(tried, h.Name) })
 	best, bestRank := []Host(nil), 0
 	for _, h := range hosts {
-		if h.CutOff || slices.Contains(tried, h.Name) {
+		if slices.Contains(tried, h.Name) {
 			continue
 		}
 		rank := 1
@@ -35,6 +36,9 @@
 		if !h.Avoid {
 			rank += 2
 		}
+		if !h.CutOff {
+			rank += 4
+		}
 		if rank > bestRank {
 			best, bestRank = nil, rank
 		}
