Ownership: a host cut off from all servers hands its jobs over

What callers saw: the items of jobs that a cut-off host had accepted stood still for the whole cut, also those of jobs accepted meanwhile, while other hosts had free slots; they ended late. A host that is cut off took over the jobs of hosts that were gone, and was given those of hosts that stopped.

Cause: the owner of a job changed only if the owner stopped or was gone. A host that is cut off from the servers is neither.

Fix: an owner that has been cut off for a second cancels the runs of the jobs with waiting items, and in the next pass writes their records with another owner, their finished results and the output so far, up to ten jobs in one transaction. Heirs are live hosts that don't say that they are cut off. If there are none, the jobs stay. They don't come back by themselves: shorter cuts change nothing, and a job changes hands at most once in each second that its owner is cut off. Scans and hand-overs at a stop leave out hosts that are cut off while others are not.

--- /dev/null
+++ b/internal/batch/ownership/evacuate.go
@@ -0,0 +1,154 @@
+package ownership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/kingcupquay/kingcupquay/internal/batch/jobstate"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/rendezvous"
+)
+
+// A host that is cut off from all servers hands its jobs over to hosts that reach
+// some, first cancelling the runs of a job, then writing its record with the
+// output so far. It keeps the jobs whose items all still run, and all of them if
+// every other host is cut off too. It does not take them back afterwards: the
+// heir has them in hand, and each change of owner costs writes.
+
+const (
+	// evacuateAfter is how long a host must be cut off before it hands jobs over.
+	// A shorter cut delays items by less than a new owner would.
+	evacuateAfter = time.Second
+	// maxEvacuatedJobs bounds the jobs of one transaction: each takes up to three
+	// of its 32 entries, for its record, results and unfinished output.
+	maxEvacuatedJobs = 10
+)
+
+var handedOverTotal = metrics.NewCounter("kingcupquay_jobs_handed_over_total")
+
+// cutOffTimer measures how long this host has been cut off from all servers.
+type cutOffTimer struct {
+	// since is when the cut was first observed, observed when it last was; zero if
+	// the host is not cut off.
+	since, observed time.Time
+}
+
+// observe records whether the host is cut off, and returns for how long it has
+// been. A cut that was not observed for a while counts as a new one.
+func (c *cutOffTimer) observe(now time.Time, cutOff bool) time.Duration {
+	if !cutOff {
+		*c = cutOffTimer{}
+		return 0
+	}
+	if c.since.IsZero() || now.Sub(c.observed) > evacuateAfter {
+		c.since = now
+	}
+	c.observed = now
+	return now.Sub(c.since)
+}
+
+// evacuate hands jobs that can't go on over to other hosts if this host has been
+// cut off from all servers for evacuateAfter.
+func (m *Manager) evacuate() {
+	m.writeMu.Lock()
+	defer m.writeMu.Unlock()
+	now := m.Timer.Now()
+	if m.cutOff.observe(now, m.Peers.CutOff(m.Host)) < evacuateAfter || now.Before(m.nextWrite) {
+		return
+	}
+	heirs := slices.DeleteFunc(m.Peers.Live(), func(host string) bool { return host == m.Host || m.Peers.CutOff(host) })
+	if len(heirs) == 0 {
+		return
+	}
+	group := m.collectEvacuated(now, heirs)
+	if len(group) == 0 {
+		return
+	}
+	if !m.write(m.writeContext(), group) {
+		m.delayNextWrite()
+		return
+	}
+	m.writeFailures = 0
+	for _, c := range group {
+		m.release(c)
+	}
+}
+
+// collectEvacuated returns the changes that hand jobs over, and cancels the runs
+// of the jobs that are to be handed over next.
+func (m *Manager) collectEvacuated(now time.Time, heirs []string) []change {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopping {
+		return nil
+	}
+	var group []change
+	bytes := 0
+	for id, j := range m.jobs {
+		if len(j.job.Candidates(now)) == 0 {
+			continue
+		}
+		if len(j.runs) > 0 {
+			m.cancelRuns(j, true)
+			continue
+		}
+		unlisted := j.job.Unlisted()
+		added, size := jobstate.FirstPart(unlisted)
+		if len(added) < len(unlisted) {
+			// flush lists the first of them before.
+			continue
+		}
+		partials := j.job.Partials(maxPartialBytes)
+		for _, partial := range partials {
+			size += len(partial.Text)
+		}
+		if len(group) == maxEvacuatedJobs || len(group) > 0 && bytes+size > maxTxnBytes {
+			break
+		}
+		bytes += size
+		c := m.newChange(j, added)
+		c.after.Owner, c.partials = rendezvous.First(heirs, id), partials
+		group = append(group, c)
+	}
+	return group
+}
+
+// release removes a job from this host once its record names another owner, and
+// tells that host.
+func (m *Manager) release(c change) {
+	id, heir := c.after.ID, c.after.Owner
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.jobs[id] == c.j {
+		if c.j.job.Record().Owner != heir {
+			return
+		}
+		m.cancelRuns(c.j, true)
+		delete(m.jobs, id)
+		m.owners[id] = heir
+		c.j.notify()
+		handedOverTotal.Inc()
+		m.Log.Info("job handed over", "job", id, "heir", heir, "listed", c.after.Listed, "total", c.after.Total, "with_output", len(c.partials),
+			"cause", "this host is cut off from all servers")
+	}
+	// If this host lost the job, an earlier write whose reply was lost may have
+	// made heir the owner. It takes nothing over if that is not so.
+	m.wg.Add(1)
+	go func() {
+		defer m.wg.Done()
+		if failure := m.Peers.Adopt(m.ctx, heir, id); failure != nil {
+			m.Log.Info("heir not told", "job", id, "heir", heir, "cause", failure.Error())
+		}
+	}()
+}
+
+// reaching returns the hosts that are not cut off from all servers, or all of
+// them if every one is.
+func (m *Manager) reaching(hosts []string) []string {
+	reaching := slices.DeleteFunc(slices.Clone(hosts), m.Peers.CutOff)
+	if len(reaching) == 0 {
+		return hosts
+	}
+	return reaching
+}
--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -71,6 +71,9 @@
 	// Dead reports whether a host is confirmed to be gone: its process has
 	// ended, or its leased key is missing from the store.
 	Dead(ctx context.Context, host string) bool
+	// CutOff reports whether a host, which may be this one, has told that it is cut
+	// off from all backend servers.
+	CutOff(host string) bool
 	// Live returns the hosts that may take over a job, including this one.
 	Live() []string
 	// Scanners returns the hosts that may scan for jobs whose owner is gone.
@@ -137,10 +140,12 @@
 
 	// writeMu is held while the record of an owned job is rewritten or a job is
 	// taken over. It is locked before mu. It guards writeFailures, the number of
-	// consecutive failed flushes, and nextWrite, the earliest time of the next.
+	// consecutive failed flushes, nextWrite, the earliest time of the next, and
+	// cutOff.
 	writeMu       sync.Mutex
 	writeFailures int
 	nextWrite     time.Time
+	cutOff        cutOffTimer
 
 	mu   sync.Mutex
 	jobs map[string]*ownedJob
@@ -202,7 +207,7 @@
 		work     func()
 	}{
 		{scheduleInterval, m.trigger, m.busy, m.schedule},
-		{flushInterval, m.wakeFlush, m.busy, m.flush},
+		{flushInterval, m.wakeFlush, m.busy, func() { m.flush(); m.evacuate() }},
 		{scanInterval, m.scanTrigger, always, m.scan},
 	}
 	m.wg.Add(1 + len(loops))
--- a/internal/batch/ownership/owning.go
+++ b/internal/batch/ownership/owning.go
@@ -86,9 +86,10 @@
 }
 
 // scanners returns the live hosts that scan for jobs whose owner is gone, at most
-// maxScanners to limit the reads.
+// maxScanners to limit the reads, and none that is cut off from all servers while
+// others are not.
 func (m *Manager) scanners() []string {
-	live := m.Peers.Scanners()
+	live := m.reaching(m.Peers.Scanners())
 	slices.SortFunc(live, func(a, b string) int {
 		return cmp.Compare(rendezvous.Score(b, scannerKey), rendezvous.Score(a, scannerKey))
 	})
@@ -425,5 +426,5 @@
 // empty if there is none.
 func (m *Manager) successor(id string) string {
 	others := slices.DeleteFunc(m.Peers.Live(), func(host string) bool { return host == m.Host })
-	return rendezvous.First(others, id)
+	return rendezvous.First(m.reaching(others), id)
 }
--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -154,6 +155,8 @@
 	cutOff *atomic.Bool
 	// delayedWrites holds writes back and returns no reply while it is enabled.
 	delayedWrites *delayedWrites
+	// commits counts the transactions.
+	commits *atomic.Int64
 }
 
 // delayedWrites is a fault that holds writes back, so that a test can apply them
@@ -208,6 +211,7 @@
 }
 
 func (s hostStore) Commit(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+	s.commits.Add(1)
 	if s.cutOff.Load() {
 		return store.TxnResult{}, store.ErrUnavailable
 	}
@@ -228,6 +232,69 @@
 	// cutOff makes the store unavailable to this host.
 	cutOff        atomic.Bool
 	delayedWrites delayedWrites
+	commits       atomic.Int64
+	// links are the host's connections to the servers, placer its view of them.
+	links  links
+	placer *scheduler.Placer
+}
+
+// links are the connections of a host to the servers.
+type links struct {
+	*servers
+	mu sync.Mutex
+	// cut is closed while they are cut, which breaks runs off and lets none begin.
+	cut chan struct{}
+}
+
+func (l *links) Send(ctx context.Context, b backend.Server, c *exchange.Call, resume exchange.Resume, timeout time.Duration) (*exchange.Reply, error) {
+	l.mu.Lock()
+	cut := l.cut
+	l.mu.Unlock()
+	select {
+	case <-cut:
+		return nil, &exchange.SendError{Err: syscall.ECONNREFUSED}
+	default:
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		select {
+		case <-cut:
+		case <-ctx.Done():
+		}
+	}()
+	return l.servers.Send(ctx, b, c, resume, timeout)
+}
+
+func (l *links) isCut() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-l.cut:
+		return true
+	default:
+		return false
+	}
+}
+
+// setServersCut cuts the host off from all servers, or ends this, as the host
+// notices.
+func (h *host) setServersCut(cut bool) {
+	h.links.mu.Lock()
+	if cut {
+		close(h.links.cut)
+	} else {
+		h.links.cut = make(chan struct{})
+	}
+	h.links.mu.Unlock()
+	h.placer.SetCutOff(cut, h.fleet.clock.Now())
+}
+
+func (h *host) CutOff(name string) bool {
+	if name == h.name {
+		return h.links.isCut()
+	}
+	return h.fleet.hosts[name].links.isCut()
 }
 
 func (h *host) peer(name string) (*host, *result.Error) {
@@ -308,10 +375,10 @@
 	list.Put(backend.Server{ID: "e", Service: "s", Address: "10.0.0.1:1", Zone: "a", Slots: 8, SoftwareVersion: "v1"})
 	config := new(routes.Holder)
 	config.SetIfNewer(routes.New(1, nil, []*routes.Route{route}, nil, routes.Limits{}))
-	h := &host{fleet: f, name: name}
+	h := &host{fleet: f, name: name, placer: scheduler.New(name, "a", func() float64 { return 0.5 }, func() {}), links: links{servers: f.servers, cut: make(chan struct{})}}
 	h.Manager = ownership.New(ownership.Options{
-		Host: name, Writer: writer, Timer: f.clock, Log: logr.Discard(), Store: hostStore{f.kv, &h.cutOff, &h.delayedWrites}, Servers: f.servers, ServerDirectory: list,
-		Placer: scheduler.New(name, "a", func() float64 { return 0.5 }, func() {}), Config: config, Peers: h,
+		Host: name, Writer: writer, Timer: f.clock, Log: logr.Discard(), Store: hostStore{f.kv, &h.cutOff, &h.delayedWrites, &h.commits}, Servers: &h.links, ServerDirectory: list,
+		Placer: h.placer, Config: config, Peers: h,
 		Accepted: func(string) {}, Ended: func(id string) {
 			for _, p := range f.hosts {
 				if !p.dead.Load() {
--- a/internal/batch/ownership/writing.go
+++ b/internal/batch/ownership/writing.go
@@ -56,14 +56,19 @@
 			return
 		}
 		if !m.write(m.writeContext(), group) {
-			m.writeFailures = min(m.writeFailures+1, 8)
-			m.nextWrite = m.Timer.Now().Add(min(writeBackoffMax, writeBackoffBase<<m.writeFailures))
+			m.delayNextWrite()
 			return
 		}
 		m.writeFailures = 0
 	}
 }
 
+// delayNextWrite records a failed write. The caller holds m.writeMu.
+func (m *Manager) delayNextWrite() {
+	m.writeFailures = min(m.writeFailures+1, 8)
+	m.nextWrite = m.Timer.Now().Add(min(writeBackoffMax, writeBackoffBase<<m.writeFailures))
+}
+
 func (m *Manager) isStopping() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
