Scheduler: attempts that fail together double a server's backoff once

What callers saw: a server that falls silent for a little more than a second, or a host that loses its links, ends all runs at the server together, one for each slot. Each of them doubled the backoff, so that after four of them the host gave the server no work for 4 s, though it may have gone on at once. A host that has only batch items and lost its links tried no server for these 4 s, and so learned that late that it was cut off.

Cause: consecutive failures were counted by attempt. Attempts that began before the first failure say nothing about the time after it.

Fix: an attempt that fails during the backoff neither extends nor doubles it.

The spec failed before:

the backoff of a server [It] is that of one failure if all its items fall silent together: Expected <[]backend.Server | len:0, cap:0>: nil to have length 8

--- a/internal/serving/scheduler/health.go
+++ b/internal/serving/scheduler/health.go
@@ -47,7 +47,7 @@
 	// backoffUntil is when the server may get work again.
 	backoffUntil time.Time
 	// consecutiveFailures counts the failures to reach the server since its last
-	// complete response.
+	// complete response, those during a backoff left out.
 	consecutiveFailures int
 	// failureRate is the moving average of failed attempts, in [0, 1], as of
 	// updatedAt.
@@ -82,8 +82,12 @@
 		failed = 1
 	case Unreachable:
 		failed = 1
-		h.backoffUntil = now.Add(min(maxBackoff, minBackoff<<min(h.consecutiveFailures, 8)))
-		h.consecutiveFailures++
+		// An attempt that fails during the backoff began before it, like those that
+		// were cut off together.
+		if h.consecutiveFailures == 0 || !now.Before(h.backoffUntil) {
+			h.backoffUntil = now.Add(min(maxBackoff, minBackoff<<min(h.consecutiveFailures, 8)))
+			h.consecutiveFailures++
+		}
 	}
 	h.failureRate, h.updatedAt = h.decayedFailureRate(now), now
 	h.failureRate += failureWeight * (failed - h.failureRate)
