Ownership: log a run of an item that broke off

What on-call saw: no line "item interrupted" in any log, though runs broke off and docs/OPERATIONS.md lists it. An item whose servers fell silent left a gap of seconds without a line.

Cause: the run's context was cancelled, to free it, before the line's condition asked whether it had been cancelled.

Fix: ask before.

The spec failed before:

logs a run that broke off, and none that it cancelled itself: Expected <[]string | len:0, cap:0>: nil to have length 2

--- a/internal/batch/ownership/manager_test.go
+++ b/internal/batch/ownership/manager_test.go
@@ -77,6 +77,20 @@
 		Expect(f.servers.resumed).To(Equal([]int64{3, 3}))
 	})
 
+	It("logs a run that broke off, and none that it cancelled itself", func() {
+		f := newFleet("A")
+		f.servers.breakAfter = 3
+		Expect(f.hosts["A"].Submit(ctx, submission("j", 2, 1))).To(BeNil())
+		f.eventually(func(g Gomega) { expectComplete(g, listResults(g, f.hosts["A"], "j"), 2) })
+		Expect(f.logged("item interrupted")).To(HaveLen(2))
+		f.servers.block = make(chan struct{})
+		Expect(f.hosts["A"].Submit(ctx, submission("k", 2, 1))).To(BeNil())
+		f.eventually(func(g Gomega) { g.Expect(f.servers.runsOf("k-1")).To(Equal(1)) })
+		Expect(f.hosts["A"].Manager.End(ctx, "k", true)).To(BeNil())
+		f.advance(100 * time.Millisecond)
+		Expect(f.logged("item interrupted")).To(HaveLen(2))
+	})
+
 	It("gives up only items that were refused or used up their attempts", func() {
 		f := newFleet("A")
 		f.servers.status["j-0"] = http.StatusUnprocessableEntity
--- a/internal/batch/ownership/running.go
+++ b/internal/batch/ownership/running.go
@@ -195,6 +195,7 @@
 	if end.Misdirected {
 		m.ServerDirectory.MarkMisdirected(r.server)
 	}
+	cancelled := ctx.Err() != nil
 	r.cancel()
 	now := m.Timer.Now()
 	m.Placer.EndBatch(now, r.server, end.Outcome)
@@ -229,7 +230,7 @@
 		j.job.GiveUp(i)
 		m.Log.Info("item given up", "job", record.ID, "item", item.ID, "cause", end.Cause)
 	}
-	if end.Kind != itemrun.Completed && !r.cancelled && ctx.Err() == nil {
+	if end.Kind != itemrun.Completed && !cancelled {
 		m.Log.Info("item interrupted", "job", record.ID, "item", item.ID, "server", r.server.ID, "after_event", j.job.ResumePoint(i).After, "cause", end.Cause)
 	}
 	if j.unlistedSince.IsZero() && end.Kind.MayFinish() {
--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -133,6 +135,29 @@
 	hosts   map[string]*host
 	// noScanners makes Live return no hosts, so that no host scans.
 	noScanners bool
+	logMu      sync.Mutex
+	logLines   []string
+}
+
+// logged returns the lines with a message that the hosts wrote.
+func (f *fleet) logged(message string) []string {
+	f.logMu.Lock()
+	defer f.logMu.Unlock()
+	var lines []string
+	for _, line := range f.logLines {
+		if strings.Contains(line, strconv.Quote(message)) {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+func (f *fleet) newLog() logr.Logger {
+	return funcr.New(func(_, line string) {
+		f.logMu.Lock()
+		defer f.logMu.Unlock()
+		f.logLines = append(f.logLines, line)
+	}, funcr.Options{})
 }
 
 // rewrite changes a job's record in the store without notifying its owner.
@@ -377,7 +402,7 @@
 	config.SetIfNewer(routes.New(1, nil, []*routes.Route{route}, nil, routes.Limits{}))
 	h := &host{fleet: f, name: name, placer: scheduler.New(name, "a", func() float64 { return 0.5 }, func() {}), links: links{servers: f.servers, cut: make(chan struct{})}}
 	h.Manager = ownership.New(ownership.Options{
-		Host: name, Writer: writer, Timer: f.clock, Log: logr.Discard(), Store: hostStore{f.kv, &h.cutOff, &h.delayedWrites, &h.commits}, Servers: &h.links, ServerDirectory: list,
+		Host: name, Writer: writer, Timer: f.clock, Log: f.newLog(), Store: hostStore{f.kv, &h.cutOff, &h.delayedWrites, &h.commits}, Servers: &h.links, ServerDirectory: list,
 		Placer: h.placer, Config: config, Peers: h,
 		Accepted: func(string) {}, Ended: func(id string) {
 			for _, p := range f.hosts {
