--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -6,12 +6,15 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -135,6 +138,9 @@
 	s.crashing = item
 }
 
+// Crashed returns the same as Down.
+func (s *servers) Crashed(ctx context.Context, b backend.Server) bool { return s.Down(ctx, b) }
+
 // Down reports a server as crashed if the test has a crashing item.
 func (s *servers) Down(context.Context, backend.Server) bool {
 	s.mu.Lock()
@@ -156,6 +162,29 @@
 	hosts   map[string]*host
 	// noScanners makes Live return no hosts, so that no host scans.
 	noScanners bool
+	logMu      sync.Mutex
+	logLines   []string
+}
+
+// logged returns the lines with a message that the hosts wrote.
+func (f *fleet) logged(message string) []string {
+	f.logMu.Lock()
+	defer f.logMu.Unlock()
+	var lines []string
+	for _, line := range f.logLines {
+		if strings.Contains(line, strconv.Quote(message)) {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+func (f *fleet) newLog() logr.Logger {
+	return funcr.New(func(_, line string) {
+		f.logMu.Lock()
+		defer f.logMu.Unlock()
+		f.logLines = append(f.logLines, line)
+	}, funcr.Options{})
 }
 
 // rewrite changes a job's record in the store without notifying its owner.
@@ -178,6 +207,8 @@
 	cutOff *atomic.Bool
 	// delayedWrites holds writes back and returns no reply while it is enabled.
 	delayedWrites *delayedWrites
+	// commits counts the transactions.
+	commits *atomic.Int64
 	// before is called before each call with its kind.
 	before *callHook
 }
@@ -257,6 +288,7 @@
 }
 
 func (s hostStore) Commit(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+	s.commits.Add(1)
 	s.before.call("commit")
 	if ctx.Err() != nil {
 		return store.TxnResult{}, store.ErrOutcomeUnknown
@@ -281,11 +313,74 @@
 	// cutOff makes the store unavailable to this host.
 	cutOff        atomic.Bool
 	delayedWrites delayedWrites
-	beforeCall    callHook
+	commits       atomic.Int64
+	// links are the host's connections to the servers, placer its view of them.
+	links      links
+	placer     *scheduler.Placer
+	beforeCall callHook
 	// directory holds backendServer unless a test removes it.
 	directory *backend.Directory
 }
 
+// links are the connections of a host to the servers.
+type links struct {
+	*servers
+	mu sync.Mutex
+	// cut is closed while they are cut, which breaks runs off and lets none begin.
+	cut chan struct{}
+}
+
+func (l *links) Send(ctx context.Context, b backend.Server, c *exchange.Call, resume exchange.Resume, timeout time.Duration) (*exchange.Reply, error) {
+	l.mu.Lock()
+	cut := l.cut
+	l.mu.Unlock()
+	select {
+	case <-cut:
+		return nil, &exchange.SendError{Err: syscall.ECONNREFUSED}
+	default:
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		select {
+		case <-cut:
+		case <-ctx.Done():
+		}
+	}()
+	return l.servers.Send(ctx, b, c, resume, timeout)
+}
+
+func (l *links) isCut() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	select {
+	case <-l.cut:
+		return true
+	default:
+		return false
+	}
+}
+
+// setServersCut cuts the host off from all servers, or ends this, as the host
+// notices.
+func (h *host) setServersCut(cut bool) {
+	h.links.mu.Lock()
+	if cut {
+		close(h.links.cut)
+	} else {
+		h.links.cut = make(chan struct{})
+	}
+	h.links.mu.Unlock()
+	h.placer.SetCutOff(cut, h.fleet.clock.Now())
+}
+
+func (h *host) CutOff(name string) bool {
+	if name == h.name {
+		return h.links.isCut()
+	}
+	return h.fleet.hosts[name].links.isCut()
+}
+
 func (h *host) peer(name string) (*host, *result.Error) {
 	p, ok := h.fleet.hosts[name]
 	if !ok || p.dead.Load() || h.dead.Load() {
@@ -366,10 +461,10 @@
 	list.Put(backendServer)
 	config := new(routes.Holder)
 	config.SetIfNewer(routes.New(1, nil, []*routes.Route{route}, nil, routes.Limits{}))
-	h := &host{fleet: f, name: name, directory: list}
+	h := &host{fleet: f, name: name, directory: list, placer: scheduler.New(name, "a", func() float64 { return 0.5 }, func() {}), links: links{servers: f.servers, cut: make(chan struct{})}}
 	h.Manager = ownership.New(ownership.Options{
-		Host: name, Writer: writer, Timer: f.clock, Log: logr.Discard(), Store: hostStore{f.kv, &h.cutOff, &h.delayedWrites, &h.beforeCall}, Servers: f.servers, ServerDirectory: list,
-		Placer: scheduler.New(name, "a", func() float64 { return 0.5 }, func() {}), Config: config, Peers: h,
+		Host: name, Writer: writer, Timer: f.clock, Log: f.newLog(), Store: hostStore{f.kv, &h.cutOff, &h.delayedWrites, &h.commits, &h.beforeCall}, Servers: &h.links, ServerDirectory: list,
+		Placer: h.placer, Config: config, Peers: h,
 		EndWithin: endGrace, Accepted: func(string) {}, Ended: func(id string) {
 			for _, p := range f.hosts {
 				if !p.dead.Load() {
--- a/internal/serving/scheduler/health.go
+++ b/internal/serving/scheduler/health.go
@@ -47,7 +47,7 @@
 	// backoffUntil is when the server may get work again.
 	backoffUntil time.Time
 	// consecutiveFailures counts the failures to reach the server since its last
-	// complete response.
+	// complete response, those during a backoff left out.
 	consecutiveFailures int
 	// failureRate is the moving average of failed attempts, in [0, 1], as of
 	// updatedAt.
@@ -82,8 +82,12 @@
 		failed = 1
 	case Unreachable:
 		failed = 1
-		h.backoffUntil = now.Add(min(maxBackoff, minBackoff<<min(h.consecutiveFailures, 8)))
-		h.consecutiveFailures++
+		// An attempt that fails during the backoff began before it, like those that
+		// were cut off together.
+		if h.consecutiveFailures == 0 || !now.Before(h.backoffUntil) {
+			h.backoffUntil = now.Add(min(maxBackoff, minBackoff<<min(h.consecutiveFailures, 8)))
+			h.consecutiveFailures++
+		}
 	}
 	h.failureRate, h.updatedAt = h.decayedFailureRate(now), now
 	h.failureRate += failureWeight * (failed - h.failureRate)
@@ -92,10 +96,14 @@
 // inBackoff reports whether a server gets no work now because it was unreachable
 // or at capacity, and returns the waiting time that its failure rate adds to its
 // cost. The rates that other hosts report are added to this host's own, which
-// sees few of the requests of a large fleet.
+// sees few of the requests of a large fleet. A host that is cut off from all
+// servers goes by the others alone.
 func (p *Placer) inBackoff(now time.Time, server string) (bool, time.Duration) {
 	rate := p.others.at(server).failureRate
 	h := p.health[server]
+	if p.cut.off {
+		h = nil
+	}
 	if h != nil {
 		rate += h.decayedFailureRate(now)
 	}
