Servers: a server whose entry turns odd during an outage of the store is gone at once

After an outage of the store, with its history gone, a host went on sending to a server for 2 s although its entry, there again, named none.

Cause: an entry that can't be parsed was left out of the new list, so its server counted as missing. A missing server is kept for the grace after an outage, in which its entry may come back; this one is not missing.

Evidence: the test failed before, servers_test.go:59: Expected <bool>: true to be false (x is in use)

Fix: such a server is removed without grace, as it is by a change of its entry.

--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -357,18 +357,25 @@
 
 var _ follow.Handler = (*serverHandler)(nil)
 
-// Listed replaces the list of servers.
+// Listed replaces the list of servers. An entry that can't be parsed removes its
+// server at once: it is not missing.
 func (r *serverHandler) Listed(entries []store.Entry, grace time.Duration) {
 	var list []backend.Server
+	var odd []string
 	for _, e := range entries {
 		s, err := r.adapter.ParseServer(e)
 		if err != nil {
 			r.log.Info("entry names no server", "key", e.Key, "cause", err.Error())
+			odd = append(odd, r.adapter.ServerID(e.Key))
 			continue
 		}
 		list = append(list, s)
 	}
-	r.directory.Replace(r.timer.Now(), list, grace)
+	now := r.timer.Now()
+	r.directory.Replace(now, list, grace)
+	for _, id := range odd {
+		r.directory.Remove(now, id, 0)
+	}
 	r.origins.observe()
 }
 
