Servers: an odd entry is logged once, not at each write or list

What callers saw: nothing reported; found in the search. An entry that another writer renews every second gave a line a second at each host, out of the bounded number of lines.

Cause: the line was written wherever an entry could not be parsed.

Evidence: the test failed before, servers_test.go:70: Expected <int>: 32 to equal <int>: 2 (lines after ten more lists and ten more writes)

Fix: the keys of odd entries are kept until the entry is good or gone, and such an entry is not logged again.

--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -120,13 +120,16 @@
 
 	announcements announcements
 	readers       readers
+	// oddEntries holds the keys of the entries that name no server and were
+	// logged. Only serverHandler uses it, whose calls don't overlap.
+	oddEntries map[string]bool
 }
 
 // New returns a host that does nothing until Start.
 func New(s *setup.Entry, log logr.Logger, t timer.Service, a Adapter) *Host {
 	ctx, cancel := context.WithCancel(context.Background())
 	a.Store = store.NewInstrumented(a.Store, t)
-	h := &Host{settings: s, timer: t, log: log, adapter: a, ctx: ctx, cancel: cancel, started: t.Now()}
+	h := &Host{settings: s, timer: t, log: log, adapter: a, ctx: ctx, cancel: cancel, started: t.Now(), oddEntries: make(map[string]bool)}
 	a.Servers = &limitObserver{Servers: a.Servers, host: h}
 	h.self = notice.Member{Host: s.Name, Zone: s.Zone, Address: s.PeerAddress, Start: t.Now().UnixNano(), Weight: int(s.ProcessorShare * 1000)}
 	h.members = notice.NewPeerTable(h.self, h.handleLiveness)
@@ -361,20 +364,19 @@
 // server at once: it is not missing.
 func (r *serverHandler) Listed(entries []store.Entry, grace time.Duration) {
 	var list []backend.Server
-	var odd []string
+	odd := make(map[string]bool)
 	for _, e := range entries {
-		s, err := r.adapter.ParseServer(e)
-		if err != nil {
-			r.log.Info("entry names no server", "key", e.Key, "cause", err.Error())
-			odd = append(odd, r.adapter.ServerID(e.Key))
-			continue
+		if s, ok := r.parse(e); ok {
+			list = append(list, s)
+		} else {
+			odd[e.Key] = true
 		}
-		list = append(list, s)
 	}
+	r.oddEntries = odd
 	now := r.timer.Now()
 	r.directory.Replace(now, list, grace)
-	for _, id := range odd {
-		r.directory.Remove(now, id, 0)
+	for key := range odd {
+		r.directory.Remove(now, r.adapter.ServerID(key), 0)
 	}
 	r.origins.observe()
 }
@@ -384,22 +386,34 @@
 func (r *serverHandler) Changed(e store.Event, grace time.Duration) {
 	id := r.adapter.ServerID(e.Key)
 	if e.Deleted {
+		delete(r.oddEntries, e.Key)
 		r.directory.Remove(r.timer.Now(), id, grace)
 		r.placer.RemoveServer(id)
 		(*Host)(r).passOn()
 		return
 	}
-	s, err := r.adapter.ParseServer(e.Entry)
-	if err != nil {
-		r.log.Info("entry names no server", "key", e.Key, "cause", err.Error())
+	s, ok := r.parse(e.Entry)
+	if !ok {
+		r.oddEntries[e.Key] = true
 		r.directory.Remove(r.timer.Now(), id, 0)
 		return
 	}
+	delete(r.oddEntries, e.Key)
 	r.directory.Put(s)
 	r.origins.observe()
 	(*Host)(r).passOn()
 }
 
+// parse parses an entry. It logs one that can't be parsed, unless that was logged
+// since it was last good or absent.
+func (r *serverHandler) parse(e store.Entry) (backend.Server, bool) {
+	s, err := r.adapter.ParseServer(e)
+	if err != nil && !r.oddEntries[e.Key] {
+		r.log.Info("entry names no server", "key", e.Key, "cause", err.Error())
+	}
+	return s, err == nil
+}
+
 // The methods below are used by the handler of callers' requests.
 
 // Now returns the current time of the host's timer, which calls are stamped
