Relays: a large entry among those of the servers doesn't keep summaries from being sent

What callers saw: by report, hosts that stopped following the list of servers. In a large fleet, the hosts of a zone get changes in summaries of their relay, each one datagram of up to 60 KB.

Cause: a summary carries the changes of the last two seconds with their values, whatever their size. Entries may have up to 1 MB. A summary that is too large is not sent at all ("notice not sent"), with the load and the jobs in it, until the change is old; an entry that is written again every second keeps it so. The list that a host then fetches from its relay carries all values too, and fails as a whole from 16 MB on.

Fix: a follower passes on an entry of over 16 KB without its value, and no more changes than 32 KB of values; who misses one fetches the list, as before. An entry of over 16 KB names no server at any host, so that all hosts agree. A server's own entry has some 250 bytes.

--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -407,7 +407,14 @@
 // parse parses an entry. It logs one that can't be parsed, unless that was logged
 // since it was last good or absent.
 func (r *serverHandler) parse(e store.Entry) (backend.Server, bool) {
-	s, err := r.adapter.ParseServer(e)
+	var s backend.Server
+	var err error
+	if len(e.Value) <= follow.MaxPassedBytes {
+		s, err = r.adapter.ParseServer(e)
+	} else {
+		// Other hosts get it without its value.
+		err = trace.LimitExceeded("%d bytes, more than %d", len(e.Value), follow.MaxPassedBytes)
+	}
 	if err != nil && !r.oddEntries[e.Key] {
 		r.log.Info("entry names no server", "key", e.Key, "cause", err.Error())
 	}
--- a/internal/fleet/entry/servers_test.go
+++ b/internal/fleet/entry/servers_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/kingcupquay/kingcupquay/internal/fleet/setup"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
+	"github.com/kingcupquay/kingcupquay/internal/record/follow"
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 	"github.com/kingcupquay/kingcupquay/internal/standin/platform"
@@ -44,7 +45,7 @@
 		h := New(&setup.Entry{Name: "A", Zone: "a"}, capture(&lines), clock, Adapter{
 			Store: platform.NewKV(clock), ServerID: func(key string) string { return key },
 			ParseServer: func(e store.Entry) (backend.Server, error) {
-				if string(e.Value) != "good" {
+				if !strings.HasPrefix(string(e.Value), "good") {
 					return backend.Server{}, errors.New("odd")
 				}
 				return backend.Server{ID: e.Key, Service: "s", Slots: 1}, nil
@@ -60,6 +61,13 @@
 		Expect(known("y")).To(BeTrue(), "a missing one may come back")
 	})
 
+	It("has no server by an entry that is too large to be passed on to other hosts", func() {
+		large := store.Entry{Key: "x", Value: append([]byte("good"), make([]byte, follow.MaxPassedBytes)...)}
+		handler.Listed([]store.Entry{good("y"), large}, 0)
+		Expect(known("x")).To(BeFalse())
+		Expect(known("y")).To(BeTrue())
+	})
+
 	It("logs an odd entry once, also if it is written and listed again, until it is good or gone", func() {
 		handler.Listed([]store.Entry{odd("x"), odd("y"), good("z")}, 0)
 		Expect(oddLine()).To(Equal(2))
--- a/internal/record/follow/follow.go
+++ b/internal/record/follow/follow.go
@@ -66,12 +66,18 @@
 	// activityInterval is how often an inactive follower checks whether it has
 	// become active.
 	activityInterval = 500 * time.Millisecond
-	// logPeriod is how long a change is kept to be passed on, and maxLogged how
-	// many changes are kept at most.
-	logPeriod = 2 * time.Second
-	maxLogged = 100
+	// logPeriod is how long a change is kept to be passed on, maxLogged how many
+	// changes are kept at most, and maxLoggedBytes how many bytes their values may
+	// have together. These are about half of what a message can carry.
+	logPeriod      = 2 * time.Second
+	maxLogged      = 100
+	maxLoggedBytes = 32 << 10
 )
 
+// MaxPassedBytes is the size of the largest value that is passed on to inactive
+// followers. A larger one would fill a message, or a list, for all other entries.
+const MaxPassedBytes = 16 << 10
+
 // Source is the store that a Follower reads.
 type Source interface {
 	store.Store
@@ -115,7 +121,7 @@
 	unavailableSince time.Time
 	// graceUntil is when the grace after the last outage ends.
 	graceUntil time.Time
-	// entries are the current entries by key.
+	// entries are the current entries by key, as they are passed on.
 	entries map[string]store.Entry
 	// logged holds the latest changes, all those after the revision logFrom.
 	logged  []loggedEvent
@@ -274,7 +280,7 @@
 	f.handler.Listed(entries, grace)
 	clear(f.entries)
 	for _, e := range entries {
-		f.entries[e.Key] = e
+		f.entries[e.Key] = passedOn(e)
 		f.markApplied(e.ModRevision)
 	}
 	if f.everListed {
@@ -298,18 +304,32 @@
 		if e.Deleted {
 			delete(f.entries, e.Key)
 		} else {
-			f.entries[e.Key] = e.Entry
+			f.entries[e.Key] = passedOn(e.Entry)
 		}
-		f.logged = append(f.logged, loggedEvent{e, now})
+		f.logged = append(f.logged, loggedEvent{store.Event{Entry: passedOn(e.Entry), Deleted: e.Deleted}, now})
 		f.markApplied(e.ModRevision)
 	}
 	f.revision = max(f.revision, next)
 	f.trimLog(now)
 }
 
-// trimLog drops the changes that are older than logPeriod or beyond maxLogged.
+// passedOn returns the entry as it is passed on: without its value if that is
+// larger than MaxPassedBytes.
+func passedOn(e store.Entry) store.Entry {
+	if len(e.Value) > MaxPassedBytes {
+		e.Value = nil
+	}
+	return e
+}
+
+// trimLog drops the changes that are older than logPeriod or beyond maxLogged or
+// maxLoggedBytes.
 func (f *Follower) trimLog(now time.Time) {
-	n := max(0, len(f.logged)-maxLogged)
+	n, size := len(f.logged), 0
+	for n > 0 && len(f.logged)-n < maxLogged && size+len(f.logged[n-1].Value) <= maxLoggedBytes {
+		n--
+		size += len(f.logged[n].Value)
+	}
 	for n < len(f.logged) && now.Sub(f.logged[n].at) > logPeriod {
 		n++
 	}
--- a/internal/record/follow/passive_test.go
+++ b/internal/record/follow/passive_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -60,6 +61,28 @@
 		Expect(f.Changes(10)).To(Equal(follow.Changes{From: 11, To: 12}))
 	})
 
+	It("passes on an entry that is too large for a message without its value", func() {
+		large := put(11, strings.Repeat("[", 1<<20))
+		Expect(f.Apply(follow.Changes{From: 10, To: 12, Events: []store.Event{large, put(12, "b")}})).To(BeTrue())
+		without := put(11, "")
+		without.Value = nil
+		Expect(f.Changes(10)).To(Equal(follow.Changes{From: 10, To: 12, Events: []store.Event{without, put(12, "b")}}))
+		list, _ := f.List()
+		Expect(list.Entries).To(ConsistOf(HaveField("Key", "p/1"), without.Entry, put(12, "b").Entry))
+	})
+
+	It("passes on as many changes as fit into a message, the latest ones", func() {
+		var events []store.Event
+		for n := int64(11); n <= 60; n++ {
+			events = append(events, put(n, strings.Repeat("x", 2000)))
+		}
+		Expect(f.Apply(follow.Changes{From: 10, To: 60, Events: events})).To(BeTrue())
+		c := f.Changes(10)
+		Expect(len(c.Events) * 2000).To(And(BeNumerically(">", 20_000), BeNumerically("<=", 40<<10)))
+		Expect(c.From).To(Equal(60-int64(len(c.Events))), "who has not read up to there has to fetch the list")
+		Expect(c.Events).To(Equal(events[len(events)-len(c.Events):]))
+	})
+
 	It("needs no list because of changes of other keys", func() {
 		Expect(f.Apply(follow.Changes{From: 10, To: 12, Events: []store.Event{put(11, "b")}})).To(BeTrue())
 		Expect(f.Apply(follow.Changes{From: 11, To: 50})).To(BeTrue())
