Notices: the counts of a notice in the old form are bounded

What callers saw: nothing reported; found in the search. A datagram in JSON that names 10^12 requests at a server makes the estimate of the wait there allocate as many times; a count below 0 makes a full server look free.

Cause: the bounds for counts were applied to the protobuf form only, and not to backlogs.

Fix: both forms pass the same bounds.

--- a/internal/fleet/notice/codec.go
+++ b/internal/fleet/notice/codec.go
@@ -73,7 +73,7 @@
 	if list := status.GetBacklogs(); len(list) > 0 {
 		n.Backlogs = make(map[string]scheduler.Backlog, len(list))
 		for _, b := range list {
-			n.Backlogs[b.GetService()] = scheduler.Backlog{Items: int(b.GetItems()), Slack: b.GetSlackMs()}
+			n.Backlogs[b.GetService()] = boundBacklog(scheduler.Backlog{Items: int(b.GetItems()), Slack: b.GetSlackMs()})
 		}
 	}
 	for _, a := range status.GetAsks() {
@@ -245,17 +245,34 @@
 	return list
 }
 
-// maxCount bounds the counts of a load that is received.
+// maxCount bounds the counts of a message that is received.
 const maxCount = 1 << 20
 
+// bound returns n, at least 0 and at most limit.
+func bound(n, limit int) int { return max(0, min(n, limit)) }
+
+// boundLoad returns a load with counts and times that a host can have.
+func boundLoad(l scheduler.Load) scheduler.Load {
+	l.Online, l.Batch, l.Sent = bound(l.Online, maxCount), bound(l.Batch, maxCount), bound(l.Sent, maxCount)
+	for i, ms := range l.Ends {
+		l.Ends[i] = bound(ms, math.MaxUint32)
+	}
+	return l
+}
+
+func boundBacklog(b scheduler.Backlog) scheduler.Backlog {
+	b.Items = bound(b.Items, maxCount)
+	return b
+}
+
 func decodeLoads(list []*wire.ServerLoad) map[string]scheduler.Load {
 	loads := make(map[string]scheduler.Load, len(list))
 	for _, s := range list {
-		l := scheduler.Load{Online: int(min(s.GetOnline(), maxCount)), Batch: int(min(s.GetBatch(), maxCount)), Sent: int(min(s.GetSent(), maxCount))}
+		l := scheduler.Load{Online: int(s.GetOnline()), Batch: int(s.GetBatch()), Sent: int(s.GetSent())}
 		for _, ms := range s.GetEndsMs() {
 			l.Ends = append(l.Ends, int(ms))
 		}
-		loads[s.GetServer()] = l
+		loads[s.GetServer()] = boundLoad(l)
 	}
 	return loads
 }
--- a/internal/fleet/notice/codec_test.go
+++ b/internal/fleet/notice/codec_test.go
@@ -45,4 +45,17 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(m.Notice.Limits).To(Equal(map[string]serverlimit.Limit{"d": {PerSecond: 1}}))
 	})
+
+	It("bound the counts of a notice in the old form as those in the new one", func() {
+		const limit = 1 << 20
+		m, err := notice.Decode([]byte(`{"h":"A","a":"10.0.0.1:1","l":{"s1":{"o":1000000000000,"b":9223372036854775807,"e":[-5,9223372036854775807]},"s2":{"o":-1,"b":-1}},
+			"b":{"n":1000000000000,"s":-9223372036854775808}}`))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(m.Notice.Loads).To(Equal(map[string]scheduler.Load{
+			"s1": {Online: limit, Batch: limit, Ends: []int{0, math.MaxUint32}}, "s2": {},
+		}))
+		for _, b := range m.Notice.Backlogs {
+			Expect(b.Items).To(Equal(limit))
+		}
+	})
 })
--- a/internal/fleet/notice/notice.go
+++ b/internal/fleet/notice/notice.go
@@ -116,8 +116,11 @@
 	}
 	n := legacy.Notice
 	n.Legacy = true
+	for server, l := range n.Loads {
+		n.Loads[server] = boundLoad(l)
+	}
 	if legacy.Backlog.Items > 0 {
-		n.Backlogs = map[string]scheduler.Backlog{anyService: legacy.Backlog}
+		n.Backlogs = map[string]scheduler.Backlog{anyService: boundBacklog(legacy.Backlog)}
 	}
 	return &n, nil
 }
