Calls that are no streams: an answer whose end nothing shows is not passed on as whole

What callers saw: by report, a 200 with an empty or short body, framed as whole. Here, of an answer with neither a length nor chunks, after the server had closed the connection right after the head or within the body.

Cause: such an answer ends with its connection, which a crash ends as well. It was read to that end and then written with a length, so that the caller could not tell either.

An answer without a body was passed on instead of the next server's (sent once instead of twice, repeatable) or as a 200 with length 0 (once); so was one of a server that had gone down; a short one of a server that lives on was written as "whole" instead of "unframed".

Fix: a 2xx without a body, and any answer of a server where nothing listens any more, counts as broken off: a repeatable call goes to another server, another one fails as one that ran. What is left is passed on as it came, without a length, and the caller's connection is closed after it.

--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -65,6 +65,9 @@
 type ResponseWriter interface {
 	// WriteComplete writes a complete answer.
 	WriteComplete(status int, fields []exchange.Field, body []byte)
+	// WriteUnframed writes an answer whose end only the end of the caller's
+	// connection shows.
+	WriteUnframed(status int, fields []exchange.Field, body []byte)
 	// WriteHeader starts an answer of unknown length.
 	WriteHeader(status int, fields []exchange.Field)
 	// Write sends the next part of the body without buffering it.
--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -123,9 +123,18 @@
 	server string
 	body   bytes.Buffer
 	heads  int
+	// framing says how a complete answer was written.
+	framing string
 }
 
 func (w *recordingWriter) WriteComplete(status int, fields []exchange.Field, body []byte) {
+	w.framing = "whole"
+	w.WriteHeader(status, fields)
+	w.body.Write(body)
+}
+
+func (w *recordingWriter) WriteUnframed(status int, fields []exchange.Field, body []byte) {
+	w.framing = "unframed"
 	w.WriteHeader(status, fields)
 	w.body.Write(body)
 }
@@ -321,6 +330,31 @@
 		Entry("a 200 of another type at the last attempt", 1, 0, scriptedReply{other: true, body: "{}"}),
 	)
 
+	DescribeTable("never passes an answer on as complete whose end nothing shows",
+		func(kind routes.Kind, down bool, first scriptedReply, sends int, status int, framing string) {
+			servers := &scriptedServers{down: down, replies: []scriptedReply{first, {body: "whole"}}}
+			f, _ := newForwarder(servers, 3, newGuard())
+			answer := &recordingWriter{}
+			route := routes.Route{Kind: kind, MaxAttempts: 2, Timeout: time.Minute, Objective: time.Minute, Shares: []routes.Share{{Service: "s", Weight: 1}}}
+			_, failure := f.Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: time.Now()}, answer)
+			Expect(servers.sent).To(HaveLen(sends))
+			Expect(answer.status).To(Equal(status))
+			Expect(answer.framing).To(Equal(framing))
+			if status == 0 {
+				Expect(failure.Ran()).To(Equal(result.RanYes))
+			} else {
+				Expect(failure).To(BeNil())
+			}
+		},
+		Entry("no body, repeatable", routes.Repeatable, false, scriptedReply{unframed: true}, 2, 200, "whole"),
+		Entry("no body, once", routes.Once, false, scriptedReply{unframed: true}, 1, 0, ""),
+		Entry("an error without a body: its status is whole", routes.Repeatable, false, scriptedReply{unframed: true, status: 404}, 1, 404, "unframed"),
+		Entry("an error of a stream without a body", routes.Stream, false, scriptedReply{unframed: true, status: 404}, 1, 404, "unframed"),
+		Entry("a body, and the server went down, repeatable", routes.Repeatable, true, scriptedReply{unframed: true, body: "ha"}, 2, 200, "whole"),
+		Entry("a body, and the server went down, once", routes.Once, true, scriptedReply{unframed: true, body: "ha"}, 1, 0, ""),
+		Entry("a body, and the server lives on: the end is that of the connection", routes.Once, false, scriptedReply{unframed: true, body: "ha"}, 1, 200, "unframed"),
+	)
+
 	DescribeTable("returns at the route's timeout and cancels running attempts", func(kind routes.Kind, begun bool, reply scriptedReply) {
 		started, failure := serve(routes.Route{Kind: kind, MaxAttempts: 1, Timeout: 30 * time.Millisecond}, reply)
 		Expect(started).To(Equal(begun))
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -283,7 +283,7 @@
 	if err != nil || len(body) > maxAnswerBytes {
 		return failure
 	}
-	s.out.WriteComplete(att.reply.Status, att.reply.Fields, body)
+	writeAnswer(s.out, att.reply, body)
 	return nil
 }
 
--- a/internal/serving/forward/unary.go
+++ b/internal/serving/forward/unary.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -54,7 +55,10 @@
 		switch {
 		case err == nil && len(body) > maxAnswerBytes:
 			err = fmt.Errorf("it is larger than %d bytes", maxAnswerBytes)
-			fallthrough
+		case err == nil && f.perhapsCut(ctx, res.attempt, body):
+			err = errUnframedEnd
+		}
+		switch {
 		case err != nil:
 			res.failure = result.New(result.BackendFailed, "server %s: answer broke off: %v", s.ID, err).WithRan(result.RanYes)
 			res.outcome = scheduler.Failed
@@ -74,6 +78,28 @@
 	return nil
 }
 
+var errUnframedEnd = errors.New("it ended with its connection, perhaps early")
+
+// perhapsCut reports whether an answer that was read to its end was cut off. Only
+// the end of its connection ends an unframed answer, which a crash ends too. A
+// successful one without a body shows nothing but its head.
+func (f *Forwarder) perhapsCut(ctx context.Context, att *attempt, body []byte) bool {
+	if !att.reply.Unframed {
+		return false
+	}
+	return len(body) == 0 && att.reply.Status/100 == 2 || f.servers.Down(context.WithoutCancel(ctx), att.server)
+}
+
+// writeAnswer writes a whole answer. If only the end of its connection showed its
+// end, the caller is shown no more.
+func writeAnswer(out ResponseWriter, reply *exchange.Reply, body []byte) {
+	if reply.Unframed {
+		out.WriteUnframed(reply.Status, reply.Fields, body)
+		return
+	}
+	out.WriteComplete(reply.Status, reply.Fields, body)
+}
+
 // unansweredError returns the error for an attempt without a usable reply.
 func unansweredError(att *attempt) *result.Error {
 	switch {
@@ -128,7 +154,7 @@
 		case res := <-done:
 			running--
 			if res.failure == nil && (res.outcome == scheduler.Completed || !repeatable) {
-				out.WriteComplete(res.reply.Status, res.reply.Fields, res.body)
+				writeAnswer(out, res.reply, res.body)
 				return nil
 			}
 			if res.failure == nil {
@@ -152,7 +178,7 @@
 				continue
 			}
 			if errorAnswer != nil {
-				out.WriteComplete(errorAnswer.reply.Status, errorAnswer.reply.Fields, errorAnswer.body)
+				writeAnswer(out, errorAnswer.reply, errorAnswer.body)
 				return nil
 			}
 			return res.failure.WithRan(ran)
