--- a/internal/fleet/notice/notice_test.go
+++ b/internal/fleet/notice/notice_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -155,6 +156,9 @@
 		f.Add(datagram)
 	}
 	f.Add([]byte(`{"h":"A","a":"x","l":{"e":null}}`))
+	f.Add([]byte(`{"h":"A","a":"x","l":{"e":{"o":1000000000000,"b":-1,"e":[-1,9223372036854775807]}},"b":{"n":-1,"s":-9223372036854775808},"n":9223372036854775807}`))
+	f.Add([]byte(`{"h":"A","a":"x","l":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`))
+	f.Add([]byte(`{"h":"A","a":"x","c":1e999}`))
 	f.Fuzz(func(t *testing.T, datagram []byte) {
 		m, err := notice.Decode(datagram)
 		if err != nil {
@@ -167,6 +171,11 @@
 			if len(table.Live()) > 1 {
 				t.Fatal("one notice added several hosts")
 			}
+			for _, l := range m.Notice.Loads {
+				if l.Online < 0 || l.Batch < 0 || l.Online > 1<<20 || l.Batch > 1<<20 {
+					t.Fatalf("load %+v", l)
+				}
+			}
 		case m.Summary != nil:
 			table.ApplySummary(start, *m.Summary)
 			table.Targets(start)
