Streams and items: an answer cut after its head doesn't end a stream that was resumed

Here, a stream that had begun ended as complete after its second event, and one that its caller took up was answered by a 200 with length 0, when the next server's answer, with neither a length nor chunks, was cut right after its head. An item was listed as done without its whole text.

Cause: such an answer ends with its connection. Without an event it was held for complete if the stream had events before and the server still listens, as a stream may have no event left. A server that lives on after one cut answer looks the same.

Fix: an unframed answer without an event ends no stream; the next server goes on, and if there is none the caller's connection is cut. An item runs from its start, where its end is shown by its last event. This costs a stream or an item that broke off after its last event, at a server that frames its answers by their connection.

--- a/internal/batch/itemrun/run.go
+++ b/internal/batch/itemrun/run.go
@@ -139,11 +139,14 @@
 		switch {
 		case errors.Is(err, io.EOF) && len(splitter.Remainder()) == 0:
 			// Only the end of its connection ends an unframed answer, and a crash
-			// looks the same; one that resumes an item may rightly have no event
-			// left.
+			// looks the same. If one that resumes has no event, no event may be
+			// left, or it was cut after its head. A run from the start shows it.
 			if reply.Unframed && (!answered && !resume.Set || servers.Down(ctx, server)) {
 				return End{Kind: Requeue, Outcome: scheduler.Failed, Cause: "the answer ended with its connection, perhaps early"}
 			}
+			if reply.Unframed && !answered {
+				return End{Kind: RequeueFromStart, Outcome: scheduler.Unknown, Cause: "the answer ended with its connection after its head"}
+			}
 			return End{Kind: Completed, Outcome: scheduler.Completed}
 		case ctx.Err() != nil:
 			return End{Kind: Requeue, Outcome: scheduler.Unknown, Cause: "left"}
--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -304,6 +304,7 @@
 		Entry("a second head", scriptedReply{body: numberedEvents(3, 3) + "HTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\nno"}, 3),
 		Entry("a second head before the next event", scriptedReply{body: "HTTP/1.1 500 No\nid: 3\ndata: 3\n\n"}, 2),
 		Entry("text without a blank line before the next event", scriptedReply{body: "out of memory\nid: 3\ndata: 3\n\n"}, 2),
+		Entry("an unframed end right after the head", scriptedReply{unframed: true}, 2),
 		Entry("an end in the middle of an event", scriptedReply{body: numberedEvents(3, 3) + "id: 4\nda"}, 3),
 	)
 
@@ -403,6 +404,11 @@
 			Expect(s.resumedAfter).To(Equal([]int64{2, 3}))
 		})
 
+		It("is not complete by an unframed answer that ends right after its head", func() {
+			Expect(takeUp([]string{"x"}, scriptedReply{unframed: true}, scriptedReply{body: numberedEvents(3, 5)})).To(BeNil())
+			Expect(out.body.String()).To(Equal(numberedEvents(3, 5)))
+		})
+
 		It("passes on no event of a server that ignores where it has to go on", func() {
 			Expect(takeUp([]string{"x"}, scriptedReply{body: numberedEvents(1, 5)}, scriptedReply{body: numberedEvents(3, 5)})).To(BeNil())
 			Expect(out.body.String()).To(Equal(numberedEvents(3, 5)))
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -255,17 +255,15 @@
 	}
 }
 
-// endedEarly reports whether an answer that ended without an error was cut off.
-// Only the end of its connection ends an unframed answer, and a crash looks the
-// same; one that resumes a stream may rightly have no event left.
+// endedEarly reports whether an answer that ended without an error may have been
+// cut off. Only the end of its connection ends an unframed answer, and a crash
+// looks the same. Without any event it shows nothing but its head, so that not
+// even the end of a stream without events left can be told from a cut.
 func (s *streamSession) endedEarly(ctx context.Context, att *attempt) bool {
 	if !att.reply.Unframed {
 		return false
 	}
-	if _, begun := s.sequence.Last(); !begun {
-		return true
-	}
-	return s.forwarder.servers.Down(context.WithoutCancel(ctx), att.server)
+	return att.events == 0 || s.forwarder.servers.Down(context.WithoutCancel(ctx), att.server)
 }
 
 // handleErrorStatus handles an answer with a status other than 200. It returns
