Hosts: an answer of another host counts only if it is whole

What callers saw: nothing reported; found in the search for answers that are cut. The body of an item could be passed on short, and the end of a job be acknowledged, by an answer of the job's owner without a length or chunks that was cut after its head; an answer of over 16 MB was cut there.

Cause: the caller read to the end of the connection or to its limit, and took what came.

Evidence: four cases failed before (a body, an empty one, the end of a job, 16 MB and a byte: no failure returned).

Fix: an answer with neither is an error, since hosts always send one of them, and so is a larger one.

--- a/internal/fleet/entry/peers.go
+++ b/internal/fleet/entry/peers.go
@@ -26,7 +26,7 @@
 	// peerCallTimeout limits a call to another host, in addition to the time that
 	// the call may wait there for results.
 	peerCallTimeout = 1500 * time.Millisecond
-	// maxPeerResponseBytes is the limit of a response; the rest is cut off.
+	// maxPeerResponseBytes is the limit of a response; a larger one is an error.
 	maxPeerResponseBytes = 16 << 20
 )
 
@@ -154,10 +154,16 @@
 		return nil, result.New(result.NoBackend, "%v", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerResponseBytes))
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return nil, result.New(result.NoBackend, "an answer without a length or chunks, which may have been cut")
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerResponseBytes+1))
 	if err != nil {
 		return nil, result.New(result.NoBackend, "%v", err)
 	}
+	if len(body) > maxPeerResponseBytes {
+		return nil, result.New(result.NoBackend, "an answer of over %d bytes", maxPeerResponseBytes)
+	}
 	if resp.StatusCode == http.StatusOK {
 		return body, nil
 	}
