Hosts: a read of results from a negative position is refused

Found in the search; no host sends one. The page would have been built from that position, an index out of range, which ends the call by a panic. The test failed before: <result.Code> other than InvalidField, as the position was passed on.

--- a/internal/fleet/entry/peers.go
+++ b/internal/fleet/entry/peers.go
@@ -88,7 +88,7 @@
 	mux.HandleFunc("GET /jobs/{id}/results", func(w http.ResponseWriter, r *http.Request) {
 		after, err := strconv.Atoi(r.URL.Query().Get("after"))
 		wait, waitErr := time.ParseDuration(r.URL.Query().Get("wait"))
-		if err != nil || waitErr != nil {
+		if err != nil || waitErr != nil || after < 0 {
 			writeFailure(w, result.New(result.InvalidField, "after or wait can't be read"))
 			return
 		}
--- a/internal/fleet/entry/peers_test.go
+++ b/internal/fleet/entry/peers_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"time"
 
@@ -103,3 +106,15 @@
 		Expect(body()).NotTo(BeNil())
 	})
 })
+
+var _ = Describe("the handler of other hosts' calls", func() {
+	It("refuses a read of results from a negative position, which would end the call by a panic", func() {
+		clock := timer.NewManual(time.Unix(1000, 0))
+		h := New(&setup.Entry{Name: "A", Zone: "a"}, logr.Discard(), clock, Adapter{Store: platform.NewKV(clock)})
+		w := httptest.NewRecorder()
+		h.peers.handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/jobs/j/results?after=-1&wait=0s", nil))
+		var failure failureBody
+		Expect(json.Unmarshal(w.Body.Bytes(), &failure)).To(Succeed())
+		Expect(result.Code(failure.Code)).To(Equal(result.InvalidField))
+	})
+})
