--- a/internal/fleet/entry/peers.go
+++ b/internal/fleet/entry/peers.go
@@ -26,7 +26,7 @@
 	// peerCallTimeout limits a call to another host, in addition to the time that
 	// the call may wait there for results.
 	peerCallTimeout = 1500 * time.Millisecond
-	// maxPeerResponseBytes is the limit of a response; the rest is cut off.
+	// maxPeerResponseBytes is the limit of a response; a larger one is an error.
 	maxPeerResponseBytes = 16 << 20
 )
 
@@ -93,7 +93,7 @@
 	mux.HandleFunc("GET /jobs/{id}/results", func(w http.ResponseWriter, r *http.Request) {
 		after, err := strconv.Atoi(r.URL.Query().Get("after"))
 		wait, waitErr := time.ParseDuration(r.URL.Query().Get("wait"))
-		if err != nil || waitErr != nil {
+		if err != nil || waitErr != nil || after < 0 {
 			writeFailure(w, result.New(result.InvalidField, "after or wait can't be read"))
 			return
 		}
@@ -159,10 +159,16 @@
 		return nil, result.New(result.NoBackend, "%v", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerResponseBytes))
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return nil, result.New(result.NoBackend, "an answer without a length or chunks, which may have been cut")
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerResponseBytes+1))
 	if err != nil {
 		return nil, result.New(result.NoBackend, "%v", err)
 	}
+	if len(body) > maxPeerResponseBytes {
+		return nil, result.New(result.NoBackend, "an answer of over %d bytes", maxPeerResponseBytes)
+	}
 	if resp.StatusCode == http.StatusOK {
 		return body, nil
 	}
--- a/internal/serving/forward/carry.go
+++ b/internal/serving/forward/carry.go
@@ -122,7 +122,7 @@
 			return err
 		case isEvents && len(splitter.Remainder()) > 0:
 			return io.ErrUnexpectedEOF
-		case isEvents && a.reply.Unframed && (a.events == 0 && !resume.Set || f.servers.Down(context.WithoutCancel(ctx), a.server)):
+		case a.reply.Unframed && (isEvents && a.events == 0 || f.servers.Down(context.WithoutCancel(ctx), a.server)):
 			return io.ErrUnexpectedEOF
 		default:
 			return nil
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -269,18 +269,16 @@
 	}
 }
 
-// endedEarly reports whether an answer that ended without an error was cut off.
-// Only the end of its connection ends an unframed answer, and a crash looks the
-// same; one that resumes a stream may rightly have no event left.
+// endedEarly reports whether an answer that ended without an error may have been
+// cut off. Only the end of its connection ends an unframed answer, and a crash
+// looks the same. Without any event it shows nothing but its head, so that not
+// even the end of a stream without events left can be told from a cut.
 func (s *streamSession) endedEarly(ctx context.Context, att *attempt) bool {
 	if !att.reply.Unframed {
 		return false
 	}
-	if _, begun := s.sequence.Last(); !begun {
-		return true
-	}
-	// Another host has checked this before it ended the reply as complete.
-	return att.host == "" && s.forwarder.servers.Down(context.WithoutCancel(ctx), att.server)
+	// Another host has checked its server before it ended the reply as complete.
+	return att.events == 0 || att.host == "" && s.forwarder.servers.Down(context.WithoutCancel(ctx), att.server)
 }
 
 // handleErrorStatus handles an answer with a status other than 200. It returns
@@ -298,7 +296,7 @@
 	if err != nil || len(body) > maxAnswerBytes {
 		return failure
 	}
-	s.out.WriteComplete(att.reply.Status, att.reply.Fields, body)
+	writeAnswer(s.out, att.reply, body)
 	return nil
 }
 
