Entry: close the listener of callers at the end of the drain period

Seen by callers: while a stopping host had an unfinished call of another host, it accepted new connections of callers until the end of its grace period, passed their requests on, and cut them off there without an answer.

Cause: Stop drained its listeners one after the other, and that of other hosts' calls came first. Draining it waits for the calls in progress, and only then did the listener of callers begin to drain. A read of results that waits at the job's owner holds it up for seconds, a call that is not read to its end for the whole grace period.

Now both drain at once. The listeners of readiness checks and of metrics still drain after them, so that the host can be asked until then.

The spec failed before, 3 s after the stop signal of a host with a grace period of 4 s:

an entry host late in its grace period [It] accepts no connections of callers while a call of another host goes on stopping_test.go:165 Expected an error to have occurred. Got: <nil>: nil

--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -78,6 +78,9 @@
 	// stopMargin is the part of the grace period reserved for closing what is
 	// still open.
 	stopMargin = 500 * time.Millisecond
+	// callListeners is the number of the first listeners that take calls, of other
+	// hosts and of callers; the others take readiness checks and metrics.
+	callListeners = 2
 )
 
 // Host is one entry host. It serves from Start until Stop.
@@ -291,12 +294,20 @@
 		h.jobs.Stop(ctx)
 	}()
 	timer.Pause(h.timer, ctx.Done(), drainPeriod-h.timer.Now().Sub(began))
-	for n, listener := range h.listeners {
-		if err := listener.Drain(ctx); err != nil {
-			h.log.Info("requests left at the end", "cause", err.Error())
-		}
-		// Only requests that did not finish in time still have connections.
-		_ = h.httpServers[n].Close()
+	// A call of another host may last as long as the grace period, and callers must
+	// not be accepted meanwhile. Readiness checks and metrics are answered until
+	// all calls have ended.
+	var calls sync.WaitGroup
+	for n := range h.listeners[:callListeners] {
+		calls.Add(1)
+		go func() {
+			defer calls.Done()
+			h.drain(ctx, n)
+		}()
+	}
+	calls.Wait()
+	for n := callListeners; n < len(h.listeners); n++ {
+		h.drain(ctx, n)
 	}
 	select {
 	case <-jobsStopped:
@@ -311,6 +322,15 @@
 	h.log.Info("stopped", "host", h.settings.Name, "took_ms", h.timer.Now().Sub(began).Milliseconds())
 }
 
+// drain drains the listener with that index and closes what is left.
+func (h *Host) drain(ctx context.Context, n int) {
+	if err := h.listeners[n].Drain(ctx); err != nil {
+		h.log.Info("requests left at the end", "cause", err.Error())
+	}
+	// Only requests that did not finish in time still have connections.
+	_ = h.httpServers[n].Close()
+}
+
 // applyConfig puts a configuration in force if it is newer than the current
 // one.
 func (h *Host) applyConfig(text []byte, from string) {
