Drain: keep the read deadline of a request that arrives while draining

Seen by callers: none known; found on the way to the answers that a stopping host owes at the end of its grace period, which need a deadline for a body that doesn't arrive.

Cause: draining sets an expired read deadline on a connection that it takes for idle. If bytes of a request turn out to have arrived, that deadline was removed, and with it the one that the server had set: for the head of a request, or for its body. Each read while draining removed it again, so a request that stopped in its middle was waited for until the process ended.

A connection now remembers the server's deadline and puts that back.

The spec failed before:

a listener of keep-alive connections [It] keeps the read deadline of a request whose body arrives while draining listener_test.go:157 (after 20.003 seconds) read tcp 127.0.0.1:34298->127.0.0.1:34189: i/o timeout

--- a/internal/fleet/drain/listener.go
+++ b/internal/fleet/drain/listener.go
@@ -117,6 +117,8 @@
 	// draining is set, nothing more is read while busy is not set.
 	busy     bool
 	draining bool
+	// readDeadline is the read deadline that the server set last.
+	readDeadline time.Time
 }
 
 // expiredDeadline is a read deadline that ends a blocked read at once.
@@ -140,8 +142,8 @@
 	c.busy = true
 	if c.draining {
 		// These bytes were read while drain was called. Their request is served, so
-		// the expired deadline that drain may have set is removed.
-		_ = c.Conn.SetReadDeadline(time.Time{})
+		// the server's deadline replaces the expired one that drain may have set.
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
 	}
 	return n, err
 }
@@ -158,6 +160,7 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.readDeadline = t
 	if c.draining && !c.busy {
 		t = expiredDeadline
 	}
--- a/internal/fleet/drain/listener_test.go
+++ b/internal/fleet/drain/listener_test.go
@@ -19,6 +19,9 @@
 // speed.
 const timeout = 20 * time.Second
 
+// readLimit is how long the handler of /limited reads a body.
+const readLimit = 500 * time.Millisecond
+
 // notifyingListener is a listener whose connections send the size of each
 // non-empty read to read.
 type notifyingListener struct {
@@ -59,6 +62,10 @@
 			if r.URL.Path == "/held" {
 				<-release
 			}
+			if r.URL.Path == "/limited" {
+				_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readLimit))
+				_, _ = io.Copy(io.Discard, r.Body)
+			}
 			_, _ = io.WriteString(w, "answer")
 		})}
 		served := make(chan error, 1)
@@ -141,6 +148,16 @@
 		_ = unused
 	})
 
+	It("keeps the read deadline of a request whose body arrives while draining", func() {
+		c, in := dial()
+		send(c, "POST /limited HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nx")
+		Eventually(read, timeout).Should(Receive())
+		drained := startDrain()
+		send(c, "x")
+		expectAnswer(in)
+		Eventually(drained, timeout).Should(Receive(BeNil()))
+	})
+
 	It("stops waiting when its context ends", func() {
 		c, _ := dial()
 		send(c, strings.Replace(request, "/", "/held", 1))
