Entry: end the calls of a stopping host before its connections

Seen by callers: requests that were still running, or whose body was still arriving, when the grace period of a stopping host ended were cut with no answer. The caller of one that may run once only can't know whether it ran, and one whose body the host was still reading certainly had not.

Cause: at the end of the grace period Stop closed the sockets, and only that ended the calls. No time was left for an answer.

The grace period now has a timetable, drain.Plan, which follows from its length: draining, last answers, closing. When the last answers are due, each request that is still being processed ends, through its context.

--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -72,12 +72,6 @@
 	// the operator allows callers.
 	headerTimeout = 20 * time.Second
 	idleTimeout   = 90 * time.Second
-	// drainPeriod is how long connections are still accepted after Stop was
-	// called: the platform checks readiness once a second and needs two answers.
-	drainPeriod = 2500 * time.Millisecond
-	// stopMargin is the part of the grace period reserved for closing what is
-	// still open.
-	stopMargin = 500 * time.Millisecond
 	// callListeners is the number of the first listeners that take calls, of other
 	// hosts and of callers; the others take readiness checks and metrics.
 	callListeners = 2
@@ -109,6 +103,9 @@
 	serverFollower *follow.Follower
 
 	stopping atomic.Bool
+	// ending ends when the last answers of a stopping host are due.
+	ending   context.Context
+	endCalls context.CancelCauseFunc
 	// fetchingConfig and fetchingServers are set while the configuration or the
 	// list of servers is fetched from another host.
 	fetchingConfig  atomic.Bool
@@ -131,6 +128,7 @@
 	a.Store = store.NewInstrumented(a.Store, t)
 	h := &Host{settings: s, timer: t, log: log, adapter: a, ctx: ctx, cancel: cancel, started: t.Now()}
 	a.Servers = &limitObserver{Servers: a.Servers, host: h}
+	h.ending, h.endCalls = context.WithCancelCause(context.Background())
 	h.self = notice.Member{Host: s.Name, Zone: s.Zone, Address: s.PeerAddress, Start: t.Now().UnixNano(), Weight: int(s.ProcessorShare * 1000)}
 	h.members = notice.NewPeerTable(h.self, h.handleLiveness)
 	h.placer = scheduler.New(s.Name, s.Zone, rand.Float64, h.sendNoticeSoon)
@@ -279,21 +277,24 @@
 }
 
 // Stop stops the host gracefully: it reports that it is not ready, finishes the
-// requests in progress and hands its jobs over to other hosts. What is not done
-// at the end of the grace period is cut off.
+// requests in progress and hands its jobs over to other hosts. Calls that would
+// outlast the grace period are ended shortly before; see drain.Plan.
 func (h *Host) Stop() {
 	began := h.timer.Now()
+	plan := drain.NewPlan(began, time.Duration(h.settings.GraceSeconds*float64(time.Second)))
 	h.stopping.Store(true)
 	h.notices.SetStopping()
 	h.log.Info("stopping", "host", h.settings.Name)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(h.settings.GraceSeconds*float64(time.Second))-stopMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), plan.Close.Sub(began))
 	defer cancel()
+	lastAnswer := h.timer.After(plan.LastAnswer.Sub(began), func(time.Time) { h.endCalls(errStopping) })
+	defer lastAnswer.Cancel()
 	jobsStopped := make(chan struct{})
 	go func() {
 		defer close(jobsStopped)
 		h.jobs.Stop(ctx)
 	}()
-	timer.Pause(h.timer, ctx.Done(), drainPeriod-h.timer.Now().Sub(began))
+	timer.Pause(h.timer, ctx.Done(), plan.Drain.Sub(h.timer.Now()))
 	// A call of another host may last as long as the grace period, and callers must
 	// not be accepted meanwhile. Readiness checks and metrics are answered until
 	// all calls have ended.
--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -106,7 +106,8 @@
 	return &Forwarder{timer: t, log: log, servers: servers, directory: directory, slots: s, suspects: g, origins: o}
 }
 
-// Serve answers a call through out. It returns nil if the complete answer was
+// Serve answers a call through out. If ctx ends with a *result.Error as its
+// cause, that is the error of a call whose answer has not begun. It returns nil if the complete answer was
 // written. Otherwise, if begun, the caller of Serve must abort the answer so
 // that it does not look complete; if not begun, failure is the error to answer
 // with.
@@ -132,13 +133,27 @@
 	} else {
 		failure = f.serveUnary(ctx, c, out)
 	}
-	if failure != nil && !begun && ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.Canceled) {
-		failure = result.New(result.DeadlinePassed, "no answer within the route's or the caller's time").WithRan(failure.Ran())
+	if failure != nil && !begun && ctx.Err() != nil {
+		failure = endError(ctx, failure)
 	}
 	f.recordOutcome(c, begun, failure)
 	return begun, failure
 }
 
+// endError returns the error of a call that ended with its context: the cause of
+// the context's end if that is a result.Error, and failure if the caller left.
+func endError(ctx context.Context, failure *result.Error) *result.Error {
+	cause := context.Cause(ctx)
+	var ended *result.Error
+	switch {
+	case errors.As(cause, &ended):
+		return ended.WithRan(failure.Ran())
+	case errors.Is(cause, context.Canceled):
+		return failure
+	}
+	return result.New(result.DeadlinePassed, "no answer within the route's or the caller's time").WithRan(failure.Ran())
+}
+
 // recordOutcome updates the metrics and logs how a call ended.
 func (f *Forwarder) recordOutcome(c *exchange.Call, begun bool, failure *result.Error) {
 	took := f.timer.Now().Sub(c.Received)
--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -203,7 +203,7 @@
 		out       *recordingWriter
 		directory *backend.Directory
 	)
-	serve := func(route routes.Route, replies ...scriptedReply) (bool, *result.Error) {
+	serveIn := func(ctx context.Context, route routes.Route, replies ...scriptedReply) (bool, *result.Error) {
 		s, out = &scriptedServers{replies: replies}, &recordingWriter{}
 		directory = backend.NewDirectory(func(backend.Server, string) {})
 		for _, id := range []string{"a", "b", "c", "d"} {
@@ -220,10 +220,13 @@
 		placer := scheduler.New("A", "z", func() float64 { return 0.5 }, func() {})
 		f := forward.New(clock, logr.Discard(), s, directory,
 			slots.New(clock, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {}), newGuard(), &keptOrigins{})
-		begun, failure := f.Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: clock.Now()}, out)
+		begun, failure := f.Serve(ctx, &exchange.Call{ID: "1", Route: &route, Received: clock.Now()}, out)
 		Eventually(func() int { loads, _ := placer.LocalState(clock.Now()); return len(loads) }, 10*time.Second).Should(BeZero(), "all slots must be released")
 		return begun, failure
 	}
+	serve := func(route routes.Route, replies ...scriptedReply) (bool, *result.Error) {
+		return serveIn(context.Background(), route, replies...)
+	}
 
 	DescribeTable("retries only where allowed and reports whether the call ran",
 		func(kind routes.Kind, resumable bool, attempts int, replies []scriptedReply, sends int, want result.Code, ran result.Ran, body string) {
@@ -336,6 +339,33 @@
 		Entry("a stream after its first event", routes.Stream, true, scriptedReply{body: numberedEvents(1, 1), hold: true}),
 	)
 
+	DescribeTable("returns the cause with which the host ends a call, and whether the call may have run", func(kind routes.Kind, begun bool, reply scriptedReply) {
+		ctx, cancel := context.WithTimeoutCause(context.Background(), 30*time.Millisecond, result.New(result.Stopping, "the host stops").WithRetry(time.Second))
+		defer cancel()
+		started, failure := serveIn(ctx, routes.Route{Kind: kind, MaxAttempts: 1}, reply)
+		Expect(started).To(Equal(begun))
+		Expect(failure).NotTo(BeNil())
+		if !begun {
+			Expect(failure.Code()).To(Equal(result.Stopping))
+		}
+		Expect(failure.Ran()).NotTo(Equal(result.RanNo))
+	},
+		Entry("not a stream", routes.Once, false, scriptedReply{hold: true}),
+		Entry("a repeatable one", routes.Repeatable, false, scriptedReply{hold: true}),
+		Entry("a stream before its first event", routes.Stream, false, scriptedReply{hold: true}),
+		Entry("a stream after its first event", routes.Stream, true, scriptedReply{body: numberedEvents(1, 1), hold: true}),
+	)
+
+	It("reports a call that no server got when the host ended it as not run, to be tried again", func() {
+		ctx, cancel := context.WithCancelCause(context.Background())
+		cancel(result.New(result.Stopping, "the host stops").WithRetry(time.Second))
+		_, failure := serveIn(ctx, routes.Route{Kind: routes.Stream, MaxAttempts: 1}, scriptedReply{unsent: true})
+		Expect(failure).NotTo(BeNil())
+		Expect(failure.Code()).To(Equal(result.Stopping))
+		Expect(failure.RetryAfter()).To(Equal(time.Second))
+		Expect(failure.Ran()).To(Equal(result.RanNo))
+	})
+
 	It("moves a silent stream to another server without ending the answer", func() {
 		route := routes.Route{Kind: routes.Stream, Resumable: true, MaxAttempts: 2, PauseObjective: 20 * time.Millisecond}
 		_, failure := serve(route, scriptedReply{body: numberedEvents(1, 2), hold: true}, scriptedReply{body: numberedEvents(3, 4)})
