Entry: a stopping host sends a call only if it can be expected to end

Seen by callers: a request that was complete late in the grace period of a stopping host was passed on and ended with the grace period, although a refusal as not run would have let its caller go to another host at once. Streams were cut in their middle; a call that may run once only could not be repeated.

Cause: nothing compared a call with the time that was left. A request of which a part had been read when draining began was sent to a server whenever the rest came, and so was one that a server had refused.

drain.Plan.Accepts decides this, each time a call that no server has run is about to be sent: until the host drains, a call whose first part is due in time; later one whose own time ends before the last answers, or a repeatable one that is usually answered by then.

--- a/internal/fleet/drain/plan.go
+++ b/internal/fleet/drain/plan.go
@@ -16,6 +16,9 @@
 	// the connections are closed, at most answerShare of the grace period.
 	answerMargin = 250 * time.Millisecond
 	answerShare  = 1.0 / 32
+	// usualAnswerFactor times the latency objective is the time in which nearly all
+	// calls with one answer are answered.
+	usualAnswerFactor = 2
 )
 
 // Plan is the timetable of a host that stops.
@@ -43,3 +46,35 @@
 		LastAnswer: end.Add(-share(answerMargin, answerShare)), Close: end,
 	}
 }
+
+// Need is what a call needs of the time that is left.
+type Need struct {
+	// Deadline is when the call ends at the latest, by the caller's deadline or
+	// the route's timeout; zero if there is neither.
+	Deadline time.Time
+	// Objective is the target time to the first part of the answer.
+	Objective time.Duration
+	// Repeatable reports whether the call has one answer, which the caller may ask
+	// for again if it does not come.
+	Repeatable bool
+}
+
+// Accepts reports whether a call that no server has run may be sent to one now.
+//
+// Until the host drains, a call may be passed on if the first part of its answer
+// is due in time. The answer of nearly every such call is complete in time, while
+// a refusal would make the caller try once more. Later comes only what was being
+// read when draining began, and what a server refused. It may be sent only if it
+// ends in time in any case, or usually does and may be repeated.
+func (p Plan) Accepts(now time.Time, n Need) bool {
+	left := p.LastAnswer.Sub(now)
+	switch {
+	case left <= 0:
+		return false
+	case !n.Deadline.IsZero() && !n.Deadline.After(p.LastAnswer):
+		return true
+	case now.Before(p.Drain):
+		return n.Objective <= left
+	}
+	return n.Repeatable && usualAnswerFactor*n.Objective <= left
+}
--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -103,7 +103,8 @@
 	serverFollower *follow.Follower
 
 	stopping atomic.Bool
-	// ending ends when the last answers of a stopping host are due.
+	// plan is nil until Stop. ending ends when its last answers are due.
+	plan     atomic.Pointer[drain.Plan]
 	ending   context.Context
 	endCalls context.CancelCauseFunc
 	// fetchingConfig and fetchingServers are set while the configuration or the
@@ -138,7 +139,7 @@
 	h.slots = slots.New(t, log, h.self, h.placer, h.directory, (*slotsNetwork)(h), func() { h.jobs.TriggerSchedule() })
 	h.suspects = suspect.NewGuard(t, log, (*suspectsFleet)(h))
 	h.origins = newOrigins(h)
-	h.forwarder = forward.New(t, log, a.Servers, h.directory, h.slots, h.suspects, h.origins)
+	h.forwarder = forward.New(t, log, a.Servers, h.directory, h.slots, h.suspects, h.origins, (*stopAdmission)(h))
 	h.peers = newPeers(h)
 	h.configFollower = follow.New(t, log, a.Store, a.ConfigKey, (*configHandler)(h), h.readsStore, h.readerCount)
 	h.serverFollower = follow.New(t, log, a.Store, a.ServerPrefix, (*serverHandler)(h), h.readsStore, h.readerCount)
@@ -282,6 +283,7 @@
 func (h *Host) Stop() {
 	began := h.timer.Now()
 	plan := drain.NewPlan(began, time.Duration(h.settings.GraceSeconds*float64(time.Second)))
+	h.plan.Store(&plan)
 	h.stopping.Store(true)
 	h.notices.SetStopping()
 	h.log.Info("stopping", "host", h.settings.Name)
--- a/internal/fleet/entry/stopping.go
+++ b/internal/fleet/entry/stopping.go
@@ -4,7 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/kingcupquay/kingcupquay/internal/fleet/drain"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/operator/routes"
+	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
+	"github.com/kingcupquay/kingcupquay/internal/serving/forward"
 )
 
 // stopRetryAfter is the retry delay given to a caller whose call a stopping host
@@ -26,3 +30,21 @@
 		cancel(nil)
 	}
 }
+
+// stopAdmission refuses calls that a stopping host can't expect to end in time.
+type stopAdmission Host
+
+var _ forward.Admission = (*stopAdmission)(nil)
+
+// Admit refuses a call that would end too late; see drain.Plan.Accepts.
+func (a *stopAdmission) Admit(c *exchange.Call) *result.Error {
+	plan, now := a.plan.Load(), a.timer.Now()
+	if plan == nil {
+		return nil
+	}
+	need := drain.Need{Deadline: c.EndsBy(), Objective: c.Route.Objective, Repeatable: c.Route.Kind == routes.Repeatable}
+	if plan.Accepts(now, need) {
+		return nil
+	}
+	return result.New(result.Stopping, "this host stops, and its last answers are due in %d ms", plan.LastAnswer.Sub(now).Milliseconds()).WithRetry(stopRetryAfter)
+}
--- a/internal/serving/exchange/call.go
+++ b/internal/serving/exchange/call.go
@@ -54,6 +54,18 @@
 	Attempts []string
 }
 
+// EndsBy returns when the call ends at the latest, by Deadline or the route's
+// timeout; zero if there is neither.
+func (c *Call) EndsBy() time.Time {
+	if c.Route.Timeout <= 0 {
+		return c.Deadline
+	}
+	if routeDeadline := c.Received.Add(c.Route.Timeout); c.Deadline.IsZero() || routeDeadline.Before(c.Deadline) {
+		return routeDeadline
+	}
+	return c.Deadline
+}
+
 // ContentHash identifies what the call asks for, whoever sends it.
 func (c *Call) ContentHash() uint64 {
 	hash := xxhash.New()
--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -80,6 +80,13 @@
 	slots     Slots
 	suspects  *suspect.Guard
 	origins   Origins
+	admission Admission
+}
+
+// Admission decides whether a call that no server has run may be sent now.
+type Admission interface {
+	// Admit returns nil, or the error to refuse the call with.
+	Admit(c *exchange.Call) *result.Error
 }
 
 // Origins keeps which software version began the streams of callers.
@@ -102,8 +109,8 @@
 }
 
 // New returns a forwarder.
-func New(t timer.Service, log logr.Logger, servers exchange.Servers, directory *backend.Directory, s Slots, g *suspect.Guard, o Origins) *Forwarder {
-	return &Forwarder{timer: t, log: log, servers: servers, directory: directory, slots: s, suspects: g, origins: o}
+func New(t timer.Service, log logr.Logger, servers exchange.Servers, directory *backend.Directory, s Slots, g *suspect.Guard, o Origins, a Admission) *Forwarder {
+	return &Forwarder{timer: t, log: log, servers: servers, directory: directory, slots: s, suspects: g, origins: o, admission: a}
 }
 
 // Serve answers a call through out. If ctx ends with a *result.Error as its
@@ -114,11 +121,7 @@
 func (f *Forwarder) Serve(ctx context.Context, c *exchange.Call, out ResponseWriter) (begun bool, failure *result.Error) {
 	c.Service = c.Route.Pick(rand.Float64())
 	callerDeadline := c.Deadline
-	if c.Route.Timeout > 0 {
-		if routeDeadline := c.Received.Add(c.Route.Timeout); c.Deadline.IsZero() || routeDeadline.Before(c.Deadline) {
-			c.Deadline = routeDeadline
-		}
-	}
+	c.Deadline = c.EndsBy()
 	if !c.Deadline.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, c.Deadline.Sub(f.timer.Now()))
--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -174,6 +174,21 @@
 	return suspect.NewGuard(timer.Real{}, logr.Discard(), suspect.Alone{})
 }
 
+// admit admits all calls.
+type admit struct{}
+
+func (admit) Admit(*exchange.Call) *result.Error { return nil }
+
+// admitFirst admits the given number of checks and refuses all later ones.
+type admitFirst struct{ left int }
+
+func (a *admitFirst) Admit(*exchange.Call) *result.Error {
+	if a.left--; a.left < 0 {
+		return result.New(result.Stopping, "the host stops")
+	}
+	return nil
+}
+
 // newForwarder returns a forwarder with a directory of count servers.
 func newForwarder(servers exchange.Servers, count int, guard *suspect.Guard) (*forward.Forwarder, *scheduler.Placer) {
 	directory := backend.NewDirectory(func(backend.Server, string) {})
@@ -183,7 +198,7 @@
 	}
 	placer := scheduler.New("A", "z", func() float64 { return 0.5 }, func() {})
 	places := slots.New(timer.Real{}, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {})
-	return forward.New(timer.Real{}, logr.Discard(), servers, directory, places, guard, &keptOrigins{}), placer
+	return forward.New(timer.Real{}, logr.Discard(), servers, directory, places, guard, &keptOrigins{}, admit{}), placer
 }
 
 // waitRecorder records how long each placed call may wait for a slot.
@@ -202,7 +217,9 @@
 		s         *scriptedServers
 		out       *recordingWriter
 		directory *backend.Directory
+		admission forward.Admission
 	)
+	BeforeEach(func() { admission = admit{} })
 	serveIn := func(ctx context.Context, route routes.Route, replies ...scriptedReply) (bool, *result.Error) {
 		s, out = &scriptedServers{replies: replies}, &recordingWriter{}
 		directory = backend.NewDirectory(func(backend.Server, string) {})
@@ -219,7 +236,7 @@
 		clock := timer.Real{}
 		placer := scheduler.New("A", "z", func() float64 { return 0.5 }, func() {})
 		f := forward.New(clock, logr.Discard(), s, directory,
-			slots.New(clock, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {}), newGuard(), &keptOrigins{})
+			slots.New(clock, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {}), newGuard(), &keptOrigins{}, admission)
 		begun, failure := f.Serve(ctx, &exchange.Call{ID: "1", Route: &route, Received: clock.Now()}, out)
 		Eventually(func() int { loads, _ := placer.LocalState(clock.Now()); return len(loads) }, 10*time.Second).Should(BeZero(), "all slots must be released")
 		return begun, failure
@@ -366,6 +383,34 @@
 		Expect(failure.Ran()).To(Equal(result.RanNo))
 	})
 
+	DescribeTable("sends no call that is not admitted, and answers that it was not run", func(kind routes.Kind, admitted int, replies ...scriptedReply) {
+		admission = &admitFirst{left: admitted}
+		begun, failure := serve(routes.Route{Kind: kind, MaxAttempts: 3, Resumable: true}, replies...)
+		Expect(begun).To(BeFalse())
+		Expect(failure).NotTo(BeNil())
+		Expect(failure.Ran()).To(Equal(result.RanNo))
+		Expect(s.sent).To(HaveLen(admitted))
+	},
+		Entry("a call that may run once only", routes.Once, 0),
+		Entry("a repeatable one", routes.Repeatable, 0),
+		Entry("a stream", routes.Stream, 0),
+		Entry("one that a server refused", routes.Once, 1, scriptedReply{overloaded: true}),
+		Entry("a repeatable one that a server refused", routes.Repeatable, 1, scriptedReply{overloaded: true}),
+		Entry("a stream that a server refused", routes.Stream, 1, scriptedReply{overloaded: true}),
+		Entry("one that was not sent", routes.Once, 1, scriptedReply{unsent: true}),
+	)
+
+	DescribeTable("goes on with a call that a server may have run, though it would not be admitted now", func(kind routes.Kind, answer string, replies ...scriptedReply) {
+		admission = &admitFirst{left: 1}
+		_, failure := serve(routes.Route{Kind: kind, MaxAttempts: 2, Resumable: true}, replies...)
+		Expect(failure).To(BeNil())
+		Expect(out.body.String()).To(Equal(answer))
+	},
+		Entry("a stream that has begun", routes.Stream, numberedEvents(1, 4), scriptedReply{body: numberedEvents(1, 2), truncated: true}, scriptedReply{body: numberedEvents(3, 4)}),
+		Entry("a stream that was lost", routes.Stream, numberedEvents(1, 2), scriptedReply{lost: true}, scriptedReply{body: numberedEvents(1, 2)}),
+		Entry("a repeatable call that was lost", routes.Repeatable, "yes", scriptedReply{lost: true}, scriptedReply{body: "yes"}),
+	)
+
 	It("moves a silent stream to another server without ending the answer", func() {
 		route := routes.Route{Kind: routes.Stream, Resumable: true, MaxAttempts: 2, PauseObjective: 20 * time.Millisecond}
 		_, failure := serve(route, scriptedReply{body: numberedEvents(1, 2), hold: true}, scriptedReply{body: numberedEvents(3, 4)})
@@ -388,7 +433,7 @@
 				Kind: routes.Stream, Resumable: true, MaxAttempts: 3, Timeout: time.Minute, Objective: 300 * time.Millisecond, Shares: []routes.Share{{Service: "s", Weight: 1}},
 			}
 			call := &exchange.Call{ID: "y", Route: &route, Received: time.Now(), TakeUp: &exchange.TakeUp{After: 2, Attempts: attempts}}
-			_, failure := forward.New(timer.Real{}, logr.Discard(), s, directory, recorder, newGuard(), began).Serve(context.Background(), call, out)
+			_, failure := forward.New(timer.Real{}, logr.Discard(), s, directory, recorder, newGuard(), began, admit{}).Serve(context.Background(), call, out)
 			return failure
 		}
 
@@ -436,7 +481,7 @@
 			Kind: routes.Stream, Resumable: true, MaxAttempts: 2, Timeout: time.Minute, Objective: 300 * time.Millisecond,
 			Shares: []routes.Share{{Service: "s", Weight: 1}},
 		}
-		_, failure := forward.New(timer.Real{}, logr.Discard(), s, directory, recorder, newGuard(), &keptOrigins{}).Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: time.Now()}, out)
+		_, failure := forward.New(timer.Real{}, logr.Discard(), s, directory, recorder, newGuard(), &keptOrigins{}, admit{}).Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: time.Now()}, out)
 		Expect(failure).To(BeNil())
 		Expect(recorder.waits).To(HaveLen(2))
 		Expect(recorder.waits[0]).To(BeNumerically("<", route.Objective))
@@ -456,7 +501,7 @@
 		directory := backend.NewDirectory(func(backend.Server, string) {})
 		placer := scheduler.New("A", "z", func() float64 { return 0 }, func() {})
 		f := forward.New(timer.Real{}, logr.Discard(), &scriptedServers{}, directory,
-			slots.New(timer.Real{}, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {}), newGuard(), &keptOrigins{})
+			slots.New(timer.Real{}, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {}), newGuard(), &keptOrigins{}, admit{})
 		_, failure := f.Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: time.Now()}, &recordingWriter{})
 		Expect(failure.Code()).To(Equal(result.NoBackend))
 		Expect(failure.Ran()).To(Equal(result.RanNo))
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -164,6 +164,11 @@
 	if s.bound && s.software == "" {
 		return scheduler.Choice{}, result.New(result.VersionUnavailable, "the software version that began the stream is not known")
 	}
+	if s.ran == result.RanNo {
+		if failure := s.forwarder.admission.Admit(s.call); failure != nil {
+			return scheduler.Choice{}, failure
+		}
+	}
 	return s.forwarder.place(ctx, s.call, s.software, s.avoid, maxWait)
 }
 
--- a/internal/serving/forward/unary.go
+++ b/internal/serving/forward/unary.go
@@ -99,6 +99,11 @@
 	sent, unsent, running := 0, 0, 0
 	ran := result.RanNo
 	start := func() *result.Error {
+		if ran == result.RanNo {
+			if failure := f.admission.Admit(c); failure != nil {
+				return failure
+			}
+		}
 		failure := f.startAttempt(ctx, c, avoid, done)
 		if failure == nil {
 			running, sent = running+1, sent+1
