Jobs: readers that wait at a stopped host poll the store at its interval

Seen by operators: a stopping host could use up the store's read limit. A caller who waits for results of a job that the host has handed over, and whose owner is not known or does not answer, made it read the job's record again and again with no pause, for up to 2 s.

Cause: the pause between two such reads ended with the manager's context, which the stop ends first. While the host stops, readers are still answered, so the pause must not end with it.

The pause now ends with the reader's call only. That one ends when the last answers of a stopping host are due.

The spec failed before (reads of one waiting reader in 0.3 s):

a manager [It] does not read the store without pause for a reader that waits at a host that has stopped Expected <int64>: 2004 to be <= <int>: 3

--- a/internal/batch/ownership/manager_test.go
+++ b/internal/batch/ownership/manager_test.go
@@ -245,6 +245,35 @@
 		expectComplete(Default, listResults(Default, hostA, "j"), 2)
 	})
 
+	It("does not read the store without pause for a reader that waits at a host that has stopped", func() {
+		f := newFleet("A")
+		f.servers.block = make(chan struct{})
+		defer close(f.servers.block)
+		hostA := f.hosts["A"]
+		Expect(hostA.Submit(ctx, submission("j", 1, 1))).To(BeNil())
+		hostA.dead.Store(true)
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			hostA.Stop(ctx)
+		}()
+		f.eventually(func(g Gomega) { g.Expect(stopped).To(BeClosed()) })
+		var reads atomic.Int64
+		f.kv.SetFaults(func(op string) platform.Fault {
+			if op == "get" {
+				reads.Add(1)
+			}
+			return platform.NoFault
+		})
+		// The clock stands still, so only the end of the reader's call ends its wait.
+		readCtx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+		defer cancel()
+		page, failure := hostA.Manager.Results(readCtx, "j", 0, 2*time.Second, true)
+		Expect(failure == nil || failure.Ran() == result.RanNo).To(BeTrue())
+		Expect(page.Results).To(BeEmpty())
+		Expect(reads.Load()).To(BeNumerically("<=", 3))
+	})
+
 	It("runs a job whose owner was never told that it owns it, in a fleet where few hosts scan", func() {
 		names := []string{"A", "B", "C", "D", "E", "F", "G", "H", "I", "J", "K"}
 		f := newFleet(names...)
--- a/internal/batch/ownership/reading.go
+++ b/internal/batch/ownership/reading.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/kingcupquay/kingcupquay/internal/batch/jobstate"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
 )
 
@@ -172,7 +173,7 @@
 		if len(page.Results) > 0 || !r.Open() || deadline.Sub(m.Timer.Now()) < storePollInterval || ctx.Err() != nil {
 			return page, nil
 		}
-		m.pause(ctx, storePollInterval)
+		timer.Pause(m.Timer, ctx.Done(), storePollInterval)
 	}
 }
 
