Drain: serve requests that cross the beginning of draining

Cause: calls counted as late from the very moment of draining, but a request on a kept connection may have been sent before its caller could see the connection end.

Calls count as late a quarter of a second after draining began, at most a thirty-second of the grace period. That is still within three eighths of the grace period.

--- a/internal/fleet/drain/plan.go
+++ b/internal/fleet/drain/plan.go
@@ -8,6 +8,11 @@
 	// acceptShare of the grace period.
 	acceptPeriod = 2500 * time.Millisecond
 	acceptShare  = 1.0 / 3
+	// crossingMargin is how much later a request may arrive that was sent before
+	// its caller could see the connection end, at most crossingShare of the grace
+	// period.
+	crossingMargin = 250 * time.Millisecond
+	crossingShare  = 1.0 / 32
 	// closeMargin is the part of the grace period reserved for ending the process
 	// after the last connections were closed, at most closeShare of it.
 	closeMargin = 500 * time.Millisecond
@@ -27,6 +32,9 @@
 	Began time.Time
 	// Drain is when the host stops accepting connections and ends the idle ones.
 	Drain time.Time
+	// Late is when requests count as late: those that come until then may have been
+	// sent before draining began.
+	Late time.Time
 	// LastAnswer is when the calls that are still running are ended, each with an
 	// answer that is complete or recognizably cut off.
 	LastAnswer time.Time
@@ -40,9 +48,10 @@
 	share := func(limit time.Duration, part float64) time.Duration {
 		return min(limit, time.Duration(part*float64(grace)))
 	}
+	drained := began.Add(share(acceptPeriod, acceptShare))
 	end := began.Add(grace - share(closeMargin, closeShare))
 	return Plan{
-		Began: began, Drain: began.Add(share(acceptPeriod, acceptShare)),
+		Began: began, Drain: drained, Late: drained.Add(share(crossingMargin, crossingShare)),
 		LastAnswer: end.Add(-share(answerMargin, answerShare)), Close: end,
 	}
 }
@@ -61,11 +70,11 @@
 
 // Accepts reports whether a call that no server has run may be sent to one now.
 //
-// Until the host drains, a call may be passed on if the first part of its answer
+// Until calls count as late, one may be passed on if the first part of its answer
 // is due in time. The answer of nearly every such call is complete in time, while
-// a refusal would make the caller try once more. Later comes only what was being
-// read when draining began, and what a server refused. It may be sent only if it
-// ends in time in any case, or usually does and may be repeated.
+// a refusal would make the caller try once more. Late ones are what was being
+// read when draining began, and what a server refused. They may be sent only if
+// they end in time in any case, or usually do and may be repeated.
 func (p Plan) Accepts(now time.Time, n Need) bool {
 	left := p.LastAnswer.Sub(now)
 	switch {
@@ -73,7 +82,7 @@
 		return false
 	case !n.Deadline.IsZero() && !n.Deadline.After(p.LastAnswer):
 		return true
-	case now.Before(p.Drain):
+	case now.Before(p.Late):
 		return n.Objective <= left
 	}
 	return n.Repeatable && usualAnswerFactor*n.Objective <= left
