--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -74,12 +74,9 @@
 	// the operator allows callers.
 	headerTimeout = 20 * time.Second
 	idleTimeout   = 90 * time.Second
-	// drainPeriod is how long connections are still accepted after Stop was
-	// called: the platform checks readiness once a second and needs two answers.
-	drainPeriod = 2500 * time.Millisecond
-	// stopMargin is the part of the grace period reserved for closing what is
-	// still open.
-	stopMargin = 500 * time.Millisecond
+	// callListeners is the number of the first listeners that take calls, of other
+	// hosts and of callers; the others take readiness checks and metrics.
+	callListeners = 2
 )
 
 // Host is one entry host. It serves from Start until Stop.
@@ -112,6 +109,10 @@
 	serverFollower *follow.Follower
 
 	stopping atomic.Bool
+	// plan is nil until Stop. ending ends when its last answers are due.
+	plan     atomic.Pointer[drain.Plan]
+	ending   context.Context
+	endCalls context.CancelCauseFunc
 	// fetchingConfig and fetchingServers are set while the configuration or the
 	// list of servers is fetched from another host.
 	fetchingConfig  atomic.Bool
@@ -139,6 +140,7 @@
 	a.Servers = &reachObserver{Servers: &limitObserver{Servers: a.Servers, host: h}, host: h}
 	h.adapter.Servers = a.Servers
 	h.reach, h.passing = reach.NewTracker(), newPassing(h)
+	h.ending, h.endCalls = context.WithCancelCause(context.Background())
 	h.self = notice.Member{Host: s.Name, Zone: s.Zone, Address: s.PeerAddress, Start: t.Now().UnixNano(), Weight: int(s.ProcessorShare * 1000)}
 	h.members = notice.NewPeerTable(h.self, h.handleLiveness)
 	h.placer = scheduler.New(s.Name, s.Zone, rand.Float64, h.sendNoticeSoon)
@@ -149,7 +151,7 @@
 	h.suspects = suspect.NewGuard(t, log, (*suspectsFleet)(h))
 	h.origins = newOrigins(h)
 	servers := crash.NewDetector(log, a.Servers, h.directory)
-	h.forwarder = forward.New(t, log, servers, h.directory, h.slots, h.suspects, h.origins)
+	h.forwarder = forward.New(t, log, servers, h.directory, h.slots, h.suspects, h.origins, (*stopAdmission)(h))
 	h.forwarder.SetPeers(h.passing)
 	h.peers = newPeers(h)
 	h.configFollower = follow.New(t, log, a.Store, a.ConfigKey, (*configHandler)(h), h.readsStore, h.readerCount)
@@ -290,27 +292,39 @@
 }
 
 // Stop stops the host gracefully: it reports that it is not ready, finishes the
-// requests in progress and hands its jobs over to other hosts. What is not done
-// at the end of the grace period is cut off.
+// requests in progress and hands its jobs over to other hosts. Calls that would
+// outlast the grace period are ended shortly before; see drain.Plan.
 func (h *Host) Stop() {
 	began := h.timer.Now()
+	plan := drain.NewPlan(began, time.Duration(h.settings.GraceSeconds*float64(time.Second)))
+	h.plan.Store(&plan)
 	h.stopping.Store(true)
 	h.notices.SetStopping()
 	h.log.Info("stopping", "host", h.settings.Name)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(h.settings.GraceSeconds*float64(time.Second))-stopMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), plan.Close.Sub(began))
 	defer cancel()
+	lastAnswer := h.timer.After(plan.LastAnswer.Sub(began), func(time.Time) { h.endCalls(errStopping) })
+	defer lastAnswer.Cancel()
 	jobsStopped := make(chan struct{})
 	go func() {
 		defer close(jobsStopped)
 		h.jobs.Stop(ctx)
 	}()
-	timer.Pause(h.timer, ctx.Done(), drainPeriod-h.timer.Now().Sub(began))
-	for n, listener := range h.listeners {
-		if err := listener.Drain(ctx); err != nil {
-			h.log.Info("requests left at the end", "cause", err.Error())
-		}
-		// Only requests that did not finish in time still have connections.
-		_ = h.httpServers[n].Close()
+	timer.Pause(h.timer, ctx.Done(), plan.Drain.Sub(h.timer.Now()))
+	// A call of another host may last as long as the grace period, and callers must
+	// not be accepted meanwhile. Readiness checks and metrics are answered until
+	// all calls have ended.
+	var calls sync.WaitGroup
+	for n := range h.listeners[:callListeners] {
+		calls.Add(1)
+		go func() {
+			defer calls.Done()
+			h.drain(ctx, n)
+		}()
+	}
+	calls.Wait()
+	for n := callListeners; n < len(h.listeners); n++ {
+		h.drain(ctx, n)
 	}
 	select {
 	case <-jobsStopped:
@@ -325,6 +339,15 @@
 	h.log.Info("stopped", "host", h.settings.Name, "took_ms", h.timer.Now().Sub(began).Milliseconds())
 }
 
+// drain drains the listener with that index and closes what is left.
+func (h *Host) drain(ctx context.Context, n int) {
+	if err := h.listeners[n].Drain(ctx); err != nil {
+		h.log.Info("requests left at the end", "cause", err.Error())
+	}
+	// Only requests that did not finish in time still have connections.
+	_ = h.httpServers[n].Close()
+}
+
 // applyConfig puts a configuration in force if it is newer than the current
 // one.
 func (h *Host) applyConfig(text []byte, from string) {
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -167,6 +167,11 @@
 		return nil, result.New(result.VersionUnavailable, "the software version that began the stream is not known")
 	}
 	f := s.forwarder
+	if s.ran == result.RanNo {
+		if failure := f.admission.Admit(s.call); failure != nil {
+			return nil, failure
+		}
+	}
 	if cause := f.passOnCause(&s.reach); cause != "" {
 		if a, failure := f.passOn(ctx, s.call, s.reach.order(s.software, s.avoid, maxWait, s.resume()), cause); a != nil || failure != nil {
 			return a, failure
--- a/internal/serving/forward/unary.go
+++ b/internal/serving/forward/unary.go
@@ -149,6 +149,11 @@
 	ran := result.RanNo
 	var reach reaching
 	start := func() *result.Error {
+		if ran == result.RanNo {
+			if failure := f.admission.Admit(c); failure != nil {
+				return failure
+			}
+		}
 		failure := f.startAttempt(ctx, c, avoid, &reach, done)
 		if failure == nil {
 			running, sent = running+1, sent+1
