Reach: a host that lost only some servers doesn't take itself for cut off

Callers of a host that had lost three of five servers went through other hosts though it reached the two others: three failures in a row were taken for a full cut. Calls go to few servers, mostly those of their own zone, and after two failures a call goes through another host, so no call reached a server between.

Now a host that couldn't reach two servers dials five, picked evenly among all, and takes itself to be cut off only if these fail too. It costs one dial time in a real cut, in which calls go through other hosts after two failures anyway.

For that, a call now counts the servers that it couldn't reach since it last reached one: a stream whose first server was reached before the cut used up its tries here. The spec that said so before ("if one server was reached") is replaced by two: one reached between the failures, and one before them.

--- a/internal/fleet/entry/reaching.go
+++ b/internal/fleet/entry/reaching.go
@@ -23,12 +23,13 @@
 // Send sends a call and observes whether its connection was opened.
 func (o *reachObserver) Send(ctx context.Context, s backend.Server, c *exchange.Call, resume exchange.Resume, timeout time.Duration) (*exchange.Reply, error) {
 	began := o.host.timer.Now()
-	reply, err := o.Servers.Send(exchange.WithOpened(ctx, func() { o.host.observeReach(s, true) }), s, c, resume, timeout)
+	reply, err := o.Servers.Send(exchange.WithOpened(ctx, func() { o.host.observeReach(s, true, false) }), s, c, resume, timeout)
 	var failed *exchange.SendError
 	// A connection that was opened meanwhile says more than a failure that began
 	// before it. A caller that left is no failure of the server.
 	if errors.As(err, &failed) && !failed.Sent && ctx.Err() == nil && !o.host.reach.LastConnected().After(began) {
-		o.host.observeReach(s, false)
+		o.host.observeReach(s, false, false)
+		o.host.probeServers(o.host.timer.Now())
 	}
 	return reply, err
 }
@@ -36,17 +37,19 @@
 // Down reports whether nothing listens at a server's address, and observes a
 // connection that was opened.
 func (o *reachObserver) Down(ctx context.Context, s backend.Server) bool {
-	return o.Servers.Down(exchange.WithOpened(ctx, func() { o.host.observeReach(s, true) }), s)
+	return o.Servers.Down(exchange.WithOpened(ctx, func() { o.host.observeReach(s, true, false) }), s)
 }
 
-// observeReach applies the result of opening a connection to a server.
-func (h *Host) observeReach(s backend.Server, connected bool) {
+// observeReach applies the result of opening a connection to a server, which
+// probeServers picked if probe is set.
+func (h *Host) observeReach(s backend.Server, connected, probe bool) {
 	now := h.timer.Now()
 	before := h.reach.State()
-	if !connected {
-		h.reach.SetServers(h.directory.Len())
+	observe := h.reach.Observe
+	if probe {
+		observe = h.reach.ObserveProbe
 	}
-	if !h.reach.Observe(now, s.ID, connected) {
+	if !observe(now, s.ID, connected) {
 		return
 	}
 	if h.notices != nil {
@@ -65,18 +68,27 @@
 	h.log.Info("cut off from all servers", "not_reached", state.Failed, "last", s.ID, "connected_before_ms", sinceConnected)
 }
 
-// probeServers dials one server if this host is cut off and a probe is due, so
-// that the end of it is noticed without a caller.
+// probeServers dials the servers that the tracker asks for, so that neither the
+// beginning nor the end of a cut needs many callers to be noticed.
 func (h *Host) probeServers(now time.Time) {
-	if !h.reach.CutOff() {
+	if !h.reach.ProbeDue(now) {
 		return
 	}
 	var servers []backend.Server
 	for _, service := range h.directory.Services() {
 		servers = append(servers, h.directory.Usable(service)...)
 	}
-	if i, due := h.reach.Probe(now, len(servers), int(h.self.Start&0xffff)); due {
-		go h.adapter.Servers.Down(h.ctx, servers[i])
+	h.reach.SetServers(len(servers))
+	for _, i := range h.reach.Probe(now, len(servers), int(h.self.Start&0xffff)) {
+		go h.probeServer(servers[i])
+	}
+}
+
+func (h *Host) probeServer(s backend.Server) {
+	began, opened := h.timer.Now(), false
+	h.adapter.Servers.Down(exchange.WithOpened(h.ctx, func() { opened = true }), s)
+	if opened || h.ctx.Err() == nil && !h.reach.LastConnected().After(began) {
+		h.observeReach(s, opened, true)
 	}
 }
 
--- a/internal/serving/forward/passing.go
+++ b/internal/serving/forward/passing.go
@@ -17,9 +17,8 @@
 	// maxHosts bounds the other hosts that one attempt is passed to. All but the
 	// last did not send it to a server.
 	maxHosts = 3
-	// minUnreached is how many servers a call finds unreachable before its next
-	// attempt goes through another host, if no server was reached. One may have
-	// failed alone.
+	// minUnreached is how many servers in a row a call finds unreachable before its
+	// next attempt goes through another host. One may have failed alone.
 	minUnreached = 2
 )
 
@@ -80,10 +79,10 @@
 // before the first call.
 func (f *Forwarder) SetPeers(p Peers) { f.peers = p }
 
-// reaching is which servers one call found reachable from this host.
+// reaching holds the servers that one call found unreachable from this host since
+// it reached one.
 type reaching struct {
 	unreached map[string]bool
-	reached   bool
 }
 
 // observe records whether an attempt's server was reached.
@@ -91,7 +90,7 @@
 	switch {
 	case a.host != "":
 	case a.err == nil:
-		r.reached = true
+		r.unreached = nil
 	case !a.sent:
 		if r.unreached == nil {
 			r.unreached = make(map[string]bool)
@@ -106,7 +105,7 @@
 	switch {
 	case f.peers.CutOff():
 		return "this host is cut off from all servers"
-	case !r.reached && len(r.unreached) >= minUnreached:
+	case len(r.unreached) >= minUnreached:
 		return "the request reached no server"
 	}
 	return ""
--- a/internal/serving/forward/passing_test.go
+++ b/internal/serving/forward/passing_test.go
@@ -179,9 +179,15 @@
 		Entry("once", routes.Once), Entry("repeatable", routes.Repeatable), Entry("stream", routes.Stream),
 	)
 
-	It("stays with its own tries if one server was reached", func() {
+	It("stays with its own tries if one server was reached between", func() {
 		Expect(serve(routes.Route{Kind: routes.Once, MaxAttempts: 2}, &scriptedPeers{},
-			scriptedReply{overloaded: true}, scriptedReply{unsent: true}, scriptedReply{unsent: true}, scriptedReply{body: "x"})).To(BeNil())
+			scriptedReply{unsent: true}, scriptedReply{overloaded: true}, scriptedReply{unsent: true}, scriptedReply{body: "x"})).To(BeNil())
+	})
+
+	It("goes on with a stream through another host if it was cut off after the stream began", func() {
+		Expect(serve(routes.Route{Kind: routes.Stream, Resumable: true, MaxAttempts: 2}, &scriptedPeers{replies: []forward.PeerReply{answer("b", numberedEvents(3, 5))}},
+			scriptedReply{body: numberedEvents(1, 2), truncated: true}, scriptedReply{unsent: true}, scriptedReply{unsent: true})).To(BeNil())
+		Expect(out.body.String()).To(Equal(numberedEvents(1, 5)))
 	})
 
 	It("goes on by itself if there is no other host", func() {
