Cause: why explains a request that another host carried out

The lines of the host that is cut off from all servers concern that host, so that its requests lead to them, and both hosts' lines of a request are found by its id.

--- a/internal/operator/cause/explain_test.go
+++ b/internal/operator/cause/explain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -104,6 +105,35 @@
 		Entry("for a host that was cut off", "h-c-1", "host silent", "h-c-1"),
 	)
 
+	It("explains a request that another host carried out by what the first one lacked", func() {
+		var events []cause.Event
+		for _, text := range []string{
+			`{"ts":"2026-01-01T00:00:00Z","msg":"started","host":"A"}
+			 {"ts":"2026-01-01T00:00:09Z","msg":"cut off from all servers","not_reached":7,"last":"i-3","connected_before_ms":400}
+			 {"ts":"2026-01-01T00:00:10Z","msg":"passed on","request":"r1","host":"B","server":"i-1","cause":"this host is cut off from all servers"}
+			 {"ts":"2026-01-01T00:00:10.2Z","msg":"answered","request":"r1","took_ms":300}`,
+			`{"ts":"2026-01-01T00:00:00Z","msg":"started","host":"B"}
+			 {"ts":"2026-01-01T00:00:09.9Z","msg":"placed for another host","request":"r1","host":"A","server":"i-1"}
+			 {"ts":"2026-01-01T00:00:09.9Z","msg":"placed","request":"r2","server":"i-1"}`,
+		} {
+			found, skipped, err := cause.ReadLines(strings.NewReader(text), "")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(skipped).To(BeZero())
+			events = append(events, found...)
+		}
+		answer := cause.ExplainLines("r1", events)
+		Expect(answer.Root.Kind).To(Equal("cut off from all servers"))
+		Expect(answer.Root.Host).To(Equal("A"))
+		var own []string
+		for _, step := range answer.Chain {
+			if slices.Contains(step.Subjects, "request/r1") {
+				own = append(own, step.Host+" "+step.Kind)
+			}
+			Expect(step.Subjects).NotTo(ContainElement("request/r2"))
+		}
+		Expect(own).To(Equal([]string{"B placed for another host", "A passed on", "A answered"}))
+	})
+
 	It("skips and counts lines in other formats", func() {
 		events, skipped, err := cause.ReadLines(strings.NewReader("panic: x\n{}\n"+
 			`{"ts":"2026-01-01T00:00:00Z","msg":"refused","request":"r1","cause":"overloaded"}`+"\n"), "h1")
--- a/internal/operator/cause/lines.go
+++ b/internal/operator/cause/lines.go
@@ -24,7 +24,7 @@
 var hostFields = []string{"server", "host", "owner", "heir", "from", "to", "after"}
 
 // hostMessages are the log messages that concern the host that wrote them.
-var hostMessages = []string{"started", "stopping", "stopped"}
+var hostMessages = []string{"started", "stopping", "stopped", "cut off from all servers", "servers reached again"}
 
 // maxLineBytes is the maximum length of a log line.
 const maxLineBytes = 1 << 20
