Entry: a host isn't avoided because the caller of a passed-on request left

A caller that left, or the slower of two hedged attempts, ended the connection to the host in the same way as a host that is gone, so sound hosts were avoided. No test shows it: entry has none of its own.

--- a/internal/fleet/entry/passing.go
+++ b/internal/fleet/entry/passing.go
@@ -181,12 +181,7 @@
 	}
 	resp, err := p.http.RoundTrip(r)
 	if err != nil {
-		var dialErr *dial.Error
-		if errors.As(err, &dialErr) {
-			return p.unable(host, result.New(result.NoBackend, "host %s: %v", host, err))
-		}
-		p.unable(host, nil)
-		return forward.PeerReply{Failure: result.New(result.BackendFailed, "host %s: %v", host, err).WithRan(result.RanMaybe)}
+		return p.linkFailure(ctx, host, err)
 	}
 	reply := p.decodeReply(host, resp)
 	if reply.Reply == nil {
@@ -197,6 +192,20 @@
 	return reply
 }
 
+// linkFailure returns the reply for a call whose connection to a host failed. If the
+// caller left, that says nothing about the host.
+func (p *passing) linkFailure(ctx context.Context, host string, err error) forward.PeerReply {
+	reply := forward.PeerReply{Failure: result.New(result.BackendFailed, "host %s: %v", host, err).WithRan(result.RanMaybe)}
+	var dialErr *dial.Error
+	if errors.As(err, &dialErr) {
+		reply = forward.PeerReply{Unable: true, Failure: result.New(result.NoBackend, "host %s: %v", host, err)}
+	}
+	if ctx.Err() == nil {
+		p.unable(host, reply.Failure)
+	}
+	return reply
+}
+
 // encodeCall returns the length of the call's head in four bytes, the head and the
 // body.
 func (p *passing) encodeCall(c *exchange.Call, o forward.Order) ([]byte, error) {
