Forward: a call whose only server can't be reached goes through another host

A call went through another host after two servers that couldn't be reached. Where a service, or the software version of a stream, has only one, the call was refused instead until the host knew that it was cut off from all. All that there are suffice now. The new specs failed before for all three kinds of routes:

[FAIL] goes through another host once the only server wasn't reached: once, repeatable, stream

--- a/internal/serving/forward/passing.go
+++ b/internal/serving/forward/passing.go
@@ -18,7 +18,8 @@
 	// last did not send it to a server.
 	maxHosts = 3
 	// minUnreached is how many servers in a row a call finds unreachable before its
-	// next attempt goes through another host. One may have failed alone.
+	// next attempt goes through another host, or all of them if they are fewer. One
+	// may have failed alone.
 	minUnreached = 2
 )
 
@@ -99,13 +100,22 @@
 	}
 }
 
-// cause returns why the next attempt of a call has to go through another host, ""
-// if it has not.
-func (f *Forwarder) passOnCause(r *reaching) string {
-	switch {
-	case f.peers.CutOff():
+// passOnCause returns why the next attempt of a call, at a server with the given
+// software version if that is not empty, has to go through another host, "" if it
+// has not.
+func (f *Forwarder) passOnCause(c *exchange.Call, software string, r *reaching) string {
+	if f.peers.CutOff() {
 		return "this host is cut off from all servers"
-	case len(r.unreached) >= minUnreached:
+	}
+	unreached := len(r.unreached)
+	if unreached == 0 {
+		return ""
+	}
+	servers := f.directory.Usable(c.Service)
+	if software != "" {
+		servers = f.directory.UsableWith(c.Service, software)
+	}
+	if unreached >= min(minUnreached, len(servers)) {
 		return "the request reached no server"
 	}
 	return ""
--- a/internal/serving/forward/passing_test.go
+++ b/internal/serving/forward/passing_test.go
@@ -190,6 +190,19 @@
 		Expect(out.body.String()).To(Equal(numberedEvents(1, 5)))
 	})
 
+	DescribeTable("goes through another host once the only server wasn't reached", func(kind routes.Kind) {
+		servers, p := &scriptedServers{replies: []scriptedReply{{unsent: true}}}, &scriptedPeers{hosts: []string{"B"}, replies: []forward.PeerReply{answer("a", numberedEvents(1, 2))}}
+		f, _ := newForwarder(servers, 1, newGuard())
+		f.SetPeers(p)
+		w := &recordingWriter{}
+		route := routes.Route{Kind: kind, MaxAttempts: 1, Objective: time.Minute, Shares: []routes.Share{{Service: "s", Weight: 1}}}
+		_, failure := f.Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: time.Now()}, w)
+		Expect(failure).To(BeNil())
+		Expect(w.body.String()).To(Equal(numberedEvents(1, 2)))
+	},
+		Entry("once", routes.Once), Entry("repeatable", routes.Repeatable), Entry("stream", routes.Stream),
+	)
+
 	It("goes on by itself if there is no other host", func() {
 		Expect(serve(routes.Route{Kind: routes.Once, MaxAttempts: 1}, &scriptedPeers{cutOff: true, hosts: []string{}}, scriptedReply{body: "x"})).To(BeNil())
 	})
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -167,7 +167,7 @@
 		return nil, result.New(result.VersionUnavailable, "the software version that began the stream is not known")
 	}
 	f := s.forwarder
-	if cause := f.passOnCause(&s.reach); cause != "" {
+	if cause := f.passOnCause(s.call, s.software, &s.reach); cause != "" {
 		if a, failure := f.passOn(ctx, s.call, s.reach.order(s.software, s.avoid, maxWait, s.resume()), cause); a != nil || failure != nil {
 			return a, failure
 		}
--- a/internal/serving/forward/unary.go
+++ b/internal/serving/forward/unary.go
@@ -36,7 +36,7 @@
 // could be picked. If another host has to pick it, that happens in the background
 // too.
 func (f *Forwarder) startAttempt(ctx context.Context, c *exchange.Call, avoid map[string]bool, r *reaching, done chan<- attemptResult) *result.Error {
-	if cause := f.passOnCause(r); cause != "" && f.peers.Pick(nil) != "" {
+	if cause := f.passOnCause(c, "", r); cause != "" && f.peers.Pick(nil) != "" {
 		order := r.order("", avoid, slotWait(c), exchange.Resume{})
 		go func() {
 			a, failure := f.passOn(ctx, c, order, cause)
