--- a/internal/serving/forward/passing.go
+++ b/internal/serving/forward/passing.go
@@ -17,9 +17,9 @@
 	// maxHosts bounds the other hosts that one attempt is passed to. All but the
 	// last did not send it to a server.
 	maxHosts = 3
-	// minUnreached is how many servers a call finds unreachable before its next
-	// attempt goes through another host, if no server was reached. One may have
-	// failed alone.
+	// minUnreached is how many servers in a row a call finds unreachable before its
+	// next attempt goes through another host, or all of them if they are fewer. One
+	// may have failed alone.
 	minUnreached = 2
 )
 
@@ -80,10 +80,10 @@
 // before the first call.
 func (f *Forwarder) SetPeers(p Peers) { f.peers = p }
 
-// reaching is which servers one call found reachable from this host.
+// reaching holds the servers that one call found unreachable from this host since
+// it reached one.
 type reaching struct {
 	unreached map[string]bool
-	reached   bool
 }
 
 // observe records whether an attempt's server was reached.
@@ -91,7 +91,7 @@
 	switch {
 	case a.host != "":
 	case a.err == nil:
-		r.reached = true
+		r.unreached = nil
 	case !a.sent:
 		if r.unreached == nil {
 			r.unreached = make(map[string]bool)
@@ -100,13 +100,22 @@
 	}
 }
 
-// cause returns why the next attempt of a call has to go through another host, ""
-// if it has not.
-func (f *Forwarder) passOnCause(r *reaching) string {
-	switch {
-	case f.peers.CutOff():
+// passOnCause returns why the next attempt of a call, at a server with the given
+// software version if that is not empty, has to go through another host, "" if it
+// has not.
+func (f *Forwarder) passOnCause(c *exchange.Call, software string, r *reaching) string {
+	if f.peers.CutOff() {
 		return "this host is cut off from all servers"
-	case !r.reached && len(r.unreached) >= minUnreached:
+	}
+	unreached := len(r.unreached)
+	if unreached == 0 {
+		return ""
+	}
+	servers := f.directory.Usable(c.Service)
+	if software != "" {
+		servers = f.directory.UsableWith(c.Service, software)
+	}
+	if unreached >= min(minUnreached, len(servers)) {
 		return "the request reached no server"
 	}
 	return ""
