Forward: pass a call on to another host after one that reached no server

Callers saw: 503 at a host that is cut off from all servers, where one of the other hosts reaches them.

Cause: a host that is asked to carry out an attempt, is cut off too and doesn't know it yet picks a server, waits for the connection and answers that nothing was sent. The next attempt of the call could go through the same host again, and a call gives up after five attempts that weren't sent.

Change: the next attempt goes through a host that the call has not tried yet, if there is one.

The new spec failed before (the same host was asked three times) and passes now.

--- a/internal/serving/forward/passing.go
+++ b/internal/serving/forward/passing.go
@@ -37,6 +37,8 @@
 	// MaxWait bounds the wait for a slot.
 	MaxWait time.Duration
 	Resume  exchange.Resume
+	// AvoidHosts names hosts that are not asked if another can be.
+	AvoidHosts []string
 }
 
 // PeerReply is what another host says of an attempt that it carried out.
@@ -81,15 +83,20 @@
 func (f *Forwarder) SetPeers(p Peers) { f.peers = p }
 
 // reaching holds the servers that one call found unreachable from this host since
-// it reached one.
+// it reached one, and the other hosts that did not reach the server that they picked
+// for it.
 type reaching struct {
 	unreached map[string]bool
+	hosts     []string
 }
 
 // observe records whether an attempt's server was reached.
 func (r *reaching) observe(a *attempt) {
 	switch {
 	case a.host != "":
+		if a.err != nil && !a.sent {
+			r.hosts = append(r.hosts, a.host)
+		}
 	case a.err == nil:
 		r.unreached = nil
 	case !a.sent:
@@ -124,7 +131,7 @@
 // order returns the order for an attempt that avoids servers that had the call.
 // Those that this host can't reach may be reached from elsewhere.
 func (r *reaching) order(software string, avoid map[string]bool, maxWait time.Duration, resume exchange.Resume) Order {
-	o := Order{Software: software, MaxWait: maxWait, Resume: resume}
+	o := Order{Software: software, MaxWait: maxWait, Resume: resume, AvoidHosts: slices.Clone(r.hosts)}
 	for _, id := range slices.Sorted(maps.Keys(avoid)) {
 		if !r.unreached[id] {
 			o.Avoid = append(o.Avoid, id)
@@ -140,7 +147,10 @@
 	var tried []string
 	var refusal *result.Error
 	for len(tried) < maxHosts && ctx.Err() == nil {
-		host := f.peers.Pick(tried)
+		host := f.peers.Pick(slices.Concat(o.AvoidHosts, tried))
+		if host == "" {
+			host = f.peers.Pick(tried)
+		}
 		if host == "" {
 			break
 		}
--- a/internal/serving/forward/passing_test.go
+++ b/internal/serving/forward/passing_test.go
@@ -203,6 +203,17 @@
 		Entry("once", routes.Once), Entry("repeatable", routes.Repeatable), Entry("stream", routes.Stream),
 	)
 
+	DescribeTable("asks no host again that reached no server while another can be asked", func(kind routes.Kind, hosts, called []string) {
+		Expect(serve(routes.Route{Kind: kind, MaxAttempts: 1}, &scriptedPeers{cutOff: true, hosts: hosts,
+			replies: []forward.PeerReply{unreachedAt, unreachedAt, answer("b", numberedEvents(1, 2))}})).To(BeNil())
+		Expect(peers.called).To(Equal(called))
+	},
+		Entry("once", routes.Once, []string{"B", "C", "D"}, []string{"B", "C", "D"}),
+		Entry("repeatable", routes.Repeatable, []string{"B", "C", "D"}, []string{"B", "C", "D"}),
+		Entry("stream", routes.Stream, []string{"B", "C", "D"}, []string{"B", "C", "D"}),
+		Entry("no other is left", routes.Once, []string{"B", "C"}, []string{"B", "C", "B"}),
+	)
+
 	It("goes on by itself if there is no other host", func() {
 		Expect(serve(routes.Route{Kind: routes.Once, MaxAttempts: 1}, &scriptedPeers{cutOff: true, hosts: []string{}}, scriptedReply{body: "x"})).To(BeNil())
 	})
