Hosts: a sign of life that holds no address is not resolved, and is logged once

What callers saw: nothing reported; found in the search. Only hosts write these keys. A value that is no address was kept among the addresses that notices go to: each notice resolved it, by name if it looked like one, and logged that it could not.

--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -123,6 +123,9 @@
 	// oddEntries holds the keys of the entries that name no server and were
 	// logged. Only serverHandler uses it, whose calls don't overlap.
 	oddEntries map[string]bool
+	// oddHosts holds the keys of the signs of life without an address, which were
+	// logged. Only keepLease uses it.
+	oddHosts map[string]bool
 }
 
 // New returns a host that does nothing until Start.
--- a/internal/fleet/entry/lease.go
+++ b/internal/fleet/entry/lease.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -164,14 +166,25 @@
 	return id
 }
 
-// discoverHosts adds the addresses in the store to those that notices go to.
+// discoverHosts adds the addresses in the store to those that notices go to. It
+// logs once what is no address.
 func (h *Host) discoverHosts() {
 	entries, err := h.adapter.Store.RangeStale(h.ctx, hostPrefix)
 	if err != nil {
 		h.log.V(1).Info("hosts not read", "cause", err.Error())
 		return
 	}
+	odd := make(map[string]bool)
 	for _, e := range entries {
-		h.members.AddAddresses(h.timer.Now(), string(e.Value))
+		address, err := netip.ParseAddrPort(string(e.Value))
+		switch {
+		case err == nil && address.Port() != 0:
+			h.members.AddAddresses(h.timer.Now(), string(e.Value))
+			continue
+		case !h.oddHosts[e.Key]:
+			h.log.Info("address can't be used", "address", fmt.Sprintf("%.40q", e.Value), "cause", "the sign of life is not IP:PORT", "key", e.Key)
+		}
+		odd[e.Key] = true
 	}
+	h.oddHosts = odd
 }
