Origins: a record with a time in the future holds no service for mixed

What callers saw: nothing reported; found in the search. Only hosts write these records. A negative time since several versions were in service lay in the future, so that take-ups of the service's streams would have been refused for as long.

Fix: times are bounded by 0 and twice the longest time in which a stream may be taken up; from there on they make no difference.

--- a/internal/serving/origin/fuzz_test.go
+++ b/internal/serving/origin/fuzz_test.go
@@ -1,6 +1,7 @@
 package origin_test
 
 import (
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -26,7 +27,19 @@
 		table.Merge(now, now, []origin.Record{r}, r)
 		table.Find(now, []string{"a"}, "s", true)
 		if _, action := table.NextRecord(now.Add(time.Hour), now.Add(time.Hour)); action == origin.Write {
-			t.Logf("still mixed after an hour: %s", text)
+			t.Fatalf("still mixed after an hour: %s", text)
 		}
 	})
 }
+
+func TestRecordOfTheFutureHoldsNoServiceForMixed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, ms := range []int64{-1_000_000_000, math.MinInt64, math.MaxInt64} {
+		table := origin.NewTable(now)
+		table.Merge(now, now, []origin.Record{{WrittenMs: now.UnixMilli(), MixedMs: map[string]int64{"s": ms}}}, origin.Record{})
+		later := now.Add(time.Hour)
+		if _, action := table.NextRecord(later, later); action == origin.Write {
+			t.Errorf("still mixed an hour after a record with %d ms", ms)
+		}
+	}
+}
--- a/internal/serving/origin/record.go
+++ b/internal/serving/origin/record.go
@@ -131,7 +131,9 @@
 			}
 		}
 		for name, ms := range r.MixedMs {
-			at := now.Add(-r.Age(wall) - time.Duration(ms)*time.Millisecond)
+			// Older times make no difference, and their sum doesn't overflow.
+			ago := time.Duration(min(max(0, ms), 2*maxLife.Milliseconds())) * time.Millisecond
+			at := now.Add(-min(r.Age(wall), 2*maxLife) - ago)
 			wasMixed := t.mixed(now, name)
 			if s := t.service(name); at.After(s.mixedAt) {
 				s.mixedAt = at
