Forward: a stream that waits for its first bytes moves when its host is cut off

Cause: a stream that falls silent moves to another server, but only once it has the head of its answer. Sending waits for that without a limit, since a server may rightly queue a call; and a connection on which nothing is left unacknowledged takes 4 s to fail.

Now a resumable stream with an attempt left is given up in that state after the time after which it would move if it had the head, and only if the host is cut off from all servers. The attempt says nothing about its server. The new spec failed before:

[FAIL] moves a stream that waits for the head of its answer when the cut begins Expected <*result.Error>: deadline passed ... to be nil

A call of another kind, or without an attempt left, waits as before (specs).

--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -276,6 +276,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return scheduler.Unknown
+	case errors.Is(a.err, errCutOff):
+		return scheduler.Unknown
 	case errors.As(a.err, &failed):
 		if !failed.Sent {
 			return scheduler.Unreachable
--- a/internal/serving/forward/passing.go
+++ b/internal/serving/forward/passing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
+	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
 )
 
 const (
@@ -28,6 +30,10 @@
 	notPassedOnTotal = metrics.NewCounter("kingcupquay_passed_on_refused_total")
 )
 
+// errCutOff means that an attempt was given up because this host is cut off from
+// all servers. It says nothing about the server.
+var errCutOff = errors.New("no head of an answer, and this host is cut off from all servers")
+
 // Order says how another host has to carry out an attempt of a call.
 type Order struct {
 	// Software is the software version that the server must have, "" for any.
@@ -121,6 +127,40 @@
 	return ""
 }
 
+// sendUnlessCutOff is send, but gives an attempt up that gets no head within each
+// further time of patience and whose host is then cut off from all servers. Its
+// connection may never fail, and the call may go on through another host.
+func (f *Forwarder) sendUnlessCutOff(ctx context.Context, c *exchange.Call, choice scheduler.Choice, resume exchange.Resume, patience time.Duration) *attempt {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan *attempt, 1)
+	go func() { done <- f.send(ctx, c, choice, resume) }()
+	ticker := time.NewTicker(patience)
+	defer ticker.Stop()
+	for {
+		select {
+		case a := <-done:
+			cancelAttempt := a.cancel
+			a.cancel = func() { cancelAttempt(); cancel() }
+			return a
+		case <-ticker.C:
+			if !f.peers.CutOff() {
+				continue
+			}
+			cancel()
+			a := <-done
+			if !a.sent {
+				return a
+			}
+			if a.reply != nil {
+				_ = a.reply.Body.Close()
+				a.reply = nil
+			}
+			a.err, a.sent = &exchange.SendError{Err: errCutOff, Sent: true}, true
+			return a
+		}
+	}
+}
+
 // order returns the order for an attempt that avoids servers that had the call.
 // Those that this host can't reach may be reached from elsewhere.
 func (r *reaching) order(software string, avoid map[string]bool, maxWait time.Duration, resume exchange.Resume) Order {
--- a/internal/serving/forward/passing_test.go
+++ b/internal/serving/forward/passing_test.go
@@ -23,16 +23,20 @@
 
 // scriptedPeers gives its replies in order, whichever host is called.
 type scriptedPeers struct {
-	mu      sync.Mutex
-	cutOff  bool
-	hosts   []string
-	replies []forward.PeerReply
-	called  []string
-	orders  []forward.Order
-	ended   int
+	mu     sync.Mutex
+	cutOff bool
+	// cutOffAt is when the host becomes cut off, if it isn't from the start.
+	cutOffAt time.Time
+	hosts    []string
+	replies  []forward.PeerReply
+	called   []string
+	orders   []forward.Order
+	ended    int
 }
 
-func (p *scriptedPeers) CutOff() bool { return p.cutOff }
+func (p *scriptedPeers) CutOff() bool {
+	return p.cutOff || !p.cutOffAt.IsZero() && time.Now().After(p.cutOffAt)
+}
 
 func (p *scriptedPeers) Pick(tried []string) string {
 	for _, h := range p.hosts {
@@ -214,6 +218,29 @@
 		Eventually(func() int { peers.mu.Lock(); defer peers.mu.Unlock(); return peers.ended }, 10*time.Second).Should(Equal(2))
 	})
 
+	It("moves a stream that waits for the head of its answer when the cut begins", func() {
+		Expect(serve(routes.Route{Kind: routes.Stream, Resumable: true, MaxAttempts: 2, Objective: 20 * time.Millisecond}, &scriptedPeers{
+			cutOffAt: time.Now().Add(100 * time.Millisecond), replies: []forward.PeerReply{answer("b", numberedEvents(1, 2))},
+		}, scriptedReply{hold: true})).To(BeNil())
+		Expect(out.body.String()).To(Equal(numberedEvents(1, 2)))
+		Expect(servers.cancelled).To(Equal(1))
+	})
+
+	DescribeTable("lets a stream wait for the head of its answer", func(route routes.Route, p *scriptedPeers) {
+		route.Kind, route.Objective, route.Timeout = routes.Stream, 20*time.Millisecond, 300*time.Millisecond
+		if !route.Resumable || route.MaxAttempts == 1 {
+			p.cutOffAt = time.Now().Add(50 * time.Millisecond)
+		}
+		failure := serve(route, p, scriptedReply{hold: true})
+		Expect(failure.Code()).To(Equal(result.DeadlinePassed))
+		Expect(failure.Ran()).To(Equal(result.RanMaybe))
+		Expect(servers.sent).To(HaveLen(1))
+	},
+		Entry("while the host reaches servers", routes.Route{Resumable: true, MaxAttempts: 2}, &scriptedPeers{}),
+		Entry("that may not be repeated", routes.Route{MaxAttempts: 2}, &scriptedPeers{}),
+		Entry("that has no attempt left", routes.Route{Resumable: true, MaxAttempts: 1}, &scriptedPeers{}),
+	)
+
 	It("moves a stream that falls silent behind another host", func() {
 		Expect(serve(routes.Route{Kind: routes.Stream, Resumable: true, MaxAttempts: 2, Objective: 20 * time.Millisecond}, &scriptedPeers{cutOff: true,
 			replies: []forward.PeerReply{held("a"), answer("b", numberedEvents(1, 2))}})).To(BeNil())
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -176,6 +176,9 @@
 	if failure != nil {
 		return nil, failure
 	}
+	if s.call.Route.MayRepeat() && s.sent+1 < s.call.Route.MaxAttempts {
+		return f.sendUnlessCutOff(ctx, s.call, choice, s.resume(), s.idleTimeout()), nil
+	}
 	return f.send(ctx, s.call, choice, s.resume()), nil
 }
 
@@ -206,7 +209,7 @@
 func (s *streamSession) relay(ctx context.Context, att *attempt) *result.Error {
 	f := s.forwarder
 	if att.err != nil || att.reply.NotRun {
-		if att.err != nil && att.sent && ctx.Err() == nil {
+		if att.err != nil && att.sent && ctx.Err() == nil && !errors.Is(att.err, errCutOff) {
 			f.recordCutOff(ctx, s.call, att, att.err)
 		}
 		f.end(att, f.outcomeOf(ctx, att))
