Jobs: a host keeps its jobs at the end of an outage of all servers

Callers saw: nothing yet; items of most jobs would be cancelled and begin again at one host when servers that all hosts had lost come back.

Cause: a host that is cut off from all servers hands its jobs over after 1 s. After an outage that all hosts see, the first host that learns of the end is taken for one that reaches servers while the others can't, so they hand it all their jobs in the 200 ms until their own next probe.

Change: the second counts only while another host is known to reach servers.

Evidence: found by a review. The spec failed before (all 40 jobs of two hosts handed to the third) and passes now.

--- a/internal/batch/ownership/evacuate.go
+++ b/internal/batch/ownership/evacuate.go
@@ -27,7 +27,8 @@
 
 var handedOverTotal = metrics.NewCounter("kingcupquay_jobs_handed_over_total")
 
-// cutOffTimer measures how long this host has been cut off from all servers.
+// cutOffTimer measures how long this host has been cut off from all servers while
+// another was not.
 type cutOffTimer struct {
 	// since is when the cut was first observed, observed when it last was; zero if
 	// the host is not cut off.
@@ -49,16 +50,18 @@
 }
 
 // evacuate hands jobs that can't go on over to other hosts if this host has been
-// cut off from all servers for evacuateAfter.
+// cut off from all servers for evacuateAfter while other hosts were not.
 func (m *Manager) evacuate() {
 	m.writeMu.Lock()
 	defer m.writeMu.Unlock()
 	now := m.Timer.Now()
-	if m.cutOff.observe(now, m.Peers.CutOff(m.Host)) < evacuateAfter || now.Before(m.nextWrite) {
-		return
+	cutOff := m.Peers.CutOff(m.Host)
+	var heirs []string
+	if cutOff {
+		heirs = slices.DeleteFunc(m.Peers.Live(), func(host string) bool { return host == m.Host || m.Peers.CutOff(host) })
 	}
-	heirs := slices.DeleteFunc(m.Peers.Live(), func(host string) bool { return host == m.Host || m.Peers.CutOff(host) })
-	if len(heirs) == 0 {
+	// After an outage of all servers, one host learns of its end before others.
+	if m.cutOff.observe(now, cutOff && len(heirs) > 0) < evacuateAfter || now.Before(m.nextWrite) {
 		return
 	}
 	group := m.collectEvacuated(now, heirs)
--- a/internal/batch/ownership/evacuate_test.go
+++ b/internal/batch/ownership/evacuate_test.go
@@ -1,6 +1,7 @@
 package ownership_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -152,4 +153,31 @@
 		f.eventually(func(g Gomega) { g.Expect(stopped).To(BeClosed()) })
 		Expect(f.hosts["C"].OwnedJobs()).To(ConsistOf(ids))
 	})
+
+	It("keeps its jobs after an outage of all servers, though another host learns of the end before", func() {
+		f := newFleet("A", "B", "C")
+		f.servers.block = make(chan struct{})
+		defer close(f.servers.block)
+		for _, name := range []string{"A", "C"} {
+			for i := range 20 {
+				Expect(f.hosts[name].Submit(ctx, submission(fmt.Sprint("j", name, i), 2, 1))).To(BeNil())
+			}
+		}
+		for _, h := range f.hosts {
+			h.setServersCut(true)
+		}
+		f.advance(3 * time.Second)
+		f.hosts["B"].setServersCut(false)
+		f.advance(200 * time.Millisecond)
+		f.hosts["A"].setServersCut(false)
+		f.hosts["C"].setServersCut(false)
+		f.advance(200 * time.Millisecond)
+		owners := map[string]int{}
+		for _, name := range []string{"A", "C"} {
+			for i := range 20 {
+				owners[name+"->"+f.ownerOf(fmt.Sprint("j", name, i))]++
+			}
+		}
+		Expect(owners).To(Equal(map[string]int{"A->A": 20, "C->C": 20}))
+	})
 })
