Hosts: a refused call isn't taken for one that may have run

Callers saw: 502 at a host that is cut off from all servers for a request with a long body that may run once only, though nothing ran and another host could have served it.

Cause: a host that can't carry out a call refused it without reading its body. Closing a connection with unread bytes resets it, and the caller's host found a broken link in place of the refusal.

Change: the rest of the call is read before its connection is closed.

The spec failed before (write: connection reset by peer) and passes now.

--- a/internal/fleet/entry/passing.go
+++ b/internal/fleet/entry/passing.go
@@ -267,6 +267,8 @@
 // handle carries out an attempt for another host.
 func (p *passing) handle(w http.ResponseWriter, r *http.Request) {
 	h := p.host
+	// A connection that is closed with unread bytes is reset, which loses the refusal.
+	defer func() { _, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxPassedBodyBytes)) }()
 	if h.stopping.Load() {
 		p.refuse(w, passedReply{Unable: true}, result.New(result.Stopping, "host %s is stopping", h.settings.Name))
 		return
