Forward: go on through another host than the one through which an answer broke off

Callers saw: a stream or a request of a host that is cut off from all servers fails although another host could have served it: both of its attempts went through one host that was frozen, or that lost its own servers.

Cause: a call remembered only the hosts whose attempts were not sent, or got no head. After a break in the body, or silence, the same host could be picked again.

Change: each attempt that fails has the next one avoid its host, unless no other is left.

Evidence: found by a review.

--- a/internal/serving/forward/passing.go
+++ b/internal/serving/forward/passing.go
@@ -89,8 +89,7 @@
 func (f *Forwarder) SetPeers(p Peers) { f.peers = p }
 
 // reaching holds the servers that one call found unreachable from this host since
-// it reached one, and the other hosts that did not reach the server that they picked
-// for it.
+// it reached one, and the other hosts through which an attempt of it failed.
 type reaching struct {
 	unreached map[string]bool
 	hosts     []string
@@ -100,8 +99,8 @@
 func (r *reaching) observe(a *attempt) {
 	switch {
 	case a.host != "":
-		if a.err != nil && !a.sent {
-			r.hosts = append(r.hosts, a.host)
+		if a.err != nil {
+			r.avoidHost(a)
 		}
 	case a.err == nil:
 		r.unreached = nil
@@ -113,6 +112,13 @@
 	}
 }
 
+// avoidHost has the next attempts avoid the host that carried an attempt out.
+func (r *reaching) avoidHost(a *attempt) {
+	if a.host != "" && !slices.Contains(r.hosts, a.host) {
+		r.hosts = append(r.hosts, a.host)
+	}
+}
+
 // passOnCause returns why the next attempt of a call, at a server with the given
 // software version if that is not empty, has to go through another host, "" if it
 // has not.
--- a/internal/serving/forward/passing_test.go
+++ b/internal/serving/forward/passing_test.go
@@ -218,6 +218,16 @@
 		Entry("no other is left", routes.Once, []string{"B", "C"}, []string{"B", "C", "B"}),
 	)
 
+	DescribeTable("goes on through another host than the one through which an answer broke off", func(kind routes.Kind, objective time.Duration, first forward.PeerReply, body string) {
+		Expect(serve(routes.Route{Kind: kind, Resumable: true, MaxAttempts: 2, Objective: objective},
+			&scriptedPeers{cutOff: true, hosts: []string{"B", "C"}, replies: []forward.PeerReply{first, answer("b", body)}})).To(BeNil())
+		Expect(peers.called).To(Equal([]string{"B", "C"}))
+	},
+		Entry("a stream", routes.Stream, time.Minute, broken("a", numberedEvents(1, 2)), numberedEvents(3, 5)),
+		Entry("a stream that fell silent", routes.Stream, 20*time.Millisecond, held("a"), numberedEvents(1, 5)),
+		Entry("an answer that may be asked for again", routes.Repeatable, time.Minute, broken("a", "half"), "x"),
+	)
+
 	It("goes on by itself if there is no other host", func() {
 		Expect(serve(routes.Route{Kind: routes.Once, MaxAttempts: 1}, &scriptedPeers{cutOff: true, hosts: []string{}}, scriptedReply{body: "x"})).To(BeNil())
 	})
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -120,6 +120,7 @@
 			return s.begun, nil
 		}
 		s.ran = s.ran.Or(failure.Ran())
+		s.reach.avoidHost(att)
 		if ctx.Err() != nil || failure.Code() == result.Cancelled || !s.canFailOver(att) {
 			return s.begun, failure.WithRan(s.ran)
 		}
--- a/internal/serving/forward/unary.go
+++ b/internal/serving/forward/unary.go
@@ -194,6 +194,9 @@
 				return res.failure.WithRan(ran)
 			}
 			reach.observe(res.attempt)
+			if res.failure != nil {
+				reach.avoidHost(res.attempt)
+			}
 			avoid[res.server.ID] = true
 			if res.failure == nil && (res.outcome == scheduler.Completed || !repeatable) {
 				writeAnswer(out, res.reply, res.body)
