Forward: try a server once if no other host can help

Callers saw: 503 while most servers are dead: hosts that take themselves to be cut off by mistake refuse each other's calls, though some servers can be reached.

Cause: a call of a host that believes itself to be cut off was refused as soon as three other hosts were unable, without a try of its own.

Change: it then tries one server itself, once; if that is not reached either, the call is refused as not run.

--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -173,11 +173,17 @@
 			return nil, failure
 		}
 	}
-	if cause := f.passOnCause(s.call, s.software, &s.reach); cause != "" {
-		if a, failure := f.passOn(ctx, s.call, s.reach.order(s.software, s.avoid, maxWait, s.resume()), cause); a != nil || failure != nil {
+	if cause := f.passOnCause(s.call, s.software, &s.reach); cause != "" && s.reach.refused == nil {
+		a, failure, unable := f.passOn(ctx, s.call, s.reach.order(s.software, s.avoid, maxWait, s.resume()), cause)
+		if unable {
+			s.reach.refused = failure
+		} else if a != nil || failure != nil {
 			return a, failure
 		}
 	}
+	if !s.reach.mayTry() {
+		return nil, s.reach.refused
+	}
 	choice, failure := f.place(ctx, s.call, s.software, s.avoid, maxWait)
 	if failure != nil {
 		return nil, failure
--- a/internal/serving/forward/unary.go
+++ b/internal/serving/forward/unary.go
@@ -28,8 +28,9 @@
 	// failure is nil if reply and body are the server's complete answer.
 	failure *result.Error
 	outcome scheduler.Outcome
-	// refused is set if no server was picked. attempt is then nil.
-	refused bool
+	// refused is set if no server was picked. attempt is then nil. unable is set if
+	// each other host that was asked could not help.
+	refused, unable bool
 }
 
 // startAttempt places a call and, in the background, sends it and reads the
@@ -37,21 +38,24 @@
 // could be picked. If another host has to pick it, that happens in the background
 // too.
 func (f *Forwarder) startAttempt(ctx context.Context, c *exchange.Call, avoid map[string]bool, r *reaching, done chan<- attemptResult) *result.Error {
-	if cause := f.passOnCause(c, "", r); cause != "" && f.peers.Pick(nil) != "" {
+	if cause := f.passOnCause(c, "", r); cause != "" && r.refused == nil && f.peers.Pick(nil) != "" {
 		order := r.order("", avoid, slotWait(c), exchange.Resume{})
 		go func() {
-			a, failure := f.passOn(ctx, c, order, cause)
+			a, failure, unable := f.passOn(ctx, c, order, cause)
 			if a == nil {
 				if failure == nil {
 					failure = result.New(result.NoBackend, "there is no other host").WithRetry(noBackendRetryAfter)
 				}
-				done <- attemptResult{failure: failure, refused: true}
+				done <- attemptResult{failure: failure, refused: true, unable: unable}
 				return
 			}
 			done <- f.finishAttempt(ctx, c, a)
 		}()
 		return nil
 	}
+	if !r.mayTry() {
+		return r.refused
+	}
 	choice, failure := f.place(ctx, c, "", avoid, slotWait(c))
 	if failure != nil {
 		return failure
@@ -184,6 +188,12 @@
 			running--
 			if res.refused {
 				sent--
+				if res.unable && reach.refused == nil {
+					reach.refused = res.failure
+					if start() == nil {
+						continue
+					}
+				}
 				if running > 0 {
 					continue
 				}
