--- a/internal/batch/ownership/ending_test.go
+++ b/internal/batch/ownership/ending_test.go
@@ -1,7 +1,9 @@
 package ownership_test
 
 import (
+	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -45,6 +47,32 @@
 		Entry("another host has taken the job over", func(r *jobstate.Record) { r.Owner, r.Writer, r.Serial = "B", "B/1", r.Serial+1 }),
 	)
 
+	It("keeps items from being sent at any time after it, not only at the latest allowed one", func() {
+		f := waitingJob()
+		f.rewrite("j", func(r *jobstate.Record) { r.Ended, r.Writer, r.Serial = true, "B/1", r.Serial+1 })
+		pass(f, endGrace*2/3)
+		f.hosts["A"].directory.Put(backendServer)
+		pass(f, endGrace)
+		Expect(f.servers.totalRuns()).To(BeZero())
+	})
+
+	It("keeps items from being sent after one read of the record has failed", func() {
+		f := waitingJob()
+		hostA := f.hosts["A"]
+		f.rewrite("j", func(r *jobstate.Record) { r.Ended, r.Writer, r.Serial = true, "B/1", r.Serial+1 })
+		pass(f, endGrace)
+		var reads atomic.Int32
+		hostA.beforeCall.set(func(op string) {
+			if op == "get" {
+				hostA.cutOff.Store(reads.Add(1) == 1)
+			}
+		})
+		hostA.directory.Put(backendServer)
+		pass(f, endGrace)
+		Expect(f.servers.totalRuns()).To(BeZero())
+		Eventually(hostA.OwnedJobs, waitTimeout).Should(BeEmpty())
+	})
+
 	DescribeTable("decides about items that wait while the store can't be read", func(told bool, sent int) {
 		f := waitingJob()
 		f.hosts["A"].cutOff.Store(true)
@@ -53,7 +81,7 @@
 		}
 		pass(f, endGrace)
 		f.hosts["A"].directory.Put(backendServer)
-		pass(f, endGrace)
+		pass(f, 2*endGrace)
 		Expect(f.servers.totalRuns()).To(Equal(sent))
 	},
 		Entry("they are sent", false, 20),
@@ -86,7 +114,7 @@
 		f.servers.block = make(chan struct{})
 		defer close(f.servers.block)
 		Expect(f.hosts["A"].Submit(ctx, submission("j", 20, 1))).To(BeNil())
-		f.eventually(func(g Gomega) { g.Expect(f.servers.activeRuns()).To(BeNumerically(">", 0)) })
+		f.eventually(func(g Gomega) { g.Expect(f.servers.activeRuns()).To(Equal(backendServer.Slots)) })
 		committing, release := make(chan struct{}), make(chan struct{})
 		var once sync.Once
 		f.hosts["A"].beforeCall.set(func(op string) {
@@ -98,9 +126,11 @@
 			}
 		})
 		ended := make(chan *result.Error, 1)
+		before := f.servers.totalRuns()
 		go func() { ended <- f.hosts["A"].Manager.End(ctx, "j", true) }()
 		f.eventually(func(g Gomega) { g.Expect(committing).To(BeClosed()) })
 		pass(f, 100*time.Millisecond)
+		Expect(f.servers.totalRuns()).To(Equal(before))
 		close(release)
 		Eventually(ended, waitTimeout).Should(Receive(BeNil()))
 		Eventually(f.servers.activeRuns, time.Second).Should(BeZero())
@@ -113,4 +143,23 @@
 		f.hosts["A"].cutOff.Store(true)
 		Expect(f.hosts["B"].Manager.End(ctx, "j", true)).To(BeNil())
 	})
+
+	It("is written though the caller leaves while it waits", func() {
+		f := waitingJob()
+		calling, leave := context.WithCancel(ctx)
+		var once sync.Once
+		f.hosts["A"].beforeCall.set(func(op string) {
+			if op == "commit" {
+				once.Do(leave)
+			}
+		})
+		_ = f.hosts["A"].Manager.End(calling, "j", true)
+		f.eventually(func(g Gomega) {
+			e, _, err := f.kv.Get(ctx, jobstate.RecordKey("j"))
+			g.Expect(err).NotTo(HaveOccurred())
+			r, err := jobstate.DecodeRecord(e.Value)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(r.Ended).To(BeTrue())
+		})
+	})
 })
--- a/internal/batch/ownership/writing.go
+++ b/internal/batch/ownership/writing.go
@@ -56,14 +56,19 @@
 			return
 		}
 		if !m.write(m.writeContext(), group) {
-			m.writeFailures = min(m.writeFailures+1, 8)
-			m.nextWrite = m.Timer.Now().Add(min(writeBackoffMax, writeBackoffBase<<m.writeFailures))
+			m.delayNextWrite()
 			return
 		}
 		m.writeFailures = 0
 	}
 }
 
+// delayNextWrite records a failed write. The caller holds m.writeMu.
+func (m *Manager) delayNextWrite() {
+	m.writeFailures = min(m.writeFailures+1, 8)
+	m.nextWrite = m.Timer.Now().Add(min(writeBackoffMax, writeBackoffBase<<m.writeFailures))
+}
+
 func (m *Manager) isStopping() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -306,9 +311,15 @@
 	}
 }
 
+// endTimeout bounds the time in which an end is pursued whose caller has left.
+const endTimeout = 5 * time.Second
+
 // End ends a job on behalf of a caller: listed results stay, and no item runs any
-// more. mayForward allows passing the request on to the owner.
+// more. mayForward allows passing the request on to the owner. The end is pursued
+// even if the caller leaves meanwhile, since the caller counts on it.
 func (m *Manager) End(ctx context.Context, id string, mayForward bool) *result.Error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
+	defer cancel()
 	m.mu.Lock()
 	j, owned := m.jobs[id]
 	m.mu.Unlock()
--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -35,8 +35,10 @@
 	"github.com/kingcupquay/kingcupquay/internal/record/follow"
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
+	"github.com/kingcupquay/kingcupquay/internal/serving/crash"
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
 	"github.com/kingcupquay/kingcupquay/internal/serving/forward"
+	"github.com/kingcupquay/kingcupquay/internal/serving/reach"
 	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
 	"github.com/kingcupquay/kingcupquay/internal/serving/slots"
 	"github.com/kingcupquay/kingcupquay/internal/serving/suspect"
@@ -72,12 +74,9 @@
 	// the operator allows callers.
 	headerTimeout = 20 * time.Second
 	idleTimeout   = 90 * time.Second
-	// drainPeriod is how long connections are still accepted after Stop was
-	// called: the platform checks readiness once a second and needs two answers.
-	drainPeriod = 2500 * time.Millisecond
-	// stopMargin is the part of the grace period reserved for closing what is
-	// still open.
-	stopMargin = 500 * time.Millisecond
+	// callListeners is the number of the first listeners that take calls, of other
+	// hosts and of callers; the others take readiness checks and metrics.
+	callListeners = 2
 )
 
 // Host is one entry host. It serves from Start until Stop.
@@ -100,12 +99,20 @@
 	members   *notice.PeerTable
 	notices   *notice.Exchange
 	peers     *peers
+	// reach is what is known of connections to servers, passing how calls are served
+	// while none can be opened.
+	reach   *reach.Tracker
+	passing *passing
 	// configFollower and serverFollower follow ConfigKey and ServerPrefix in the
 	// store.
 	configFollower *follow.Follower
 	serverFollower *follow.Follower
 
 	stopping atomic.Bool
+	// plan is nil until Stop. ending ends when its last answers are due.
+	plan     atomic.Pointer[drain.Plan]
+	ending   context.Context
+	endCalls context.CancelCauseFunc
 	// fetchingConfig and fetchingServers are set while the configuration or the
 	// list of servers is fetched from another host.
 	fetchingConfig  atomic.Bool
@@ -120,14 +127,23 @@
 
 	announcements announcements
 	readers       readers
+	// oddEntries holds the keys of the entries that name no server and were
+	// logged. Only serverHandler uses it, whose calls don't overlap.
+	oddEntries map[string]bool
+	// oddHosts holds the keys of the signs of life without an address, which were
+	// logged. Only keepLease uses it.
+	oddHosts map[string]bool
 }
 
 // New returns a host that does nothing until Start.
 func New(s *setup.Entry, log logr.Logger, t timer.Service, a Adapter) *Host {
 	ctx, cancel := context.WithCancel(context.Background())
 	a.Store = store.NewInstrumented(a.Store, t)
-	h := &Host{settings: s, timer: t, log: log, adapter: a, ctx: ctx, cancel: cancel, started: t.Now()}
-	a.Servers = &limitObserver{Servers: a.Servers, host: h}
+	h := &Host{settings: s, timer: t, log: log, adapter: a, ctx: ctx, cancel: cancel, started: t.Now(), oddEntries: make(map[string]bool)}
+	a.Servers = &reachObserver{Servers: &limitObserver{Servers: a.Servers, host: h}, host: h}
+	h.adapter.Servers = a.Servers
+	h.reach, h.passing = reach.NewTracker(), newPassing(h)
+	h.ending, h.endCalls = context.WithCancelCause(context.Background())
 	h.self = notice.Member{Host: s.Name, Zone: s.Zone, Address: s.PeerAddress, Start: t.Now().UnixNano(), Weight: int(s.ProcessorShare * 1000)}
 	h.members = notice.NewPeerTable(h.self, h.handleLiveness)
 	h.placer = scheduler.New(s.Name, s.Zone, rand.Float64, h.sendNoticeSoon)
@@ -137,13 +153,15 @@
 	h.slots = slots.New(t, log, h.self, h.placer, h.directory, (*slotsNetwork)(h), func() { h.jobs.TriggerSchedule() })
 	h.suspects = suspect.NewGuard(t, log, (*suspectsFleet)(h))
 	h.origins = newOrigins(h)
-	h.forwarder = forward.New(t, log, a.Servers, h.directory, h.slots, h.suspects, h.origins)
+	servers := crash.NewDetector(log, a.Servers, h.directory)
+	h.forwarder = forward.New(t, log, servers, h.directory, h.slots, h.suspects, h.origins, (*stopAdmission)(h))
+	h.forwarder.SetPeers(h.passing)
 	h.peers = newPeers(h)
 	h.configFollower = follow.New(t, log, a.Store, a.ConfigKey, (*configHandler)(h), h.readsStore, h.readerCount)
 	h.serverFollower = follow.New(t, log, a.Store, a.ServerPrefix, (*serverHandler)(h), h.readsStore, h.readerCount)
 	h.jobs = ownership.New(ownership.Options{
 		Host: s.Name, Writer: s.Name + "/" + strconv.FormatInt(t.Now().UnixNano(), 36), Timer: t, Log: log, Store: a.Store,
-		Servers: a.Servers, ServerDirectory: h.directory, Placer: h.placer, Config: &h.config, Peers: h.peers, EndWithin: s.JobEnd(),
+		Servers: servers, ServerDirectory: h.directory, Placer: h.placer, Config: &h.config, Peers: h.peers, EndWithin: s.JobEnd(),
 		Accepted: func(id string) { h.announceJob(&h.announcements.owned, id) }, Ended: func(id string) { h.announceJob(&h.announcements.ended, id) },
 	})
 	return h
@@ -234,6 +252,7 @@
 func (h *Host) tick(now time.Time) {
 	h.directory.Expire(now)
 	h.slots.Tick()
+	h.probeServers(now)
 }
 
 // Kill stops the host at once, as if its process were killed. It is for tests.
@@ -276,27 +295,39 @@
 }
 
 // Stop stops the host gracefully: it reports that it is not ready, finishes the
-// requests in progress and hands its jobs over to other hosts. What is not done
-// at the end of the grace period is cut off.
+// requests in progress and hands its jobs over to other hosts. Calls that would
+// outlast the grace period are ended shortly before; see drain.Plan.
 func (h *Host) Stop() {
 	began := h.timer.Now()
+	plan := drain.NewPlan(began, time.Duration(h.settings.GraceSeconds*float64(time.Second)))
+	h.plan.Store(&plan)
 	h.stopping.Store(true)
 	h.notices.SetStopping()
 	h.log.Info("stopping", "host", h.settings.Name)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(h.settings.GraceSeconds*float64(time.Second))-stopMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), plan.Close.Sub(began))
 	defer cancel()
+	lastAnswer := h.timer.After(plan.LastAnswer.Sub(began), func(time.Time) { h.endCalls(errStopping) })
+	defer lastAnswer.Cancel()
 	jobsStopped := make(chan struct{})
 	go func() {
 		defer close(jobsStopped)
 		h.jobs.Stop(ctx)
 	}()
-	timer.Pause(h.timer, ctx.Done(), drainPeriod-h.timer.Now().Sub(began))
-	for n, listener := range h.listeners {
-		if err := listener.Drain(ctx); err != nil {
-			h.log.Info("requests left at the end", "cause", err.Error())
-		}
-		// Only requests that did not finish in time still have connections.
-		_ = h.httpServers[n].Close()
+	timer.Pause(h.timer, ctx.Done(), plan.Drain.Sub(h.timer.Now()))
+	// A call of another host may last as long as the grace period, and callers must
+	// not be accepted meanwhile. Readiness checks and metrics are answered until
+	// all calls have ended.
+	var calls sync.WaitGroup
+	for n := range h.listeners[:callListeners] {
+		calls.Add(1)
+		go func() {
+			defer calls.Done()
+			h.drain(ctx, n)
+		}()
+	}
+	calls.Wait()
+	for n := callListeners; n < len(h.listeners); n++ {
+		h.drain(ctx, n)
 	}
 	select {
 	case <-jobsStopped:
@@ -311,6 +342,15 @@
 	h.log.Info("stopped", "host", h.settings.Name, "took_ms", h.timer.Now().Sub(began).Milliseconds())
 }
 
+// drain drains the listener with that index and closes what is left.
+func (h *Host) drain(ctx context.Context, n int) {
+	if err := h.listeners[n].Drain(ctx); err != nil {
+		h.log.Info("requests left at the end", "cause", err.Error())
+	}
+	// Only requests that did not finish in time still have connections.
+	_ = h.httpServers[n].Close()
+}
+
 // applyConfig puts a configuration in force if it is newer than the current
 // one.
 func (h *Host) applyConfig(text []byte, from string) {
@@ -357,18 +397,24 @@
 
 var _ follow.Handler = (*serverHandler)(nil)
 
-// Listed replaces the list of servers.
+// Listed replaces the list of servers. An entry that can't be parsed removes its
+// server at once: it is not missing.
 func (r *serverHandler) Listed(entries []store.Entry, grace time.Duration) {
 	var list []backend.Server
+	odd := make(map[string]bool)
 	for _, e := range entries {
-		s, err := r.adapter.ParseServer(e)
-		if err != nil {
-			r.log.Info("entry names no server", "key", e.Key, "cause", err.Error())
-			continue
+		if s, ok := r.parse(e); ok {
+			list = append(list, s)
+		} else {
+			odd[e.Key] = true
 		}
-		list = append(list, s)
 	}
-	r.directory.Replace(r.timer.Now(), list, grace)
+	r.oddEntries = odd
+	now := r.timer.Now()
+	r.directory.Replace(now, list, grace)
+	for key := range odd {
+		r.directory.Remove(now, r.adapter.ServerID(key), 0)
+	}
 	r.origins.observe()
 }
 
@@ -377,22 +423,41 @@
 func (r *serverHandler) Changed(e store.Event, grace time.Duration) {
 	id := r.adapter.ServerID(e.Key)
 	if e.Deleted {
+		delete(r.oddEntries, e.Key)
 		r.directory.Remove(r.timer.Now(), id, grace)
 		r.placer.RemoveServer(id)
 		(*Host)(r).passOn()
 		return
 	}
-	s, err := r.adapter.ParseServer(e.Entry)
-	if err != nil {
-		r.log.Info("entry names no server", "key", e.Key, "cause", err.Error())
+	s, ok := r.parse(e.Entry)
+	if !ok {
+		r.oddEntries[e.Key] = true
 		r.directory.Remove(r.timer.Now(), id, 0)
 		return
 	}
+	delete(r.oddEntries, e.Key)
 	r.directory.Put(s)
 	r.origins.observe()
 	(*Host)(r).passOn()
 }
 
+// parse parses an entry. It logs one that can't be parsed, unless that was logged
+// since it was last good or absent.
+func (r *serverHandler) parse(e store.Entry) (backend.Server, bool) {
+	var s backend.Server
+	var err error
+	if len(e.Value) <= follow.MaxPassedBytes {
+		s, err = r.adapter.ParseServer(e)
+	} else {
+		// Other hosts get it without its value.
+		err = trace.LimitExceeded("%d bytes, more than %d", len(e.Value), follow.MaxPassedBytes)
+	}
+	if err != nil && !r.oddEntries[e.Key] {
+		r.log.Info("entry names no server", "key", e.Key, "cause", err.Error())
+	}
+	return s, err == nil
+}
+
 // The methods below are used by the handler of callers' requests.
 
 // Now returns the current time of the host's timer, which calls are stamped
--- a/internal/fleet/entry/peers.go
+++ b/internal/fleet/entry/peers.go
@@ -26,7 +26,7 @@
 	// peerCallTimeout limits a call to another host, in addition to the time that
 	// the call may wait there for results.
 	peerCallTimeout = 1500 * time.Millisecond
-	// maxPeerResponseBytes is the limit of a response; the rest is cut off.
+	// maxPeerResponseBytes is the limit of a response; a larger one is an error.
 	maxPeerResponseBytes = 16 << 20
 )
 
@@ -57,6 +57,10 @@
 	RetryMS int64  `json:"retry_ms"`
 }
 
+func (f failureBody) toError() *result.Error {
+	return result.New(result.Code(f.Code), "%s", f.Message).WithRan(result.Ran(f.Ran)).WithRetry(time.Duration(f.RetryMS) * time.Millisecond)
+}
+
 // handler returns the handler of other hosts' calls. A failure has status 409
 // and a failureBody.
 func (p *peers) handler() http.Handler {
@@ -83,12 +87,13 @@
 		}
 		writeBody(w, text)
 	})
+	mux.HandleFunc("POST /calls", p.host.passing.handle)
 	mux.HandleFunc("GET /suspects", p.host.handleSuspects)
 	mux.HandleFunc("DELETE /suspects/{part}", p.host.handleWithdraw)
 	mux.HandleFunc("GET /jobs/{id}/results", func(w http.ResponseWriter, r *http.Request) {
 		after, err := strconv.Atoi(r.URL.Query().Get("after"))
 		wait, waitErr := time.ParseDuration(r.URL.Query().Get("wait"))
-		if err != nil || waitErr != nil {
+		if err != nil || waitErr != nil || after < 0 {
 			writeFailure(w, result.New(result.InvalidField, "after or wait can't be read"))
 			return
 		}
@@ -154,10 +159,16 @@
 		return nil, result.New(result.NoBackend, "%v", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerResponseBytes))
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return nil, result.New(result.NoBackend, "an answer without a length or chunks, which may have been cut")
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerResponseBytes+1))
 	if err != nil {
 		return nil, result.New(result.NoBackend, "%v", err)
 	}
+	if len(body) > maxPeerResponseBytes {
+		return nil, result.New(result.NoBackend, "an answer of over %d bytes", maxPeerResponseBytes)
+	}
 	if resp.StatusCode == http.StatusOK {
 		return body, nil
 	}
@@ -165,7 +176,7 @@
 	if err := json.Unmarshal(body, &failure); err != nil {
 		return nil, result.New(result.NoBackend, "status %d", resp.StatusCode)
 	}
-	return nil, result.New(result.Code(failure.Code), "%s", failure.Message).WithRan(result.Ran(failure.Ran)).WithRetry(time.Duration(failure.RetryMS) * time.Millisecond)
+	return nil, failure.toError()
 }
 
 // callHost sends one call to a live host by name.
--- a/internal/fleet/notice/codec_test.go
+++ b/internal/fleet/notice/codec_test.go
@@ -36,6 +36,21 @@
 		Expect(m.Summary.Loads).To(Equal(loads))
 	})
 
+	It("tell that their sender, or a host of its roster, is cut off from all servers", func() {
+		lost := member
+		lost.CutOff = true
+		datagram, err := notice.Notice{Member: lost, Sequence: 1}.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		m, err := notice.Decode(datagram)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(m.Notice.Member).To(Equal(lost))
+		datagram, err = notice.Summary{Member: member, Sequence: 1, Roster: []notice.Member{member, lost}}.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		m, err = notice.Decode(datagram)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(m.Summary.Roster).To(Equal([]notice.Member{member, lost}))
+	})
+
 	It("leave out limits that no host sends", func() {
 		datagram, err := notice.Notice{Member: member, Sequence: 1, Limits: map[string]serverlimit.Limit{
 			"a": {PerSecond: math.NaN()}, "b": {PerSecond: math.Inf(1)}, "c": {PerSecond: -1}, "d": {PerSecond: 1},
@@ -45,4 +60,17 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(m.Notice.Limits).To(Equal(map[string]serverlimit.Limit{"d": {PerSecond: 1}}))
 	})
+
+	It("bound the counts of a notice in the old form as those in the new one", func() {
+		const limit = 1 << 20
+		m, err := notice.Decode([]byte(`{"h":"A","a":"10.0.0.1:1","l":{"s1":{"o":1000000000000,"b":9223372036854775807,"e":[-5,9223372036854775807]},"s2":{"o":-1,"b":-1}},
+			"b":{"n":1000000000000,"s":-9223372036854775808}}`))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(m.Notice.Loads).To(Equal(map[string]scheduler.Load{
+			"s1": {Online: limit, Batch: limit, Ends: []int{0, math.MaxUint32}}, "s2": {},
+		}))
+		for _, b := range m.Notice.Backlogs {
+			Expect(b.Items).To(Equal(limit))
+		}
+	})
 })
--- a/internal/fleet/notice/notice.go
+++ b/internal/fleet/notice/notice.go
@@ -43,6 +43,8 @@
 	Start int64 `json:"s"`
 	// Stopping is set once the host is stopping and takes no new jobs.
 	Stopping bool `json:"x,omitempty"`
+	// CutOff is set while the host can open no connection to any backend server.
+	CutOff bool `json:"-"`
 	// Weight is the host's share of a processor core in thousandths, 0 if
 	// unknown. Hosts with a higher weight become relays first.
 	Weight int `json:"-"`
@@ -116,8 +118,11 @@
 	}
 	n := legacy.Notice
 	n.Legacy = true
+	for server, l := range n.Loads {
+		n.Loads[server] = boundLoad(l)
+	}
 	if legacy.Backlog.Items > 0 {
-		n.Backlogs = map[string]scheduler.Backlog{anyService: legacy.Backlog}
+		n.Backlogs = map[string]scheduler.Backlog{anyService: boundBacklog(legacy.Backlog)}
 	}
 	return &n, nil
 }
--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -65,6 +65,9 @@
 type ResponseWriter interface {
 	// WriteComplete writes a complete answer.
 	WriteComplete(status int, fields []exchange.Field, body []byte)
+	// WriteUnframed writes an answer whose end only the end of the caller's
+	// connection shows.
+	WriteUnframed(status int, fields []exchange.Field, body []byte)
 	// WriteHeader starts an answer of unknown length.
 	WriteHeader(status int, fields []exchange.Field)
 	// Write sends the next part of the body without buffering it.
@@ -75,11 +78,19 @@
 type Forwarder struct {
 	timer     timer.Service
 	log       logr.Logger
-	servers   exchange.Servers
+	servers   exchange.MonitoredServers
 	directory *backend.Directory
 	slots     Slots
 	suspects  *suspect.Guard
 	origins   Origins
+	peers     Peers
+	admission Admission
+}
+
+// Admission decides whether a call that no server has run may be sent now.
+type Admission interface {
+	// Admit returns nil, or the error to refuse the call with.
+	Admit(c *exchange.Call) *result.Error
 }
 
 // Origins keeps which software version began the streams of callers.
@@ -102,22 +113,19 @@
 }
 
 // New returns a forwarder.
-func New(t timer.Service, log logr.Logger, servers exchange.Servers, directory *backend.Directory, s Slots, g *suspect.Guard, o Origins) *Forwarder {
-	return &Forwarder{timer: t, log: log, servers: servers, directory: directory, slots: s, suspects: g, origins: o}
+func New(t timer.Service, log logr.Logger, servers exchange.MonitoredServers, directory *backend.Directory, s Slots, g *suspect.Guard, o Origins, a Admission) *Forwarder {
+	return &Forwarder{timer: t, log: log, servers: servers, directory: directory, slots: s, suspects: g, origins: o, peers: alone{}, admission: a}
 }
 
-// Serve answers a call through out. It returns nil if the complete answer was
+// Serve answers a call through out. If ctx ends with a *result.Error as its
+// cause, that is the error of a call whose answer has not begun. It returns nil if the complete answer was
 // written. Otherwise, if begun, the caller of Serve must abort the answer so
 // that it does not look complete; if not begun, failure is the error to answer
 // with.
 func (f *Forwarder) Serve(ctx context.Context, c *exchange.Call, out ResponseWriter) (begun bool, failure *result.Error) {
 	c.Service = c.Route.Pick(rand.Float64())
 	callerDeadline := c.Deadline
-	if c.Route.Timeout > 0 {
-		if routeDeadline := c.Received.Add(c.Route.Timeout); c.Deadline.IsZero() || routeDeadline.Before(c.Deadline) {
-			c.Deadline = routeDeadline
-		}
-	}
+	c.Deadline = c.EndsBy()
 	if !c.Deadline.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, c.Deadline.Sub(f.timer.Now()))
@@ -132,13 +140,27 @@
 	} else {
 		failure = f.serveUnary(ctx, c, out)
 	}
-	if failure != nil && !begun && ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.Canceled) {
-		failure = result.New(result.DeadlinePassed, "no answer within the route's or the caller's time").WithRan(failure.Ran())
+	if failure != nil && !begun && ctx.Err() != nil {
+		failure = endError(ctx, failure)
 	}
 	f.recordOutcome(c, begun, failure)
 	return begun, failure
 }
 
+// endError returns the error of a call that ended with its context: the cause of
+// the context's end if that is a result.Error, and failure if the caller left.
+func endError(ctx context.Context, failure *result.Error) *result.Error {
+	cause := context.Cause(ctx)
+	var ended *result.Error
+	switch {
+	case errors.As(cause, &ended):
+		return ended.WithRan(failure.Ran())
+	case errors.Is(cause, context.Canceled):
+		return failure
+	}
+	return result.New(result.DeadlinePassed, "no answer within the route's or the caller's time").WithRan(failure.Ran())
+}
+
 // recordOutcome updates the metrics and logs how a call ended.
 func (f *Forwarder) recordOutcome(c *exchange.Call, begun bool, failure *result.Error) {
 	took := f.timer.Now().Sub(c.Received)
@@ -173,6 +195,10 @@
 
 // attempt is a call sent to one server, and its outcome.
 type attempt struct {
+	// host is the host that sent the call, "" for this one. Only that host has a
+	// slot of the server for it and judges the server by it.
+	host string
+	// choice is set if this host sent the call.
 	choice  scheduler.Choice
 	server  backend.Server
 	started time.Time
@@ -240,20 +266,26 @@
 	if a.reply != nil {
 		_ = a.reply.Body.Close()
 	}
+	if a.host != "" {
+		return
+	}
 	now := f.timer.Now()
 	f.slots.EndOnline(now, a.choice, now.Sub(a.started), o)
 }
 
 // recordCutOff records that an attempt's connection ended before the answer was
-// complete. If the server has gone down, the call is evidence of what crashed it.
+// complete. If the server has crashed, the call is evidence of what crashed it.
 func (f *Forwarder) recordCutOff(ctx context.Context, c *exchange.Call, a *attempt, cause error) {
 	cutOffTotal.Inc()
-	f.log.Info("cut off", "request", c.ID, "server", a.server.ID, "head", a.reply != nil, "events", a.events,
+	f.log.Info("cut off", "request", c.ID, "server", a.server.ID, "host", a.host, "head", a.reply != nil, "events", a.events,
 		"after_ms", f.timer.Now().Sub(a.started).Milliseconds(), "parts", c.SharedParts, "body", strconv.FormatUint(c.ContentHash(), 16),
 		"cause", cause.Error())
+	if a.host != "" {
+		return
+	}
 	var failed *exchange.SendError
 	reused := errors.As(cause, &failed) && failed.Reused
-	if !reused && f.suspects.Accuses(a.events) && f.servers.Down(context.WithoutCancel(ctx), a.server) {
+	if !reused && f.suspects.Accuses(a.events) && f.servers.Crashed(context.WithoutCancel(ctx), a.server) {
 		f.suspects.Crashed(c, a.server.ID, a.reply != nil)
 	}
 }
@@ -265,6 +297,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return scheduler.Unknown
+	case errors.Is(a.err, errCutOff):
+		return scheduler.Unknown
 	case errors.As(a.err, &failed):
 		if !failed.Sent {
 			return scheduler.Unreachable
@@ -274,7 +308,9 @@
 		}
 		return scheduler.Failed
 	case a.reply.Misdirected:
-		f.directory.MarkMisdirected(a.server)
+		if a.host == "" {
+			f.directory.MarkMisdirected(a.server)
+		}
 		return scheduler.Unknown
 	case a.reply.NotRun:
 		return scheduler.Overloaded
--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -57,8 +57,8 @@
 	resumedAfter []int64
 	remaining    []time.Duration
 	cancelled    int
-	// down is the answer of Down.
-	down bool
+	// down is the answer of Down, and of Crashed unless cutOff is set.
+	down, cutOff bool
 }
 
 func (s *scriptedServers) Send(ctx context.Context, b backend.Server, _ *exchange.Call, resume exchange.Resume, remaining time.Duration) (*exchange.Reply, error) {
@@ -106,6 +106,8 @@
 
 func (s *scriptedServers) Down(context.Context, backend.Server) bool { return s.down }
 
+func (s *scriptedServers) Crashed(context.Context, backend.Server) bool { return s.down && !s.cutOff }
+
 type failingReader struct{}
 
 func (failingReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
@@ -123,9 +125,18 @@
 	server string
 	body   bytes.Buffer
 	heads  int
+	// framing says how a complete answer was written.
+	framing string
 }
 
 func (w *recordingWriter) WriteComplete(status int, fields []exchange.Field, body []byte) {
+	w.framing = "whole"
+	w.WriteHeader(status, fields)
+	w.body.Write(body)
+}
+
+func (w *recordingWriter) WriteUnframed(status int, fields []exchange.Field, body []byte) {
+	w.framing = "unframed"
 	w.WriteHeader(status, fields)
 	w.body.Write(body)
 }
@@ -174,8 +185,23 @@
 	return suspect.NewGuard(timer.Real{}, logr.Discard(), suspect.Alone{})
 }
 
+// admit admits all calls.
+type admit struct{}
+
+func (admit) Admit(*exchange.Call) *result.Error { return nil }
+
+// admitFirst admits the given number of checks and refuses all later ones.
+type admitFirst struct{ left int }
+
+func (a *admitFirst) Admit(*exchange.Call) *result.Error {
+	if a.left--; a.left < 0 {
+		return result.New(result.Stopping, "the host stops")
+	}
+	return nil
+}
+
 // newForwarder returns a forwarder with a directory of count servers.
-func newForwarder(servers exchange.Servers, count int, guard *suspect.Guard) (*forward.Forwarder, *scheduler.Placer) {
+func newForwarder(servers exchange.MonitoredServers, count int, guard *suspect.Guard) (*forward.Forwarder, *scheduler.Placer) {
 	directory := backend.NewDirectory(func(backend.Server, string) {})
 	for i := range count {
 		id := string(rune('a' + i))
@@ -183,7 +209,7 @@
 	}
 	placer := scheduler.New("A", "z", func() float64 { return 0.5 }, func() {})
 	places := slots.New(timer.Real{}, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {})
-	return forward.New(timer.Real{}, logr.Discard(), servers, directory, places, guard, &keptOrigins{}), placer
+	return forward.New(timer.Real{}, logr.Discard(), servers, directory, places, guard, &keptOrigins{}, admit{}), placer
 }
 
 // waitRecorder records how long each placed call may wait for a slot.
@@ -202,8 +228,10 @@
 		s         *scriptedServers
 		out       *recordingWriter
 		directory *backend.Directory
+		admission forward.Admission
 	)
-	serve := func(route routes.Route, replies ...scriptedReply) (bool, *result.Error) {
+	BeforeEach(func() { admission = admit{} })
+	serveIn := func(ctx context.Context, route routes.Route, replies ...scriptedReply) (bool, *result.Error) {
 		s, out = &scriptedServers{replies: replies}, &recordingWriter{}
 		directory = backend.NewDirectory(func(backend.Server, string) {})
 		for _, id := range []string{"a", "b", "c", "d"} {
@@ -219,11 +247,14 @@
 		clock := timer.Real{}
 		placer := scheduler.New("A", "z", func() float64 { return 0.5 }, func() {})
 		f := forward.New(clock, logr.Discard(), s, directory,
-			slots.New(clock, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {}), newGuard(), &keptOrigins{})
-		begun, failure := f.Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: clock.Now()}, out)
+			slots.New(clock, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {}), newGuard(), &keptOrigins{}, admission)
+		begun, failure := f.Serve(ctx, &exchange.Call{ID: "1", Route: &route, Received: clock.Now()}, out)
 		Eventually(func() int { loads, _ := placer.LocalState(clock.Now()); return len(loads) }, 10*time.Second).Should(BeZero(), "all slots must be released")
 		return begun, failure
 	}
+	serve := func(route routes.Route, replies ...scriptedReply) (bool, *result.Error) {
+		return serveIn(context.Background(), route, replies...)
+	}
 
 	DescribeTable("retries only where allowed and reports whether the call ran",
 		func(kind routes.Kind, resumable bool, attempts int, replies []scriptedReply, sends int, want result.Code, ran result.Ran, body string) {
@@ -279,7 +310,7 @@
 
 	DescribeTable("never passes a byte of an error, or an end that only looks complete, into a stream that has begun",
 		func(second scriptedReply, after int) {
-			route := routes.Route{Kind: routes.Stream, Resumable: true, MaxAttempts: 3, PauseObjective: 40 * time.Millisecond, Timeout: 3 * time.Second}
+			route := routes.Route{Kind: routes.Stream, Resumable: true, MaxAttempts: 3, PauseObjective: time.Minute, Timeout: 3 * time.Second}
 			first, third := scriptedReply{body: numberedEvents(1, 2), truncated: true}, scriptedReply{body: numberedEvents(after+1, 5)}
 			_, failure := serve(route, first, second, third)
 			Expect(failure).To(BeNil())
@@ -295,6 +326,7 @@
 		Entry("a second head", scriptedReply{body: numberedEvents(3, 3) + "HTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\nno"}, 3),
 		Entry("a second head before the next event", scriptedReply{body: "HTTP/1.1 500 No\nid: 3\ndata: 3\n\n"}, 2),
 		Entry("text without a blank line before the next event", scriptedReply{body: "out of memory\nid: 3\ndata: 3\n\n"}, 2),
+		Entry("an unframed end right after the head", scriptedReply{unframed: true}, 2),
 		Entry("an end in the middle of an event", scriptedReply{body: numberedEvents(3, 3) + "id: 4\nda"}, 3),
 	)
 
@@ -321,6 +353,31 @@
 		Entry("a 200 of another type at the last attempt", 1, 0, scriptedReply{other: true, body: "{}"}),
 	)
 
+	DescribeTable("never passes an answer on as complete whose end nothing shows",
+		func(kind routes.Kind, down bool, first scriptedReply, sends int, status int, framing string) {
+			servers := &scriptedServers{down: down, replies: []scriptedReply{first, {body: "whole"}}}
+			f, _ := newForwarder(servers, 3, newGuard())
+			answer := &recordingWriter{}
+			route := routes.Route{Kind: kind, MaxAttempts: 2, Timeout: time.Minute, Objective: time.Minute, Shares: []routes.Share{{Service: "s", Weight: 1}}}
+			_, failure := f.Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: time.Now()}, answer)
+			Expect(servers.sent).To(HaveLen(sends))
+			Expect(answer.status).To(Equal(status))
+			Expect(answer.framing).To(Equal(framing))
+			if status == 0 {
+				Expect(failure.Ran()).To(Equal(result.RanYes))
+			} else {
+				Expect(failure).To(BeNil())
+			}
+		},
+		Entry("no body, repeatable", routes.Repeatable, false, scriptedReply{unframed: true}, 2, 200, "whole"),
+		Entry("no body, once", routes.Once, false, scriptedReply{unframed: true}, 1, 0, ""),
+		Entry("an error without a body: its status is whole", routes.Repeatable, false, scriptedReply{unframed: true, status: 404}, 1, 404, "unframed"),
+		Entry("an error of a stream without a body", routes.Stream, false, scriptedReply{unframed: true, status: 404}, 1, 404, "unframed"),
+		Entry("a body, and the server went down, repeatable", routes.Repeatable, true, scriptedReply{unframed: true, body: "ha"}, 2, 200, "whole"),
+		Entry("a body, and the server went down, once", routes.Once, true, scriptedReply{unframed: true, body: "ha"}, 1, 0, ""),
+		Entry("a body, and the server lives on: the end is that of the connection", routes.Once, false, scriptedReply{unframed: true, body: "ha"}, 1, 200, "unframed"),
+	)
+
 	DescribeTable("returns at the route's timeout and cancels running attempts", func(kind routes.Kind, begun bool, reply scriptedReply) {
 		started, failure := serve(routes.Route{Kind: kind, MaxAttempts: 1, Timeout: 30 * time.Millisecond}, reply)
 		Expect(started).To(Equal(begun))
@@ -336,6 +393,61 @@
 		Entry("a stream after its first event", routes.Stream, true, scriptedReply{body: numberedEvents(1, 1), hold: true}),
 	)
 
+	DescribeTable("returns the cause with which the host ends a call, and whether the call may have run", func(kind routes.Kind, begun bool, reply scriptedReply) {
+		ctx, cancel := context.WithTimeoutCause(context.Background(), 30*time.Millisecond, result.New(result.Stopping, "the host stops").WithRetry(time.Second))
+		defer cancel()
+		started, failure := serveIn(ctx, routes.Route{Kind: kind, MaxAttempts: 1}, reply)
+		Expect(started).To(Equal(begun))
+		Expect(failure).NotTo(BeNil())
+		if !begun {
+			Expect(failure.Code()).To(Equal(result.Stopping))
+		}
+		Expect(failure.Ran()).NotTo(Equal(result.RanNo))
+	},
+		Entry("not a stream", routes.Once, false, scriptedReply{hold: true}),
+		Entry("a repeatable one", routes.Repeatable, false, scriptedReply{hold: true}),
+		Entry("a stream before its first event", routes.Stream, false, scriptedReply{hold: true}),
+		Entry("a stream after its first event", routes.Stream, true, scriptedReply{body: numberedEvents(1, 1), hold: true}),
+	)
+
+	It("reports a call that no server got when the host ended it as not run, to be tried again", func() {
+		ctx, cancel := context.WithCancelCause(context.Background())
+		cancel(result.New(result.Stopping, "the host stops").WithRetry(time.Second))
+		_, failure := serveIn(ctx, routes.Route{Kind: routes.Stream, MaxAttempts: 1}, scriptedReply{unsent: true})
+		Expect(failure).NotTo(BeNil())
+		Expect(failure.Code()).To(Equal(result.Stopping))
+		Expect(failure.RetryAfter()).To(Equal(time.Second))
+		Expect(failure.Ran()).To(Equal(result.RanNo))
+	})
+
+	DescribeTable("sends no call that is not admitted, and answers that it was not run", func(kind routes.Kind, admitted int, replies ...scriptedReply) {
+		admission = &admitFirst{left: admitted}
+		begun, failure := serve(routes.Route{Kind: kind, MaxAttempts: 3, Resumable: true}, replies...)
+		Expect(begun).To(BeFalse())
+		Expect(failure).NotTo(BeNil())
+		Expect(failure.Ran()).To(Equal(result.RanNo))
+		Expect(s.sent).To(HaveLen(admitted))
+	},
+		Entry("a call that may run once only", routes.Once, 0),
+		Entry("a repeatable one", routes.Repeatable, 0),
+		Entry("a stream", routes.Stream, 0),
+		Entry("one that a server refused", routes.Once, 1, scriptedReply{overloaded: true}),
+		Entry("a repeatable one that a server refused", routes.Repeatable, 1, scriptedReply{overloaded: true}),
+		Entry("a stream that a server refused", routes.Stream, 1, scriptedReply{overloaded: true}),
+		Entry("one that was not sent", routes.Once, 1, scriptedReply{unsent: true}),
+	)
+
+	DescribeTable("goes on with a call that a server may have run, though it would not be admitted now", func(kind routes.Kind, answer string, replies ...scriptedReply) {
+		admission = &admitFirst{left: 1}
+		_, failure := serve(routes.Route{Kind: kind, MaxAttempts: 2, Resumable: true}, replies...)
+		Expect(failure).To(BeNil())
+		Expect(out.body.String()).To(Equal(answer))
+	},
+		Entry("a stream that has begun", routes.Stream, numberedEvents(1, 4), scriptedReply{body: numberedEvents(1, 2), truncated: true}, scriptedReply{body: numberedEvents(3, 4)}),
+		Entry("a stream that was lost", routes.Stream, numberedEvents(1, 2), scriptedReply{lost: true}, scriptedReply{body: numberedEvents(1, 2)}),
+		Entry("a repeatable call that was lost", routes.Repeatable, "yes", scriptedReply{lost: true}, scriptedReply{body: "yes"}),
+	)
+
 	It("moves a silent stream to another server without ending the answer", func() {
 		route := routes.Route{Kind: routes.Stream, Resumable: true, MaxAttempts: 2, PauseObjective: 20 * time.Millisecond}
 		_, failure := serve(route, scriptedReply{body: numberedEvents(1, 2), hold: true}, scriptedReply{body: numberedEvents(3, 4)})
@@ -358,7 +470,7 @@
 				Kind: routes.Stream, Resumable: true, MaxAttempts: 3, Timeout: time.Minute, Objective: 300 * time.Millisecond, Shares: []routes.Share{{Service: "s", Weight: 1}},
 			}
 			call := &exchange.Call{ID: "y", Route: &route, Received: time.Now(), TakeUp: &exchange.TakeUp{After: 2, Attempts: attempts}}
-			_, failure := forward.New(timer.Real{}, logr.Discard(), s, directory, recorder, newGuard(), began).Serve(context.Background(), call, out)
+			_, failure := forward.New(timer.Real{}, logr.Discard(), s, directory, recorder, newGuard(), began, admit{}).Serve(context.Background(), call, out)
 			return failure
 		}
 
@@ -369,6 +481,11 @@
 			Expect(s.resumedAfter).To(Equal([]int64{2, 3}))
 		})
 
+		It("is not complete by an unframed answer that ends right after its head", func() {
+			Expect(takeUp([]string{"x"}, scriptedReply{unframed: true}, scriptedReply{body: numberedEvents(3, 5)})).To(BeNil())
+			Expect(out.body.String()).To(Equal(numberedEvents(3, 5)))
+		})
+
 		It("passes on no event of a server that ignores where it has to go on", func() {
 			Expect(takeUp([]string{"x"}, scriptedReply{body: numberedEvents(1, 5)}, scriptedReply{body: numberedEvents(3, 5)})).To(BeNil())
 			Expect(out.body.String()).To(Equal(numberedEvents(3, 5)))
@@ -406,7 +523,7 @@
 			Kind: routes.Stream, Resumable: true, MaxAttempts: 2, Timeout: time.Minute, Objective: 300 * time.Millisecond,
 			Shares: []routes.Share{{Service: "s", Weight: 1}},
 		}
-		_, failure := forward.New(timer.Real{}, logr.Discard(), s, directory, recorder, newGuard(), &keptOrigins{}).Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: time.Now()}, out)
+		_, failure := forward.New(timer.Real{}, logr.Discard(), s, directory, recorder, newGuard(), &keptOrigins{}, admit{}).Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: time.Now()}, out)
 		Expect(failure).To(BeNil())
 		Expect(recorder.waits).To(HaveLen(2))
 		Expect(recorder.waits[0]).To(BeNumerically("<", route.Objective))
@@ -426,7 +543,7 @@
 		directory := backend.NewDirectory(func(backend.Server, string) {})
 		placer := scheduler.New("A", "z", func() float64 { return 0 }, func() {})
 		f := forward.New(timer.Real{}, logr.Discard(), &scriptedServers{}, directory,
-			slots.New(timer.Real{}, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {}), newGuard(), &keptOrigins{})
+			slots.New(timer.Real{}, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {}), newGuard(), &keptOrigins{}, admit{})
 		_, failure := f.Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: time.Now()}, &recordingWriter{})
 		Expect(failure.Code()).To(Equal(result.NoBackend))
 		Expect(failure.Ran()).To(Equal(result.RanNo))
@@ -434,8 +551,8 @@
 	})
 
 	DescribeTable("accuses the parts of a prompt under which a server went down when it had begun to answer",
-		func(down bool, accused bool, first scriptedReply) {
-			servers := &scriptedServers{down: down, replies: []scriptedReply{first, {body: numberedEvents(1, 1), truncated: true}}}
+		func(down, cutOff, accused bool, first scriptedReply) {
+			servers := &scriptedServers{down: down, cutOff: cutOff, replies: []scriptedReply{first, {body: numberedEvents(1, 1), truncated: true}}}
 			guard := newGuard()
 			f, _ := newForwarder(servers, 2, guard)
 			route := routes.Route{Kind: routes.Stream, MaxAttempts: 1, Shares: []routes.Share{{Service: "s", Weight: 1}}}
@@ -444,11 +561,12 @@
 			isPart := func(r suspect.Record) bool { return r.Part == "part" }
 			Expect(slices.ContainsFunc(guard.Accused(), isPart)).To(Equal(accused))
 		},
-		Entry("head only", true, true, scriptedReply{truncated: true}),
-		Entry("one event", true, true, scriptedReply{body: numberedEvents(1, 1), truncated: true}),
-		Entry("two events", true, false, scriptedReply{body: numberedEvents(1, 2), truncated: true}),
-		Entry("no head", true, false, scriptedReply{lost: true}),
-		Entry("a server that is up", false, false, scriptedReply{truncated: true}),
+		Entry("head only", true, false, true, scriptedReply{truncated: true}),
+		Entry("one event", true, false, true, scriptedReply{body: numberedEvents(1, 1), truncated: true}),
+		Entry("two events", true, false, false, scriptedReply{body: numberedEvents(1, 2), truncated: true}),
+		Entry("no head", true, false, false, scriptedReply{lost: true}),
+		Entry("head only, while all servers refuse connections", true, true, false, scriptedReply{truncated: true}),
+		Entry("a server that is up", false, false, false, scriptedReply{truncated: true}),
 	)
 
 	It("does not send a call again once a part of its prompt is condemned", func() {
--- a/internal/serving/scheduler/coordinate.go
+++ b/internal/serving/scheduler/coordinate.go
@@ -253,7 +253,11 @@
 	if len(queue) == 0 {
 		return granted
 	}
-	slots := p.freeSlots(now, servers)
+	waiting := 0
+	for _, w := range queue {
+		waiting += w.items
+	}
+	slots := p.freeSlots(now, servers, waiting)
 	for _, w := range queue {
 		n := min(w.items, len(slots))
 		taken := slots[:n]
@@ -292,7 +296,7 @@
 			queue = append(queue, waitingHost{host, n, time.Duration(b.Slack)*time.Millisecond - now.Sub(r.at)})
 		}
 	}
-	if b := p.backlogs[service]; b.Items > 0 {
+	if b := p.backlogs[service]; b.Items > 0 && !p.cut.off {
 		queue = append(queue, waitingHost{p.host, b.Items, b.slackAt(now)})
 	}
 	slices.SortFunc(queue, func(a, b waitingHost) int { return cmp.Or(cmp.Compare(a.slack, b.slack), cmp.Compare(a.host, b.host)) })
@@ -420,10 +424,14 @@
 	return surplus
 }
 
-// FailureRates returns the failure rates of the servers that failed lately.
+// FailureRates returns the failure rates of the servers that failed lately, none
+// while this host is cut off from all servers.
 func (p *Placer) FailureRates(now time.Time) map[string]float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.cut.off {
+		return nil
+	}
 	rates := make(map[string]float64)
 	for server, h := range p.health {
 		rate := h.decayedFailureRate(now)
