Answers: the time limit of a write doesn't outlast the write

Callers saw: an answer of unknown length whose end comes over 10 s after its last piece breaks off without its last chunk, though it is complete.

Cause: the limit of 10 s for the write of a piece stayed on the connection, and the end of the answer was written after it.

Evidence: found by a review.

--- a/internal/fleet/entry/passing.go
+++ b/internal/fleet/entry/passing.go
@@ -408,5 +408,9 @@
 	if _, err := o.w.Write(p); err != nil {
 		return err
 	}
-	return o.control.Flush()
+	if err := o.control.Flush(); err != nil {
+		return err
+	}
+	// The end of the reply may come much later.
+	return o.control.SetWriteDeadline(time.Time{})
 }
--- a/internal/fleet/entry/passing_test.go
+++ b/internal/fleet/entry/passing_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"time"
 
 	"github.com/go-logr/logr"
 	. "github.com/onsi/ginkgo/v2"
@@ -13,6 +14,8 @@
 
 	"github.com/kingcupquay/kingcupquay/internal/fleet/setup"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
+	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
+	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
 )
 
 var _ = Describe("a host that can't carry out a call", func() {
@@ -34,3 +37,21 @@
 		}
 	})
 })
+
+var _ = Describe("a reply that is passed back", func() {
+	It("ends as complete long after its last piece", func() {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			o := &peerWriter{w: w, control: http.NewResponseController(w)}
+			Expect(o.WriteReply(backend.Server{}, &exchange.Reply{Status: 200})).To(Succeed())
+			Expect(o.Write([]byte("x"))).To(Succeed())
+			time.Sleep(passWriteTimeout + time.Second)
+		}))
+		DeferCleanup(server.Close)
+		resp, err := http.Get(server.URL)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(resp.Body.Close)
+		text, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(text)).To(Equal("x"))
+	})
+})
