--- a/internal/serving/crash/detector_test.go
+++ b/internal/serving/crash/detector_test.go
@@ -13,6 +13,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 	"github.com/kingcupquay/kingcupquay/internal/serving/crash"
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
+	"github.com/kingcupquay/kingcupquay/internal/standin/specs"
 )
 
 // network simulates the connections of a host.
@@ -79,6 +80,12 @@
 		Entry("it is no longer listed itself", "a2 b1", "a1", "", true, "a1", "a2", "b1", "a1"),
 	)
 
+	It("confirms the third crash of a zone by the servers of other zones", Label(specs.KnownRed), func() {
+		n := &network{refusing: "a1 a2 a3"}
+		d := crash.NewDetector(logr.Discard(), n, directoryOf("a1 a2 a3 b1 c1"))
+		Expect(d.Crashed(context.Background(), backend.Server{ID: "a1", Zone: "a", Address: "address of a1"})).To(BeTrue())
+	})
+
 	It("does not confirm a crash if the cut ends between its dials", func() {
 		n := &network{refusing: "a1 a2 a3", recoversAfter: 1}
 		d := crash.NewDetector(logr.Discard(), n, directoryOf("a1 a2 a3"))
