Jobs: a failed read long ago doesn't make the store count as away

Cause: the time since which no record could be read started at the first failure and ended only at the next successful read before a run, which may come minutes later.

Change: after a pause of EndWithin between two failures it starts anew.

Evidence: found in reading the diff. The spec failed before (20 items sent, 0 expected) and passes now.

--- a/internal/batch/ownership/allowing.go
+++ b/internal/batch/ownership/allowing.go
@@ -84,9 +84,11 @@
 	allowed, hold := false, minRefreshInterval
 	switch {
 	case err != nil:
-		if m.unreadSince.IsZero() {
+		// After a pause, the store may have been readable between the failures.
+		if m.unreadSince.IsZero() || began.Sub(m.unreadAt) > m.EndWithin {
 			m.unreadSince = began
 		}
+		m.unreadAt = began
 		if now := m.Timer.Now(); now.Sub(m.unreadSince) >= m.EndWithin {
 			allowed, hold = j.endReportedAt.IsZero(), unreadAllowance
 			if allowed {
@@ -101,7 +103,7 @@
 		m.Log.Info("items held", "job", id, "ended", r.Ended, "owner", r.Owner, "found", found)
 	}
 	if err == nil {
-		m.unreadSince = time.Time{}
+		m.unreadSince, m.unreadAt = time.Time{}, time.Time{}
 	}
 	if !allowed {
 		j.heldUntil = m.Timer.Now().Add(hold)
--- a/internal/batch/ownership/ending_test.go
+++ b/internal/batch/ownership/ending_test.go
@@ -73,6 +73,28 @@
 		Eventually(hostA.OwnedJobs, waitTimeout).Should(BeEmpty())
 	})
 
+	It("keeps items from being sent after a failed read, though another one failed long before", func() {
+		f := waitingJob()
+		hostA := f.hosts["A"]
+		pass(f, endGrace)
+		hostA.cutOff.Store(true)
+		hostA.directory.Put(backendServer)
+		pass(f, 100*time.Millisecond)
+		hostA.directory.Remove(f.clock.Now(), backendServer.ID, 0)
+		hostA.cutOff.Store(false)
+		f.rewrite("j", func(r *jobstate.Record) { r.Ended, r.Writer, r.Serial = true, "B/1", r.Serial+1 })
+		pass(f, 2*endGrace)
+		var reads atomic.Int32
+		hostA.beforeCall.set(func(op string) {
+			if op == "get" {
+				hostA.cutOff.Store(reads.Add(1) == 1)
+			}
+		})
+		hostA.directory.Put(backendServer)
+		pass(f, endGrace)
+		Expect(f.servers.totalRuns()).To(BeZero())
+	})
+
 	DescribeTable("decides about items that wait while the store can't be read", func(told bool, sent int) {
 		f := waitingJob()
 		f.hosts["A"].cutOff.Store(true)
--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -170,8 +170,9 @@
 	owners map[string]string
 	quotas map[string]quotaUsage
 	// unreadSince is when the first read before a run began that failed since the
-	// last one that did not; it is zero if none did.
-	unreadSince time.Time
+	// last one that did not, and unreadAt when the last failed one did; they are zero
+	// if none failed.
+	unreadSince, unreadAt time.Time
 	// backlogged holds the services with a backlog at the placer.
 	backlogged  map[string]bool
 	resultCache *resultcache.Cache
