Entry: changes of reach are applied in their order

Callers saw: nothing yet; a host whose cut ends in the moment in which it is noticed takes no batch slots and tells others that it is cut off, until its next cut.

Cause: the tracker's state and what other parts make of it changed one after the other without a lock, so the beginning of a cut could be applied after its end.

Change: one lock over both.

Evidence: found in reading the diff.

--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -101,7 +101,10 @@
 	peers     *peers
 	// reach is what is known of connections to servers, passing how calls are served
 	// while none can be opened.
-	reach   *reach.Tracker
+	reach *reach.Tracker
+	// reachMu is held while a change of reach is applied to the other parts, so that
+	// they learn of the changes in their order.
+	reachMu sync.Mutex
 	passing *passing
 	// configFollower and serverFollower follow ConfigKey and ServerPrefix in the
 	// store.
--- a/internal/fleet/entry/reaching.go
+++ b/internal/fleet/entry/reaching.go
@@ -43,6 +43,8 @@
 // observeReach applies the result of opening a connection to a server, which
 // probeServers picked if probe is set.
 func (h *Host) observeReach(s backend.Server, connected, probe bool) {
+	h.reachMu.Lock()
+	defer h.reachMu.Unlock()
 	now := h.timer.Now()
 	before := h.reach.State()
 	observe := h.reach.Observe
