Jobs: a record that can't be understood doesn't count as one that can't be read

Callers saw: nothing yet; a job whose record holds bytes of something else, or of a later release, would have its items sent after 3 s, and another job's items after a single failed read.

Cause: an error of decoding was counted with those of the store, of which enough mean that the store is away.

Change: such a job is held for a second and read again; the store counts as there. The file is named for what it holds.

The spec failed before (20 items sent, 0 expected) and passes now.

--- a/internal/batch/ownership/ending_test.go
+++ b/internal/batch/ownership/ending_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/kingcupquay/kingcupquay/internal/batch/jobstate"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/record/store"
 )
 
 // endGrace is how long after the acknowledgement of a job's end its items may
@@ -95,6 +96,16 @@
 		Expect(f.servers.totalRuns()).To(BeZero())
 	})
 
+	It("keeps items from being sent while the record can be read but not understood", func() {
+		f := waitingJob()
+		_, err := f.kv.Commit(ctx, store.Txn{Puts: []store.Put{{Key: jobstate.RecordKey("j"), Value: []byte("{")}}})
+		Expect(err).NotTo(HaveOccurred())
+		pass(f, endGrace)
+		f.hosts["A"].directory.Put(backendServer)
+		pass(f, 2*endGrace)
+		Expect(f.servers.totalRuns()).To(BeZero())
+	})
+
 	DescribeTable("decides about items that wait while the store can't be read", func(told bool, sent int) {
 		f := waitingJob()
 		f.hosts["A"].cutOff.Store(true)
--- a/internal/batch/ownership/allowing.go
+++ b/internal/batch/ownership/recordcheck.go
@@ -77,8 +77,9 @@
 	checkedTotal.Inc()
 	e, found, err := m.Store.Get(readCtx, jobstate.RecordKey(id))
 	var r jobstate.Record
+	var invalid error
 	if err == nil && found {
-		r, err = jobstate.DecodeRecord(e.Value)
+		r, invalid = jobstate.DecodeRecord(e.Value)
 	}
 	m.mu.Lock()
 	allowed, hold := false, minRefreshInterval
@@ -96,6 +97,10 @@
 			}
 		}
 		m.Log.Info("record not read before a run", "job", id, "sent", allowed, "unread_ms", m.Timer.Now().Sub(m.unreadSince).Milliseconds(), "cause", err.Error())
+	case invalid != nil:
+		// The store is there, so this does not count as an unread record.
+		hold = unreadAllowance
+		m.Log.Error(invalid, "record can't be read", "job", id)
 	case found && !r.Ended && r.Owner == m.Host:
 		allowed = true
 		j.allow(began)
