--- a/internal/batch/ownership/evacuate.go
+++ b/internal/batch/ownership/evacuate.go
@@ -13,8 +13,8 @@
 // A host that is cut off from all servers hands its jobs over to hosts that reach
 // some, first cancelling the runs of a job, then writing its record with the
 // output so far. It keeps the jobs whose items all still run, and all of them if
-// every other host is cut off too. It does not take them back afterwards: the
-// heir has them in hand, and each change of owner costs writes.
+// every other host is cut off too. It does not take them back afterwards, since
+// each change of owner costs writes.
 
 const (
 	// evacuateAfter is how long a host must be cut off before it hands jobs over.
