Review, case 3: batch jobs can't be read once their host name has a route for all paths

Cause: the calls of batch jobs are looked for only if no route of the operator matches. Change: review/3 with its script; the rig also gets the parts of the next case that it shares.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -24,8 +24,10 @@
 // cases maps the names of the cases to their functions. A function returns
 // whether the rule held.
 var cases = map[string]func(b *bed, trouble bool) (held bool, err error){
-	"split":    runSplit,
-	"given-up": runGivenUp,
+	"split":     runSplit,
+	"given-up":  runGivenUp,
+	"restart":   runRestart,
+	"catch-all": runCatchAll,
 }
 
 func main() {
