Review, case 5: a request crashes an engine again and again that keeps its id

Cause: the crashes of an engine under one request are counted by its id, though a restarted engine may keep it.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,6 +27,7 @@
 	"split":     runSplit,
 	"given-up":  runGivenUp,
 	"restart":   runRestart,
+	"poison":    runPoison,
 	"catch-all": runCatchAll,
 }
 
