--- a/review/rig/bed.go
+++ b/review/rig/bed.go
@@ -136,7 +136,10 @@
 
 // addHost writes the settings of an entry host in a zone, like those of the
 // deploy template, and starts it.
-func (b *bed) addHost(zone string) (*host, error) {
+func (b *bed) addHost(zone string) (*host, error) { return b.addHostAt(zone, b.store.Address()) }
+
+// addHostAt is addHost with an address of the store for this host alone.
+func (b *bed) addHostAt(zone, storeAddress string) (*host, error) {
 	// Outgoing connections take their ports at 127.0.0.1.
 	ip := b.address(len(b.hosts) + 1)
 	var seeds []string
@@ -145,7 +148,7 @@
 	}
 	h := &host{bed: b, settings: setup.Entry{
 		Name: fmt.Sprintf("front-%s-%d", zone, len(b.hosts)+1), Zone: zone, CallerAddress: ip + ":8144", ReadyAddress: ip + ":8140",
-		PeerAddress: ip + ":8146", MetricsAddress: ip + ":9102", Seeds: seeds, StoreAddress: b.store.Address(),
+		PeerAddress: ip + ":8146", MetricsAddress: ip + ":9102", Seeds: seeds, StoreAddress: storeAddress,
 		MemoryMB: 284, ProcessorShare: 0.4, JobEndMS: 3000, GraceSeconds: 8,
 	}}
 	b.hosts = append(b.hosts, h)
--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -44,6 +45,9 @@
 	// decide, if set, is called at the beginning of each run and returns the status
 	// to answer with, 0 for a sound answer, or crash.
 	decide func(id, path string, body []byte) int
+	// unframed, if above 0, is the size of answers that have no length and end with
+	// their connection.
+	unframed int
 	// eventsOf, if set, returns the number of events of a request.
 	eventsOf func(id string) int
 
@@ -171,6 +175,13 @@
 	case status != 0:
 		outcome = strconv.Itoa(status)
 		w.WriteHeader(status)
+	case e.unframed > 0:
+		// net/http sends neither a length nor chunks with this value.
+		w.Header().Set("Transfer-Encoding", "identity")
+		w.Header().Set("Connection", "close")
+		if _, err := w.Write(bytes.Repeat([]byte("x"), e.unframed)); err == nil {
+			outcome = "200"
+		}
 	case e.events == 0:
 		select {
 		case <-time.After(e.pause):
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -11,6 +11,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -28,6 +30,8 @@
 	"given-up":  runGivenUp,
 	"restart":   runRestart,
 	"poison":    runPoison,
+	"unframed":  runUnframed,
+	"leaving":   runLeaving,
 	"catch-all": runCatchAll,
 }
 
@@ -57,6 +61,14 @@
 		b.close()
 		os.Exit(exitNotRun)
 	})
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stop
+		b.record("stopped by a signal")
+		b.close()
+		os.Exit(exitNotRun)
+	}()
 	b.record("trouble: %v", trouble)
 	held, err := run(b, trouble)
 	switch {
