Review, case 5: a request crashes the engines of a zone that has three, nine times

Cause: a crash is confirmed by the other servers of the zone alone, which the same request has crashed.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -30,6 +30,7 @@
 	"given-up":  runGivenUp,
 	"restart":   runRestart,
 	"poison":    runPoison,
+	"third":     runThirdCrash,
 	"unframed":  runUnframed,
 	"leaving":   runLeaving,
 	"catch-all": runCatchAll,
--- a/review/rig/poison.go
+++ b/review/rig/poison.go
@@ -28,9 +28,38 @@
 
 const poisonRoutes = `{"name":"r-request","host":"` + hostName + `","prefix":"/lohu930/","kind":"unsafe","timeoutMs":4000,"sloMs":300,"priority":0,"service":"records","attempts":1}`
 
+// poisonPlay is one way to play the case.
+type poisonPlay struct {
+	// enginesA is the number of engines in the zone of the caller.
+	enginesA int
+	interval time.Duration
+	attempts int
+	down     time.Duration
+	// newIDs has the engines come back under new ids.
+	newIDs bool
+	// anyHost sends the request to the hosts of all zones in turn, not only to those
+	// of the caller's.
+	anyHost bool
+}
+
 func runPoison(b *bed, trouble bool) (bool, error) {
-	newIDs := os.Getenv("NEW_IDS") == "1"
-	for _, zone := range []string{"a", "b", "c"} {
+	return b.playPoison(trouble, poisonPlay{
+		enginesA: 1, interval: poisonInterval, attempts: poisonAttempts, down: engineDown, newIDs: os.Getenv("NEW_IDS") == "1",
+	})
+}
+
+// runThirdCrash plays the request at a zone of three engines, of which the first two
+// are still down when it crashes the third.
+func runThirdCrash(b *bed, trouble bool) (bool, error) {
+	return b.playPoison(trouble, poisonPlay{enginesA: 3, interval: 3500 * time.Millisecond, attempts: 22, down: 8 * time.Second, newIDs: true, anyHost: true})
+}
+
+func (b *bed) playPoison(trouble bool, p poisonPlay) (bool, error) {
+	zones := []string{"b", "c"}
+	for range p.enginesA {
+		zones = append(zones, "a")
+	}
+	for _, zone := range zones {
 		e, err := b.addEngine("records", zone, 6, 0, 60*time.Millisecond)
 		if err != nil {
 			return false, err
@@ -39,7 +68,7 @@
 			if !trouble || string(body) != poisonBody {
 				return 0
 			}
-			time.AfterFunc(engineDown, func() { b.restartEngine(e, newIDs) })
+			time.AfterFunc(p.down, func() { b.restartEngine(e, p.newIDs) })
 			return crash
 		}
 	}
@@ -55,10 +84,13 @@
 		return false, err
 	}
 	began := time.Now()
-	for n := range poisonAttempts {
-		time.Sleep(time.Until(began.Add(time.Duration(n) * poisonInterval)))
+	for n := range p.attempts {
+		time.Sleep(time.Until(began.Add(time.Duration(n) * p.interval)))
 		// The platform connects clients to hosts of their own zone.
 		h := b.hosts[n%2]
+		if p.anyHost && n > 3 {
+			h = b.hosts[n%len(b.hosts)]
+		}
 		id := fmt.Sprintf("9c41d07be2a3%04d", n)
 		a := b.send(h, http.MethodPost, "/lohu930/2f", id, map[string]string{"Deadline-Ms": "3000"}, []byte(poisonBody), 3*time.Second)
 		b.record("client: attempt %s at %s: %d", id, h.settings.Name, a.status)
