Jobs: each item is routed by its own path

Callers saw items of an accepted batch job listed as given up (MIXED), or run by the service of a route that other paths have (ROUTE), after the operator added a route whose prefix begins the path of the job's first item.

Cause: enqueue looked the route of a whole job up by the path of its first item.

Each item is matched by itself, and by the job's route if other requests have its path.

--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -382,6 +382,14 @@
 	return true
 }
 
+// noteUnlisted starts the flush delay of results that are not listed yet, unless it
+// runs already.
+func (j *ownedJob) noteUnlisted(now time.Time) {
+	if j.unlistedSince.IsZero() {
+		j.unlistedSince = now
+	}
+}
+
 // notify wakes the readers that wait for results.
 func (j *ownedJob) notify() {
 	close(j.changed)
--- a/internal/batch/ownership/running.go
+++ b/internal/batch/ownership/running.go
@@ -69,28 +69,29 @@
 	route *routes.Route
 }
 
-// enqueue adds a job's waiting items to the queues of their services.
+// enqueue adds a job's waiting items to the queues of their services. It gives up
+// those whose route the operator has removed.
 func (m *Manager) enqueue(now time.Time, config *routes.Config, j *ownedJob, queues map[string][]*queuedItem) {
 	if j.ending > 0 || now.Before(j.heldUntil) {
 		return
 	}
-	candidates := j.job.Candidates(now)
-	if len(candidates) == 0 {
-		return
-	}
 	record := j.job.Record()
-	route, ok := config.Match(record.Host, j.job.Item(0).Path)
-	if !ok {
-		route, ok = config.RouteByName(record.Route)
-	}
-	if !ok || route.Kind != routes.Batch {
-		m.giveUpUnrouted(now, j, record.ID)
-		return
-	}
-	service := route.Pick(0)
-	for _, i := range candidates {
+	unrouted := 0
+	for _, i := range j.job.Candidates(now) {
+		// The items of a job may have different paths, and thus different routes.
+		route, ok := config.MatchItem(record.Host, j.job.Item(i).Path, record.Route)
+		if !ok {
+			j.job.GiveUp(i)
+			unrouted++
+			continue
+		}
+		service := route.Pick(0)
 		queues[service] = append(queues[service], &queuedItem{ownedJob: j, index: i, route: route, Item: m.priorityOf(now, j, i)})
 	}
+	if unrouted > 0 {
+		j.noteUnlisted(now)
+		m.Log.Info("items given up", "job", record.ID, "items", unrouted, "cause", "the operator removed the route", "config", config.Version())
+	}
 }
 
 // priorityOf returns the properties by which an item is ordered among others.
@@ -101,16 +102,6 @@
 	}
 }
 
-// giveUpUnrouted gives up the waiting items of a job whose route the
-// operator has removed.
-func (m *Manager) giveUpUnrouted(now time.Time, j *ownedJob, id string) {
-	n := j.job.GiveUpWaiting()
-	if j.unlistedSince.IsZero() {
-		j.unlistedSince = now
-	}
-	m.Log.Info("items given up", "job", id, "items", n, "cause", "the operator removed the route", "config", m.Config.Version())
-}
-
 // startQueued starts the first items of a service's queue where slots are free
 // and returns how many it started.
 func (m *Manager) startQueued(service string, queue []*queuedItem, now time.Time) int {
@@ -239,8 +230,8 @@
 	if end.Kind != itemrun.Completed && !cancelled {
 		m.Log.Info("item interrupted", "job", record.ID, "item", item.ID, "server", r.server.ID, "after_event", j.job.ResumePoint(i).After, "cause", end.Cause)
 	}
-	if j.unlistedSince.IsZero() && end.Kind.MayFinish() {
-		j.unlistedSince = now
+	if end.Kind.MayFinish() {
+		j.noteUnlisted(now)
 	}
 	m.TriggerSchedule()
 }
--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,6 +41,8 @@
 	// which runs were resumed.
 	runs    map[string]int
 	resumed []int64
+	// services holds the services that ran each item, in the order of its runs.
+	services map[string][]string
 	// active is the number of runs in progress.
 	active int
 	// status maps items to an HTTP status that is returned instead of 200.
@@ -57,14 +60,15 @@
 }
 
 func newServers() *servers {
-	return &servers{runs: make(map[string]int), status: make(map[string]int)}
+	return &servers{runs: make(map[string]int), services: make(map[string][]string), status: make(map[string]int)}
 }
 
 const eventsPerItem = 5
 
-func (s *servers) Send(ctx context.Context, _ backend.Server, c *exchange.Call, resume exchange.Resume, _ time.Duration) (*exchange.Reply, error) {
+func (s *servers) Send(ctx context.Context, b backend.Server, c *exchange.Call, resume exchange.Resume, _ time.Duration) (*exchange.Reply, error) {
 	s.mu.Lock()
 	s.runs[c.ID]++
+	s.services[c.ID] = append(s.services[c.ID], b.Service)
 	first := s.runs[c.ID] == 1
 	status, block, breakAfter := s.status[c.ID], s.block, s.breakAfter
 	large, crashing := s.large, s.crashing
@@ -148,6 +152,13 @@
 	return s.crashing != ""
 }
 
+// servicesOf returns the services that ran an item, in the order of its runs.
+func (s *servers) servicesOf(item string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.services[item])
+}
+
 func (s *servers) runsOf(item string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -318,6 +329,9 @@
 	links      links
 	placer     *scheduler.Placer
 	beforeCall callHook
+	// config holds configuration 1 with the route of submission, unless a test sets
+	// another one.
+	config *routes.Holder
 	// directory holds backendServer unless a test removes it.
 	directory *backend.Directory
 }
@@ -457,11 +471,21 @@
 }
 
 func (f *fleet) addHost(name, writer string) *host {
+	config := new(routes.Holder)
+	config.SetIfNewer(newConfig(1, route))
+	return f.addHostWith(name, writer, config)
+}
+
+// newConfig returns a configuration with the given routes.
+func newConfig(version int64, list ...*routes.Route) *routes.Config {
+	return routes.New(version, nil, list, nil, routes.Limits{})
+}
+
+// addHostWith is addHost with a configuration, which may hold none yet.
+func (f *fleet) addHostWith(name, writer string, config *routes.Holder) *host {
 	list := backend.NewDirectory(func(backend.Server, string) {})
 	list.Put(backendServer)
-	config := new(routes.Holder)
-	config.SetIfNewer(routes.New(1, nil, []*routes.Route{route}, nil, routes.Limits{}))
-	h := &host{fleet: f, name: name, directory: list, placer: scheduler.New(name, "a", func() float64 { return 0.5 }, func() {}), links: links{servers: f.servers, cut: make(chan struct{})}}
+	h := &host{fleet: f, name: name, directory: list, config: config, placer: scheduler.New(name, "a", func() float64 { return 0.5 }, func() {}), links: links{servers: f.servers, cut: make(chan struct{})}}
 	h.Manager = ownership.New(ownership.Options{
 		Host: name, Writer: writer, Timer: f.clock, Log: f.newLog(), Store: hostStore{f.kv, &h.cutOff, &h.delayedWrites, &h.commits, &h.beforeCall}, Servers: &h.links, ServerDirectory: list,
 		Placer: h.placer, Config: config, Peers: h,
--- a/internal/operator/routes/config.go
+++ b/internal/operator/routes/config.go
@@ -177,6 +177,18 @@
 	return nil, false
 }
 
+// MatchItem returns the batch route on which an item of a job runs. It is the route
+// that Match selects for the path of the item. A path that other requests have is
+// still the item's while the operator keeps the route that accepted the job, which
+// is then the one returned. jobRoute is that route's name.
+func (c *Config) MatchItem(host, path, jobRoute string) (*Route, bool) {
+	if r, ok := c.Match(host, path); ok && r.Kind == Batch {
+		return r, true
+	}
+	r, ok := c.RouteByName(jobRoute)
+	return r, ok && r.Kind == Batch
+}
+
 // RouteByName returns the route with that name.
 func (c *Config) RouteByName(name string) (*Route, bool) {
 	for _, hostRoutes := range c.byHost {
--- a/internal/operator/routes/config_test.go
+++ b/internal/operator/routes/config_test.go
@@ -30,6 +30,28 @@
 		Entry("another host", "b.example", "/x/y/z", ""),
 	)
 
+	// Guards against an item being given up, or run by another service, because of a
+	// route that other paths or kinds of requests have.
+	DescribeTable("selects the batch route of an item", func(path, jobRoute, name string) {
+		batch := func(name, prefix string, kind routes.Kind) *routes.Route {
+			return &routes.Route{Name: name, Host: "a.example", Prefix: prefix, Kind: kind, Shares: []routes.Share{{Service: "s", Weight: 1}}}
+		}
+		c := newConfig(1, batch("jobs", "/x/", routes.Batch), batch("some jobs", "/x/y/", routes.Batch), batch("lookups", "/x/z/", routes.Repeatable), batch("rest", "/", routes.Stream))
+		route, ok := c.MatchItem("a.example", path, jobRoute)
+		Expect(ok).To(Equal(name != ""))
+		if ok {
+			Expect(route.Name).To(Equal(name))
+		}
+	},
+		Entry("its job's", "/x/1", "jobs", "jobs"),
+		Entry("a longer one", "/x/y/1", "jobs", "some jobs"),
+		Entry("its job's, if other requests have its path", "/x/z/1", "jobs", "jobs"),
+		Entry("its job's, if its path is outside the prefix", "/other/1", "jobs", "jobs"),
+		Entry("the one of its path, if its job's was removed", "/x/1", "removed", "jobs"),
+		Entry("none, if its job's was removed and other requests have its path", "/x/z/1", "removed", ""),
+		Entry("none, if its job's is of another kind now", "/x/z/1", "rest", ""),
+	)
+
 	It("splits requests by weight among the services of a route only", func() {
 		count := map[string]int{}
 		for i := range 1000 {
