Jobs: items are spread over the services of a split route

All items of a batch route that is split by weight ran at its first service; the others got none. The spec failed before: 16 of 16 items at service s, 4 to 12 expected; now it passes.

An item's service is selected by the hash of its ID, so that it stays there when it is preempted or gets a new owner. During an upgrade, a build from before that takes a job over goes on at the first service; no record or message changes.

--- a/internal/batch/ownership/routing_test.go
+++ b/internal/batch/ownership/routing_test.go
@@ -120,3 +120,28 @@
 		Expect(f.servers.servicesOf("j-0")).To(HaveEach("s"))
 	})
 })
+
+// Guards against all items of a job being sent to the first service of a route that
+// is split by weight.
+var _ = It("spreads the items of a job over the services of its route by weight, each item at one", func() {
+	f := newRoutedFleet("A")
+	h := f.hosts["A"]
+	h.config.SetIfNewer(newConfig(2, changedRoute(func(r *routes.Route) {
+		r.Shares = []routes.Share{{Service: "s", Weight: 1}, {Service: "t", Weight: 1}}
+	})))
+	Expect(h.Submit(ctx, submission("j", 16, 1))).To(BeNil())
+	f.eventually(func(g Gomega) { g.Expect(f.servers.totalRuns()).To(BeNumerically(">", 8)) })
+	h.setServersCut(true)
+	f.eventually(func(g Gomega) { g.Expect(f.servers.activeRuns()).To(BeZero()) })
+	h.setServersCut(false)
+	close(f.servers.block)
+	f.eventually(func(g Gomega) { expectComplete(g, listResults(g, h, "j"), 16) })
+	count := make(map[string]int)
+	for i := range 16 {
+		services := f.servers.servicesOf(fmt.Sprintf("j-%d", i))
+		Expect(services).To(HaveEach(services[0]))
+		count[services[0]]++
+	}
+	Expect(count["s"]).To(BeNumerically("~", 8, 4))
+	Expect(count["t"]).To(BeNumerically("~", 8, 4))
+})
--- a/internal/batch/ownership/running.go
+++ b/internal/batch/ownership/running.go
@@ -8,6 +8,7 @@
 
 	"github.com/kingcupquay/kingcupquay/internal/batch/itemrun"
 	"github.com/kingcupquay/kingcupquay/internal/batch/priority"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/rendezvous"
 	"github.com/kingcupquay/kingcupquay/internal/operator/routes"
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
@@ -85,7 +86,7 @@
 			unrouted++
 			continue
 		}
-		service := route.Pick(0)
+		service := route.Pick(splitPoint(j.job.Item(i).ID))
 		queues[service] = append(queues[service], &queuedItem{ownedJob: j, index: i, route: route, Item: m.priorityOf(now, j, i)})
 	}
 	if unrouted > 0 {
@@ -94,6 +95,13 @@
 	}
 }
 
+// splitPoint returns the number in [0, 1) by which Route.Pick selects the service of
+// an item. It depends on the item only, so that all its runs are at one service.
+func splitPoint(item string) float64 {
+	const mantissaBits = 53
+	return float64(rendezvous.Mix(rendezvous.Hash(item))>>(64-mantissaBits)) / (1 << mantissaBits)
+}
+
 // priorityOf returns the properties by which an item is ordered among others.
 func (m *Manager) priorityOf(now time.Time, j *ownedJob, index int) priority.Item {
 	r, events := j.job.Record(), j.job.Events(index)
