Jobs: attempts are counted against the route when an item is placed

Callers saw items listed as given up after one answer of 500 where their route allows three (MIXED), after all hosts had started again in an outage of the store.

Cause: a host that took a job over fixed its items' attempts at that moment, 1 if it had no configuration yet or none with a route of that name.

Failures are counted, and compared with the attempts of the item's route when items are placed, which only happens with a configuration. The routes of a job's paths are cached by configuration.

--- a/internal/batch/jobstate/job.go
+++ b/internal/batch/jobstate/job.go
@@ -84,14 +84,12 @@
 	indexByID map[string]int
 	// results holds the durable results in list order.
 	results []Result
-	// maxFailures is the number of failures at which an item is given up.
-	maxFailures int
 }
 
 // NewJob returns a job with the given record, items and durable results, which
 // are in list order. Items without a result are waiting.
-func NewJob(r Record, items []Item, results []Result, maxFailures int) *Job {
-	j := &Job{record: r, indexByID: make(map[string]int, len(items)), maxFailures: maxFailures}
+func NewJob(r Record, items []Item, results []Result) *Job {
+	j := &Job{record: r, indexByID: make(map[string]int, len(items))}
 	for i, item := range items {
 		j.items = append(j.items, &itemState{Item: item})
 		j.indexByID[item.ID] = i
@@ -246,14 +244,18 @@
 	s.text = nil
 }
 
-// RecordFailure records a failure reported by a server. It gives the item up if
-// that was the last allowed failure, and reports whether it did; otherwise it
-// requeues the item.
-func (j *Job) RecordFailure(i int) bool {
+// RecordFailure requeues an item after a failure reported by a server. Whether it
+// runs again is for GiveUpFailed to decide, once its route is known.
+func (j *Job) RecordFailure(i int) {
+	j.items[i].failures++
+	j.Requeue(i)
+}
+
+// GiveUpFailed gives a waiting item up that has failed in all its attempts, and
+// reports whether it did.
+func (j *Job) GiveUpFailed(i, attempts int) bool {
 	s := j.items[i]
-	s.failures++
-	if s.failures < j.maxFailures {
-		j.Requeue(i)
+	if s.phase != waiting || s.failures < attempts {
 		return false
 	}
 	j.GiveUp(i)
--- a/internal/batch/jobstate/job_test.go
+++ b/internal/batch/jobstate/job_test.go
@@ -38,7 +38,7 @@
 
 func newJob(n int) *jobstate.Job {
 	r := jobstate.Record{ID: "j", Total: n, Tokens: int64(10 * n), UnlistedTokens: int64(10 * n), GiveUpAt: time.Unix(1000, 0)}
-	return jobstate.NewJob(r, items(n), nil, 3)
+	return jobstate.NewJob(r, items(n), nil)
 }
 
 // commit marks all finished results as durable.
@@ -131,7 +131,8 @@
 		for n := 1; n <= 3; n++ {
 			i, ok := startNext(j)
 			Expect(ok).To(BeTrue())
-			Expect(j.RecordFailure(i)).To(Equal(n == 3))
+			j.RecordFailure(i)
+			Expect(j.GiveUpFailed(i, 3)).To(Equal(n == 3))
 		}
 		Expect(j.Unlisted()).To(ConsistOf(HaveField("Done", false)))
 	})
@@ -184,7 +185,7 @@
 		Expect(ok).To(BeTrue())
 		_, ok = j.Body("item-9")
 		Expect(ok).To(BeFalse())
-		j = jobstate.NewJob(jobstate.Record{Total: 2}, items(2), []jobstate.Result{{ID: "item-1", Done: true}}, 1)
+		j = jobstate.NewJob(jobstate.Record{Total: 2}, items(2), []jobstate.Result{{ID: "item-1", Done: true}})
 		_, ok = j.Body("item-1")
 		Expect(ok).To(BeFalse())
 	})
@@ -261,12 +262,13 @@
 			case "fail":
 				if i, ok := firstRunning(); ok {
 					j.RecordFailure(i)
+					j.GiveUpFailed(i, 3)
 					delete(running, i)
 				}
 			case "write":
 				commit(j)
 			case "takeover":
-				j = jobstate.NewJob(j.Record(), items(n), append([]jobstate.Result(nil), j.Results()...), 3)
+				j = jobstate.NewJob(j.Record(), items(n), append([]jobstate.Result(nil), j.Results()...))
 				running = map[int]bool{}
 			}
 			results := j.Results()
--- a/internal/batch/ownership/accept.go
+++ b/internal/batch/ownership/accept.go
@@ -199,7 +199,7 @@
 func (m *Manager) finishAcceptance(sub Submission, record jobstate.Record, revision int64, q quotaUsage, began time.Time) {
 	acceptedTotal.Inc()
 	m.mu.Lock()
-	m.addOwned(jobstate.NewJob(record, sub.Items, nil, sub.Route.MaxAttempts), revision, began)
+	m.addOwned(jobstate.NewJob(record, sub.Items, nil), revision, began)
 	if sub.Route.TokenCap > 0 {
 		m.quotas[sub.Route.Name] = quotaUsage{Sum: q.Sum + record.Tokens, revision: revision}
 	}
--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -139,6 +139,10 @@
 	// unlistedSince is the time from which the flush delay of unlisted results
 	// counts, zero if there are none.
 	unlistedSince time.Time
+	// routes caches the routes of the items' paths in the configuration routesOf, nil
+	// for a path without one.
+	routes   map[string]*routes.Route
+	routesOf *routes.Config
 }
 
 // run is one run of an item on a server.
--- a/internal/batch/ownership/owning.go
+++ b/internal/batch/ownership/owning.go
@@ -234,13 +234,7 @@
 		return err
 	}
 	partials := m.partials(ctx, id)
-	attempts := 1
-	if config := m.Config.Current(); config != nil {
-		if route, ok := config.RouteByName(r.Route); ok {
-			attempts = route.MaxAttempts
-		}
-	}
-	job := jobstate.NewJob(r, items, results, attempts)
+	job := jobstate.NewJob(r, items, results)
 	job.RestorePartials(partials)
 	m.mu.Lock()
 	added := m.addOwned(job, revision, began)
--- a/internal/batch/ownership/reading.go
+++ b/internal/batch/ownership/reading.go
@@ -212,7 +212,7 @@
 	if err != nil {
 		return nil, result.New(result.StoreUnavailable, "%v", err).WithRetry(storeRetryAfter)
 	}
-	body, ok := jobstate.NewJob(r, items, results, 1).Body(item)
+	body, ok := jobstate.NewJob(r, items, results).Body(item)
 	if !ok {
 		return nil, result.New(result.NotFound, "no item %.64q that is not listed", item)
 	}
--- a/internal/batch/ownership/running.go
+++ b/internal/batch/ownership/running.go
@@ -71,30 +71,55 @@
 }
 
 // enqueue adds a job's waiting items to the queues of their services. It gives up
-// those whose route the operator has removed.
+// those whose route the operator has removed, and those that failed in all attempts
+// of their route. Both need the configuration; until it is known they wait.
 func (m *Manager) enqueue(now time.Time, config *routes.Config, j *ownedJob, queues map[string][]*queuedItem) {
 	if j.ending > 0 || now.Before(j.heldUntil) {
 		return
 	}
 	record := j.job.Record()
-	unrouted := 0
+	unrouted, failed := 0, 0
 	for _, i := range j.job.Candidates(now) {
-		// The items of a job may have different paths, and thus different routes.
-		route, ok := config.MatchItem(record.Host, j.job.Item(i).Path, record.Route)
-		if !ok {
+		route := j.routeOf(i, config)
+		if route == nil {
 			j.job.GiveUp(i)
 			unrouted++
 			continue
 		}
+		if j.job.GiveUpFailed(i, route.MaxAttempts) {
+			failed++
+			m.Log.Info("item given up", "job", record.ID, "item", j.job.Item(i).ID, "cause", "it failed in all attempts of its route", "attempts", route.MaxAttempts, "config", config.Version())
+			continue
+		}
 		service := route.Pick(splitPoint(j.job.Item(i).ID))
 		queues[service] = append(queues[service], &queuedItem{ownedJob: j, index: i, route: route, Item: m.priorityOf(now, j, i)})
 	}
-	if unrouted > 0 {
+	if unrouted+failed > 0 {
 		j.noteUnlisted(now)
+	}
+	if unrouted > 0 {
 		m.Log.Info("items given up", "job", record.ID, "items", unrouted, "cause", "the operator removed the route", "config", config.Version())
 	}
 }
 
+// routeOf returns the route of an item, nil if it has none. The items of a job may
+// have different paths, and thus different routes. The caller holds Manager.mu.
+func (j *ownedJob) routeOf(i int, config *routes.Config) *routes.Route {
+	record := j.job.Record()
+	if j.routesOf != config {
+		j.routesOf, j.routes = config, make(map[string]*routes.Route)
+	}
+	path := j.job.Item(i).Path
+	route, known := j.routes[path]
+	if !known {
+		if r, ok := config.MatchItem(record.Host, path, record.Route); ok {
+			route = r
+		}
+		j.routes[path] = route
+	}
+	return route
+}
+
 // splitPoint returns the number in [0, 1) by which Route.Pick selects the service of
 // an item. It depends on the item only, so that all its runs are at one service.
 func splitPoint(item string) float64 {
@@ -228,9 +253,7 @@
 		}
 	case itemrun.Failed:
 		j.job.DiscardOutput(i)
-		if j.job.RecordFailure(i) {
-			m.Log.Info("item given up", "job", record.ID, "item", item.ID, "cause", end.Cause)
-		}
+		j.job.RecordFailure(i)
 	case itemrun.Rejected:
 		j.job.GiveUp(i)
 		m.Log.Info("item given up", "job", record.ID, "item", item.ID, "cause", end.Cause)
