--- a/internal/operator/routes/config.go
+++ b/internal/operator/routes/config.go
@@ -8,6 +8,7 @@
 package routes
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -177,6 +178,11 @@
 	return nil, false
 }
 
+// HasBatch reports whether a host name has a route that accepts jobs.
+func (c *Config) HasBatch(host string) bool {
+	return slices.ContainsFunc(c.byHost[host], func(r *Route) bool { return r.Kind == Batch })
+}
+
 // MatchItem returns the batch route on which an item of a job runs. It is the route
 // that Match selects for the path of the item. A path that other requests have is
 // still the item's while the operator keeps the route that accepted the job, which
