Soak: releases beside hosts that are out of touch

To reproduce what was seen on real processes (ORDER, BUDGET, DRAIN), plans of a new kind replace several servers at once by ones of the next software version, drained or only removed, while hosts stand still, are turned away by the store or lose it, and servers are held or start again under their IDs.

The checker now knows ORDER by software version, BUDGET (servers of one attempt, time left), and DRAIN by the store's acknowledgement for hosts that are in touch by the platform's definition, in place of runs without any fault only.

--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -25,8 +25,16 @@
 	AtMostOnce bool
 	Service    string
 	Body       string
-	// Want is the complete expected response.
+	// Want is the complete expected response, without the software versions that
+	// events may name.
 	Want string
+	// Begun is the text that an earlier request brought, with whose stream this one
+	// goes on; Text includes it.
+	Begun string
+	// Attempts is the largest number of servers that may run the request, 0 for any.
+	Attempts int
+	// Deadline is the time that the caller gives the request, 0 if it names none.
+	Deadline time.Duration
 	// Version is the configuration version that adds the request's route, 0 if the
 	// version is not checked.
 	Version     int
@@ -47,6 +55,8 @@
 type Run struct {
 	ID, Server, Service, Body string
 	At                        time.Duration
+	// Deadline is the time that the request left the server, 0 if it named none.
+	Deadline time.Duration
 }
 
 // Item is one item of a job.
@@ -77,13 +87,33 @@
 	Lists [][]Result
 }
 
-// Drain is a period in which a server was draining. From is when the store had
-// acknowledged the change, To when the drain ended.
+// Drain is a period in which a server was draining or its entry deleted. From is
+// when the store had acknowledged the change, To when the drain ended.
 type Drain struct {
 	Server   string
 	From, To time.Duration
 }
 
+// softwareMark precedes the software version in an event of a server whose version
+// differs from the first one.
+const softwareMark = "@"
+
+// splitSoftware returns the lines of a text without the software versions that they
+// name, and whether they name different ones.
+func splitSoftware(text string) (plain string, mixed bool) {
+	lines := strings.Split(text, "\n")
+	var first string
+	for i, line := range lines {
+		data, version, _ := strings.Cut(line, softwareMark)
+		if i == 0 {
+			first = version
+		}
+		mixed = mixed || version != first
+		lines[i] = data
+	}
+	return strings.Join(lines, "\n"), mixed
+}
+
 // History is everything observed in a run.
 type History struct {
 	Plan     plan.Plan
@@ -91,13 +121,34 @@
 	Runs     []Run
 	Jobs     []Job
 	Drains   []Drain
+	// Ended holds the servers that ended or were cut off; runs there don't count
+	// against a request's attempts.
+	Ended map[string]bool
+}
+
+// Summary says how much was observed.
+func (h History) Summary() string {
+	served, broken, takenUp := 0, 0, 0
+	for _, r := range h.Requests {
+		switch {
+		case r.Status == 200 && r.Complete:
+			served++
+		case r.Status == 200:
+			broken++
+		}
+		if r.Begun != "" {
+			takenUp++
+		}
+	}
+	return fmt.Sprintf("%d requests, %d served, %d broken off, %d taken up, %d runs, %d drains, %d jobs", len(h.Requests), served, broken, takenUp, len(h.Runs), len(h.Drains), len(h.Jobs))
 }
 
 // Violation is one violated guarantee.
 type Violation struct {
 	// Rule is the short name of the guarantee. The violations are:
 	//   - mixed: a wrong response or result, or a response without a run
-	//   - order: an interrupted response that is not the beginning of the right one
+	//   - order: an interrupted response that is not the beginning of the right one,
+	//     or a response or result that servers of different software versions made
 	//   - unasked: a run that no caller asked for, with another body, or long after
 	//     the end of its job
 	//   - route: a run at another service
@@ -107,6 +158,8 @@
 	//   - lost: a missing response or result
 	//   - config: a host that went back to an older configuration
 	//   - drain: a run at a server that was draining
+	//   - budget: runs at more servers than the request may have, or a run that is
+	//     given more time than the caller has left
 	Rule, Text string
 }
 
@@ -126,6 +179,8 @@
 	// closeRaceWindow is the time within which a request that was sent just as the
 	// host closed the connection must fail (lostMs). Such a request never runs.
 	closeRaceWindow = 200 * time.Millisecond
+	// deadlineSlack is by how much a run may be given more time than is left.
+	deadlineSlack = 500 * time.Millisecond
 	// rollbackSlack is how long a host may still apply an older configuration after
 	// a newer one was observed at it (rollbackSlackMs).
 	rollbackSlack = 250 * time.Millisecond
@@ -178,13 +233,16 @@
 
 // checkResponse checks the content of a response.
 func (v *verifier) checkResponse(r Request) {
+	text, mixed := splitSoftware(r.Text)
 	switch {
 	case r.Status != 200:
-	case r.Complete && r.Text != r.Want:
+	case mixed:
+		v.report("order", "%s, sent to host %d at %s, was answered by several software versions: %q", r.ID, r.Host, r.Sent, r.Text)
+	case r.Complete && text != r.Want:
 		v.report("mixed", "%s was answered with %.60q in place of %.60q", r.ID, r.Text, r.Want)
-	case !strings.HasPrefix(r.Want, r.Text):
+	case !strings.HasPrefix(r.Want, text):
 		v.report("order", "%s broke off with %.60q, which is not a prefix of %.60q", r.ID, r.Text, r.Want)
-	case len(v.runs[r.ID]) == 0:
+	case len(v.runs[r.ID]) == 0 && r.Text != r.Begun:
 		v.report("mixed", "%s was answered but never ran", r.ID)
 	}
 }
@@ -200,6 +258,7 @@
 			v.report("route", "%s ran at service %s in place of %s", r.ID, run.Service, r.Service)
 		}
 	}
+	v.checkBudget(r, runs)
 	if !r.AtMostOnce {
 		return
 	}
@@ -211,6 +270,30 @@
 	}
 }
 
+// checkBudget checks at how many servers a request ran, and how much time it was
+// given there.
+func (v *verifier) checkBudget(r Request, runs []Run) {
+	servers := make(map[string]bool)
+	for i, run := range runs {
+		if !v.Ended[run.Server] {
+			servers[run.Server] = true
+		}
+		if r.Deadline == 0 {
+			continue
+		}
+		if run.Deadline == 0 || run.Deadline > r.Deadline+deadlineSlack {
+			v.report("budget", "%s had %s and was given %s at %s", r.ID, r.Deadline, run.Deadline, run.Server)
+		}
+		end := run.At + run.Deadline - deadlineSlack
+		if run.At-runs[0].At > deadlineSlack && end > r.Sent+r.Deadline && end > runs[0].At+runs[0].Deadline {
+			v.report("budget", "%s, sent at %s with %s, was given %s at run %d, %s after the first", r.ID, r.Sent, r.Deadline, run.Deadline, i+1, run.At-runs[0].At)
+		}
+	}
+	if r.Attempts > 0 && len(servers) > r.Attempts {
+		v.report("budget", "%s ran at %d servers in place of %d", r.ID, len(servers), r.Attempts)
+	}
+}
+
 // checkCompletion checks that every request gets a complete response unless a
 // fault other than an orderly operation could affect it.
 func (v *verifier) checkCompletion(r Request) {
@@ -298,6 +381,7 @@
 	seen := make(map[string]bool)
 	for i, result := range results {
 		item, ok := items[result.ID]
+		text, mixed := splitSoftware(result.Text)
 		switch {
 		case i < len(previous):
 			if previous[i] != result {
@@ -307,7 +391,9 @@
 			v.report("mixed", "job %s lists %s, which is not one of its items", j.ID, result.ID)
 		case !result.Done:
 			v.report("mixed", "job %s lists %s as given up", j.ID, result.ID)
-		case result.Text != item.Want:
+		case mixed:
+			v.report("order", "job %s lists %s with the text of several software versions: %q", j.ID, result.ID, result.Text)
+		case text != item.Want:
 			v.report("mixed", "job %s lists %s with %.60q in place of %.60q", j.ID, result.ID, result.Text, item.Want)
 		case seen[result.ID]:
 			v.report("twice", "job %s lists %s twice", j.ID, result.ID)
@@ -316,17 +402,31 @@
 	}
 }
 
-// checkDrains checks that draining servers receive no new requests, unless a
-// fault may have kept a host from learning of the drain.
+// checkDrains checks that draining servers receive no new requests through hosts
+// that were in touch, and none at all if no fault may have kept a host from learning
+// of the drain.
 func (v *verifier) checkDrains() {
+	hosts := make(map[string]int, len(v.Requests))
+	for _, r := range v.Requests {
+		hosts[r.ID] = r.Host
+	}
 	for _, d := range v.Drains {
 		for _, run := range v.Runs {
 			if run.Server != d.Server || run.At <= d.From+drainPeriod || run.At >= d.To {
 				continue
 			}
-			if v.Plan.AllDuring(d.From-stableWindow, run.At, func(f plan.Fault) bool { return f.Kind.Graceful() }) {
-				v.report("drain", "%s ran at %s at %s although the server had been draining since %s", run.ID, d.Server, run.At, d.From)
+			host, known := hosts[run.ID]
+			graceful := func(f plan.Fault) bool { return f.Kind.Graceful() }
+			inTouch := func(f plan.Fault) bool { return f.Kind.Graceful() || f.SparesHost(host) }
+			if v.Plan.AllDuring(d.From-stableWindow, run.At, graceful) || known && v.acknowledgedInCalm(d) && v.Plan.AllDuring(run.At-stableWindow, run.At, inTouch) {
+				v.report("drain", "%s, of host %d (known %t), ran at %s at %s although the server had been draining since %s", run.ID, host, known, d.Server, run.At, d.From)
 			}
 		}
 	}
 }
+
+// acknowledgedInCalm reports whether the store was stable when it acknowledged a
+// drain.
+func (v *verifier) acknowledgedInCalm(d Drain) bool {
+	return v.Plan.AllDuring(d.From-stableWindow, d.From, func(f plan.Fault) bool { return !f.DisturbsStore() })
+}
--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -84,6 +84,47 @@
 		h.Drains = []checker.Drain{{Server: "e", From: 6 * second, To: 20 * second}}
 		h.Plan.Faults = []plan.Fault{{Kind: plan.StoreSilent, Start: 7 * second, Duration: second}}
 	}),
+	Entry("a run at a server that began to drain long ago, while another host was cut off from the store", "drain", func(h *checker.History, _ *checker.Request) {
+		h.Drains = []checker.Drain{{Server: "e", From: 6 * second, To: 20 * second}}
+		h.Plan.Faults = []plan.Fault{{Kind: plan.StoreSilent, Target: 1, Start: 7 * second, Duration: 2 * second}}
+	}),
+	Entry("a run at a server that began to drain while the host was cut off from the store, which it regained long ago", "drain", func(h *checker.History, _ *checker.Request) {
+		h.Drains = []checker.Drain{{Server: "e", From: 4 * second, To: 20 * second}}
+		h.Plan.Faults = []plan.Fault{{Kind: plan.StoreSilent, Start: 3 * second, Duration: 2 * second}}
+	}),
+	Entry("a run at a server whose drain an unstable store acknowledged", "", func(h *checker.History, _ *checker.Request) {
+		h.Drains = []checker.Drain{{Server: "e", From: 4 * second, To: 20 * second}}
+		h.Plan.Faults = []plan.Fault{{Kind: plan.StoreUnavailable, Start: 3 * second, Duration: second}}
+	}),
+	Entry("events of one later software version", "", func(_ *checker.History, r *checker.Request) { r.Want, r.Text = "a\nb", "a@v2\nb@v2" }),
+	Entry("events of two software versions", "order", func(_ *checker.History, r *checker.Request) { r.Want, r.Text = "a\nb", "a\nb@v2" }),
+	Entry("runs at more servers than attempts", "budget", func(h *checker.History, r *checker.Request) {
+		other := run()
+		other.Server = "f"
+		h.Runs = append(h.Runs, other)
+		r.AtMostOnce, r.Attempts = false, 1
+	}),
+	Entry("a further run after a server ended", "", func(h *checker.History, r *checker.Request) {
+		other := run()
+		other.Server = "f"
+		h.Runs, h.Ended = append(h.Runs, other), map[string]bool{"e": true}
+		r.AtMostOnce, r.Attempts = false, 1
+	}),
+	Entry("a run with the time that the caller gives", "", func(h *checker.History, r *checker.Request) { r.Deadline, h.Runs[0].Deadline = 4*second, 4*second }),
+	Entry("a run with more time", "budget", func(h *checker.History, r *checker.Request) { r.Deadline, h.Runs[0].Deadline = 4*second, 5*second }),
+	Entry("a run without a limit of time", "budget", func(_ *checker.History, r *checker.Request) { r.Deadline = 4 * second }),
+	Entry("a second run a second later with all the time again", "budget", func(h *checker.History, r *checker.Request) {
+		r.AtMostOnce, r.Deadline, h.Runs[0].Deadline = false, 4*second, 4*second
+		again := h.Runs[0]
+		again.At += second
+		h.Runs = append(h.Runs, again)
+	}),
+	Entry("a second run a second later with the time that is left", "", func(h *checker.History, r *checker.Request) {
+		r.AtMostOnce, r.Deadline, h.Runs[0].Deadline = false, 4*second, 4*second
+		again := h.Runs[0]
+		again.At, again.Deadline = again.At+second, 3*second
+		h.Runs = append(h.Runs, again)
+	}),
 	Entry("a run soon after the drain began", "", func(h *checker.History, _ *checker.Request) {
 		h.Drains = []checker.Drain{{Server: "e", From: 8 * second, To: 20 * second}}
 	}),
--- a/internal/soak/faultproxy/proxy.go
+++ b/internal/soak/faultproxy/proxy.go
@@ -24,6 +24,8 @@
 	None Fault = iota
 	// Slow delays all bytes.
 	Slow
+	// Hold holds all bytes back until the fault changes, as if the target stood still.
+	Hold
 	// Reset resets open connections, and new ones once they have sent something.
 	Reset
 	// DropReplies forwards what the client sends and drops the server's replies.
@@ -43,6 +45,8 @@
 	mu     sync.Mutex
 	target string
 	fault  Fault
+	// changed is closed and replaced when the fault changes.
+	changed chan struct{}
 	// conns maps the client side of each open connection to its server side.
 	conns map[net.Conn]net.Conn
 	wg    sync.WaitGroup
@@ -54,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, target: target, conns: make(map[net.Conn]net.Conn)}
+	p := &Proxy{listener: listener, target: target, changed: make(chan struct{}), conns: make(map[net.Conn]net.Conn)}
 	p.wg.Add(1)
 	go p.acceptLoop()
 	return p, nil
@@ -77,6 +81,8 @@
 	defer p.mu.Unlock()
 	previous := p.fault
 	p.fault = f
+	close(p.changed)
+	p.changed = make(chan struct{})
 	if f == Reset || previous == DropReplies || previous == DropAll {
 		for client, server := range p.conns {
 			resetConn(client)
@@ -85,15 +91,23 @@
 	}
 }
 
-func (p *Proxy) currentFault() Fault {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.fault
+// awaitRelease waits while the fault is Hold and returns the one after it.
+func (p *Proxy) awaitRelease() Fault {
+	for {
+		p.mu.Lock()
+		fault, changed := p.fault, p.changed
+		p.mu.Unlock()
+		if fault != Hold {
+			return fault
+		}
+		<-changed
+	}
 }
 
 // Close stops listening, closes all connections and waits for their goroutines.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
+	p.SetFault(None)
 	p.mu.Lock()
 	for client, server := range p.conns {
 		_ = client.Close()
@@ -153,7 +167,7 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
-		switch fault := p.currentFault(); {
+		switch fault := p.awaitRelease(); {
 		case n == 0 && fault >= dropsFrom:
 			// The end of the stream is dropped too; dst is reset when the fault
 			// ends.
--- a/internal/soak/faultproxy/proxy_test.go
+++ b/internal/soak/faultproxy/proxy_test.go
@@ -85,6 +85,15 @@
 		Expect(in.ReadString('\n')).To(Equal("re: three\n"))
 	})
 
+	It("holds bytes back and delivers them when the fault ends", func() {
+		c, in := dial()
+		proxy.SetFault(faultproxy.Hold)
+		send(c, "one")
+		Consistently(received, 50*time.Millisecond).Should(BeEmpty())
+		proxy.SetFault(faultproxy.None)
+		Expect(in.ReadString('\n')).To(Equal("re: one\n"))
+	})
+
 	It("drops replies or everything, and resets connections when the fault ends", func() {
 		for _, fault := range []faultproxy.Fault{faultproxy.DropReplies, faultproxy.DropAll} {
 			proxy.SetFault(fault)
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -60,8 +60,7 @@
 	// Configure writes a new configuration.
 	Configure
 	// Stall records that the machine running the test stalled, which the platform's
-	// guarantees treat like slow hosts. It must stay the last kind, as New never
-	// schedules it.
+	// guarantees treat like slow hosts. New schedules the kinds before it only.
 	Stall
 )
 
@@ -70,20 +69,25 @@
 var kindNames = [...]string{
 	"stop", "kill", "pause", "reload", "store slow", "store reset", "store one way", "store silent", "server slow", "server reset",
 	"server silent", "server breaks", "server fails", "server drains", "server replaced", "store loses answers", "store away", "configure", "machine stalled",
+	"server upgraded", "server removed", "server restarts", "server held", "store refuses",
 }
 
 // String returns the name of the kind as it appears in reports.
 func (k Kind) String() string { return kindNames[k] }
 
 // TargetsHost reports whether faults of this kind target a host.
-func (k Kind) TargetsHost() bool { return k <= StoreSilent }
+func (k Kind) TargetsHost() bool { return k <= StoreSilent || k == StoreRefuses }
 
 // TargetsServer reports whether faults of this kind target a server.
-func (k Kind) TargetsServer() bool { return k >= ServerSlow && k <= ServerReplaced }
+func (k Kind) TargetsServer() bool {
+	return k >= ServerSlow && k <= ServerReplaced || k >= ServerUpgraded && k <= ServerHeld
+}
 
 // Graceful reports whether this kind is an orderly operation, which must not make
 // any request fail.
-func (k Kind) Graceful() bool { return k == Stop || k == Reload || k == Configure || k == ServerDrains }
+func (k Kind) Graceful() bool {
+	return k == Stop || k == Reload || k == Configure || k == ServerDrains || k == ServerUpgraded
+}
 
 // Fault is one scheduled fault.
 type Fault struct {
@@ -96,6 +100,17 @@
 	Duration time.Duration
 }
 
+// SparesHost reports whether a host stays in touch during the fault: it affects
+// another host, or a server.
+func (f Fault) SparesHost(host int) bool {
+	return f.Kind.TargetsServer() || f.Kind.TargetsHost() && f.Target != host
+}
+
+// DisturbsStore reports whether the store is not stable during the fault.
+func (f Fault) DisturbsStore() bool {
+	return f.Kind == StoreLosesReplies || f.Kind == StoreUnavailable || f.Kind == Stall
+}
+
 // Plan holds the faults of one run in the order of their start.
 type Plan struct {
 	Seed   uint64
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -49,6 +49,27 @@
 		Expect(overlaps).To(BeNumerically(">", 40))
 	})
 
+	It("replaces servers of a release while hosts are out of touch, the same for equal seeds", func() {
+		kinds := map[plan.Kind]int{}
+		for seed := range uint64(20) {
+			p := plan.NewRelease(seed, sizes)
+			Expect(p.String()).To(Equal(plan.NewRelease(seed, sizes).String()))
+			for _, f := range p.Faults {
+				kinds[f.Kind]++
+				Expect(f.Kind.TargetsHost()).NotTo(Equal(f.Kind.TargetsServer()))
+				if f.Kind.TargetsHost() {
+					Expect(f.Target).To(BeNumerically("<", sizes.Hosts))
+				} else {
+					Expect(f.Target).To(BeNumerically("<", sizes.Servers))
+				}
+				Expect(f.Start + f.Duration).To(BeNumerically("<=", p.FaultsEnd))
+			}
+		}
+		for _, k := range []plan.Kind{plan.Pause, plan.StoreSilent, plan.StoreRefuses, plan.ServerUpgraded, plan.ServerRemoved, plan.ServerRestarts, plan.ServerHeld} {
+			Expect(kinds[k]).To(BeNumerically(">", 0), k.String())
+		}
+	})
+
 	It("reports whether only allowed faults overlap a period", func() {
 		p := plan.Plan{Faults: []plan.Fault{{Kind: plan.Stop, Start: 2 * time.Second, Duration: time.Second}, {Kind: plan.Kill, Start: 5 * time.Second, Duration: time.Second}}}
 		graceful := func(f plan.Fault) bool { return f.Kind.Graceful() }
