Streams: a version is inferred only from a list read after the take-up came

Callers could get a stream that began at one software version and went on at another (ORDER): taken up at a host for which the store was silent while servers of a new version joined through other hosts.

Cause: a host took its list of servers for complete while its last call to the store had succeeded, however long ago that was.

A take-up of an unknown stream now reads the records of streams and the changes of the servers in calls that begin after it came. Without an answer of the store, every other host must have been heard since, with no newer list.

No record or message changes.

--- a/internal/fleet/entry/origins.go
+++ b/internal/fleet/entry/origins.go
@@ -25,7 +25,14 @@
 	// readSpacing is the least time between two readings of all records.
 	readSpacing = 60 * time.Millisecond
 	// findTimeout bounds the search for the origin of a stream: callers soon leave.
+	// storeShare is the part of it that the store has to answer, before what other
+	// hosts tell is relied on.
 	findTimeout = 800 * time.Millisecond
+	storeShare  = findTimeout / 2
+	// noticeTransit is the longest time that a notice of another host is on its way,
+	// noticePoll the interval between checks for new ones.
+	noticeTransit = 100 * time.Millisecond
+	noticePoll    = 20 * time.Millisecond
 	// recordTTL is the age at which a record is deleted by whoever reads it. Its
 	// host has been gone for long.
 	recordTTL = 10 * time.Minute
@@ -60,11 +67,12 @@
 	readMu sync.Mutex
 }
 
-// reading is one reading of the records of all hosts.
+// reading is one reading of the records of all hosts, and of the changes of the list
+// of servers.
 type reading struct {
 	done chan struct{}
-	// err is valid once done is closed.
-	err error
+	// err and serversErr are valid once done is closed.
+	err, serversErr error
 }
 
 var _ forward.Origins = (*origins)(nil)
@@ -99,22 +107,28 @@
 	o.table.Begin(o.host.timer.Now(), calls, origin.Stream{Service: c.Service, Software: software}, deadline.Add(takeUpMargin))
 }
 
-// Find returns the origin of the stream that a call takes up. It reads the other
-// hosts' records if this host does not know it, twice if it is not recorded yet.
+// Find returns the origin of the stream that a call takes up. If this host does not
+// know it, the records of the other hosts are read, twice if it is not recorded yet,
+// and the list of servers with them: a version may have come that this host has not
+// heard of.
 func (o *origins) Find(ctx context.Context, c *exchange.Call) (origin.Stream, bool) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	began := o.host.timer.Now()
-	s, knowledge := o.find(c)
+	s, knowledge := o.find(c, false)
 	reads := 0
 	var err error
 	for knowledge == origin.Unknown && reads < 2 && err == nil {
 		if reads > 0 && !timer.Pause(o.host.timer, ctx.Done(), o.interval()) {
 			break
 		}
-		err = o.read(ctx)
+		var current bool
+		current, err = o.read(ctx)
 		reads++
-		s, knowledge = o.find(c)
+		s, knowledge = o.find(c, current)
+	}
+	if knowledge == origin.Unknown && err != nil {
+		s, knowledge = o.find(c, o.confirmedByOthers(ctx, began))
 	}
 	takeUpsTotal[knowledge].Inc()
 	cause := ""
@@ -126,13 +140,32 @@
 	return s, knowledge != origin.Unknown
 }
 
-func (o *origins) find(c *exchange.Call) (origin.Stream, origin.Knowledge) {
-	return o.table.Find(o.host.timer.Now(), c.TakeUp.Attempts, c.Service, o.host.serversCurrent())
+// find looks the origin of a call's stream up. current is set if this host's list of
+// servers has all that joined before the call came.
+func (o *origins) find(c *exchange.Call, current bool) (origin.Stream, origin.Knowledge) {
+	return o.table.Find(o.host.timer.Now(), c.TakeUp.Attempts, c.Service, current)
+}
+
+// confirmedByOthers reports whether this host's list of servers is as new as those of
+// all other hosts at a time, while the store does not answer: each of them was heard
+// since, and none has read a change that this host has not.
+func (o *origins) confirmedByOthers(ctx context.Context, began time.Time) bool {
+	h := o.host
+	since := began.Add(noticeTransit)
+	for !h.members.HeardAll(since) {
+		if !timer.Pause(h.timer, ctx.Done(), noticePoll) {
+			return false
+		}
+	}
+	return !h.serverFollower.Behind()
 }
 
-// read reads the records of all hosts, in a reading that begins after the call.
-// Calls share readings, so that callers that name unknown streams cause few.
-func (o *origins) read(ctx context.Context) error {
+// read reads the records of all hosts and the changes of the list of servers, in a
+// reading that begins after the call, and reports whether the list is current. Calls
+// share readings, so that callers that name unknown streams cause few.
+func (o *origins) read(ctx context.Context) (serversCurrent bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, storeShare)
+	defer cancel()
 	o.mu.Lock()
 	r := o.next
 	if r == nil {
@@ -143,9 +176,9 @@
 	o.mu.Unlock()
 	select {
 	case <-r.done:
-		return r.err
+		return r.serversErr == nil, r.err
 	case <-ctx.Done():
-		return ctx.Err()
+		return false, ctx.Err()
 	}
 }
 
@@ -157,7 +190,10 @@
 	o.next = nil
 	o.mu.Unlock()
 	recordsReadTotal.Inc()
+	servers := make(chan error, 1)
+	go func() { servers <- o.host.serverFollower.Refresh(o.host.ctx) }()
 	r.err = o.readAll()
+	r.serversErr = <-servers
 	close(r.done)
 	timer.Pause(o.host.timer, o.host.ctx.Done(), readSpacing)
 }
@@ -228,7 +264,8 @@
 
 func (o *origins) keepRecord() error {
 	if !o.table.Restored() {
-		return o.read(o.host.ctx)
+		_, err := o.read(o.host.ctx)
+		return err
 	}
 	return o.write()
 }
@@ -260,13 +297,3 @@
 	}
 	return err
 }
-
-// serversCurrent reports whether this host's list of servers is up to date as far
-// as it can tell: it or the relay that it hears is in touch with the store, or no
-// host that it hears has a newer list.
-func (h *Host) serversCurrent() bool {
-	if h.members.LargeFleet() && !h.readsStore() {
-		return h.members.HeardRelay(h.timer.Now())
-	}
-	return h.serverFollower.InTouch() || len(h.members.Live()) > 0 && !h.serverFollower.Behind()
-}
--- a/internal/fleet/notice/notice_test.go
+++ b/internal/fleet/notice/notice_test.go
@@ -47,6 +47,18 @@
 		Expect(table.Apply(start.Add(notice.PeerTimeout+2), noticeFrom("B", 5, 3))).To(BeTrue())
 	})
 
+	It("has heard all hosts since a time if each one's last notice came after it, but for those that stop", func() {
+		Expect(table.HeardAll(start)).To(BeFalse(), "no other host")
+		table.Apply(start, noticeFrom("B", 1, 1))
+		table.Apply(start.Add(time.Second), noticeFrom("C", 1, 1))
+		Expect(table.HeardAll(start)).To(BeTrue())
+		Expect(table.HeardAll(start.Add(1))).To(BeFalse())
+		stopping := noticeFrom("B", 1, 2)
+		stopping.Stopping = true
+		table.Apply(start, stopping)
+		Expect(table.HeardAll(start.Add(time.Second))).To(BeTrue())
+	})
+
 	It("reports once that a host becomes live or dead", func() {
 		table.Apply(start, noticeFrom("B", 1, 1))
 		table.Apply(start, noticeFrom("B", 1, 2))
--- a/internal/fleet/notice/table.go
+++ b/internal/fleet/notice/table.go
@@ -351,6 +351,23 @@
 	return host == t.self.Host || live
 }
 
+// HeardAll reports whether a notice was received since a time from each other host
+// that was heard within removeAfter and was not stopping then. It is false in a large
+// fleet, whose hosts don't hear each other directly, and if there is no other host.
+func (t *PeerTable) HeardAll(since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.large() || len(t.peers) == 0 {
+		return false
+	}
+	for _, p := range t.peers {
+		if !p.Stopping && p.ReceivedAt.Before(since) {
+			return false
+		}
+	}
+	return true
+}
+
 // Live returns the other live hosts that are not stopping, sorted by name.
 func (t *PeerTable) Live() []Member {
 	t.mu.Lock()
--- a/internal/record/follow/follow.go
+++ b/internal/record/follow/follow.go
@@ -166,14 +166,6 @@
 // Applied returns the revision of the newest change that the Handler received.
 func (f *Follower) Applied() int64 { return f.applied.Load() }
 
-// InTouch reports whether the list was read and the last call to the store
-// succeeded.
-func (f *Follower) InTouch() bool {
-	f.applyMu.Lock()
-	defer f.applyMu.Unlock()
-	return f.everListed && f.unavailableSince.IsZero()
-}
-
 // Behind reports whether another follower has read a change that this one has not.
 func (f *Follower) Behind() bool {
 	f.mu.Lock()
@@ -235,6 +227,36 @@
 	return f.everListed
 }
 
+var (
+	errNoList = errors.New("the list was not read yet")
+	errAway   = errors.New("the store is away")
+)
+
+// Refresh reads the changes that the store has at the time of the call, also for an
+// inactive follower. While it returns an error, changes may be missing, whatever the
+// waiting poll returned last.
+func (f *Follower) Refresh(ctx context.Context) error {
+	f.applyMu.Lock()
+	synced, away, revision := f.synced, !f.unavailableSince.IsZero(), f.revision
+	f.applyMu.Unlock()
+	switch {
+	case away:
+		// Run finds the end of the outage, and the grace that follows it.
+		return errAway
+	case !synced:
+		return errNoList
+	}
+	events, next, err := f.source.Poll(ctx, f.prefix, revision, time.Millisecond)
+	if err != nil {
+		return err
+	}
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
+	f.apply(events, next, f.grace())
+	f.markSeen(next)
+	return nil
+}
+
 // position returns the revision up to which all changes were applied.
 func (f *Follower) position() int64 {
 	f.applyMu.Lock()
--- a/internal/record/follow/follow_test.go
+++ b/internal/record/follow/follow_test.go
@@ -150,6 +150,37 @@
 		Expect(grace).To(BeZero())
 	})
 
+	// refresh refreshes the follower while the clock goes on.
+	refresh := func() error {
+		done := make(chan error, 1)
+		go func() { done <- f.Refresh(context.Background()) }()
+		var err error
+		Eventually(func() bool {
+			clock.Advance(time.Millisecond)
+			select {
+			case err = <-done:
+				return true
+			default:
+				return false
+			}
+		}, waitTimeout, time.Millisecond).Should(BeTrue())
+		return err
+	}
+
+	It("reads what the store has when it is refreshed", func() {
+		Expect(refresh()).To(Succeed())
+		revision := write("p/2", "b")
+		Expect(refresh()).To(Succeed())
+		Expect(r.snapshot()).To(HaveKeyWithValue("p/2", "b"))
+		Expect(f.Applied()).To(Equal(revision))
+		Expect(f.Behind()).To(BeFalse())
+	})
+
+	It("is not refreshed while the store is away", func() {
+		kv.SetFaults(func(string) platform.Fault { return platform.Refuse })
+		Expect(refresh()).NotTo(Succeed())
+	})
+
 	It("reports the first key of a store that was empty when listed", func() {
 		empty := platform.NewKV(clock)
 		r := &recordingHandler{keys: map[string]string{}, grace: map[string]time.Duration{}}
