Answers: one budget of memory for all that a host reads from servers

Callers of sound servers lost their requests when a faulty server sent without end: the host held 10 MiB of head or 16 MiB of body for each call, and ran out of memory.

Bodies read whole and incomplete events of streams share a budget of 1/16 of the host's memory (package buffer); when it is used up, the largest answer of the server that holds most is broken off. Real processes were not measured.

No record or message changes.

--- a/internal/batch/ownership/manager_test.go
+++ b/internal/batch/ownership/manager_test.go
@@ -104,6 +104,16 @@
 		Expect(f.servers.runsOf("j-1")).To(Equal(3))
 	})
 
+	// Guards against an item whose server sends without end taking the host's memory.
+	It("breaks an answer off that does not end, and runs its item again", func() {
+		f := newFleet("A")
+		f.servers.endless = "j-0"
+		Expect(f.hosts["A"].Submit(ctx, submission("j", 2, 1))).To(BeNil())
+		f.eventually(func(g Gomega) { expectComplete(g, listResults(g, f.hosts["A"], "j"), 2) })
+		Expect(f.servers.runsOf("j-0")).To(Equal(2))
+		Expect(f.logged("item interrupted")).To(ContainElement(ContainSubstring("its answer does not end")))
+	})
+
 	DescribeTable("handles an acceptance that failed or whose reply was lost", func(fault platform.Fault, kept bool) {
 		f := newFleet("A")
 		var calls atomic.Int64
--- a/internal/batch/ownership/running.go
+++ b/internal/batch/ownership/running.go
@@ -14,11 +14,16 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 	"github.com/kingcupquay/kingcupquay/internal/serving/events"
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
+	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
 )
 
 // maxResultBytes bounds the result of an item, which is stored in one value.
 const maxResultBytes = store.MaxValueBytes - 4<<10
 
+// maxOutputBytes is the size at which an answer that has not ended is broken off. Its
+// server is taken for faulty, and the item runs again.
+const maxOutputBytes = 2 * maxResultBytes
+
 // schedule preempts items on servers that have more requests than slots, and
 // starts waiting items where slots are free.
 func (m *Manager) schedule() {
@@ -213,6 +218,7 @@
 		Route: route, Service: service, Received: m.Timer.Now(),
 	}
 	end := itemrun.End{Kind: itemrun.Requeue, Cause: "its record does not allow it"}
+	endless := false
 	if m.mayRun(ctx, j) {
 		end = itemrun.Run(ctx, m.Timer, m.Servers, r.server, call, resume, func(received []events.Event) {
 			m.mu.Lock()
@@ -220,12 +226,19 @@
 			for _, e := range received {
 				j.job.Append(i, e.ID, e.Data)
 			}
+			if j.job.OutputSize(i) > maxOutputBytes {
+				endless = true
+				r.cancel()
+			}
 		})
 	}
+	if endless {
+		end = itemrun.End{Kind: itemrun.Crashed, Outcome: scheduler.Failed, Cause: "its answer does not end"}
+	}
 	if end.Misdirected {
 		m.ServerDirectory.MarkMisdirected(r.server)
 	}
-	cancelled := ctx.Err() != nil
+	cancelled := ctx.Err() != nil && !endless
 	r.cancel()
 	now := m.Timer.Now()
 	m.Placer.EndBatch(now, r.server, end.Outcome)
@@ -248,6 +261,9 @@
 		j.job.DiscardOutput(i)
 		j.job.Requeue(i)
 	case itemrun.Crashed:
+		if endless {
+			j.job.DiscardOutput(i)
+		}
 		if delayed, until := j.job.RecordCrash(i, now); delayed {
 			m.Log.Info("item rests", "job", record.ID, "item", item.ID, "until", until, "cause", "its servers crashed during its runs")
 		}
--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -52,8 +52,9 @@
 	breakAfter int
 	// crashing is an item that crashes its server in every run.
 	crashing string
-	// large is the item whose events are large.
-	large string
+	// large is the item whose events are large, endless the one whose first run does
+	// not end.
+	large, endless string
 	// block, if set, makes every run wait before its first event until it is
 	// closed or the run is cancelled.
 	block chan struct{}
@@ -71,7 +72,7 @@
 	s.services[c.ID] = append(s.services[c.ID], b.Service)
 	first := s.runs[c.ID] == 1
 	status, block, breakAfter := s.status[c.ID], s.block, s.breakAfter
-	large, crashing := s.large, s.crashing
+	large, crashing, endless := s.large, s.crashing, s.endless == c.ID && first
 	if resume.Set {
 		s.resumed = append(s.resumed, resume.After)
 	}
@@ -86,7 +87,7 @@
 	s.addActive(1)
 	go func() {
 		defer s.addActive(-1)
-		for n := resume.After + 1; n <= eventsPerItem; n++ {
+		for n := resume.After + 1; n <= eventsPerItem || endless; n++ {
 			if breakAfter > 0 && first && n > int64(breakAfter) {
 				_ = writer.CloseWithError(io.ErrUnexpectedEOF)
 				return
@@ -100,7 +101,7 @@
 				}
 			}
 			padding := ""
-			if c.ID == large {
+			if c.ID == large || endless {
 				padding = strings.Repeat("x", 300<<10)
 			}
 			if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s-%d%s\n\n", n, c.ID, n, padding); err != nil {
--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -35,6 +35,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/record/follow"
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
+	"github.com/kingcupquay/kingcupquay/internal/serving/buffer"
 	"github.com/kingcupquay/kingcupquay/internal/serving/crash"
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
 	"github.com/kingcupquay/kingcupquay/internal/serving/forward"
@@ -74,9 +75,15 @@
 	// the operator allows callers.
 	headerTimeout = 20 * time.Second
 	idleTimeout   = 90 * time.Second
+	// maxHeadBytes bounds the head of a request. It is several times what the operator
+	// allows callers.
+	maxHeadBytes = 128 << 10
 	// callListeners is the number of the first listeners that take calls, of other
 	// hosts and of callers; the others take readiness checks and metrics.
 	callListeners = 2
+	// 1/answersShare of the host's memory may hold answers of servers that are read
+	// whole. Each is copied once when it is complete.
+	answersShare = 16
 )
 
 // Host is one entry host. It serves from Start until Stop.
@@ -159,6 +166,9 @@
 	servers := crash.NewDetector(log, a.Servers, h.directory)
 	h.forwarder = forward.New(t, log, servers, h.directory, h.slots, h.suspects, h.origins, (*stopAdmission)(h))
 	h.forwarder.SetPeers(h.passing)
+	if s.MemoryMB > 0 {
+		h.forwarder.SetAnswers(buffer.NewBudget(int64(s.MemoryMB) << 20 / answersShare))
+	}
 	h.peers = newPeers(h)
 	h.configFollower = follow.New(t, log, a.Store, a.ConfigKey, (*configHandler)(h), h.readsStore, h.readerCount)
 	h.serverFollower = follow.New(t, log, a.Store, a.ServerPrefix, (*serverHandler)(h), h.readsStore, h.readerCount)
@@ -242,7 +252,7 @@
 }
 
 func (h *Host) serve(l net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes}
 	listener := drain.NewListener(l)
 	h.httpServers, h.listeners = append(h.httpServers, server), append(h.listeners, listener)
 	go func() {
--- a/internal/serving/events/splitter.go
+++ b/internal/serving/events/splitter.go
@@ -10,8 +10,9 @@
 	"github.com/gravitational/trace"
 )
 
-// maxEventBytes bounds the size of an incomplete event.
-const maxEventBytes = 4 << 20
+// maxEventBytes bounds the size of an incomplete event. Each open stream may hold that
+// much.
+const maxEventBytes = 1 << 20
 
 // Event is one complete event.
 type Event struct {
--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -29,6 +29,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
 	"github.com/kingcupquay/kingcupquay/internal/operator/routes"
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
+	"github.com/kingcupquay/kingcupquay/internal/serving/buffer"
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
 	"github.com/kingcupquay/kingcupquay/internal/serving/origin"
 	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
@@ -85,6 +86,8 @@
 	origins   Origins
 	peers     Peers
 	admission Admission
+	// answers is the memory of the answers that are read whole before they are sent on.
+	answers *buffer.Budget
 }
 
 // Admission decides whether a call that no server has run may be sent now.
@@ -114,9 +117,15 @@
 
 // New returns a forwarder.
 func New(t timer.Service, log logr.Logger, servers exchange.MonitoredServers, directory *backend.Directory, s Slots, g *suspect.Guard, o Origins, a Admission) *Forwarder {
-	return &Forwarder{timer: t, log: log, servers: servers, directory: directory, slots: s, suspects: g, origins: o, peers: alone{}, admission: a}
+	return &Forwarder{timer: t, log: log, servers: servers, directory: directory, slots: s, suspects: g, origins: o, peers: alone{}, admission: a, answers: buffer.NewBudget(defaultAnswerBytes)}
 }
 
+// defaultAnswerBytes is what answers may take until SetAnswers is called.
+const defaultAnswerBytes = 64 << 20
+
+// SetAnswers sets the memory that answers of servers may take while they are held.
+func (f *Forwarder) SetAnswers(b *buffer.Budget) { f.answers = b }
+
 // Serve answers a call through out. If ctx ends with a *result.Error as its
 // cause, that is the error of a call whose answer has not begun. It returns nil if the complete answer was
 // written. Otherwise, if begun, the caller of Serve must abort the answer so
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -238,6 +238,8 @@
 	go readChunks(att.reply.Body, chunks, stop)
 	defer close(stop)
 	var splitter events.Splitter
+	held := f.answers.Open(att.server.ID, att.cancel)
+	defer held.Close()
 	s.lastEvent = f.timer.Now()
 	idleTimer := time.NewTimer(s.idleTimeout())
 	defer idleTimer.Stop()
@@ -252,7 +254,11 @@
 				return result.New(result.BackendSilent, "server %s fell silent", att.server.ID).WithRan(result.RanYes)
 			}
 		case next := <-chunks:
-			if err := s.deliver(att, &splitter, next.data); err != nil {
+			err := s.deliver(att, &splitter, next.data)
+			if err == nil {
+				err = held.Resize(len(splitter.Remainder()))
+			}
+			if err != nil {
 				outcome := scheduler.Failed
 				if errors.Is(err, errCallerGone) {
 					outcome = scheduler.Unknown
@@ -306,9 +312,9 @@
 		f.end(att, f.outcomeOf(ctx, att))
 		return failure
 	}
-	body, err := io.ReadAll(io.LimitReader(att.reply.Body, maxAnswerBytes+1))
+	body, err := f.readAnswer(ctx, s.call, att)
 	f.end(att, f.outcomeOf(ctx, att))
-	if err != nil || len(body) > maxAnswerBytes {
+	if err != nil {
 		return failure
 	}
 	writeAnswer(s.out, att.reply, body)
--- a/internal/serving/forward/unary.go
+++ b/internal/serving/forward/unary.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"time"
 
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
@@ -76,10 +74,8 @@
 		f.end(a, res.outcome)
 		return res
 	}
-	body, err := io.ReadAll(io.LimitReader(res.reply.Body, maxAnswerBytes+1))
+	body, err := f.readAnswer(ctx, c, a)
 	switch {
-	case err == nil && len(body) > maxAnswerBytes:
-		err = fmt.Errorf("it is larger than %d bytes", maxAnswerBytes)
 	case err == nil && f.perhapsCut(ctx, a, body):
 		err = errUnframedEnd
 	}
@@ -104,6 +100,20 @@
 	return res
 }
 
+// readAnswer reads the body of an attempt's reply in memory of the host's budget, which
+// is released when ctx ends, with the call, or at once after a failure.
+func (f *Forwarder) readAnswer(ctx context.Context, c *exchange.Call, a *attempt) ([]byte, error) {
+	held := f.answers.Open(a.server.ID, a.cancel)
+	body, err := held.ReadAll(a.reply.Body, maxAnswerBytes)
+	if err != nil {
+		f.log.Info("answer not read", "request", c.ID, "server", a.server.ID, "service", c.Service, "bytes", held.Bytes(), "broken_off", held.BrokenOff(), "cause", err.Error())
+		held.Close()
+		return nil, err
+	}
+	context.AfterFunc(ctx, held.Close)
+	return body, nil
+}
+
 var errUnframedEnd = errors.New("it ended with its connection, perhaps early")
 
 // perhapsCut reports whether an answer that was read to its end was cut off. Only
