Hosts: servers that are gone for others are gone after a lost store, too

Cause: missing servers were kept for 2 s from when the host noticed that the store was back, though the store had served all others.

A host with missing servers asks others, by GET /servers as before, and removes what a host does not list that needs no grace itself.

--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -127,6 +127,8 @@
 	// list of servers is fetched from another host.
 	fetchingConfig  atomic.Bool
 	fetchingServers atomic.Bool
+	// confirming is set while other hosts are asked whether missing servers are gone.
+	confirming atomic.Bool
 	// httpServers[i] serves listeners[i].
 	httpServers []*http.Server
 	listeners   []*drain.Listener
@@ -429,6 +431,9 @@
 		r.directory.Remove(now, r.adapter.ServerID(key), 0)
 	}
 	r.origins.observe()
+	if grace > 0 {
+		(*Host)(r).confirmMissing()
+	}
 }
 
 // Changed applies one changed entry. An entry that can't be parsed removes its
@@ -440,6 +445,9 @@
 		r.directory.Remove(r.timer.Now(), id, grace)
 		r.placer.RemoveServer(id)
 		(*Host)(r).passOn()
+		if grace > 0 {
+			(*Host)(r).confirmMissing()
+		}
 		return
 	}
 	s, ok := r.parse(e.Entry)
--- a/internal/serving/backend/server.go
+++ b/internal/serving/backend/server.go
@@ -144,6 +144,30 @@
 	}
 }
 
+// Missing returns the IDs of the servers in their grace period, sorted.
+func (d *Directory) Missing() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var ids []string
+	for id, e := range d.servers {
+		if !e.missingUntil.IsZero() {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// RemoveMissing removes a server that is still in its grace period.
+func (d *Directory) RemoveMissing(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e, ok := d.servers[id]; ok && !e.missingUntil.IsZero() {
+		d.remove(id)
+		d.rebuild()
+	}
+}
+
 // Expire removes the servers whose grace period is over.
 func (d *Directory) Expire(now time.Time) {
 	d.mu.Lock()
