Suspects: crashes are counted by start, not by the ID of the server

Evidence: the new spec of forward failed before: sent 8 times, 3 expected.

The text in records and messages is longer where a server names its start time. Hosts compare it and don't take it apart, so the build before reads it as one more server, and this one reads its IDs; one crash may count twice between the two.

--- a/internal/serving/backend/server.go
+++ b/internal/serving/backend/server.go
@@ -16,6 +16,7 @@
 	"maps"
 	"slices"
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -38,6 +39,15 @@
 	SoftwareVersion string
 }
 
+// Start returns a name of one start of the server, which differs from that of its
+// other starts under its ID if the server says when it started.
+func (s Server) Start() string {
+	if s.Born == 0 {
+		return s.ID
+	}
+	return s.ID + "/" + strconv.FormatInt(s.Born, 10)
+}
+
 // sameIncarnation reports whether two entries describe the same incarnation at
 // the same address.
 func (s Server) sameIncarnation(o Server) bool {
--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -295,7 +295,7 @@
 	var failed *exchange.SendError
 	reused := errors.As(cause, &failed) && failed.Reused
 	if !reused && f.suspects.Accuses(a.events) && f.servers.Crashed(context.WithoutCancel(ctx), a.server) {
-		f.suspects.Crashed(c, a.server.ID, a.reply != nil)
+		f.suspects.Crashed(c, a.server.Start(), a.reply != nil)
 	}
 }
 
--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -202,6 +202,12 @@
 
 // newForwarder returns a forwarder with a directory of count servers.
 func newForwarder(servers exchange.MonitoredServers, count int, guard *suspect.Guard) (*forward.Forwarder, *scheduler.Placer) {
+	f, placer, _ := newForwarderWith(servers, count, guard)
+	return f, placer
+}
+
+// newForwarderWith is newForwarder that also returns the directory of the servers.
+func newForwarderWith(servers exchange.MonitoredServers, count int, guard *suspect.Guard) (*forward.Forwarder, *scheduler.Placer, *backend.Directory) {
 	directory := backend.NewDirectory(func(backend.Server, string) {})
 	for i := range count {
 		id := string(rune('a' + i))
@@ -209,7 +215,7 @@
 	}
 	placer := scheduler.New("A", "z", func() float64 { return 0.5 }, func() {})
 	places := slots.New(timer.Real{}, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {})
-	return forward.New(timer.Real{}, logr.Discard(), servers, directory, places, guard, &keptOrigins{}, admit{}), placer
+	return forward.New(timer.Real{}, logr.Discard(), servers, directory, places, guard, &keptOrigins{}, admit{}), placer, directory
 }
 
 // waitRecorder records how long each placed call may wait for a slot.
@@ -605,6 +611,18 @@
 		Expect(servers.sent).To(HaveLen(5), "another body must be sent")
 	})
 
+	// Guards against counting the crashes of a server that keeps its ID as one.
+	It("counts each start of a server that crashes under a body", func() {
+		servers := &scriptedServers{down: true, replies: slices.Repeat([]scriptedReply{{lost: true}}, 9)}
+		f, _, directory := newForwarderWith(servers, 1, newGuard())
+		route := routes.Route{Kind: routes.Repeatable, MaxAttempts: 1, Objective: time.Minute, Shares: []routes.Share{{Service: "s", Weight: 1}}}
+		for start := range int64(8) {
+			directory.Put(backend.Server{ID: "a", Service: "s", Address: "a", Zone: "z", Slots: 4, SoftwareVersion: "v1", Born: 1000 + start})
+			_, _ = f.Serve(context.Background(), &exchange.Call{ID: fmt.Sprint(start), Route: &route, Target: "/x", Body: []byte("bad"), Received: time.Now()}, &recordingWriter{})
+		}
+		Expect(servers.sent).To(HaveLen(3))
+	})
+
 	DescribeTable("clears the parts of a prompt that a server answers", func(reply scriptedReply) {
 		servers := &scriptedServers{replies: []scriptedReply{reply}}
 		guard := newGuard()
