Entry: the fuzzed host asks no other host in the background

The inquiry about missing servers, new in this landing, ran into the next input of FuzzAnswer (a data race of the test's own server under -race). newFuzzHost holds it back as it does the other two background calls.

--- a/internal/fleet/entry/fuzz_test.go
+++ b/internal/fleet/entry/fuzz_test.go
@@ -31,6 +31,7 @@
 	})
 	h.fetchingConfig.Store(true)
 	h.fetchingServers.Store(true)
+	h.confirming.Store(true)
 	return h
 }
 
