Drain: a connection accepted as the drain begins is waited for

Cause: Accept had a connection that was not entered yet when Drain found none.

Nothing between hosts changes.

--- a/internal/fleet/drain/listener.go
+++ b/internal/fleet/drain/listener.go
@@ -26,10 +26,14 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
-	// draining is set by Drain. drained is closed once draining is set and no
-	// connection is left.
-	draining bool
-	drained  chan struct{}
+	// accepting is the number of calls of Accept that have not returned. Each may have
+	// taken a connection that is not in conns yet.
+	accepting int
+	// draining is set by Drain. drained is closed, and isDrained set, once draining is
+	// set, no connection is left and none can come.
+	draining  bool
+	isDrained bool
+	drained   chan struct{}
 }
 
 // Serve serves a listener's connections. It returns nil after Drain was called,
@@ -56,13 +60,18 @@
 
 // Accept waits for the next connection.
 func (l *Listener) Accept() (net.Conn, error) {
+	l.mu.Lock()
+	l.accepting++
+	l.mu.Unlock()
 	inner, err := l.Listener.Accept()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.accepting--
 	if err != nil {
+		l.checkDrained()
 		return nil, err
 	}
 	c := &conn{Conn: inner, listener: l}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.conns[c] = struct{}{}
 	if l.draining {
 		c.drain()
@@ -82,9 +91,7 @@
 		for c := range l.conns {
 			c.drain()
 		}
-		if len(l.conns) == 0 {
-			close(l.drained)
-		}
+		l.checkDrained()
 	}
 	l.mu.Unlock()
 	select {
@@ -102,7 +109,13 @@
 		return
 	}
 	delete(l.conns, c)
-	if l.draining && len(l.conns) == 0 {
+	l.checkDrained()
+}
+
+// checkDrained closes drained if the drain is over. The caller holds l.mu.
+func (l *Listener) checkDrained() {
+	if l.draining && !l.isDrained && l.accepting == 0 && len(l.conns) == 0 {
+		l.isDrained = true
 		close(l.drained)
 	}
 }
