Hosts: all hosts that answer must agree that missing servers are gone

Found on reading the change again: after an outage of the store for all, one host whose poll had outlasted it has no grace, and its list would have ended the grace of others. A list with a grace now ends the inquiry, and only servers in none of the lists are removed. A take-up goes on by what other hosts tell also if only the changes of servers could not be read, and nothing is inferred if only the records could not.

--- a/internal/fleet/entry/missing.go
+++ b/internal/fleet/entry/missing.go
@@ -13,9 +13,9 @@
 const maxConfirmers = 4
 
 // confirmMissing asks other hosts in the background whether servers that were missing
-// when this host regained the store are gone. They are if the store served another
-// host meanwhile: the entries did not lapse in an outage of the store, and there is
-// nothing to wait for. One such inquiry runs at a time.
+// when this host regained the store are gone. They are if the store served the others
+// meanwhile: the entries did not lapse in an outage of the store, and there is nothing
+// to wait for. One such inquiry runs at a time.
 func (h *Host) confirmMissing() {
 	if !h.confirming.CompareAndSwap(false, true) {
 		return
@@ -23,17 +23,22 @@
 	go func() {
 		defer h.confirming.Store(false)
 		missing := h.directory.Missing()
+		var lists []follow.List
 		for _, address := range h.confirmers() {
 			list, err := h.peers.requestServers(h.ctx, address)
-			if err != nil {
+			switch {
+			case err != nil:
 				h.log.Info("servers not fetched", "from", address, "cause", err.Error())
-				continue
-			}
-			if list.Grace == 0 && list.Revision >= h.serverFollower.Applied() {
-				h.removeUnlisted(missing, list, address)
+			case list.Grace > 0:
+				// The store was away for that host, too.
 				return
+			case list.Revision >= h.serverFollower.Applied():
+				lists = append(lists, list)
 			}
 		}
+		if len(lists) > 0 {
+			h.removeUnlisted(missing, lists)
+		}
 	}()
 }
 
@@ -50,16 +55,18 @@
 	return addresses
 }
 
-// removeUnlisted removes the missing servers that are not in the list of a host that
-// the store has served all the while.
-func (h *Host) removeUnlisted(missing []string, list follow.List, from string) {
-	listed := make(map[string]bool, len(list.Entries))
-	for _, e := range list.Entries {
-		listed[h.adapter.ServerID(e.Key)] = true
+// removeUnlisted removes the missing servers that are in none of the lists of other
+// hosts.
+func (h *Host) removeUnlisted(missing []string, lists []follow.List) {
+	listed := make(map[string]bool)
+	for _, list := range lists {
+		for _, e := range list.Entries {
+			listed[h.adapter.ServerID(e.Key)] = true
+		}
 	}
 	for _, id := range missing {
 		if !listed[id] {
-			h.log.Info("missing server is gone", "server", id, "from", from, "revision", list.Revision)
+			h.log.Info("missing server is gone", "server", id, "hosts", len(lists))
 			h.directory.RemoveMissing(id)
 		}
 	}
--- a/internal/fleet/entry/origins.go
+++ b/internal/fleet/entry/origins.go
@@ -116,18 +116,17 @@
 	defer cancel()
 	began := o.host.timer.Now()
 	s, knowledge := o.find(c, false)
-	reads := 0
+	reads, current := 0, false
 	var err error
 	for knowledge == origin.Unknown && reads < 2 && err == nil {
 		if reads > 0 && !timer.Pause(o.host.timer, ctx.Done(), o.interval()) {
 			break
 		}
-		var current bool
 		current, err = o.read(ctx)
 		reads++
 		s, knowledge = o.find(c, current)
 	}
-	if knowledge == origin.Unknown && err != nil {
+	if knowledge == origin.Unknown && !current {
 		s, knowledge = o.find(c, o.confirmedByOthers(ctx, began))
 	}
 	takeUpsTotal[knowledge].Inc()
@@ -176,7 +175,7 @@
 	o.mu.Unlock()
 	select {
 	case <-r.done:
-		return r.serversErr == nil, r.err
+		return r.err == nil && r.serversErr == nil, r.err
 	case <-ctx.Done():
 		return false, ctx.Err()
 	}
