Crashes: each lost connection says why it is no evidence

A call that lost its connection was passed over in silence in two cases: its connection had carried earlier requests, and its server's port does not refuse connections. The line 'cut off' now has 'reused', and 'crash not confirmed' is written for each dial.

--- a/internal/serving/crash/detector.go
+++ b/internal/serving/crash/detector.go
@@ -44,6 +44,7 @@
 // reaches another server.
 func (d *Detector) Crashed(ctx context.Context, s backend.Server) bool {
 	if !d.Down(ctx, s) {
+		d.log.Info("crash not confirmed", "server", s.ID, "dialled", 0, "cause", "its port does not refuse connections")
 		return false
 	}
 	dialled := witnesses(s, d.listed())
@@ -52,7 +53,11 @@
 		return false
 	}
 	// The refusal counts only if it lasts longer than a cut that has just ended.
-	return d.Down(ctx, s)
+	if !d.Down(ctx, s) {
+		d.log.Info("crash not confirmed", "server", s.ID, "dialled", len(dialled), "cause", "its port no longer refuses connections")
+		return false
+	}
+	return true
 }
 
 func (d *Detector) listed() []backend.Server {
--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -286,14 +286,14 @@
 // complete. If the server has crashed, the call is evidence of what crashed it.
 func (f *Forwarder) recordCutOff(ctx context.Context, c *exchange.Call, a *attempt, cause error) {
 	cutOffTotal.Inc()
-	f.log.Info("cut off", "request", c.ID, "server", a.server.ID, "host", a.host, "head", a.reply != nil, "events", a.events,
+	var failed *exchange.SendError
+	reused := errors.As(cause, &failed) && failed.Reused
+	f.log.Info("cut off", "request", c.ID, "server", a.server.ID, "host", a.host, "head", a.reply != nil, "events", a.events, "reused", reused,
 		"after_ms", f.timer.Now().Sub(a.started).Milliseconds(), "parts", c.SharedParts, "body", strconv.FormatUint(c.ContentHash(), 16),
 		"cause", cause.Error())
 	if a.host != "" {
 		return
 	}
-	var failed *exchange.SendError
-	reused := errors.As(cause, &failed) && failed.Reused
 	if !reused && f.suspects.Accuses(a.events) && f.servers.Crashed(context.WithoutCancel(ctx), a.server) {
 		f.suspects.Crashed(c, a.server.Start(), a.reply != nil)
 	}
