Soak: requests that crash servers, over kept connections and in several orders

The soak's servers could not crash: a proxy kept their ports open, each start had the same start time, and no request ended its server. The checker counts runs that come later than 3 s after the third crash through hosts in touch.

--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -1,6 +1,7 @@
 package checker_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -145,6 +146,37 @@
 	}),
 )
 
+// crashingRuns returns runs of a request that crashes servers, at the given seconds,
+// each under an ID of its own.
+func crashingRuns(h *checker.History, seconds ...time.Duration) {
+	h.Crashing, h.Requests, h.Runs = map[string]bool{"b": true}, nil, nil
+	for i, at := range seconds {
+		r, x := request(), run()
+		r.ID, x.ID = fmt.Sprint("q", i), fmt.Sprint("q", i)
+		r.Sent, r.Ended, r.Status, r.Text, x.At = at*second, at*second, 502, "", at*second
+		h.Requests, h.Runs = append(h.Requests, r), append(h.Runs, x)
+	}
+}
+
+var _ = DescribeTable("requests that crash servers", func(rule string, faults []plan.Fault, seconds ...time.Duration) {
+	h := checker.History{Plan: plan.Plan{Faults: faults}}
+	crashingRuns(&h, seconds...)
+	violations := checker.Check(h)
+	if rule == "" {
+		Expect(violations).To(BeEmpty())
+		return
+	}
+	Expect(violations).To(ContainElement(HaveField("Rule", rule)))
+},
+	Entry("three runs, and three more late", "", nil, time.Duration(10), time.Duration(11), time.Duration(12), time.Duration(16), time.Duration(24), time.Duration(50)),
+	Entry("many runs within the window", "", nil, time.Duration(10), time.Duration(11), time.Duration(12), time.Duration(13), time.Duration(13), time.Duration(14), time.Duration(14)),
+	Entry("a fourth late run", "budget", nil, time.Duration(10), time.Duration(11), time.Duration(12), time.Duration(16), time.Duration(18), time.Duration(20), time.Duration(22)),
+	Entry("a fourth late run while servers crash", "budget", []plan.Fault{{Kind: plan.ServerCrashes, Start: 10 * second, Duration: 20 * second}},
+		time.Duration(10), time.Duration(11), time.Duration(12), time.Duration(16), time.Duration(18), time.Duration(20), time.Duration(22)),
+	Entry("a fourth late run through a host that was killed", "", []plan.Fault{{Kind: plan.Kill, Start: 20 * second, Duration: second}},
+		time.Duration(10), time.Duration(11), time.Duration(12), time.Duration(16), time.Duration(18), time.Duration(20), time.Duration(22)),
+)
+
 var _ = DescribeTable("violations of jobs", func(rule string, change func(h *checker.History, j *checker.Job)) {
 	j := job()
 	h := checker.History{Runs: []checker.Run{run()}}
--- a/internal/soak/faultproxy/proxy.go
+++ b/internal/soak/faultproxy/proxy.go
@@ -40,11 +40,13 @@
 // Proxy is a TCP proxy that listens at one address and forwards connections to
 // another.
 type Proxy struct {
-	listener net.Listener
+	address string
 
-	mu     sync.Mutex
-	target string
-	fault  Fault
+	mu sync.Mutex
+	// listener is replaced by Reopen.
+	listener net.Listener
+	target   string
+	fault    Fault
 	// changed is closed and replaced when the fault changes.
 	changed chan struct{}
 	// conns maps the client side of each open connection to its server side.
@@ -58,14 +60,50 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, target: target, changed: make(chan struct{}), conns: make(map[net.Conn]net.Conn)}
+	p := &Proxy{address: listener.Addr().String(), listener: listener, target: target, changed: make(chan struct{}), conns: make(map[net.Conn]net.Conn)}
 	p.wg.Add(1)
-	go p.acceptLoop()
+	go p.acceptLoop(listener)
 	return p, nil
 }
 
 // Address returns the address at which the proxy listens.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
+
+// Shut stops listening, so that new connections are refused. Open connections stay.
+func (p *Proxy) Shut() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.listener.Close()
+}
+
+// Reopen listens again after Shut.
+func (p *Proxy) Reopen() error {
+	listener, err := net.Listen("tcp4", p.address)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listener = listener
+	p.wg.Add(1)
+	go p.acceptLoop(listener)
+	return nil
+}
+
+// ResetConnections resets the open connections. New ones are accepted.
+func (p *Proxy) ResetConnections() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resetOpen()
+}
+
+// resetOpen resets the open connections. The caller holds p.mu.
+func (p *Proxy) resetOpen() {
+	for client, server := range p.conns {
+		resetConn(client)
+		resetConn(server)
+	}
+}
 
 // SetTarget sets the address to which new connections are forwarded.
 func (p *Proxy) SetTarget(target string) {
@@ -84,10 +122,7 @@
 	close(p.changed)
 	p.changed = make(chan struct{})
 	if f == Reset || previous == DropReplies || previous == DropAll {
-		for client, server := range p.conns {
-			resetConn(client)
-			resetConn(server)
-		}
+		p.resetOpen()
 	}
 }
 
@@ -106,7 +141,7 @@
 
 // Close stops listening, closes all connections and waits for their goroutines.
 func (p *Proxy) Close() {
-	_ = p.listener.Close()
+	p.Shut()
 	p.SetFault(None)
 	p.mu.Lock()
 	for client, server := range p.conns {
@@ -117,10 +152,10 @@
 	p.wg.Wait()
 }
 
-func (p *Proxy) acceptLoop() {
+func (p *Proxy) acceptLoop(listener net.Listener) {
 	defer p.wg.Done()
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -69,7 +69,7 @@
 var kindNames = [...]string{
 	"stop", "kill", "pause", "reload", "store slow", "store reset", "store one way", "store silent", "server slow", "server reset",
 	"server silent", "server breaks", "server fails", "server drains", "server replaced", "store loses answers", "store away", "configure", "machine stalled",
-	"server upgraded", "server removed", "server restarts", "server held", "store refuses",
+	"server upgraded", "server removed", "server restarts", "server held", "store refuses", "server crashed",
 }
 
 // String returns the name of the kind as it appears in reports.
@@ -80,7 +80,7 @@
 
 // TargetsServer reports whether faults of this kind target a server.
 func (k Kind) TargetsServer() bool {
-	return k >= ServerSlow && k <= ServerReplaced || k >= ServerUpgraded && k <= ServerHeld
+	return k >= ServerSlow && k <= ServerReplaced || k >= ServerUpgraded && k <= ServerHeld || k == ServerCrashes
 }
 
 // Graceful reports whether this kind is an orderly operation, which must not make
--- a/internal/soak/plan/release.go
+++ b/internal/soak/plan/release.go
@@ -20,6 +20,8 @@
 	ServerHeld
 	// StoreRefuses makes the store turn one host away.
 	StoreRefuses
+	// ServerCrashes records that a request crashed a server. No plan schedules it.
+	ServerCrashes
 )
 
 // isolations are the faults that keep a host from learning of changes, or stop it.
