Crashes: a connection that carried earlier calls is evidence, too

Callers saw BUDGET: a request on a safe route or a stream that may be resumed crashed server after server without end, once the host kept connections.

Cause: a call that was lost on a kept connection accused nothing, as the server may have closed the connection before the call came. But the port that refuses connections after it shows that the server ended; the closed idle connection of a server that is up does not. The same exemption kept items on kept connections from being delayed.

Change: the exemption is gone where the server has crashed, in forward and in itemrun; such a server is also backed off. A kept connection that ends while the port is open still accuses nothing.

No record or message changed.

--- a/internal/batch/itemrun/run.go
+++ b/internal/batch/itemrun/run.go
@@ -62,6 +62,9 @@
 	Misdirected bool
 	// Cause is a text for the log. It is empty for a complete answer.
 	Cause string
+
+	// lost is set if the server's connection ended under the run.
+	lost bool
 }
 
 // Run runs an item on a server until its answer is complete, ctx is done or the
@@ -72,8 +75,8 @@
 func Run(ctx context.Context, timers timer.Service, servers exchange.MonitoredServers, server backend.Server, call *exchange.Call, resume exchange.Resume,
 	handle func([]events.Event)) End {
 	end := attempt(ctx, timers, servers, server, call, resume, handle)
-	if end.Kind == Requeue && end.Outcome == scheduler.Failed && servers.Crashed(ctx, server) {
-		end.Kind = Crashed
+	if end.Kind == Requeue && (end.lost || end.Outcome == scheduler.Failed) && servers.Crashed(ctx, server) {
+		end.Kind, end.Outcome = Crashed, scheduler.Failed
 	}
 	return end
 }
@@ -94,7 +97,7 @@
 		case errors.As(err, &sendErr) && (!sendErr.Sent || sendCtx.Err() != nil):
 			return End{Kind: Requeue, Outcome: scheduler.Unreachable, Cause: err.Error()}
 		case errors.As(err, &sendErr) && sendErr.Reused:
-			return End{Kind: Requeue, Outcome: scheduler.Unknown, Cause: err.Error()}
+			return End{Kind: Requeue, Outcome: scheduler.Unknown, Cause: err.Error(), lost: true}
 		}
 		return End{Kind: Requeue, Outcome: scheduler.Failed, Cause: err.Error()}
 	}
--- a/internal/batch/itemrun/run_test.go
+++ b/internal/batch/itemrun/run_test.go
@@ -90,5 +90,7 @@
 	Entry("answered with an internal error", &fakeServers{reply: exchange.Reply{Status: 500}}, exchange.Resume{}, itemrun.Failed, scheduler.Unknown),
 	Entry("answered with an unexpected status", &fakeServers{reply: exchange.Reply{Status: 404}}, exchange.Resume{}, itemrun.Requeue, scheduler.Failed),
 	Entry("never sent", &fakeServers{err: &exchange.SendError{Err: errors.New("refused")}}, exchange.Resume{}, itemrun.Requeue, scheduler.Unreachable),
+	Entry("lost on a reused connection to a server that goes down", &fakeServers{err: &exchange.SendError{Err: io.EOF, Sent: true, Reused: true}, down: true}, exchange.Resume{}, itemrun.Crashed, scheduler.Failed),
+	Entry("lost on a reused connection while all servers refuse connections", &fakeServers{err: &exchange.SendError{Err: io.EOF, Sent: true, Reused: true}, down: true, cutOff: true}, exchange.Resume{}, itemrun.Requeue, scheduler.Unknown),
 	Entry("lost on a reused connection", &fakeServers{err: &exchange.SendError{Err: io.EOF, Sent: true, Reused: true}}, exchange.Resume{}, itemrun.Requeue, scheduler.Unknown),
 )
--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -218,6 +218,8 @@
 	sent bool
 	// events counts the events that arrived.
 	events int
+	// crashed is set if the server crashed under the call.
+	crashed bool
 	// ended is set once the outcome was reported to the slots.
 	ended  bool
 	cancel context.CancelFunc
@@ -294,7 +296,8 @@
 	if a.host != "" {
 		return
 	}
-	if !reused && f.suspects.Accuses(a.events) && f.servers.Crashed(context.WithoutCancel(ctx), a.server) {
+	if f.suspects.Accuses(a.events) && f.servers.Crashed(context.WithoutCancel(ctx), a.server) {
+		a.crashed = true
 		f.suspects.Crashed(c, a.server.Start(), a.reply != nil)
 	}
 }
@@ -312,7 +315,7 @@
 		if !failed.Sent {
 			return scheduler.Unreachable
 		}
-		if failed.Reused {
+		if failed.Reused && !a.crashed {
 			return scheduler.Unknown
 		}
 		return scheduler.Failed
--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -42,6 +42,8 @@
 	// body is the answer; truncated means that a read error follows it.
 	body      string
 	truncated bool
+	// reused is set on the error of a lost connection that had carried other calls.
+	reused bool
 	// hold blocks after body, or before the reply if body is empty, until the
 	// call is cancelled.
 	hold bool
@@ -78,7 +80,7 @@
 	case r.unsent:
 		return nil, &exchange.SendError{Err: errors.New("refused")}
 	case r.lost:
-		return nil, &exchange.SendError{Err: io.ErrUnexpectedEOF, Sent: true}
+		return nil, &exchange.SendError{Err: io.ErrUnexpectedEOF, Sent: true, Reused: r.reused}
 	case r.overloaded:
 		return &exchange.Reply{Status: 503, NotRun: true, Body: http.NoBody}, nil
 	case r.misdirected:
@@ -593,8 +595,8 @@
 		Expect(loads).To(BeEmpty(), "a refused call must leave no slot taken")
 	})
 
-	It("does not send a body again that crashed three servers, whatever the ids of its requests", func() {
-		servers := &scriptedServers{down: true, replies: slices.Repeat([]scriptedReply{{lost: true}}, 9)}
+	DescribeTable("does not send a body again that crashed three servers, whatever the ids of its requests", func(lost scriptedReply) {
+		servers := &scriptedServers{down: true, replies: slices.Repeat([]scriptedReply{lost}, 9)}
 		f, _ := newForwarder(servers, 9, newGuard())
 		route := routes.Route{Kind: routes.Repeatable, MaxAttempts: 2, Objective: time.Minute, Shares: []routes.Share{{Service: "s", Weight: 1}}}
 		serve := func(id, body string) *result.Error {
@@ -609,7 +611,10 @@
 		Expect(failure.Ran()).To(Equal(result.RanNo))
 		serve("4", "other")
 		Expect(servers.sent).To(HaveLen(5), "another body must be sent")
-	})
+	},
+		Entry("on new connections", scriptedReply{lost: true}),
+		Entry("on kept connections", scriptedReply{lost: true, reused: true}),
+	)
 
 	// Guards against counting the crashes of a server that keeps its ID as one.
 	It("counts each start of a server that crashes under a body", func() {
