Crashes: a server that lost a connection is watched for later evidence

Callers saw BUDGET: a request on any route crashed server after server if their connections end before their port closes, or if the port never closes.

Cause: a crash was looked for at one instant, right after the connection had ended.

Change: a lost call is remembered for 20 s with the start of its server. The server is dialled again after 30 ms, 150 ms and 1 s, and for 15 s the list of servers is asked whether it started again under its ID, or another server that started later has its address. Then the lost calls that were not answered in between are accused. One answer clears a call, so a reset alone accuses nothing.

Nothing that hosts tell each other changed: records have the same servers, only later.

--- a/internal/serving/backend/server.go
+++ b/internal/serving/backend/server.go
@@ -262,6 +262,22 @@
 	return e.Server, true
 }
 
+// HasEnded reports whether the list shows that a server has ended: it started again
+// under its ID, or another server has its address.
+func (d *Directory) HasEnded(s Server) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e, ok := d.servers[s.ID]; ok && e.Born > s.Born && s.Born > 0 {
+		return true
+	}
+	for _, e := range d.servers {
+		if e.ID != s.ID && e.Address == s.Address && e.Born > s.Born && s.Born > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Services returns the services with servers that may get new work, sorted.
 func (d *Directory) Services() []string {
 	d.mu.Lock()
--- a/internal/serving/crash/detector.go
+++ b/internal/serving/crash/detector.go
@@ -9,9 +9,11 @@
 	"cmp"
 	"context"
 	"slices"
+	"sync"
 
 	"github.com/go-logr/logr"
 
+	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
 )
@@ -29,35 +31,48 @@
 // that this host is cut off from.
 type Detector struct {
 	exchange.Servers
+	timer     timer.Service
 	log       logr.Logger
 	directory *backend.Directory
+
+	mu sync.Mutex
+	// watches holds the servers that are watched, at most maxWatches, by their
+	// starts; protected by mu.
+	watches map[string]*watch
 }
 
 var _ exchange.MonitoredServers = (*Detector)(nil)
 
 // NewDetector returns a detector for the servers of a directory.
-func NewDetector(log logr.Logger, servers exchange.Servers, directory *backend.Directory) *Detector {
-	return &Detector{Servers: servers, log: log, directory: directory}
+func NewDetector(t timer.Service, log logr.Logger, servers exchange.Servers, directory *backend.Directory) *Detector {
+	return &Detector{Servers: servers, timer: t, log: log, directory: directory, watches: make(map[string]*watch)}
 }
 
 // Crashed reports whether nothing listens at a server's address while this host
 // reaches another server.
 func (d *Detector) Crashed(ctx context.Context, s backend.Server) bool {
+	crashed, dialled, doubt := d.check(ctx, s)
+	if !crashed {
+		d.log.Info("crash not confirmed", "server", s.ID, "dialled", dialled, "cause", doubt)
+	}
+	return crashed
+}
+
+// check is Crashed. It also returns how many other servers were dialled, and why the
+// crash is not confirmed.
+func (d *Detector) check(ctx context.Context, s backend.Server) (crashed bool, dialled int, doubt string) {
 	if !d.Down(ctx, s) {
-		d.log.Info("crash not confirmed", "server", s.ID, "dialled", 0, "cause", "its port does not refuse connections")
-		return false
+		return false, 0, "its port does not refuse connections"
 	}
-	dialled := witnesses(s, d.listed())
-	if !d.reachesAny(ctx, dialled) {
-		d.log.Info("crash not confirmed", "server", s.ID, "dialled", len(dialled), "cause", "no other server can be reached")
-		return false
+	others := witnesses(s, d.listed())
+	if !d.reachesAny(ctx, others) {
+		return false, len(others), "no other server can be reached"
 	}
 	// The refusal counts only if it lasts longer than a cut that has just ended.
 	if !d.Down(ctx, s) {
-		d.log.Info("crash not confirmed", "server", s.ID, "dialled", len(dialled), "cause", "its port no longer refuses connections")
-		return false
+		return false, len(others), "its port no longer refuses connections"
 	}
-	return true
+	return true, len(others), ""
 }
 
 func (d *Detector) listed() []backend.Server {
--- a/internal/serving/crash/detector_test.go
+++ b/internal/serving/crash/detector_test.go
@@ -5,11 +5,14 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/go-logr/logr"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 	"github.com/kingcupquay/kingcupquay/internal/serving/crash"
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
@@ -42,6 +45,13 @@
 	return false
 }
 
+// setRefusing sets the servers at which nothing listens from now on.
+func (n *network) setRefusing(ids string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refusing = ids
+}
+
 // dials returns the servers that were dialled so far.
 func (n *network) dials() []string {
 	n.mu.Lock()
@@ -63,7 +73,7 @@
 	DescribeTable("confirms a crash of a1 only if another server is reached", func(listed, refusing, silent string, crashed bool, dialled ...string) {
 		n := &network{refusing: refusing, silent: silent}
 		directory := directoryOf(listed)
-		d := crash.NewDetector(logr.Discard(), n, directory)
+		d := crash.NewDetector(timer.Real{}, logr.Discard(), n, directory)
 		Expect(d.Crashed(context.Background(), backend.Server{ID: "a1", Zone: "a", Address: "address of a1"})).To(Equal(crashed))
 		Eventually(n.dials).Should(ConsistOf(dialled))
 	},
@@ -82,19 +92,61 @@
 
 	It("confirms the third crash of a zone by the servers of other zones", Label(specs.KnownRed), func() {
 		n := &network{refusing: "a1 a2 a3"}
-		d := crash.NewDetector(logr.Discard(), n, directoryOf("a1 a2 a3 b1 c1"))
+		d := crash.NewDetector(timer.Real{}, logr.Discard(), n, directoryOf("a1 a2 a3 b1 c1"))
 		Expect(d.Crashed(context.Background(), backend.Server{ID: "a1", Zone: "a", Address: "address of a1"})).To(BeTrue())
 	})
 
 	It("does not confirm a crash if the cut ends between its dials", func() {
 		n := &network{refusing: "a1 a2 a3", recoversAfter: 1}
-		d := crash.NewDetector(logr.Discard(), n, directoryOf("a1 a2 a3"))
+		d := crash.NewDetector(timer.Real{}, logr.Discard(), n, directoryOf("a1 a2 a3"))
 		Expect(d.Crashed(context.Background(), backend.Server{ID: "a1", Zone: "a"})).To(BeFalse())
 	})
 
+	DescribeTable("confirms later that a1 crashed", func(confirmedAfter time.Duration, change func(n *network, d *backend.Directory)) {
+		clock := timer.NewManual(time.Unix(1000, 0))
+		n, directory := &network{}, directoryOf("a1 a2 a3")
+		a1, _ := directory.Get("a1")
+		a1.Born = 5
+		directory.Put(a1)
+		d := crash.NewDetector(clock, logr.Discard(), n, directory)
+		Expect(d.Crashed(context.Background(), a1)).To(BeFalse())
+		var ended atomic.Int32
+		d.Watch(a1, func() { ended.Add(1) })
+		d.Watch(a1, func() { ended.Add(1) })
+		change(n, directory)
+		var at time.Duration
+		for ; at < 20*time.Second && ended.Load() == 0; at += 10 * time.Millisecond {
+			clock.Advance(10 * time.Millisecond)
+			// Looks run in the background.
+			time.Sleep(time.Millisecond)
+		}
+		if confirmedAfter == 0 {
+			Expect(ended.Load()).To(BeZero())
+			return
+		}
+		Eventually(ended.Load).Should(BeEquivalentTo(2))
+		Expect(at).To(BeNumerically("<=", confirmedAfter))
+	},
+		Entry("the port closes after the connections", 100*time.Millisecond, func(n *network, _ *backend.Directory) { n.setRefusing("a1") }),
+		Entry("it starts again under its ID", 100*time.Millisecond, func(_ *network, d *backend.Directory) {
+			d.Put(backend.Server{ID: "a1", Service: "s1", Zone: "a", Address: "address of a1", Born: 9})
+		}),
+		Entry("it starts again under its ID at another port", 100*time.Millisecond, func(_ *network, d *backend.Directory) {
+			d.Put(backend.Server{ID: "a1", Service: "s1", Zone: "a", Address: "another", Born: 9})
+		}),
+		Entry("another server has its address", 100*time.Millisecond, func(_ *network, d *backend.Directory) {
+			d.Put(backend.Server{ID: "x1", Service: "s1", Zone: "a", Address: "address of a1", Born: 9})
+		}),
+		Entry("it is only listed anew", time.Duration(0), func(_ *network, d *backend.Directory) {
+			d.Put(backend.Server{ID: "a1", Service: "s1", Zone: "a", Address: "address of a1", Born: 5, Draining: true})
+		}),
+		Entry("all servers refuse connections", time.Duration(0), func(n *network, _ *backend.Directory) { n.setRefusing("a1 a2 a3") }),
+		Entry("nothing changes", time.Duration(0), func(*network, *backend.Directory) {}),
+	)
+
 	It("dials at most three others", func() {
 		n := &network{refusing: "a4"}
-		d := crash.NewDetector(logr.Discard(), n, directoryOf("a1 a2 a3 a4 a5 a6 b1"))
+		d := crash.NewDetector(timer.Real{}, logr.Discard(), n, directoryOf("a1 a2 a3 a4 a5 a6 b1"))
 		Expect(d.Crashed(context.Background(), backend.Server{ID: "a4", Zone: "a"})).To(BeTrue())
 		Eventually(n.dials).Should(ConsistOf("a4", "a5", "a6", "a1", "a4"))
 	})
--- /dev/null
+++ b/internal/serving/crash/watch.go
@@ -0,0 +1,109 @@
+package crash
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
+)
+
+const (
+	// watchPeriod is how long a server is watched. Crashed servers are back after some
+	// seconds.
+	watchPeriod = 15 * time.Second
+	// listInterval is the interval at which the list of servers is checked after the
+	// last dial.
+	listInterval = 250 * time.Millisecond
+	// maxWatches bounds the servers that are watched at once.
+	maxWatches = 256
+)
+
+// dialDelays are the times after the loss of a connection at which the port of a
+// server is dialled again.
+var dialDelays = []time.Duration{30 * time.Millisecond, 150 * time.Millisecond, time.Second}
+
+var confirmedLaterTotal = metrics.NewCounter("kingcupquay_crashes_confirmed_later_total")
+
+// watch is a server that lost a connection and may have crashed.
+type watch struct {
+	server backend.Server
+	began  time.Time
+	// ended are the functions to call once the server is known to have crashed.
+	ended []func()
+	// looks counts the looks so far.
+	looks int
+}
+
+// nextLook returns the time of the look that follows n others, measured from the loss
+// of the connection, and whether the port is dialled then. It returns false after the
+// last look.
+func nextLook(n int) (after time.Duration, dials, ok bool) {
+	if n < len(dialDelays) {
+		return dialDelays[n], true, true
+	}
+	after = dialDelays[len(dialDelays)-1] + time.Duration(n+1-len(dialDelays))*listInterval
+	return after, false, after <= watchPeriod
+}
+
+// Watch calls ended, at most once, if a server that has lost a connection turns out
+// to have crashed: its port refuses connections, or the list of servers shows that
+// the server ended.
+func (d *Detector) Watch(s backend.Server, ended func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	start := s.Start()
+	if w, watched := d.watches[start]; watched {
+		// The new loss may be the first that shows anything.
+		w.ended, w.looks, w.began = append(w.ended, ended), 0, d.timer.Now()
+		return
+	}
+	if len(d.watches) >= maxWatches {
+		d.log.Info("server not watched", "server", s.ID, "cause", "too many servers are")
+		return
+	}
+	w := &watch{server: s, began: d.timer.Now(), ended: []func(){ended}}
+	d.watches[start] = w
+	d.schedule(w)
+}
+
+// schedule plans the next look at a server, or ends its watch. The caller holds d.mu.
+func (d *Detector) schedule(w *watch) {
+	after, dials, ok := nextLook(w.looks)
+	if !ok {
+		delete(d.watches, w.server.Start())
+		return
+	}
+	w.looks++
+	delay := max(0, w.began.Add(after).Sub(d.timer.Now()))
+	// A callback of the timer must not block on a dial.
+	d.timer.After(delay, func(time.Time) { go d.look(w, dials) })
+}
+
+// look looks once for evidence that a server has crashed.
+func (d *Detector) look(w *watch, dials bool) {
+	evidence := ""
+	switch {
+	case d.directory.HasEnded(w.server):
+		evidence = "it started again, or another server has its address"
+	case dials:
+		if crashed, _, _ := d.check(context.Background(), w.server); crashed {
+			evidence = "its port refuses connections"
+		}
+	}
+	d.mu.Lock()
+	if evidence == "" {
+		d.schedule(w)
+		d.mu.Unlock()
+		return
+	}
+	delete(d.watches, w.server.Start())
+	ended := w.ended
+	d.mu.Unlock()
+	confirmedLaterTotal.Inc()
+	d.log.Info("crash confirmed later", "server", w.server.ID, "after_ms", d.timer.Now().Sub(w.began).Milliseconds(), "evidence", evidence)
+	for _, fn := range ended {
+		fn()
+	}
+}
--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -79,7 +79,7 @@
 type Forwarder struct {
 	timer     timer.Service
 	log       logr.Logger
-	servers   exchange.MonitoredServers
+	servers   Servers
 	directory *backend.Directory
 	slots     Slots
 	suspects  *suspect.Guard
@@ -90,6 +90,14 @@
 	answers *buffer.Budget
 }
 
+// Servers are the backend servers that calls are sent to.
+type Servers interface {
+	exchange.MonitoredServers
+	// Watch calls ended, at most once, if a server that has lost a connection turns
+	// out later to have crashed.
+	Watch(s backend.Server, ended func())
+}
+
 // Admission decides whether a call that no server has run may be sent now.
 type Admission interface {
 	// Admit returns nil, or the error to refuse the call with.
@@ -116,7 +124,7 @@
 }
 
 // New returns a forwarder.
-func New(t timer.Service, log logr.Logger, servers exchange.MonitoredServers, directory *backend.Directory, s Slots, g *suspect.Guard, o Origins, a Admission) *Forwarder {
+func New(t timer.Service, log logr.Logger, servers Servers, directory *backend.Directory, s Slots, g *suspect.Guard, o Origins, a Admission) *Forwarder {
 	return &Forwarder{timer: t, log: log, servers: servers, directory: directory, slots: s, suspects: g, origins: o, peers: alone{}, admission: a, answers: buffer.NewBudget(defaultAnswerBytes)}
 }
 
@@ -296,10 +304,16 @@
 	if a.host != "" {
 		return
 	}
-	if f.suspects.Accuses(a.events) && f.servers.Crashed(context.WithoutCancel(ctx), a.server) {
-		a.crashed = true
-		f.suspects.Crashed(c, a.server.Start(), a.reply != nil)
+	if !f.suspects.Accuses(a.events) {
+		return
+	}
+	start := a.server.Start()
+	f.suspects.Lost(c, start, a.reply != nil)
+	if a.crashed = f.servers.Crashed(context.WithoutCancel(ctx), a.server); a.crashed {
+		f.suspects.Ended(start)
+		return
 	}
+	f.servers.Watch(a.server, func() { f.suspects.Ended(start) })
 }
 
 // outcomeOf classifies an attempt that returned no usable reply. If the address
--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -61,6 +61,8 @@
 	cancelled    int
 	// down is the answer of Down, and of Crashed unless cutOff is set.
 	down, cutOff bool
+	// watching holds what to call once the watched servers have crashed.
+	watching []func()
 }
 
 func (s *scriptedServers) Send(ctx context.Context, b backend.Server, _ *exchange.Call, resume exchange.Resume, remaining time.Duration) (*exchange.Reply, error) {
@@ -110,6 +112,12 @@
 
 func (s *scriptedServers) Crashed(context.Context, backend.Server) bool { return s.down && !s.cutOff }
 
+func (s *scriptedServers) Watch(_ backend.Server, ended func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watching = append(s.watching, ended)
+}
+
 type failingReader struct{}
 
 func (failingReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
@@ -203,13 +211,13 @@
 }
 
 // newForwarder returns a forwarder with a directory of count servers.
-func newForwarder(servers exchange.MonitoredServers, count int, guard *suspect.Guard) (*forward.Forwarder, *scheduler.Placer) {
+func newForwarder(servers forward.Servers, count int, guard *suspect.Guard) (*forward.Forwarder, *scheduler.Placer) {
 	f, placer, _ := newForwarderWith(servers, count, guard)
 	return f, placer
 }
 
 // newForwarderWith is newForwarder that also returns the directory of the servers.
-func newForwarderWith(servers exchange.MonitoredServers, count int, guard *suspect.Guard) (*forward.Forwarder, *scheduler.Placer, *backend.Directory) {
+func newForwarderWith(servers forward.Servers, count int, guard *suspect.Guard) (*forward.Forwarder, *scheduler.Placer, *backend.Directory) {
 	directory := backend.NewDirectory(func(backend.Server, string) {})
 	for i := range count {
 		id := string(rune('a' + i))
@@ -616,6 +624,32 @@
 		Entry("on kept connections", scriptedReply{lost: true, reused: true}),
 	)
 
+	DescribeTable("accuses a body once its servers turn out later to have crashed", func(answeredMeanwhile bool, accused int) {
+		servers := &scriptedServers{replies: []scriptedReply{{lost: true}, {lost: true}, {}}}
+		guard := newGuard()
+		f, _ := newForwarder(servers, 3, guard)
+		route := routes.Route{Kind: routes.Repeatable, MaxAttempts: 2, Objective: time.Minute, Shares: []routes.Share{{Service: "s", Weight: 1}}}
+		serve := func(id string) {
+			_, _ = f.Serve(context.Background(), &exchange.Call{ID: id, Route: &route, Target: "/x", Body: []byte("b"), Received: time.Now()}, &recordingWriter{})
+		}
+		serve("1")
+		Expect(guard.Accused()).To(BeEmpty())
+		if answeredMeanwhile {
+			serve("2")
+		}
+		Expect(servers.watching).To(HaveLen(2))
+		for _, ended := range servers.watching {
+			ended()
+		}
+		Expect(guard.Accused()).To(HaveLen(accused))
+		if accused > 0 {
+			Expect(guard.Accused()[0].Servers).To(ConsistOf("a", "b"))
+		}
+	},
+		Entry("without an answer", false, 1),
+		Entry("after an answer to it", true, 0),
+	)
+
 	// Guards against counting the crashes of a server that keeps its ID as one.
 	It("counts each start of a server that crashes under a body", func() {
 		servers := &scriptedServers{down: true, replies: slices.Repeat([]scriptedReply{{lost: true}}, 9)}
--- a/internal/serving/suspect/guard.go
+++ b/internal/serving/suspect/guard.go
@@ -157,21 +157,37 @@
 // evidence against the call.
 func (g *Guard) Accuses(n int) bool { return n < soundEvents }
 
-// Crashed records that a server ended under a call. begun is set if the server
-// had begun to answer it.
-func (g *Guard) Crashed(c *exchange.Call, server string, begun bool) {
+// Lost remembers a call that was lost with its connection to a server, until Ended is
+// called for the server. begun is set if the server had begun to answer.
+func (g *Guard) Lost(c *exchange.Call, server string, begun bool) {
+	l := Loss{Server: server, Request: c.ID, Body: bodyName(c), At: g.timer.Now()}
+	if begun {
+		l.Parts = c.SharedParts
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.registry.RecordLoss(l)
+}
+
+// Ended records that a server has ended, which accuses the calls that were lost with
+// it.
+func (g *Guard) Ended(server string) {
 	now := g.timer.Now()
 	g.mu.Lock()
-	var changed []Record
-	if begun {
-		changed = g.registry.RecordCrash(now, c.SharedParts, server)
+	lost := g.registry.RecordEnd(now, server)
+	accusations := make([][]Record, len(lost))
+	for i, l := range lost {
+		accusations[i] = append(g.registry.RecordCrash(now, l.Parts, server), g.registry.RecordBodyCrash(now, l.Body, server)...)
 	}
-	changed = append(changed, g.registry.RecordBodyCrash(now, bodyName(c), server)...)
 	g.mu.Unlock()
-	for _, r := range changed {
-		g.logAccusation(r, c.ID)
+	changed := false
+	for i, records := range accusations {
+		for _, r := range records {
+			changed = true
+			g.logAccusation(r, lost[i].Request)
+		}
 	}
-	if len(changed) > 0 {
+	if changed {
 		g.fleet.ShareSoon()
 	}
 }
--- a/internal/serving/suspect/registry.go
+++ b/internal/serving/suspect/registry.go
@@ -25,6 +25,10 @@
 // A host that has answered a part within recentAnswer withdraws what others
 // tell it, so a part that many callers share is hardly ever condemned.
 //
+// A server whose connection was lost may turn out to have ended only later, when
+// its port closes or it starts again. The calls that were lost are remembered until
+// then; an answer that comes first clears them.
+//
 // Requests that have no part in common, but whose body is sent again and again,
 // are found in the same way: the body counts as a part of its own. It is accused
 // whether or not its answer had begun, and explains the end of no server.
@@ -68,6 +72,10 @@
 	maxRecords = 1024
 	maxShared  = 32
 	maxServers = 16
+	// lossTTL is how long a lost call is remembered while its server is not known to
+	// have ended, maxLosses how many are.
+	lossTTL   = 20 * time.Second
+	maxLosses = 256
 	// maxPartBytes is the longest name of a part.
 	maxPartBytes = 64
 	// answerSlots is the size of the table of answered parts, a power of two.
@@ -153,6 +161,17 @@
 	at   time.Time
 }
 
+// Loss is a call that was lost with its connection to a server.
+type Loss struct {
+	// Server is the start of the server, Request the ID of the call.
+	Server, Request string
+	// Parts are the shared parts of the prompt if the server had begun to answer it.
+	Parts []string
+	Body  string
+	// At is when the call was lost.
+	At time.Time
+}
+
 // Registry is the state machine over the records of one host. It is not safe for
 // concurrent use.
 type Registry struct {
@@ -162,6 +181,8 @@
 	// another part in the same slot.
 	answers []answer
 	seed    maphash.Seed
+	// losses has at most maxLosses entries, the oldest first.
+	losses []Loss
 }
 
 // NewRegistry returns a Registry without records.
@@ -173,6 +194,10 @@
 // and went on. It returns the records whose accusation it withdrew.
 func (g *Registry) RecordAnswer(now time.Time, parts []string) []Record {
 	var withdrawn []Record
+	for i := range g.losses {
+		l := &g.losses[i]
+		l.Parts = slices.DeleteFunc(l.Parts, func(part string) bool { return slices.Contains(parts, part) })
+	}
 	for _, part := range parts {
 		*g.slot(part) = answer{part: part, at: now}
 		if r := g.lookup(now, part); r != nil && len(r.Servers) > 0 {
@@ -257,14 +282,36 @@
 // RecordBodyAnswer is RecordAnswer for a body. Answers to bodies that are not
 // accused are not remembered.
 func (g *Registry) RecordBodyAnswer(now time.Time, body string) []Record {
+	g.losses = slices.DeleteFunc(g.losses, func(l Loss) bool { return l.Body == body })
 	if !g.Withdraw(now, body) {
 		return nil
 	}
 	return []Record{*g.records[body]}
 }
 
-// Empty reports whether there are no records.
-func (g *Registry) Empty() bool { return len(g.records) == 0 }
+// RecordLoss remembers a call until its server is known to have ended.
+func (g *Registry) RecordLoss(l Loss) {
+	l.Parts = slices.Clone(l.Parts)
+	g.losses = slices.DeleteFunc(g.losses, func(o Loss) bool { return l.At.Sub(o.At) >= lossTTL })
+	g.losses = append(g.losses[max(0, len(g.losses)+1-maxLosses):], l)
+}
+
+// RecordEnd records that a server has ended, and returns the calls that were lost
+// with it and not answered since.
+func (g *Registry) RecordEnd(now time.Time, server string) []Loss {
+	var lost []Loss
+	g.losses = slices.DeleteFunc(g.losses, func(l Loss) bool {
+		ended := l.Server == server
+		if ended && now.Sub(l.At) < lossTTL {
+			lost = append(lost, l)
+		}
+		return ended
+	})
+	return lost
+}
+
+// Empty reports whether there is nothing that an answer could clear.
+func (g *Registry) Empty() bool { return len(g.records) == 0 && len(g.losses) == 0 }
 
 // accuse adds a server to the record of a part and reports whether it is new
 // there.
--- a/internal/serving/suspect/registry_test.go
+++ b/internal/serving/suspect/registry_test.go
@@ -61,6 +61,29 @@
 		Entry("a part answered after", "a", false, "crash s1 a", "crash s2 a", "crash s3 a", "answer a"),
 	)
 
+	DescribeTable("keep lost calls until their server is known to have ended",
+		func(want string, endsAfter time.Duration, meanwhile func()) {
+			g.RecordLoss(suspect.Loss{Server: "s1", Request: "q1", Parts: parts("a b"), Body: "body/1", At: start})
+			g.RecordLoss(suspect.Loss{Server: "s2", Request: "q2", Parts: parts("a b"), Body: "body/1", At: start})
+			meanwhile()
+			var got []string
+			for _, l := range g.RecordEnd(start.Add(endsAfter), "s1") {
+				got = append(got, l.Request+" "+l.Body+" "+strings.Join(l.Parts, " "))
+			}
+			Expect(strings.Join(got, ", ")).To(Equal(want))
+			Expect(g.RecordEnd(start.Add(endsAfter), "s1")).To(BeEmpty())
+		},
+		Entry("no answer", "q1 body/1 a b", 5*time.Second, func() {}),
+		Entry("an answer to one part", "q1 body/1 b", 5*time.Second, func() { g.RecordAnswer(start.Add(time.Second), parts("a c")) }),
+		Entry("an answer to the body", "", 5*time.Second, func() { g.RecordBodyAnswer(start.Add(time.Second), "body/1") }),
+		Entry("a server that ends long after", "", time.Minute, func() {}),
+		Entry("many later losses", "", 5*time.Second, func() {
+			for i := range 300 {
+				g.RecordLoss(suspect.Loss{Server: fmt.Sprint(i), At: start})
+			}
+		}),
+	)
+
 	It("accuse a part that was answered long ago", func() {
 		g.RecordAnswer(start, parts("a b"))
 		for i := range 3 {
