Crashes: servers that crashed before are no witnesses

Callers saw BUDGET: in a zone of three servers a request that comes again crashed nine of them, six later than 3 s after the third.

Cause: a refused connection counts as a crash only if another server of the zone is reached. If the others are down under the same request, none is, and no further crash was confirmed. In zones of one, the three servers dialled were all of one other zone.

Change: starts of servers that crashed are not dialled, as this host confirmed it in the last 10 s or as a record of an accused part, from any host, names them. Those dialled elsewhere are spread over the zones. If all servers of a zone refuse at once and none is known to have crashed, nothing is confirmed, as before: that is what a host sees that is cut off from the zone.

The known-red spec 'confirms the third crash of a zone by the servers of other zones' is replaced: it asked for a confirmation without any sign that the other two had crashed, which the entry 'all of its zone refuse' of the table above it forbids. In its place each crash of five zones whose servers crash in turn must be confirmed, by the host itself, and the third one by another host's record.

No record or message changed.

--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -165,7 +165,7 @@
 	h.slots = slots.New(t, log, h.self, h.placer, h.directory, (*slotsNetwork)(h), func() { h.jobs.TriggerSchedule() })
 	h.suspects = suspect.NewGuard(t, log, (*suspectsFleet)(h))
 	h.origins = newOrigins(h)
-	servers := crash.NewDetector(t, log, a.Servers, h.directory)
+	servers := crash.NewDetector(t, log, a.Servers, h.directory, h.suspects.HasEnded)
 	h.forwarder = forward.New(t, log, servers, h.directory, h.slots, h.suspects, h.origins, (*stopAdmission)(h))
 	h.forwarder.SetPeers(h.passing)
 	if s.MemoryMB > 0 {
--- a/internal/serving/crash/detector.go
+++ b/internal/serving/crash/detector.go
@@ -8,8 +8,10 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -25,6 +27,10 @@
 	// minZoneWitnesses is how many other servers of the server's zone suffice as
 	// witnesses. If there are fewer, those of other zones are dialled too.
 	minZoneWitnesses = 2
+	// crashedTTL is how long a server whose crash was confirmed is no witness under
+	// the same start, maxCrashed how many of these are remembered.
+	crashedTTL = 10 * time.Second
+	maxCrashed = 1024
 )
 
 // Detector sends calls to backend servers and tells crashed servers from those
@@ -34,8 +40,14 @@
 	timer     timer.Service
 	log       logr.Logger
 	directory *backend.Directory
+	// knownEnded reports whether another host, too, may have found that a start of a
+	// server has ended.
+	knownEnded func(start string) bool
 
 	mu sync.Mutex
+	// crashed holds when crashes of starts were confirmed here, at most maxCrashed;
+	// protected by mu.
+	crashed map[string]time.Time
 	// watches holds the servers that are watched, at most maxWatches, by their
 	// starts; protected by mu.
 	watches map[string]*watch
@@ -43,9 +55,13 @@
 
 var _ exchange.MonitoredServers = (*Detector)(nil)
 
-// NewDetector returns a detector for the servers of a directory.
-func NewDetector(t timer.Service, log logr.Logger, servers exchange.Servers, directory *backend.Directory) *Detector {
-	return &Detector{Servers: servers, timer: t, log: log, directory: directory, watches: make(map[string]*watch)}
+// NewDetector returns a detector for the servers of a directory. knownEnded reports
+// which starts of servers others know to have ended.
+func NewDetector(t timer.Service, log logr.Logger, servers exchange.Servers, directory *backend.Directory, knownEnded func(start string) bool) *Detector {
+	return &Detector{
+		Servers: servers, timer: t, log: log, directory: directory, knownEnded: knownEnded,
+		crashed: make(map[string]time.Time), watches: make(map[string]*watch),
+	}
 }
 
 // Crashed reports whether nothing listens at a server's address while this host
@@ -64,7 +80,7 @@
 	if !d.Down(ctx, s) {
 		return false, 0, "its port does not refuse connections"
 	}
-	others := witnesses(s, d.listed())
+	others := witnesses(s, slices.DeleteFunc(d.listed(), d.hasEnded))
 	if !d.reachesAny(ctx, others) {
 		return false, len(others), "no other server can be reached"
 	}
@@ -72,9 +88,28 @@
 	if !d.Down(ctx, s) {
 		return false, len(others), "its port no longer refuses connections"
 	}
+	d.recordCrashed(s)
 	return true, len(others), ""
 }
 
+// hasEnded reports whether a server that is listed is known to have crashed.
+func (d *Detector) hasEnded(s backend.Server) bool {
+	d.mu.Lock()
+	at, crashed := d.crashed[s.Start()]
+	d.mu.Unlock()
+	return crashed && d.timer.Now().Sub(at) < crashedTTL || d.knownEnded(s.Start())
+}
+
+func (d *Detector) recordCrashed(s backend.Server) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.timer.Now()
+	maps.DeleteFunc(d.crashed, func(_ string, at time.Time) bool { return now.Sub(at) >= crashedTTL })
+	if len(d.crashed) < maxCrashed {
+		d.crashed[s.Start()] = now
+	}
+}
+
 func (d *Detector) listed() []backend.Server {
 	var list []backend.Server
 	for _, service := range d.directory.Services() {
@@ -107,30 +142,39 @@
 }
 
 // witnesses returns the servers to dial, to learn whether this host is cut off: those of
-// the same zone, since a host may also be cut off from a single zone, and of other
-// zones if these are too few. The first ones by ID after that of the server are
-// chosen, so that no server is dialled for all others.
+// the same zone, since a host may also be cut off from a single zone, and of each
+// other zone in turn if these are too few. The first ones by ID after that of the
+// server are chosen, so that no server is dialled for all others.
 func witnesses(s backend.Server, listed []backend.Server) []backend.Server {
-	others := slices.DeleteFunc(slices.Clone(listed), func(o backend.Server) bool { return o.ID == s.ID || o.Address == s.Address })
-	distance := func(o backend.Server) int {
-		n := 0
-		if o.Zone != s.Zone {
-			n += 2
-		}
-		if o.ID < s.ID {
-			n++
-		}
-		return n
-	}
+	others := slices.DeleteFunc(listed, func(o backend.Server) bool { return o.ID == s.ID || o.Address == s.Address })
 	slices.SortFunc(others, func(a, b backend.Server) int {
-		return cmp.Or(cmp.Compare(distance(a), distance(b)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(compareBools(a.ID < s.ID, b.ID < s.ID), cmp.Compare(a.ID, b.ID))
 	})
-	near := 0
-	for near < len(others) && others[near].Zone == s.Zone {
-		near++
+	// turn is how many servers of the same zone come before one.
+	turn, inZone := make(map[string]int, len(others)), make(map[string]int)
+	for _, o := range others {
+		turn[o.ID] = inZone[o.Zone]
+		inZone[o.Zone]++
 	}
-	if near >= minZoneWitnesses {
+	slices.SortStableFunc(others, func(a, b backend.Server) int {
+		if a.Zone == s.Zone || b.Zone == s.Zone {
+			return compareBools(a.Zone != s.Zone, b.Zone != s.Zone)
+		}
+		return cmp.Compare(turn[a.ID], turn[b.ID])
+	})
+	if near := inZone[s.Zone]; near >= minZoneWitnesses {
 		others = others[:near]
 	}
 	return others[:min(len(others), maxWitnesses)]
 }
+
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
--- a/internal/serving/crash/detector_test.go
+++ b/internal/serving/crash/detector_test.go
@@ -16,7 +16,6 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 	"github.com/kingcupquay/kingcupquay/internal/serving/crash"
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
-	"github.com/kingcupquay/kingcupquay/internal/standin/specs"
 )
 
 // network simulates the connections of a host.
@@ -69,11 +68,14 @@
 	return d
 }
 
+// nobody knows of a crash.
+func nobody(string) bool { return false }
+
 var _ = Describe("a crash detector", func() {
 	DescribeTable("confirms a crash of a1 only if another server is reached", func(listed, refusing, silent string, crashed bool, dialled ...string) {
 		n := &network{refusing: refusing, silent: silent}
 		directory := directoryOf(listed)
-		d := crash.NewDetector(timer.Real{}, logr.Discard(), n, directory)
+		d := crash.NewDetector(timer.Real{}, logr.Discard(), n, directory, nobody)
 		Expect(d.Crashed(context.Background(), backend.Server{ID: "a1", Zone: "a", Address: "address of a1"})).To(Equal(crashed))
 		Eventually(n.dials).Should(ConsistOf(dialled))
 	},
@@ -90,15 +92,39 @@
 		Entry("it is no longer listed itself", "a2 b1", "a1", "", true, "a1", "a2", "b1", "a1"),
 	)
 
-	It("confirms the third crash of a zone by the servers of other zones", Label(specs.KnownRed), func() {
+	// Guards against servers that are down under the same request as witnesses.
+	DescribeTable("confirms each crash of a zone whose servers crash in turn", func(listed string, order ...string) {
+		n, directory := &network{}, directoryOf(listed)
+		d := crash.NewDetector(timer.Real{}, logr.Discard(), n, directory, nobody)
+		for i, id := range order {
+			n.setRefusing(strings.Join(order[:i+1], " "))
+			s, _ := directory.Get(id)
+			Expect(d.Crashed(context.Background(), s)).To(BeTrue(), id)
+		}
+	},
+		Entry("a zone of three", "a1 a2 a3 b1 c1", "a1", "a2", "a3"),
+		Entry("in another order, and on in other zones", "a1 a2 a3 b1 c1", "a3", "a1", "a2", "b1"),
+		Entry("a zone of two", "a1 a2 b1 c1", "a1", "a2", "b1"),
+		Entry("zones of one", "a1 b1 c1", "a1", "b1"),
+		Entry("a zone of four", "a1 a2 a3 a4 b1", "a1", "a2", "a3", "a4"),
+	)
+
+	It("confirms the third crash of a zone if another host saw the first two", func() {
 		n := &network{refusing: "a1 a2 a3"}
-		d := crash.NewDetector(timer.Real{}, logr.Discard(), n, directoryOf("a1 a2 a3 b1 c1"))
+		seen := func(start string) bool { return start == "a2" || start == "a3" }
+		d := crash.NewDetector(timer.Real{}, logr.Discard(), n, directoryOf("a1 a2 a3 b1 c1"), seen)
 		Expect(d.Crashed(context.Background(), backend.Server{ID: "a1", Zone: "a", Address: "address of a1"})).To(BeTrue())
 	})
 
+	It("asks a server of each other zone if the zone has too few", func() {
+		n := &network{refusing: "b1 a1 a2 a3"}
+		d := crash.NewDetector(timer.Real{}, logr.Discard(), n, directoryOf("a1 a2 a3 b1 c1"), nobody)
+		Expect(d.Crashed(context.Background(), backend.Server{ID: "b1", Zone: "b", Address: "address of b1"})).To(BeTrue())
+	})
+
 	It("does not confirm a crash if the cut ends between its dials", func() {
 		n := &network{refusing: "a1 a2 a3", recoversAfter: 1}
-		d := crash.NewDetector(timer.Real{}, logr.Discard(), n, directoryOf("a1 a2 a3"))
+		d := crash.NewDetector(timer.Real{}, logr.Discard(), n, directoryOf("a1 a2 a3"), nobody)
 		Expect(d.Crashed(context.Background(), backend.Server{ID: "a1", Zone: "a"})).To(BeFalse())
 	})
 
@@ -108,7 +134,7 @@
 		a1, _ := directory.Get("a1")
 		a1.Born = 5
 		directory.Put(a1)
-		d := crash.NewDetector(clock, logr.Discard(), n, directory)
+		d := crash.NewDetector(clock, logr.Discard(), n, directory, nobody)
 		Expect(d.Crashed(context.Background(), a1)).To(BeFalse())
 		var ended atomic.Int32
 		d.Watch(a1, func() { ended.Add(1) })
@@ -146,7 +172,7 @@
 
 	It("dials at most three others", func() {
 		n := &network{refusing: "a4"}
-		d := crash.NewDetector(timer.Real{}, logr.Discard(), n, directoryOf("a1 a2 a3 a4 a5 a6 b1"))
+		d := crash.NewDetector(timer.Real{}, logr.Discard(), n, directoryOf("a1 a2 a3 a4 a5 a6 b1"), nobody)
 		Expect(d.Crashed(context.Background(), backend.Server{ID: "a4", Zone: "a"})).To(BeTrue())
 		Eventually(n.dials).Should(ConsistOf("a4", "a5", "a6", "a1", "a4"))
 	})
--- a/internal/serving/suspect/guard.go
+++ b/internal/serving/suspect/guard.go
@@ -192,6 +192,14 @@
 	}
 }
 
+// HasEnded reports whether this host or another one knows that a server ended under
+// a call.
+func (g *Guard) HasEnded(server string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.registry.HasEnded(g.timer.Now(), server)
+}
+
 func (g *Guard) logAccusation(r Record, request string) {
 	accusedTotal.Inc()
 	if !r.condemned {
--- a/internal/serving/suspect/registry.go
+++ b/internal/serving/suspect/registry.go
@@ -310,6 +310,16 @@
 	return lost
 }
 
+// HasEnded reports whether a record names a server as one that ended.
+func (g *Registry) HasEnded(now time.Time, server string) bool {
+	for _, r := range g.records {
+		if now.Before(r.ExpiresAt) && slices.Contains(r.Servers, server) {
+			return true
+		}
+	}
+	return false
+}
+
 // Empty reports whether there is nothing that an answer could clear.
 func (g *Registry) Empty() bool { return len(g.records) == 0 && len(g.losses) == 0 }
 
