Suspects: the store keeps records that two servers or more ended under

Callers saw BUDGET: after all hosts were killed at once, a condemned request crashed three servers more, and got its three trials anew.

Cause: only the hosts' memories held a condemnation.

Change: records with two servers or more, trials and withdrawals of these are kept in one key of the store, which hosts merge by compare-and-swap, 50 ms after a change here, and read when they start. Most servers that end leave records of one server only, which are not kept: two calls for each change of a kept record, one read for each start.

The key suspects/records is new: builds before this one neither read nor write it, and what hosts tell each other is unchanged; side by side, a condemnation is kept if a host of this build saw the second crash or a trial. Unknown fields are ignored when it is read.

--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -100,12 +100,14 @@
 	placer    *scheduler.Placer
 	slots     *slots.Slots
 	suspects  *suspect.Guard
-	origins   *origins
-	forwarder *forward.Forwarder
-	jobs      *ownership.Manager
-	members   *notice.PeerTable
-	notices   *notice.Exchange
-	peers     *peers
+	// suspectsKeeper keeps records of suspects in the store.
+	suspectsKeeper *suspectsKeeper
+	origins        *origins
+	forwarder      *forward.Forwarder
+	jobs           *ownership.Manager
+	members        *notice.PeerTable
+	notices        *notice.Exchange
+	peers          *peers
 	// reach is what is known of connections to servers, passing how calls are served
 	// while none can be opened.
 	reach *reach.Tracker
@@ -164,6 +166,7 @@
 	})
 	h.slots = slots.New(t, log, h.self, h.placer, h.directory, (*slotsNetwork)(h), func() { h.jobs.TriggerSchedule() })
 	h.suspects = suspect.NewGuard(t, log, (*suspectsFleet)(h))
+	h.suspectsKeeper = newSuspectsKeeper(h)
 	h.origins = newOrigins(h)
 	servers := crash.NewDetector(t, log, a.Servers, h.directory, h.suspects.HasEnded)
 	h.forwarder = forward.New(t, log, servers, h.directory, h.slots, h.suspects, h.origins, (*stopAdmission)(h))
@@ -245,7 +248,8 @@
 	h.slots.Start()
 	h.runFollower(h.configFollower)
 	h.runFollower(h.serverFollower)
-	h.wait.Add(2)
+	h.wait.Add(3)
+	go h.suspectsKeeper.run()
 	go h.keepLease()
 	go h.origins.run()
 	h.jobs.Start()
--- a/internal/fleet/entry/suspects.go
+++ b/internal/fleet/entry/suspects.go
@@ -2,11 +2,14 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"time"
 
 	"github.com/kingcupquay/kingcupquay/internal/fleet/rendezvous"
+	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/record/store"
 	"github.com/kingcupquay/kingcupquay/internal/serving/suspect"
 )
 
@@ -37,6 +40,102 @@
 	h.passOn()
 }
 
+// KeepSoon has the records written to the store.
+func (f *suspectsFleet) KeepSoon() { (*Host)(f).suspectsKeeper.trigger() }
+
+const (
+	// keepDelay is the time for which changes of kept records are gathered.
+	keepDelay = 50 * time.Millisecond
+	// keepRetry is the pause after a call to the store that failed.
+	keepRetry = time.Second
+)
+
+// suspectsKeeper keeps the records of parts that crash servers in the store, so that
+// they outlive the hosts' memories.
+type suspectsKeeper struct {
+	host *Host
+	// due has room for one request.
+	due chan struct{}
+}
+
+func newSuspectsKeeper(h *Host) *suspectsKeeper {
+	k := &suspectsKeeper{host: h, due: make(chan struct{}, 1)}
+	// What was kept before the host started is read first.
+	k.trigger()
+	return k
+}
+
+func (k *suspectsKeeper) trigger() {
+	select {
+	case k.due <- struct{}{}:
+	default:
+	}
+}
+
+// run reads and writes the records whenever that is due, until the host stops.
+func (k *suspectsKeeper) run() {
+	h := k.host
+	defer h.wait.Done()
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-k.due:
+		}
+		pause := keepDelay
+		if err := k.keep(); err != nil {
+			h.log.Info("records of crashing parts not kept", "cause", err.Error())
+			k.trigger()
+			pause = keepRetry
+		}
+		if !timer.Pause(h.timer, h.ctx.Done(), pause) {
+			return
+		}
+	}
+}
+
+// errKeptChanged means that another host wrote the records in between.
+var errKeptChanged = errors.New("another host wrote them at the same time")
+
+// keep merges the records of the store into the host's and writes the union if it
+// differs.
+func (k *suspectsKeeper) keep() error {
+	h := k.host
+	entry, found, err := h.adapter.Store.Get(h.ctx, suspect.KeptKey)
+	if err != nil {
+		return err
+	}
+	wall := time.Now()
+	var stored []suspect.Report
+	if found {
+		if stored, err = suspect.DecodeKept(wall, entry.Value); err != nil {
+			// The unreadable records are replaced.
+			h.log.Error(err, "records of crashing parts can't be read", "key", suspect.KeptKey)
+		}
+		h.suspects.MergeKept(stored)
+	}
+	kept := h.suspects.Kept()
+	if suspect.SameReports(kept, stored) {
+		return nil
+	}
+	text, err := suspect.EncodeKept(wall, kept)
+	if err != nil {
+		return err
+	}
+	result, err := h.adapter.Store.Commit(h.ctx, store.Txn{
+		Compares: []store.Compare{{Key: suspect.KeptKey, Target: store.ModRevision, Revision: entry.ModRevision}},
+		Puts:     []store.Put{{Key: suspect.KeptKey, Value: text}},
+	})
+	if err != nil {
+		return err
+	}
+	if !result.Succeeded {
+		return errKeptChanged
+	}
+	h.log.Info("records of crashing parts kept", "records", len(kept), "revision", result.Revision)
+	return nil
+}
+
 // suspectBody is the JSON form of a suspect.Record for operators.
 type suspectBody struct {
 	Part      string    `json:"part"`
--- a/internal/serving/suspect/guard.go
+++ b/internal/serving/suspect/guard.go
@@ -37,6 +37,8 @@
 	IsTrialHost(part string) bool
 	// ShareSoon requests that the records be sent to other hosts soon.
 	ShareSoon()
+	// KeepSoon requests that the store keep the records soon, with Kept and MergeKept.
+	KeepSoon()
 }
 
 // Alone is the Fleet of a host without others.
@@ -50,6 +52,9 @@
 // ShareSoon does nothing.
 func (Alone) ShareSoon() {}
 
+// KeepSoon does nothing.
+func (Alone) KeepSoon() {}
+
 // Guard decides which requests may be sent to servers. It is safe for concurrent
 // use.
 type Guard struct {
@@ -58,8 +63,8 @@
 	fleet Fleet
 
 	mu sync.Mutex
-	// registry is protected by mu, which is not held during calls to
-	// Fleet.ShareSoon.
+	// registry is protected by mu, which is not held during calls of the Fleet's
+	// ShareSoon and KeepSoon.
 	registry *Registry
 }
 
@@ -105,7 +110,7 @@
 	if onTrial {
 		trialsTotal.Inc()
 		g.log.Info("trial of a part", "part", trial.Part, "request", c.ID, "trial", trial.Trials, "servers", trial.Servers)
-		g.fleet.ShareSoon()
+		g.spread()
 	}
 	return failure
 }
@@ -149,7 +154,7 @@
 		g.log.Info("accusation withdrawn", "part", r.Part, "request", c.ID, "cause", "a server answered a request with it")
 	}
 	if len(withdrawn) > 0 {
-		g.fleet.ShareSoon()
+		g.spread()
 	}
 }
 
@@ -188,7 +193,7 @@
 		}
 	}
 	if changed {
-		g.fleet.ShareSoon()
+		g.spread()
 	}
 }
 
@@ -218,6 +223,34 @@
 	g.mu.Lock()
 	changed := g.registry.Merge(g.timer.Now(), reports)
 	g.mu.Unlock()
+	if changed {
+		g.spread()
+	}
+}
+
+// spread tells other hosts of a change, and has the store keep it if it has to.
+func (g *Guard) spread() {
+	g.fleet.ShareSoon()
+	g.mu.Lock()
+	unsaved := g.registry.TakeUnsaved()
+	g.mu.Unlock()
+	if unsaved {
+		g.fleet.KeepSoon()
+	}
+}
+
+// Kept returns the records that the store is to keep.
+func (g *Guard) Kept() []Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.registry.Kept(g.timer.Now())
+}
+
+// MergeKept applies the records that the store keeps.
+func (g *Guard) MergeKept(reports []Report) {
+	g.mu.Lock()
+	changed := g.registry.MergeKept(g.timer.Now(), reports)
+	g.mu.Unlock()
 	if changed {
 		g.fleet.ShareSoon()
 	}
@@ -246,7 +279,7 @@
 	if accused {
 		withdrawnTotal.Inc()
 		g.log.Info("accusation withdrawn", "part", part, "cause", "an operator withdrew it")
-		g.fleet.ShareSoon()
+		g.spread()
 	}
 	return accused
 }
--- /dev/null
+++ b/internal/serving/suspect/kept.go
@@ -0,0 +1,115 @@
+package suspect
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// KeptKey is the store key of the records that outlive the hosts. All hosts write it,
+// each after it has merged what it holds.
+const KeptKey = "suspects/records"
+
+// maxKept bounds the records in the store.
+const maxKept = 256
+
+// keptRecords is the stored form of records. Builds ignore fields that they don't
+// know, and those from before it neither read nor write the key.
+type keptRecords struct {
+	Records []keptRecord `json:"records"`
+}
+
+// keptRecord is the stored form of a Report.
+type keptRecord struct {
+	Part    string   `json:"part"`
+	Depth   int      `json:"depth"`
+	Version uint32   `json:"version"`
+	Servers []string `json:"servers,omitempty"`
+	Trials  int      `json:"trials"`
+	// ExpiresMs is the time of day at which the record is dropped, in Unix
+	// milliseconds.
+	ExpiresMs int64 `json:"expires_ms"`
+}
+
+// EncodeKept returns the stored form of reports at a time of day.
+func EncodeKept(wall time.Time, reports []Report) ([]byte, error) {
+	kept := keptRecords{Records: []keptRecord{}}
+	for _, r := range reports {
+		kept.Records = append(kept.Records, keptRecord{r.Part, r.Depth, r.Version, r.Servers, r.Trials, wall.Add(r.ExpiresIn).UnixMilli()})
+	}
+	data, err := json.Marshal(kept)
+	return data, trace.Wrap(err)
+}
+
+// DecodeKept is the reverse of EncodeKept.
+func DecodeKept(wall time.Time, data []byte) ([]Report, error) {
+	var kept keptRecords
+	if err := json.Unmarshal(data, &kept); err != nil {
+		return nil, trace.BadParameter("records of crashing parts: %v", err)
+	}
+	var reports []Report
+	for _, r := range kept.Records[:min(len(kept.Records), maxKept)] {
+		reports = append(reports, Report{Part: r.Part, Depth: r.Depth, Version: r.Version, Servers: r.Servers, Trials: r.Trials, ExpiresIn: time.UnixMilli(r.ExpiresMs).Sub(wall)})
+	}
+	return reports, nil
+}
+
+// MergeKept is Merge for the records that the store keeps.
+func (g *Registry) MergeKept(now time.Time, reports []Report) bool {
+	changed := g.Merge(now, reports)
+	for _, in := range reports {
+		if r := g.lookup(now, in.Part); r != nil {
+			r.kept = true
+		}
+	}
+	return changed
+}
+
+// TakeUnsaved reports whether a record that the store keeps has changed here since
+// the last call.
+func (g *Registry) TakeUnsaved() bool {
+	unsaved := g.unsaved
+	g.unsaved = false
+	return unsaved
+}
+
+// Kept returns the records that the store is to keep: those of at least keptServers
+// servers, and the withdrawals of records that it has.
+func (g *Registry) Kept(now time.Time) []Report {
+	list := g.list(now, func(r *Record) bool { return r.kept || len(r.Servers) >= keptServers })
+	slices.SortStableFunc(list, func(a, b Record) int { return cmp.Compare(b.importance(), a.importance()) })
+	list = list[:min(maxKept, len(list))]
+	reports := make([]Report, len(list))
+	for i := range list {
+		g.records[list[i].Part].kept = true
+		reports[i] = list[i].report(now)
+	}
+	return reports
+}
+
+// SameReports reports whether two lists name the same records, apart from when these
+// expire.
+func SameReports(a, b []Report) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	byPart := make(map[string]Report, len(b))
+	for _, r := range b {
+		byPart[r.Part] = r
+	}
+	for _, r := range a {
+		o, ok := byPart[r.Part]
+		if !ok || r.Version != o.Version || r.Trials != o.Trials || len(r.Servers) != len(o.Servers) {
+			return false
+		}
+		for _, s := range r.Servers {
+			if !slices.Contains(o.Servers, s) {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/internal/serving/suspect/registry.go
+++ b/internal/serving/suspect/registry.go
@@ -18,7 +18,9 @@
 // recordTTL or is withdrawn by an operator.
 //
 // A Registry is the state machine over the records of one host and does no I/O.
-// Records are exchanged between hosts with their status messages. Each
+// Records are exchanged between hosts with their status messages. The store keeps
+// those with keptServers servers or more for hosts that lose their memory and for
+// zones that are cut off from each other. Each
 // withdrawal increases the version of a record; of two records of a part, the
 // one with the higher version counts, and those of the same version are united.
 // All hosts therefore arrive at the same record whatever the order of arrival.
@@ -47,6 +49,9 @@
 const (
 	// condemnAfter is the number of servers that must have ended under a part.
 	condemnAfter = 3
+	// keptServers is the number of servers from which the store keeps a record. Most
+	// parts and bodies that are accused were only present when a server ended.
+	keptServers = 2
 	// recentAnswer is how long an answer protects a part that is accused though
 	// it has been answered before.
 	recentAnswer = 2 * time.Second
@@ -101,6 +106,8 @@
 	ExpiresAt time.Time
 
 	condemned bool
+	// kept is set if the store may have the record.
+	kept      bool
 	changedAt time.Time
 	// trialAt is when the next trial is due, if Trials is below maxTrials.
 	trialAt time.Time
@@ -183,6 +190,8 @@
 	seed    maphash.Seed
 	// losses has at most maxLosses entries, the oldest first.
 	losses []Loss
+	// unsaved is set if a record that the store keeps has changed here.
+	unsaved bool
 }
 
 // NewRegistry returns a Registry without records.
@@ -201,7 +210,7 @@
 	for _, part := range parts {
 		*g.slot(part) = answer{part: part, at: now}
 		if r := g.lookup(now, part); r != nil && len(r.Servers) > 0 {
-			r.withdraw(now)
+			g.withdraw(now, r)
 			withdrawn = append(withdrawn, *r)
 		}
 	}
@@ -331,7 +340,11 @@
 		r = &Record{Part: part, Depth: depth}
 		g.put(now, r)
 	}
-	return r, r.addServers(now, now.Add(recordTTL), []string{server})
+	isNew := r.addServers(now, now.Add(recordTTL), []string{server})
+	if isNew && len(r.Servers) >= keptServers {
+		g.unsaved = true
+	}
+	return r, isNew
 }
 
 // Merge applies the reports of another host and reports whether any record
@@ -355,7 +368,8 @@
 	known := g.lookup(now, in.Part)
 	switch {
 	case known == nil || in.Version > known.Version:
-		known = &Record{Part: in.Part, Depth: in.Depth, Version: in.Version, Trials: in.Trials, ExpiresAt: expiresAt, changedAt: now}
+		wasKept := known != nil && known.kept
+		known = &Record{Part: in.Part, Depth: in.Depth, Version: in.Version, Trials: in.Trials, ExpiresAt: expiresAt, changedAt: now, kept: wasKept}
 		known.addServers(now, expiresAt, in.Servers)
 		g.put(now, known)
 	case in.Version < known.Version:
@@ -365,6 +379,10 @@
 	default:
 		known.Depth = min(known.Depth, in.Depth)
 		changed := known.addServers(now, expiresAt, in.Servers)
+		if changed && len(known.Servers) > len(in.Servers) && len(known.Servers) >= keptServers {
+			// Neither host had all of them.
+			g.unsaved = true
+		}
 		if in.Trials > known.Trials {
 			known.Trials, known.trialAt, changed = in.Trials, now.Add(trialDelay(in.Trials)), true
 		}
@@ -373,7 +391,7 @@
 		}
 	}
 	if len(known.Servers) > 0 && g.answeredWithin(now, in.Part, recentAnswer) {
-		known.withdraw(now)
+		g.withdraw(now, known)
 	}
 	return true
 }
@@ -401,6 +419,7 @@
 	r := condemned[0]
 	r.Trials++
 	r.changedAt, r.trialAt = now, now.Add(trialDelay(r.Trials))
+	g.unsaved = true
 	return *r, true
 }
 
@@ -434,11 +453,17 @@
 	if r == nil || len(r.Servers) == 0 {
 		return false
 	}
-	r.withdraw(now)
+	g.withdraw(now, r)
 	g.judge(now)
 	return true
 }
 
+// withdraw ends the accusation of a record.
+func (g *Registry) withdraw(now time.Time, r *Record) {
+	r.withdraw(now)
+	g.unsaved = g.unsaved || r.kept
+}
+
 // Accused returns the records of accused parts, those that changed last first.
 func (g *Registry) Accused(now time.Time) []Record {
 	return g.list(now, func(r *Record) bool { return len(r.Servers) > 0 })
@@ -456,11 +481,16 @@
 	slices.SortStableFunc(list, func(a, b Record) int { return cmp.Compare(b.importance(), a.importance()) })
 	var reports []Report
 	for _, r := range list[:min(maxShared, len(list))] {
-		reports = append(reports, Report{Part: r.Part, Depth: r.Depth, Version: r.Version, Servers: r.Servers, Trials: r.Trials, ExpiresIn: r.ExpiresAt.Sub(now)})
+		reports = append(reports, r.report(now))
 	}
 	return reports
 }
 
+// report returns the record as it is told to others.
+func (r *Record) report(now time.Time) Report {
+	return Report{Part: r.Part, Depth: r.Depth, Version: r.Version, Servers: r.Servers, Trials: r.Trials, ExpiresIn: r.ExpiresAt.Sub(now)}
+}
+
 // importance orders the records that do not fit into one message.
 func (r *Record) importance() int {
 	switch {
--- a/internal/serving/suspect/registry_test.go
+++ b/internal/serving/suspect/registry_test.go
@@ -84,6 +84,76 @@
 		}),
 	)
 
+	Describe("in the store", func() {
+		// reopened returns a registry of a host that has only what the store keeps.
+		reopened := func(now time.Time) *suspect.Registry {
+			text, err := suspect.EncodeKept(now, g.Kept(now))
+			Expect(err).NotTo(HaveOccurred())
+			reports, err := suspect.DecodeKept(now, text)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(suspect.SameReports(reports, g.Kept(now))).To(BeTrue())
+			again := suspect.NewRegistry()
+			again.MergeKept(now, reports)
+			return again
+		}
+
+		It("outlive all hosts, with the trials that were sent", func() {
+			run("crash s1 a", "crash s2 a", "crash s3 a")
+			Expect(g.TakeUnsaved()).To(BeTrue())
+			Expect(g.TakeUnsaved()).To(BeFalse())
+			for range 2 {
+				_, onTrial := g.BeginTrial(later, parts("a"))
+				Expect(onTrial).To(BeTrue())
+				Expect(g.TakeUnsaved()).To(BeTrue())
+			}
+			again := reopened(later)
+			Expect(refuses(again, later, "a")).To(BeTrue())
+			Expect(again.Accused(later)[0].Trials).To(Equal(2))
+		})
+
+		It("are those under which two servers ended", func() {
+			run("crash s1 a")
+			Expect(g.TakeUnsaved()).To(BeFalse())
+			Expect(g.Kept(later)).To(BeEmpty())
+			run("crash s2 a")
+			Expect(g.TakeUnsaved()).To(BeTrue())
+			Expect(reopened(later).Accused(later)[0].Servers).To(Equal([]string{"s1", "s2"}))
+		})
+
+		It("are kept if two hosts knew of one server each", func() {
+			run("crash s1 a")
+			g.Merge(later, []suspect.Report{{Part: "a", Servers: []string{"s2"}, ExpiresIn: time.Hour}})
+			Expect(g.TakeUnsaved()).To(BeTrue())
+			g.Merge(later, []suspect.Report{{Part: "a", Servers: []string{"s2", "s1"}, ExpiresIn: time.Hour}})
+			Expect(g.TakeUnsaved()).To(BeFalse())
+		})
+
+		It("say that an accusation was withdrawn", func() {
+			run("crash s1 a", "crash s2 a", "crash s3 a")
+			older := g.Kept(later)
+			g.RecordAnswer(later, parts("a"))
+			Expect(g.TakeUnsaved()).To(BeTrue())
+			again := reopened(later)
+			again.MergeKept(later, older)
+			Expect(refuses(again, later, "a")).To(BeFalse())
+		})
+
+		DescribeTable("are nothing if they can't be read", func(text string) {
+			_, err := suspect.DecodeKept(start, []byte(text))
+			Expect(err).To(HaveOccurred())
+		},
+			Entry("no JSON", "x"),
+			Entry("of another form", `{"records":3}`),
+		)
+
+		It("may have fields of a later build", func() {
+			reports, err := suspect.DecodeKept(start, []byte(`{"later":1,"records":[{"part":"a","servers":["s1","s2","s3"],"expires_ms":9000000000000,"later":2}]}`))
+			Expect(err).NotTo(HaveOccurred())
+			g.MergeKept(start, reports)
+			Expect(refuses(g, start, "a")).To(BeTrue())
+		})
+	})
+
 	It("accuse a part that was answered long ago", func() {
 		g.RecordAnswer(start, parts("a b"))
 		for i := range 3 {
