Batch: late backlogs of hosts don't age, so that one of them comes first

Cause: late items all have a slack of one hour; a host's own is fresh, those of others were counted down by the age of their reports, so each host left the free slots to all others.

Change: a late slack stays what it is, and the hosts' names decide.

Reports are unchanged; those of earlier builds, a little under one hour, count as late too.

--- a/internal/batch/priority/priority.go
+++ b/internal/batch/priority/priority.go
@@ -16,11 +16,13 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
 )
 
 const (
 	// LateUrgency is the urgency of items that can no longer be on time.
-	LateUrgency = time.Hour
+	LateUrgency = scheduler.LateSlack
 	// DueGrace is how long after the due time a result still counts as on
 	// time, because results are read some time after they are due.
 	DueGrace = 500 * time.Millisecond
--- a/internal/serving/scheduler/batch.go
+++ b/internal/serving/scheduler/batch.go
@@ -113,7 +113,7 @@
 		if items <= 0 || (p.role == Coordinator && r.Zone != p.zone) {
 			continue
 		}
-		otherSlack := time.Duration(backlog.Slack)*time.Millisecond - now.Sub(r.at)
+		otherSlack := agedSlack(time.Duration(backlog.Slack)*time.Millisecond, now.Sub(r.at))
 		// Two slacks that differ by less than slackTolerance count as equal,
 		// and the host names decide.
 		switch d := otherSlack - ownSlack; {
--- a/internal/serving/scheduler/coordinate.go
+++ b/internal/serving/scheduler/coordinate.go
@@ -293,7 +293,7 @@
 			continue
 		}
 		if n := b.Items - len(r.batch); n > 0 {
-			queue = append(queue, waitingHost{host, n, time.Duration(b.Slack)*time.Millisecond - now.Sub(r.at)})
+			queue = append(queue, waitingHost{host, n, agedSlack(time.Duration(b.Slack)*time.Millisecond, now.Sub(r.at))})
 		}
 	}
 	if b := p.backlogs[service]; b.Items > 0 && !p.cut.off {
--- a/internal/serving/scheduler/placer_test.go
+++ b/internal/serving/scheduler/placer_test.go
@@ -126,6 +126,39 @@
 		Expect(count).To(Equal(map[string]int{"near": 2, "far": 2}))
 	})
 
+	// Guards against hosts that each leave all slots to the others.
+	DescribeTable("leaves no slot empty while late items wait at several hosts, however old the reports are",
+		func(reportAge time.Duration, items int, reported func(age time.Duration) int64) {
+			wide := []backend.Server{{ID: "wide", Service: "s", Zone: "a", Slots: 12}}
+			hosts := []string{"A", "B", "C", "D"}
+			placed := 0
+			for _, own := range hosts {
+				p := scheduler.New(own, "a", func() float64 { return 0.5 }, func() {})
+				for i, other := range hosts {
+					if other == own {
+						continue
+					}
+					age := reportAge * time.Duration(i+1)
+					p.Report(now.Add(-age), scheduler.Status{Host: other, Zone: "a", Backlogs: map[string]scheduler.Backlog{"s": {Items: items, Slack: reported(age)}}})
+				}
+				p.SetBacklog(now, "s", items, scheduler.LateSlack)
+				placed += len(p.PlaceBatch(now, "s", wide, items))
+			}
+			Expect(placed).To(Equal(12))
+		},
+		Entry("reports of this moment", time.Duration(0), 9, func(time.Duration) int64 { return scheduler.LateSlack.Milliseconds() }),
+		Entry("reports 60 to 240 ms old", 60*time.Millisecond, 9, func(time.Duration) int64 { return scheduler.LateSlack.Milliseconds() }),
+		Entry("as many items as slots at each host", 60*time.Millisecond, 12, func(time.Duration) int64 { return scheduler.LateSlack.Milliseconds() }),
+		Entry("reports of an earlier build, which count the age of their backlogs down", 60*time.Millisecond, 9,
+			func(age time.Duration) int64 { return (scheduler.LateSlack - 2*age).Milliseconds() }),
+	)
+
+	It("starts items that can be on time before late ones of other hosts", func() {
+		p.Report(now, scheduler.Status{Host: "0", Zone: "a", Backlogs: map[string]scheduler.Backlog{"s": {Items: 9, Slack: scheduler.LateSlack.Milliseconds()}}})
+		p.SetBacklog(now, "s", 2, 5*time.Second)
+		Expect(p.PlaceBatch(now, "s", both, 2)).To(HaveLen(2))
+	})
+
 	It("reserves slots for fluctuations of online load once enough slots are taken", func() {
 		wide := backend.Server{ID: "wide", Service: "s", Zone: "a", Slots: 30}
 		p.Report(now, scheduler.Status{Host: "B", Zone: "b", Loads: map[string]scheduler.Load{"wide": {Online: 16}}})
--- a/internal/serving/scheduler/view.go
+++ b/internal/serving/scheduler/view.go
@@ -52,6 +52,24 @@
 // several times in that period even if nothing changes.
 const reportTTL = 1500 * time.Millisecond
 
+const (
+	// LateSlack stands for the slack of items that can no longer be on time.
+	LateSlack = time.Hour
+	// lateTolerance is by how much less a late backlog's slack may be reported, as
+	// earlier builds count its age down.
+	lateTolerance = 10 * time.Second
+)
+
+// agedSlack returns a slack of some age. Late items do not become more urgent, or each
+// host would take those of all others, as its reports of them are older than its own
+// state, to come before its own.
+func agedSlack(slack, age time.Duration) time.Duration {
+	if slack <= LateSlack && slack > LateSlack-lateTolerance {
+		return LateSlack
+	}
+	return slack - age
+}
+
 // Backlog describes a host's batch items of one service that wait for a slot.
 type Backlog struct {
 	// Items is the number of waiting items.
@@ -70,7 +88,7 @@
 }
 
 func (b localBacklog) slackAt(now time.Time) time.Duration {
-	return time.Duration(b.Slack)*time.Millisecond - now.Sub(b.at)
+	return agedSlack(time.Duration(b.Slack)*time.Millisecond, now.Sub(b.at))
 }
 
 // localLoad holds this host's requests at one server.
