Callers: an answer without a length ends with a reset if this host cuts it

Callers saw MIXED: an engine's answer that ends with its connection is passed on so; when the host was killed in the middle, the kernel ended the connection as usual, and the part looked complete.

Change: SO_LINGER of 0 while such an answer is written, so that each end before its last byte, also that of the process, is a reset.

No record or message changed.

--- a/internal/fleet/drain/listener.go
+++ b/internal/fleet/drain/listener.go
@@ -37,13 +37,14 @@
 }
 
 // Serve serves a listener's connections. It returns nil after Drain was called,
-// and otherwise the error of s.Serve. It sets s.ConnState.
+// and otherwise the error of s.Serve. It sets s.ConnState and s.ConnContext.
 func Serve(s *http.Server, l *Listener) error {
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if accepted, ok := c.(*conn); ok && state == http.StateIdle {
 			accepted.markIdle()
 		}
 	}
+	s.ConnContext = withConn
 	err := s.Serve(l)
 	l.mu.Lock()
 	defer l.mu.Unlock()
