--- a/internal/fleet/entry/suspects.go
+++ b/internal/fleet/entry/suspects.go
@@ -46,8 +46,10 @@
 const (
 	// keepDelay is the time for which changes of kept records are gathered.
 	keepDelay = 50 * time.Millisecond
-	// keepRetry is the pause after a call to the store that failed.
-	keepRetry = time.Second
+	// keepRetry is the pause after a call to the store that failed. It doubles with
+	// each further failure up to maxKeepRetry.
+	keepRetry    = time.Second
+	maxKeepRetry = 8 * time.Second
 )
 
 // suspectsKeeper keeps the records of parts that crash servers in the store, so that
@@ -76,7 +78,7 @@
 func (k *suspectsKeeper) run() {
 	h := k.host
 	defer h.wait.Done()
-	for {
+	for retry := keepRetry; ; {
 		select {
 		case <-h.ctx.Done():
 			return
@@ -86,7 +88,9 @@
 		if err := k.keep(); err != nil {
 			h.log.Info("records of crashing parts not kept", "cause", err.Error())
 			k.trigger()
-			pause = keepRetry
+			pause, retry = retry, min(maxKeepRetry, retry*2)
+		} else {
+			retry = keepRetry
 		}
 		if !timer.Pause(h.timer, h.ctx.Done(), pause) {
 			return
--- a/internal/serving/backend/server.go
+++ b/internal/serving/backend/server.go
@@ -66,9 +66,11 @@
 
 // Directory holds the known servers. It is safe for concurrent use.
 type Directory struct {
-	mu       sync.Mutex
-	servers  map[string]*entry
-	onChange func(s Server, state string)
+	mu      sync.Mutex
+	servers map[string]*entry
+	// byAddress holds the ID of the server that was listed last at each address.
+	byAddress map[string]string
+	onChange  func(s Server, state string)
 	// byService holds the usable servers by service. It is rebuilt at each
 	// change, and its slices are never modified.
 	byService map[string][]Server
@@ -77,7 +79,7 @@
 // NewDirectory returns an empty directory. onChange is called with the lock held
 // and the new state of a server: known, draining, missing, gone or disowned.
 func NewDirectory(onChange func(s Server, state string)) *Directory {
-	return &Directory{servers: make(map[string]*entry), onChange: onChange, byService: map[string][]Server{}}
+	return &Directory{servers: make(map[string]*entry), byAddress: make(map[string]string), onChange: onChange, byService: map[string][]Server{}}
 }
 
 // Replace sets the whole list. Servers that it lacks are kept for the grace
@@ -128,7 +130,13 @@
 		return
 	}
 	misdirected := ok && old.misdirected && old.sameIncarnation(s)
+	if ok && old.Address != s.Address && d.byAddress[old.Address] == s.ID {
+		delete(d.byAddress, old.Address)
+	}
 	d.servers[s.ID] = &entry{Server: s, misdirected: misdirected}
+	if other, known := d.servers[d.byAddress[s.Address]]; !known || other.Address != s.Address || other.Born <= s.Born {
+		d.byAddress[s.Address] = s.ID
+	}
 	state := "known"
 	if s.Draining {
 		state = "draining"
@@ -150,6 +158,9 @@
 func (d *Directory) remove(id string) {
 	if e, ok := d.servers[id]; ok {
 		delete(d.servers, id)
+		if d.byAddress[e.Address] == id {
+			delete(d.byAddress, e.Address)
+		}
 		d.onChange(e.Server, "gone")
 	}
 }
@@ -267,15 +278,14 @@
 func (d *Directory) HasEnded(s Server) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if e, ok := d.servers[s.ID]; ok && e.Born > s.Born && s.Born > 0 {
-		return true
+	if s.Born == 0 {
+		return false
 	}
-	for _, e := range d.servers {
-		if e.ID != s.ID && e.Address == s.Address && e.Born > s.Born && s.Born > 0 {
-			return true
-		}
+	if e, ok := d.servers[s.ID]; ok && e.Born > s.Born {
+		return true
 	}
-	return false
+	e, ok := d.servers[d.byAddress[s.Address]]
+	return ok && e.Address == s.Address && e.Born > s.Born
 }
 
 // Services returns the services with servers that may get new work, sorted.
--- a/internal/serving/backend/server_test.go
+++ b/internal/serving/backend/server_test.go
@@ -9,6 +9,25 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 )
 
+var _ = DescribeTable("a server has ended", func(ended bool, later ...backend.Server) {
+	d := backend.NewDirectory(func(backend.Server, string) {})
+	s := backend.Server{ID: "a", Service: "s", Address: "1", Born: 5}
+	d.Put(s)
+	for _, l := range later {
+		d.Put(l)
+	}
+	d.Remove(time.Unix(1000, 0), "gone", 0)
+	Expect(d.HasEnded(s)).To(Equal(ended))
+},
+	Entry("if it started again under its ID", true, backend.Server{ID: "a", Service: "s", Address: "1", Born: 6}),
+	Entry("also at another address", true, backend.Server{ID: "a", Service: "s", Address: "2", Born: 6}),
+	Entry("if a later server has its address", true, backend.Server{ID: "b", Service: "t", Address: "1", Born: 6}),
+	Entry("not if an earlier one is listed there", false, backend.Server{ID: "b", Service: "t", Address: "1", Born: 4}),
+	Entry("not if a later one has left it", false, backend.Server{ID: "b", Service: "t", Address: "1", Born: 6}, backend.Server{ID: "b", Service: "t", Address: "3", Born: 7}),
+	Entry("not if a later one is gone", false, backend.Server{ID: "gone", Service: "t", Address: "1", Born: 6}),
+	Entry("not if it is listed anew", false, backend.Server{ID: "a", Service: "s", Address: "1", Born: 5, Draining: true}),
+)
+
 var _ = Describe("a directory", func() {
 	const grace = 2 * time.Second
 	var (
--- a/internal/serving/crash/detector.go
+++ b/internal/serving/crash/detector.go
@@ -40,9 +40,9 @@
 	timer     timer.Service
 	log       logr.Logger
 	directory *backend.Directory
-	// knownEnded reports whether another host, too, may have found that a start of a
-	// server has ended.
-	knownEnded func(start string) bool
+	// knownEnded returns the starts of servers that any host may have found to have
+	// ended.
+	knownEnded func() map[string]bool
 
 	mu sync.Mutex
 	// crashed holds when crashes of starts were confirmed here, at most maxCrashed;
@@ -55,9 +55,9 @@
 
 var _ exchange.MonitoredServers = (*Detector)(nil)
 
-// NewDetector returns a detector for the servers of a directory. knownEnded reports
-// which starts of servers others know to have ended.
-func NewDetector(t timer.Service, log logr.Logger, servers exchange.Servers, directory *backend.Directory, knownEnded func(start string) bool) *Detector {
+// NewDetector returns a detector for the servers of a directory. knownEnded returns
+// the starts of servers that others know to have ended.
+func NewDetector(t timer.Service, log logr.Logger, servers exchange.Servers, directory *backend.Directory, knownEnded func() map[string]bool) *Detector {
 	return &Detector{
 		Servers: servers, timer: t, log: log, directory: directory, knownEnded: knownEnded,
 		crashed: make(map[string]time.Time), watches: make(map[string]*watch),
@@ -80,7 +80,7 @@
 	if !d.Down(ctx, s) {
 		return false, 0, "its port does not refuse connections"
 	}
-	others := witnesses(s, slices.DeleteFunc(d.listed(), d.hasEnded))
+	others := witnesses(s, d.perhapsUp())
 	if !d.reachesAny(ctx, others) {
 		return false, len(others), "no other server can be reached"
 	}
@@ -92,12 +92,16 @@
 	return true, len(others), ""
 }
 
-// hasEnded reports whether a server that is listed is known to have crashed.
-func (d *Detector) hasEnded(s backend.Server) bool {
+// perhapsUp returns the listed servers that are not known to have crashed.
+func (d *Detector) perhapsUp() []backend.Server {
+	ended := d.knownEnded()
+	now := d.timer.Now()
 	d.mu.Lock()
-	at, crashed := d.crashed[s.Start()]
-	d.mu.Unlock()
-	return crashed && d.timer.Now().Sub(at) < crashedTTL || d.knownEnded(s.Start())
+	defer d.mu.Unlock()
+	return slices.DeleteFunc(d.listed(), func(s backend.Server) bool {
+		at, crashed := d.crashed[s.Start()]
+		return crashed && now.Sub(at) < crashedTTL || ended[s.Start()]
+	})
 }
 
 func (d *Detector) recordCrashed(s backend.Server) {
--- a/internal/serving/crash/detector_test.go
+++ b/internal/serving/crash/detector_test.go
@@ -69,7 +69,7 @@
 }
 
 // nobody knows of a crash.
-func nobody(string) bool { return false }
+func nobody() map[string]bool { return nil }
 
 var _ = Describe("a crash detector", func() {
 	DescribeTable("confirms a crash of a1 only if another server is reached", func(listed, refusing, silent string, crashed bool, dialled ...string) {
@@ -111,7 +111,7 @@
 
 	It("confirms the third crash of a zone if another host saw the first two", func() {
 		n := &network{refusing: "a1 a2 a3"}
-		seen := func(start string) bool { return start == "a2" || start == "a3" }
+		seen := func() map[string]bool { return map[string]bool{"a2": true, "a3": true} }
 		d := crash.NewDetector(timer.Real{}, logr.Discard(), n, directoryOf("a1 a2 a3 b1 c1"), seen)
 		Expect(d.Crashed(context.Background(), backend.Server{ID: "a1", Zone: "a", Address: "address of a1"})).To(BeTrue())
 	})
--- a/internal/serving/suspect/guard.go
+++ b/internal/serving/suspect/guard.go
@@ -144,7 +144,7 @@
 	now := g.timer.Now()
 	g.mu.Lock()
 	var withdrawn []Record
-	if !g.registry.Empty() {
+	if g.registry.ClearedByAnswers(now) {
 		withdrawn = g.registry.RecordBodyAnswer(now, bodyName(c))
 	}
 	withdrawn = append(withdrawn, g.registry.RecordAnswer(now, c.SharedParts)...)
@@ -197,12 +197,12 @@
 	}
 }
 
-// HasEnded reports whether this host or another one knows that a server ended under
-// a call.
-func (g *Guard) HasEnded(server string) bool {
+// EndedServers returns the starts of the servers that this host or another one knows
+// to have ended under a call.
+func (g *Guard) EndedServers() map[string]bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.registry.HasEnded(g.timer.Now(), server)
+	return g.registry.Ended(g.timer.Now())
 }
 
 func (g *Guard) logAccusation(r Record, request string) {
--- a/internal/serving/suspect/registry.go
+++ b/internal/serving/suspect/registry.go
@@ -106,8 +106,10 @@
 	ExpiresAt time.Time
 
 	condemned bool
-	// kept is set if the store may have the record.
+	// kept is set if the store may have the record, firsthand if this host saw a server
+	// end under the part.
 	kept      bool
+	firsthand bool
 	changedAt time.Time
 	// trialAt is when the next trial is due, if Trials is below maxTrials.
 	trialAt time.Time
@@ -319,18 +321,29 @@
 	return lost
 }
 
-// HasEnded reports whether a record names a server as one that ended.
-func (g *Registry) HasEnded(now time.Time, server string) bool {
+// Ended returns the starts of the servers that records name as ended.
+func (g *Registry) Ended(now time.Time) map[string]bool {
+	ended := make(map[string]bool)
 	for _, r := range g.records {
-		if now.Before(r.ExpiresAt) && slices.Contains(r.Servers, server) {
-			return true
+		if now.Before(r.ExpiresAt) {
+			for _, s := range r.Servers {
+				ended[s] = true
+			}
 		}
 	}
-	return false
+	return ended
 }
 
-// Empty reports whether there is nothing that an answer could clear.
-func (g *Registry) Empty() bool { return len(g.records) == 0 && len(g.losses) == 0 }
+// Empty reports whether there are no records.
+func (g *Registry) Empty() bool { return len(g.records) == 0 }
+
+// ClearedByAnswers reports whether an answer to a body may clear anything.
+func (g *Registry) ClearedByAnswers(now time.Time) bool {
+	if n := len(g.losses); n > 0 && now.Sub(g.losses[n-1].At) >= lossTTL {
+		g.losses = nil
+	}
+	return !g.Empty() || len(g.losses) > 0
+}
 
 // accuse adds a server to the record of a part and reports whether it is new
 // there.
@@ -340,6 +353,7 @@
 		r = &Record{Part: part, Depth: depth}
 		g.put(now, r)
 	}
+	r.firsthand = true
 	isNew := r.addServers(now, now.Add(recordTTL), []string{server})
 	if isNew && len(r.Servers) >= keptServers {
 		g.unsaved = true
@@ -379,8 +393,8 @@
 	default:
 		known.Depth = min(known.Depth, in.Depth)
 		changed := known.addServers(now, expiresAt, in.Servers)
-		if changed && len(known.Servers) > len(in.Servers) && len(known.Servers) >= keptServers {
-			// Neither host had all of them.
+		if changed && known.firsthand && len(known.Servers) > len(in.Servers) && len(known.Servers) >= keptServers {
+			// Neither host had all of them, and those that saw none leave it to the others.
 			g.unsaved = true
 		}
 		if in.Trials > known.Trials {
