Soak: a proxy that is shut holds its port

A bound socket that does not listen now holds the port in between: connections are refused, and nobody else can bind it. Specs of Shut, Reopen and ResetConnections, which had none.

--- a/internal/soak/faultproxy/proxy.go
+++ b/internal/soak/faultproxy/proxy.go
@@ -10,8 +10,11 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Fault is a fault that a proxy applies to its connections.
@@ -37,14 +40,19 @@
 // latency is the delay of each read under Slow.
 const latency = 150 * time.Millisecond
 
+// backlog is how many connections may wait to be accepted after Reopen.
+const backlog = 1024
+
 // Proxy is a TCP proxy that listens at one address and forwards connections to
 // another.
 type Proxy struct {
 	address string
 
 	mu sync.Mutex
-	// listener is replaced by Reopen.
+	// listener is replaced by Reopen. reserved is a socket that holds the port in
+	// between, without listening; -1 for none.
 	listener net.Listener
+	reserved int
 	target   string
 	fault    Fault
 	// changed is closed and replaced when the fault changes.
@@ -60,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{address: listener.Addr().String(), listener: listener, target: target, changed: make(chan struct{}), conns: make(map[net.Conn]net.Conn)}
+	p := &Proxy{address: listener.Addr().String(), listener: listener, reserved: -1, target: target, changed: make(chan struct{}), conns: make(map[net.Conn]net.Conn)}
 	p.wg.Add(1)
 	go p.acceptLoop(listener)
 	return p, nil
@@ -69,21 +77,40 @@
 // Address returns the address at which the proxy listens.
 func (p *Proxy) Address() string { return p.address }
 
-// Shut stops listening, so that new connections are refused. Open connections stay.
-func (p *Proxy) Shut() {
+// Shut stops listening, so that new connections are refused. Open connections stay,
+// and no other socket can take the port.
+func (p *Proxy) Shut() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_ = p.listener.Close()
+	port := p.listener.Addr().(*net.TCPAddr).Port
+	if err := p.listener.Close(); err != nil {
+		return err
+	}
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return err
+	}
+	p.reserved = fd
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
+		return err
+	}
+	return unix.Bind(fd, &unix.SockaddrInet4{Port: port, Addr: [4]byte{127, 0, 0, 1}})
 }
 
 // Reopen listens again after Shut.
 func (p *Proxy) Reopen() error {
-	listener, err := net.Listen("tcp4", p.address)
-	if err != nil {
-		return err
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if err := unix.Listen(p.reserved, backlog); err != nil {
+		return err
+	}
+	// FileListener duplicates the descriptor.
+	file := os.NewFile(uintptr(p.reserved), p.address)
+	p.reserved = -1
+	listener, err := net.FileListener(file)
+	if err := errors.Join(err, file.Close()); err != nil {
+		return err
+	}
 	p.listener = listener
 	p.wg.Add(1)
 	go p.acceptLoop(listener)
@@ -141,9 +168,13 @@
 
 // Close stops listening, closes all connections and waits for their goroutines.
 func (p *Proxy) Close() {
-	p.Shut()
 	p.SetFault(None)
 	p.mu.Lock()
+	_ = p.listener.Close()
+	if p.reserved >= 0 {
+		_ = unix.Close(p.reserved)
+		p.reserved = -1
+	}
 	for client, server := range p.conns {
 		_ = client.Close()
 		_ = server.Close()
--- a/internal/soak/faultproxy/proxy_test.go
+++ b/internal/soak/faultproxy/proxy_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -56,6 +57,35 @@
 		Expect(err).NotTo(HaveOccurred())
 	}
 
+	It("keeps its port and its connections while it is shut, and listens there again", func() {
+		before, in := dial()
+		send(before, "a")
+		Expect(in.ReadString('\n')).To(Equal("re: a\n"))
+		Expect(proxy.Shut()).To(Succeed())
+		_, err := net.Dial("tcp4", proxy.Address())
+		Expect(err).To(MatchError(syscall.ECONNREFUSED))
+		_, err = net.Listen("tcp4", proxy.Address())
+		Expect(err).To(MatchError(syscall.EADDRINUSE))
+		send(before, "b")
+		Expect(in.ReadString('\n')).To(Equal("re: b\n"))
+		Expect(proxy.Reopen()).To(Succeed())
+		after, in := dial()
+		send(after, "c")
+		Expect(in.ReadString('\n')).To(Equal("re: c\n"))
+	})
+
+	It("resets its open connections and accepts new ones", func() {
+		open, in := dial()
+		send(open, "a")
+		Expect(in.ReadString('\n')).To(Equal("re: a\n"))
+		proxy.ResetConnections()
+		_, err := in.ReadString('\n')
+		Expect(err).To(MatchError(syscall.ECONNRESET))
+		again, in := dial()
+		send(again, "b")
+		Expect(in.ReadString('\n')).To(Equal("re: b\n"))
+	})
+
 	It("forwards both directions, with and without delay, until one side closes", func() {
 		c, in := dial()
 		send(c, "one")
