--- a/internal/soak/faultproxy/proxy.go
+++ b/internal/soak/faultproxy/proxy.go
@@ -91,16 +91,33 @@
 		return err
 	}
 	p.reserved = fd
-	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
+	// The open connections have the port, too, which only the option allows. Without
+	// it no other socket can be bound.
+	if err := setReuse(fd, true); err != nil {
 		return err
 	}
-	return unix.Bind(fd, &unix.SockaddrInet4{Port: port, Addr: [4]byte{127, 0, 0, 1}})
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Port: port, Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		return err
+	}
+	return setReuse(fd, false)
+}
+
+// setReuse sets SO_REUSEADDR of a socket.
+func setReuse(fd int, on bool) error {
+	value := 0
+	if on {
+		value = 1
+	}
+	return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, value)
 }
 
 // Reopen listens again after Shut.
 func (p *Proxy) Reopen() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if err := setReuse(p.reserved, true); err != nil {
+		return err
+	}
 	if err := unix.Listen(p.reserved, backlog); err != nil {
 		return err
 	}
