Crashes: a server that goes on losing connections is dialled a bounded number of times

Each lost call began a watch of its server anew and added a function to it: a server that resets its connections for long was dialled every 20 to 30 ms, and the list of functions grew with each call, without end.

A watch now begins anew only once its dials are done, and records the end of a start once, with the suspects; the functions are gone. No record or message changed. A comment on witnesses and one on looks are reworded.

--- a/internal/serving/crash/detector.go
+++ b/internal/serving/crash/detector.go
@@ -33,6 +33,14 @@
 	maxCrashed = 1024
 )
 
+// Records are what the hosts know of servers that ended.
+type Records interface {
+	// EndedServers returns the starts of servers that any host found to have ended.
+	EndedServers() map[string]bool
+	// Ended records that a start of a server has ended.
+	Ended(start string)
+}
+
 // Detector sends calls to backend servers and tells crashed servers from those
 // that this host is cut off from.
 type Detector struct {
@@ -40,9 +48,7 @@
 	timer     timer.Service
 	log       logr.Logger
 	directory *backend.Directory
-	// knownEnded returns the starts of servers that any host may have found to have
-	// ended.
-	knownEnded func() map[string]bool
+	records   Records
 
 	mu sync.Mutex
 	// crashed holds when crashes of starts were confirmed here, at most maxCrashed;
@@ -55,11 +61,10 @@
 
 var _ exchange.MonitoredServers = (*Detector)(nil)
 
-// NewDetector returns a detector for the servers of a directory. knownEnded returns
-// the starts of servers that others know to have ended.
-func NewDetector(t timer.Service, log logr.Logger, servers exchange.Servers, directory *backend.Directory, knownEnded func() map[string]bool) *Detector {
+// NewDetector returns a detector for the servers of a directory.
+func NewDetector(t timer.Service, log logr.Logger, servers exchange.Servers, directory *backend.Directory, r Records) *Detector {
 	return &Detector{
-		Servers: servers, timer: t, log: log, directory: directory, knownEnded: knownEnded,
+		Servers: servers, timer: t, log: log, directory: directory, records: r,
 		crashed: make(map[string]time.Time), watches: make(map[string]*watch),
 	}
 }
@@ -94,7 +99,7 @@
 
 // perhapsUp returns the listed servers that are not known to have crashed.
 func (d *Detector) perhapsUp() []backend.Server {
-	ended := d.knownEnded()
+	ended := d.records.EndedServers()
 	now := d.timer.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -147,8 +152,8 @@
 
 // witnesses returns the servers to dial, to learn whether this host is cut off: those of
 // the same zone, since a host may also be cut off from a single zone, and of each
-// other zone in turn if these are too few. The first ones by ID after that of the
-// server are chosen, so that no server is dialled for all others.
+// other zone in turn if these are too few. In each zone they begin with the next ID
+// after that of the server, so that no server is dialled for all others.
 func witnesses(s backend.Server, listed []backend.Server) []backend.Server {
 	others := slices.DeleteFunc(listed, func(o backend.Server) bool { return o.ID == s.ID || o.Address == s.Address })
 	slices.SortFunc(others, func(a, b backend.Server) int {
--- a/internal/serving/crash/watch.go
+++ b/internal/serving/crash/watch.go
@@ -30,15 +30,12 @@
 type watch struct {
 	server backend.Server
 	began  time.Time
-	// ended are the functions to call once the server is known to have crashed.
-	ended []func()
-	// looks counts the looks so far.
+	// looks counts the looks since began, with the one that is due next.
 	looks int
 }
 
-// nextLook returns the time of the look that follows n others, measured from the loss
-// of the connection, and whether the port is dialled then. It returns false after the
-// last look.
+// nextLook returns when the look that follows n others is due, after the connection
+// was lost, and whether the port is dialled then. It returns false after the last one.
 func nextLook(n int) (after time.Duration, dials, ok bool) {
 	if n < len(dialDelays) {
 		return dialDelays[n], true, true
@@ -47,23 +44,25 @@
 	return after, false, after <= watchPeriod
 }
 
-// Watch calls ended, at most once, if a server that has lost a connection turns out
-// to have crashed: its port refuses connections, or the list of servers shows that
-// the server ended.
-func (d *Detector) Watch(s backend.Server, ended func()) {
+// Watch looks for evidence that a server which has lost a connection has crashed: its
+// port refuses connections, or the list of servers shows that it ended. The crash is
+// then recorded.
+func (d *Detector) Watch(s backend.Server) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	start := s.Start()
 	if w, watched := d.watches[start]; watched {
-		// The new loss may be the first that shows anything.
-		w.ended, w.looks, w.began = append(w.ended, ended), 0, d.timer.Now()
+		// While dials are left, these are for the new loss as well.
+		if w.looks > len(dialDelays) {
+			w.looks, w.began = 0, d.timer.Now()
+		}
 		return
 	}
 	if len(d.watches) >= maxWatches {
 		d.log.Info("server not watched", "server", s.ID, "cause", "too many servers are")
 		return
 	}
-	w := &watch{server: s, began: d.timer.Now(), ended: []func(){ended}}
+	w := &watch{server: s, began: d.timer.Now()}
 	d.watches[start] = w
 	d.schedule(w)
 }
@@ -99,11 +98,8 @@
 		return
 	}
 	delete(d.watches, w.server.Start())
-	ended := w.ended
 	d.mu.Unlock()
 	confirmedLaterTotal.Inc()
 	d.log.Info("crash confirmed later", "server", w.server.ID, "after_ms", d.timer.Now().Sub(w.began).Milliseconds(), "evidence", evidence)
-	for _, fn := range ended {
-		fn()
-	}
+	d.records.Ended(w.server.Start())
 }
--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -93,9 +93,9 @@
 // Servers are the backend servers that calls are sent to.
 type Servers interface {
 	exchange.MonitoredServers
-	// Watch calls ended, at most once, if a server that has lost a connection turns
-	// out later to have crashed.
-	Watch(s backend.Server, ended func())
+	// Watch looks for later evidence that a server which has lost a connection has
+	// crashed, and has it recorded with the suspects.
+	Watch(s backend.Server)
 }
 
 // Admission decides whether a call that no server has run may be sent now.
@@ -313,7 +313,7 @@
 		f.suspects.Ended(start)
 		return
 	}
-	f.servers.Watch(a.server, func() { f.suspects.Ended(start) })
+	f.servers.Watch(a.server)
 }
 
 // outcomeOf classifies an attempt that returned no usable reply. If the address
