--- a/internal/batch/priority/priority.go
+++ b/internal/batch/priority/priority.go
@@ -21,8 +21,6 @@
 )
 
 const (
-	// LateUrgency is the urgency of items that can no longer be on time.
-	LateUrgency = scheduler.LateSlack
 	// DueGrace is how long after the due time a result still counts as on
 	// time, because results are read some time after they are due.
 	DueGrace = 500 * time.Millisecond
@@ -77,11 +75,11 @@
 	Key      string
 }
 
-// Urgency returns the slack, or LateUrgency if it is negative. It is the value
+// Urgency returns the slack, or scheduler.LateSlack if it is negative. It is the value
 // by which hosts compare their waiting items; smaller is more urgent.
 func (i Item) Urgency() time.Duration {
 	if i.Slack < 0 {
-		return LateUrgency
+		return scheduler.LateSlack
 	}
 	return i.Slack
 }
