Hosts: a reload signal in the start no longer ends the program

The platform may send it right after it has written the settings.

The signal is received from before the settings are read, and the reload follows the start. TestReloadWhileStarting holds a program at its settings file: 'signal: hangup' before, 3 of 3 runs pass after. In the few milliseconds before the command line is read the default action remains.

--- a/internal/operator/command/platform.go
+++ b/internal/operator/command/platform.go
@@ -62,8 +62,10 @@
 
 // platformProcess holds what the programs of entry hosts and disk hosts share.
 type platformProcess struct {
-	file     string
-	isDisk   bool
+	file   string
+	isDisk bool
+	// hangup receives SIGHUP, from before the settings are read.
+	hangup   chan os.Signal
 	settings *setup.Entry
 	client   *keyvalue.Client
 	clock    timer.Service
@@ -72,6 +74,9 @@
 }
 
 func (c *cli) newProcess(file string, isDisk bool) (*platformProcess, error) {
+	// Without a receiver, the signal would end a program that starts.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	settings, err := readEntry(file, isDisk)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -80,7 +85,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	p := &platformProcess{file: file, isDisk: isDisk, settings: settings, client: client, clock: timer.Real{}}
+	p := &platformProcess{file: file, isDisk: isDisk, hangup: hangup, settings: settings, client: client, clock: timer.Real{}}
 	p.writer = logging.NewWriter(p.clock, c.out, settings.LogLines)
 	p.log = logging.NewLogger(p.clock, p.writer)
 	return p, nil
@@ -89,7 +94,7 @@
 // waitForStop blocks until a stop signal is received. Until then it calls reload
 // with changed settings. Settings that cannot be read are logged and ignored.
 func (p *platformProcess) waitForStop(reload func(*setup.Entry)) {
-	waitForStop(p.file, func() {
+	waitForStop(p.file, p.hangup, func() {
 		changed, err := readEntry(p.file, p.isDisk)
 		if err != nil {
 			p.log.Error(err, "changed settings not taken", "file", p.file)
@@ -154,11 +159,9 @@
 const settingsPollInterval = 2 * time.Second
 
 // waitForStop blocks until a stop signal is received. Until then it calls reload
-// on each SIGHUP and whenever the settings file has changed.
-func waitForStop(file string, reload func()) {
+// on each signal of hangup and whenever the settings file has changed.
+func waitForStop(file string, hangup <-chan os.Signal, reload func()) {
 	stop := stopSignals()
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	last := fileVersion(file)
