--- a/internal/batch/itemrun/run.go
+++ b/internal/batch/itemrun/run.go
@@ -63,8 +63,9 @@
 	// Cause is a text for the log. It is empty for a complete answer.
 	Cause string
 
-	// lost is set if the server's connection ended under the run.
-	lost bool
+	// lostReused is set if a connection that had carried other calls ended under the
+	// run, perhaps because the server had closed it before.
+	lostReused bool
 }
 
 // Run runs an item on a server until its answer is complete, ctx is done or the
@@ -75,7 +76,7 @@
 func Run(ctx context.Context, timers timer.Service, servers exchange.MonitoredServers, server backend.Server, call *exchange.Call, resume exchange.Resume,
 	handle func([]events.Event)) End {
 	end := attempt(ctx, timers, servers, server, call, resume, handle)
-	if end.Kind == Requeue && (end.lost || end.Outcome == scheduler.Failed) && servers.Crashed(ctx, server) {
+	if end.Kind == Requeue && (end.lostReused || end.Outcome == scheduler.Failed) && servers.Crashed(ctx, server) {
 		end.Kind, end.Outcome = Crashed, scheduler.Failed
 	}
 	return end
@@ -97,7 +98,7 @@
 		case errors.As(err, &sendErr) && (!sendErr.Sent || sendCtx.Err() != nil):
 			return End{Kind: Requeue, Outcome: scheduler.Unreachable, Cause: err.Error()}
 		case errors.As(err, &sendErr) && sendErr.Reused:
-			return End{Kind: Requeue, Outcome: scheduler.Unknown, Cause: err.Error(), lost: true}
+			return End{Kind: Requeue, Outcome: scheduler.Unknown, Cause: err.Error(), lostReused: true}
 		}
 		return End{Kind: Requeue, Outcome: scheduler.Failed, Cause: err.Error()}
 	}
--- a/internal/fleet/entry/suspects.go
+++ b/internal/fleet/entry/suspects.go
@@ -46,8 +46,8 @@
 const (
 	// keepDelay is the time for which changes of kept records are gathered.
 	keepDelay = 50 * time.Millisecond
-	// keepRetry is the pause after a call to the store that failed. It doubles with
-	// each further failure up to maxKeepRetry.
+	// keepRetry is the pause after a failure, or after another host has written the
+	// records meanwhile. It doubles with each further one up to maxKeepRetry.
 	keepRetry    = time.Second
 	maxKeepRetry = 8 * time.Second
 )
@@ -113,7 +113,7 @@
 	var stored []suspect.Report
 	if found {
 		if stored, err = suspect.DecodeKept(wall, entry.Value); err != nil {
-			// The unreadable records are replaced.
+			// They are replaced, as nothing else would ever remove them.
 			h.log.Error(err, "records of crashing parts can't be read", "key", suspect.KeptKey)
 		}
 		h.suspects.MergeKept(stored)
--- a/internal/serving/crash/watch.go
+++ b/internal/serving/crash/watch.go
@@ -11,7 +11,7 @@
 
 const (
 	// watchPeriod is how long a server is watched. Crashed servers are back after some
-	// seconds.
+	// seconds. The lost calls must be remembered for longer, see package suspect.
 	watchPeriod = 15 * time.Second
 	// listInterval is the interval at which the list of servers is checked after the
 	// last dial.
--- a/internal/serving/suspect/registry.go
+++ b/internal/serving/suspect/registry.go
@@ -20,9 +20,9 @@
 // A Registry is the state machine over the records of one host and does no I/O.
 // Records are exchanged between hosts with their status messages. The store keeps
 // those with keptServers servers or more for hosts that lose their memory and for
-// zones that are cut off from each other. Each
-// withdrawal increases the version of a record; of two records of a part, the
-// one with the higher version counts, and those of the same version are united.
+// zones that are cut off from each other. Each withdrawal increases the version of
+// a record; of two records of a part, the one with the higher version counts, and
+// those of the same version are united.
 // All hosts therefore arrive at the same record whatever the order of arrival.
 // A host that has answered a part within recentAnswer withdraws what others
 // tell it, so a part that many callers share is hardly ever condemned.
@@ -77,10 +77,6 @@
 	maxRecords = 1024
 	maxShared  = 32
 	maxServers = 16
-	// lossTTL is how long a lost call is remembered while its server is not known to
-	// have ended, maxLosses how many are.
-	lossTTL   = 20 * time.Second
-	maxLosses = 256
 	// maxPartBytes is the longest name of a part.
 	maxPartBytes = 64
 	// answerSlots is the size of the table of answered parts, a power of two.
@@ -170,17 +166,6 @@
 	at   time.Time
 }
 
-// Loss is a call that was lost with its connection to a server.
-type Loss struct {
-	// Server is the start of the server, Request the ID of the call.
-	Server, Request string
-	// Parts are the shared parts of the prompt if the server had begun to answer it.
-	Parts []string
-	Body  string
-	// At is when the call was lost.
-	At time.Time
-}
-
 // Registry is the state machine over the records of one host. It is not safe for
 // concurrent use.
 type Registry struct {
@@ -205,10 +190,7 @@
 // and went on. It returns the records whose accusation it withdrew.
 func (g *Registry) RecordAnswer(now time.Time, parts []string) []Record {
 	var withdrawn []Record
-	for i := range g.losses {
-		l := &g.losses[i]
-		l.Parts = slices.DeleteFunc(l.Parts, func(part string) bool { return slices.Contains(parts, part) })
-	}
+	g.clearParts(parts)
 	for _, part := range parts {
 		*g.slot(part) = answer{part: part, at: now}
 		if r := g.lookup(now, part); r != nil && len(r.Servers) > 0 {
@@ -293,34 +275,13 @@
 // RecordBodyAnswer is RecordAnswer for a body. Answers to bodies that are not
 // accused are not remembered.
 func (g *Registry) RecordBodyAnswer(now time.Time, body string) []Record {
-	g.losses = slices.DeleteFunc(g.losses, func(l Loss) bool { return l.Body == body })
+	g.clearBody(body)
 	if !g.Withdraw(now, body) {
 		return nil
 	}
 	return []Record{*g.records[body]}
 }
 
-// RecordLoss remembers a call until its server is known to have ended.
-func (g *Registry) RecordLoss(l Loss) {
-	l.Parts = slices.Clone(l.Parts)
-	g.losses = slices.DeleteFunc(g.losses, func(o Loss) bool { return l.At.Sub(o.At) >= lossTTL })
-	g.losses = append(g.losses[max(0, len(g.losses)+1-maxLosses):], l)
-}
-
-// RecordEnd records that a server has ended, and returns the calls that were lost
-// with it and not answered since.
-func (g *Registry) RecordEnd(now time.Time, server string) []Loss {
-	var lost []Loss
-	g.losses = slices.DeleteFunc(g.losses, func(l Loss) bool {
-		ended := l.Server == server
-		if ended && now.Sub(l.At) < lossTTL {
-			lost = append(lost, l)
-		}
-		return ended
-	})
-	return lost
-}
-
 // Ended returns the starts of the servers that records name as ended.
 func (g *Registry) Ended(now time.Time) map[string]bool {
 	ended := make(map[string]bool)
@@ -337,14 +298,6 @@
 // Empty reports whether there are no records.
 func (g *Registry) Empty() bool { return len(g.records) == 0 }
 
-// ClearedByAnswers reports whether an answer to a body may clear anything.
-func (g *Registry) ClearedByAnswers(now time.Time) bool {
-	if n := len(g.losses); n > 0 && now.Sub(g.losses[n-1].At) >= lossTTL {
-		g.losses = nil
-	}
-	return !g.Empty() || len(g.losses) > 0
-}
-
 // accuse adds a server to the record of a part and reports whether it is new
 // there.
 func (g *Registry) accuse(now time.Time, part string, depth int, server string) (*Record, bool) {
