Soak: servers that crash at any point of an answer, and under items

The checker judges the items like requests, whichever host sent them, and lets them be missing from their job's list; it has three more entries.

--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -191,6 +191,22 @@
 },
 	Entry("a completed job, one item of which ran twice", "", func(h *checker.History, _ *checker.Job) { h.Runs = append(h.Runs, run()) }),
 	Entry("a missing result", "lost", func(_ *checker.History, j *checker.Job) { j.Lists = j.Lists[:1] }),
+	Entry("an item that crashes servers and is not listed", "", func(h *checker.History, j *checker.Job) {
+		h.Crashing, j.Lists = map[string]bool{"b": true}, j.Lists[:1]
+	}),
+	Entry("an item that crashes servers and is listed as given up", "mixed", func(h *checker.History, j *checker.Job) {
+		h.Crashing, j.Lists = map[string]bool{"b": true}, [][]checker.Result{{{"q", false, ""}}}
+	}),
+	Entry("an item that crashes a fourth server late", "budget", func(h *checker.History, j *checker.Job) {
+		h.Crashing, j.Lists, h.Runs = map[string]bool{"b": true}, j.Lists[:1], nil
+		for _, at := range []time.Duration{10, 11, 12, 20, 30, 40, 50} {
+			r := run()
+			r.At = at * second
+			h.Runs = append(h.Runs, r)
+		}
+		// Its job has another owner after the kill of any host.
+		h.Plan.Faults = []plan.Fault{{Kind: plan.Kill, Start: 49 * second, Duration: second}}
+	}),
 	Entry("a result that disappears", "lost", func(_ *checker.History, j *checker.Job) { j.Lists = append(j.Lists, nil) }),
 	Entry("a position that changes", "twice", func(_ *checker.History, j *checker.Job) {
 		j.Lists = append(j.Lists, []checker.Result{{"q", true, "abd"}})
