--- a/internal/soak/faultproxy/proxy.go
+++ b/internal/soak/faultproxy/proxy.go
@@ -12,6 +12,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -83,6 +84,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	port := p.listener.Addr().(*net.TCPAddr).Port
+	// A process that is being started has copies of all descriptors until it executes
+	// its program, so that the port would still be listening.
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	if err := p.listener.Close(); err != nil {
 		return err
 	}
--- a/internal/soak/faultproxy/proxy_test.go
+++ b/internal/soak/faultproxy/proxy_test.go
@@ -4,6 +4,9 @@
 	"bufio"
 	"fmt"
 	"net"
+	"os"
+	"os/exec"
+	"sync"
 	"syscall"
 	"time"
 
@@ -74,6 +77,32 @@
 		Expect(in.ReadString('\n')).To(Equal("re: c\n"))
 	})
 
+	// Guards against a port that can't be held, as a process that starts has the listener.
+	It("shuts while processes start", func() {
+		stop := make(chan struct{})
+		var starts sync.WaitGroup
+		for range 4 {
+			starts.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+						_ = exec.Command(os.Args[0], "-test.list", "^$").Run()
+					}
+				}
+			})
+		}
+		defer func() {
+			close(stop)
+			starts.Wait()
+		}()
+		for range 2000 {
+			Expect(proxy.Shut()).To(Succeed())
+			Expect(proxy.Reopen()).To(Succeed())
+		}
+	})
+
 	It("resets its open connections and accepts new ones", func() {
 		open, in := dial()
 		send(open, "a")
