Crashes: the body of a stream is accused however far its answer had got

Seen by callers: a request for a stream took a server down each time it came, without end, if the servers ended after some of its events.

Cause: two events cleared the body as well as the parts of the prompt. That is right for the shared parts, which are read before the first event, and wrong for the body: a stream may end its server at a later event, or some time after its start. For the same reason an answer that goes on from another server's proves nothing of the part that it left out.

Change: every lost connection is evidence against the body; only an answer from its start to its end, by one server, takes it back. Shared parts as before.

Two specs change: the harness of hosts that reach no server said at once that the server had crashed; it now says what the detector says of such a host, and an unframed stream whose server went down accuses its body.

--- a/internal/serving/forward/carry.go
+++ b/internal/serving/forward/carry.go
@@ -84,7 +84,7 @@
 	case isStream && !a.reply.EventStream:
 		return scheduler.Failed
 	}
-	f.suspects.Answered(c)
+	f.suspects.Answered(c, !a.resumed)
 	return scheduler.Completed
 }
 
--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -222,8 +222,9 @@
 	// reply is set if err is nil.
 	reply *exchange.Reply
 	err   error
-	// sent is set if the server may have run the call.
-	sent bool
+	// sent is set if the server may have run the call, resumed if it was to go on with
+	// the stream of another server.
+	sent, resumed bool
 	// events counts the events that arrived.
 	events int
 	// crashed is set if the server crashed under the call.
@@ -263,7 +264,7 @@
 // send sends a call to the server that place picked.
 func (f *Forwarder) send(ctx context.Context, c *exchange.Call, choice scheduler.Choice, resume exchange.Resume) *attempt {
 	ctx, cancel := context.WithCancel(ctx)
-	a := &attempt{choice: choice, server: choice.Server, started: f.timer.Now(), cancel: cancel}
+	a := &attempt{choice: choice, server: choice.Server, started: f.timer.Now(), resumed: resume.Set, cancel: cancel}
 	a.reply, a.err = f.servers.Send(ctx, choice.Server, c, resume, f.remaining(c))
 	var failed *exchange.SendError
 	if errors.As(a.err, &failed) {
@@ -304,11 +305,8 @@
 	if a.host != "" {
 		return
 	}
-	if !f.suspects.Accuses(a.events) {
-		return
-	}
 	start := a.server.Start()
-	f.suspects.Lost(c, start, a.reply != nil)
+	f.suspects.Lost(c, start, a.reply != nil, a.events)
 	if a.crashed = f.servers.Crashed(context.WithoutCancel(ctx), a.server); a.crashed {
 		f.suspects.Ended(start)
 		return
--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -624,6 +624,30 @@
 		Entry("on kept connections", scriptedReply{lost: true, reused: true}),
 	)
 
+	// Guards against crashes in the middle of streams that accuse nothing.
+	DescribeTable("does not send a stream again whose body crashed three servers midway", func(resumable bool, attempts, sentTimes int, replies ...scriptedReply) {
+		servers := &scriptedServers{down: true, replies: append(replies, slices.Repeat([]scriptedReply{{truncated: true}}, 9)...)}
+		f, _ := newForwarder(servers, 9, newGuard())
+		route := routes.Route{Kind: routes.Stream, Resumable: resumable, MaxAttempts: attempts, Shares: []routes.Share{{Service: "s", Weight: 1}}}
+		for id := range 5 {
+			_, _ = f.Serve(context.Background(), &exchange.Call{ID: fmt.Sprint(id), Route: &route, Target: "/x", Body: []byte("bad"), Received: time.Now()}, &recordingWriter{})
+		}
+		Expect(servers.sent).To(HaveLen(sentTimes))
+	},
+		Entry("after two events", false, 1, 3,
+			scriptedReply{body: numberedEvents(1, 2), truncated: true}, scriptedReply{body: numberedEvents(1, 2), truncated: true}, scriptedReply{body: numberedEvents(1, 2), truncated: true}),
+		Entry("after different numbers of events", false, 1, 3,
+			scriptedReply{body: numberedEvents(1, 1), truncated: true}, scriptedReply{body: numberedEvents(1, 9), truncated: true}, scriptedReply{body: numberedEvents(1, 4), truncated: true}),
+		Entry("after some more events of one stream each", true, 3, 3,
+			scriptedReply{body: numberedEvents(1, 7), truncated: true}, scriptedReply{body: numberedEvents(8, 14), truncated: true}, scriptedReply{body: numberedEvents(15, 21), truncated: true}),
+		Entry("although the last of several servers got to its end", true, 2, 4,
+			scriptedReply{body: numberedEvents(1, 7), truncated: true}, scriptedReply{body: numberedEvents(8, 9)},
+			scriptedReply{body: numberedEvents(1, 7), truncated: true}, scriptedReply{body: numberedEvents(8, 9), truncated: true}),
+		Entry("unless one server answered it from its start to its end", true, 2, 6,
+			scriptedReply{body: numberedEvents(1, 7), truncated: true}, scriptedReply{body: numberedEvents(8, 12), truncated: true},
+			scriptedReply{body: numberedEvents(1, 12)}, scriptedReply{body: numberedEvents(1, 7), truncated: true}, scriptedReply{body: numberedEvents(8, 12), truncated: true}),
+	)
+
 	DescribeTable("accuses a body once its servers turn out later to have crashed", func(answeredMeanwhile bool, accused int) {
 		servers := &scriptedServers{replies: []scriptedReply{{lost: true}, {lost: true}, {}}}
 		guard := newGuard()
--- a/internal/serving/forward/passing_test.go
+++ b/internal/serving/forward/passing_test.go
@@ -109,7 +109,7 @@
 		guard   *suspect.Guard
 	)
 	serve := func(route routes.Route, p *scriptedPeers, own ...scriptedReply) *result.Error {
-		out, servers, peers, guard = &recordingWriter{}, &scriptedServers{replies: own, down: true}, p, newGuard()
+		out, servers, peers, guard = &recordingWriter{}, &scriptedServers{replies: own, down: true, cutOff: true}, p, newGuard()
 		if p.hosts == nil {
 			p.hosts = []string{"B", "C", "D", "E"}
 		}
@@ -372,7 +372,7 @@
 		Entry("stream that ends within an event", routes.Stream, scriptedReply{body: numberedEvents(1, 2) + "id: 3\n"}, false, true, result.BackendFailed, result.RanYes, numberedEvents(1, 2)+"id: 3\n", false),
 		Entry("stream that skips an event", routes.Stream, scriptedReply{body: numberedEvents(1, 1) + numberedEvents(3, 3)}, false, true, result.BackendFailed, result.RanYes, numberedEvents(1, 1)+numberedEvents(3, 3), false),
 		Entry("unframed stream", routes.Stream, scriptedReply{unframed: true, body: numberedEvents(1, 3)}, false, true, result.OK, result.RanNo, numberedEvents(1, 3), false),
-		Entry("unframed stream of a server that went down", routes.Stream, scriptedReply{unframed: true, body: numberedEvents(1, 3)}, true, true, result.BackendFailed, result.RanYes, numberedEvents(1, 3), false),
+		Entry("unframed stream of a server that went down", routes.Stream, scriptedReply{unframed: true, body: numberedEvents(1, 3)}, true, true, result.BackendFailed, result.RanYes, numberedEvents(1, 3), true),
 		Entry("unframed stream without an event", routes.Stream, scriptedReply{unframed: true}, false, true, result.BackendFailed, result.RanYes, "", false),
 	)
 
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -276,7 +276,7 @@
 				}
 				f.end(att, scheduler.Completed)
 				if att.host == "" {
-					f.suspects.Answered(s.call)
+					f.suspects.Answered(s.call, !att.resumed)
 				}
 				return nil
 			default:
--- a/internal/serving/forward/unary.go
+++ b/internal/serving/forward/unary.go
@@ -93,7 +93,7 @@
 	default:
 		res.body, res.outcome = body, scheduler.Completed
 		if a.host == "" {
-			f.suspects.Answered(c)
+			f.suspects.Answered(c, true)
 		}
 	}
 	f.end(a, res.outcome)
--- a/internal/serving/suspect/bench_test.go
+++ b/internal/serving/suspect/bench_test.go
@@ -27,7 +27,7 @@
 				if guard.Check(c) != nil || guard.Begin(c) != nil {
 					b.Fatal("refused")
 				}
-				guard.Answered(c)
+				guard.Answered(c, true)
 			}
 		})
 	}
--- a/internal/serving/suspect/guard.go
+++ b/internal/serving/suspect/guard.go
@@ -14,8 +14,8 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
 )
 
-// soundEvents is the number of events that prove a server to be able to answer a
-// prompt.
+// soundEvents is the number of events that prove the parts of a prompt to be sound.
+// They prove nothing of the body, which may crash the server at a later event.
 const soundEvents = 2
 
 // minRetryAfter is the least retry delay of a refusal. The delay is otherwise the
@@ -135,16 +135,21 @@
 // sent after of them now.
 func (g *Guard) Answering(c *exchange.Call, before, after int) {
 	if before < soundEvents && after >= soundEvents {
-		g.Answered(c)
+		g.clear(c, false)
 	}
 }
 
-// Answered reports that a server has proved to be able to answer a call.
-func (g *Guard) Answered(c *exchange.Call) {
+// Answered reports that a server has answered a call to its end; fromStart is not set
+// if the answer went on from one of another server.
+func (g *Guard) Answered(c *exchange.Call, fromStart bool) { g.clear(c, fromStart) }
+
+// clear withdraws the accusation of the parts of a call and, if the answer is whole,
+// of its body.
+func (g *Guard) clear(c *exchange.Call, whole bool) {
 	now := g.timer.Now()
 	g.mu.Lock()
 	var withdrawn []Record
-	if g.registry.ClearedByAnswers(now) {
+	if whole && g.registry.ClearedByAnswers(now) {
 		withdrawn = g.registry.RecordBodyAnswer(now, bodyName(c))
 	}
 	withdrawn = append(withdrawn, g.registry.RecordAnswer(now, c.SharedParts)...)
@@ -158,15 +163,12 @@
 	}
 }
 
-// Accuses reports whether a server that ended after n events of an answer is
-// evidence against the call.
-func (g *Guard) Accuses(n int) bool { return n < soundEvents }
-
 // Lost remembers a call that was lost with its connection to a server, until Ended is
-// called for the server. begun is set if the server had begun to answer.
-func (g *Guard) Lost(c *exchange.Call, server string, begun bool) {
+// called for the server. begun is set if the server had begun to answer, and events is
+// how many events of the answer it had sent.
+func (g *Guard) Lost(c *exchange.Call, server string, begun bool, events int) {
 	l := Loss{Server: server, Request: c.ID, Body: bodyName(c), At: g.timer.Now()}
-	if begun {
+	if begun && events < soundEvents {
 		l.Parts = c.SharedParts
 	}
 	g.mu.Lock()
