Items: those under which servers crash rest for longer, at each owner of their job

Cause: the delays ended at 8 s, began anew after each event and at each new owner, and a crash whose port closed late was none.

Change: crashes under an item are records of package suspect, like those under a body: all hosts hear of them in the messages that they send anyway, and the store keeps those of two servers or more. The rest after the third crash is 1 s, after each of the next three 19 s (an item that waits for 20 s beside idle servers counts as forgotten), then twice as long each time up to 10 minutes. A lost connection that is not known to be a crash makes an item rest for 0.2 or 1 s, in which most are confirmed, and its server is watched. jobstate keeps only the delays after answers that do not end.

Builds side by side: the records have the form of those of bodies.

--- a/internal/batch/itemrun/run.go
+++ b/internal/batch/itemrun/run.go
@@ -37,7 +37,7 @@
 	// RequeueFromStart requeues the item and discards its output.
 	RequeueFromStart
 	// Crashed means that the server went down during the run. The item is
-	// requeued unless too many of its runs ended this way.
+	// requeued, with a delay if several of its runs ended this way.
 	Crashed
 	// Completed means that the answer is complete.
 	Completed
@@ -63,9 +63,9 @@
 	// Cause is a text for the log. It is empty for a complete answer.
 	Cause string
 
-	// lostReused is set if a connection that had carried other calls ended under the
-	// run, perhaps because the server had closed it before.
-	lostReused bool
+	// Lost is set if the connection to the server ended under the run, and the server is
+	// not known to have crashed.
+	Lost bool
 }
 
 // Run runs an item on a server until its answer is complete, ctx is done or the
@@ -76,8 +76,8 @@
 func Run(ctx context.Context, timers timer.Service, servers exchange.MonitoredServers, server backend.Server, call *exchange.Call, resume exchange.Resume,
 	handle func([]events.Event)) End {
 	end := attempt(ctx, timers, servers, server, call, resume, handle)
-	if end.Kind == Requeue && (end.lostReused || end.Outcome == scheduler.Failed) && servers.Crashed(ctx, server) {
-		end.Kind, end.Outcome = Crashed, scheduler.Failed
+	if end.Kind == Requeue && (end.Lost || end.Outcome == scheduler.Failed) && servers.Crashed(ctx, server) {
+		end.Kind, end.Outcome, end.Lost = Crashed, scheduler.Failed, false
 	}
 	return end
 }
@@ -98,9 +98,10 @@
 		case errors.As(err, &sendErr) && (!sendErr.Sent || sendCtx.Err() != nil):
 			return End{Kind: Requeue, Outcome: scheduler.Unreachable, Cause: err.Error()}
 		case errors.As(err, &sendErr) && sendErr.Reused:
-			return End{Kind: Requeue, Outcome: scheduler.Unknown, Cause: err.Error(), lostReused: true}
+			// The server may have closed it before the item reached it.
+			return End{Kind: Requeue, Outcome: scheduler.Unknown, Cause: err.Error(), Lost: true}
 		}
-		return End{Kind: Requeue, Outcome: scheduler.Failed, Cause: err.Error()}
+		return End{Kind: Requeue, Outcome: scheduler.Failed, Cause: err.Error(), Lost: true}
 	}
 	defer func() { _ = reply.Body.Close() }()
 	switch {
@@ -146,7 +147,7 @@
 			// looks the same. If one that resumes has no event, no event may be
 			// left, or it was cut after its head. A run from the start shows it.
 			if reply.Unframed && (!answered && !resume.Set || servers.Down(ctx, server)) {
-				return End{Kind: Requeue, Outcome: scheduler.Failed, Cause: "the answer ended with its connection, perhaps early"}
+				return End{Kind: Requeue, Outcome: scheduler.Failed, Cause: "the answer ended with its connection, perhaps early", Lost: true}
 			}
 			if reply.Unframed && !answered {
 				return End{Kind: RequeueFromStart, Outcome: scheduler.Unknown, Cause: "the answer ended with its connection after its head"}
@@ -157,7 +158,7 @@
 		case err != nil && sendCtx.Err() != nil:
 			return End{Kind: Requeue, Outcome: scheduler.Unreachable, Cause: "the server stopped sending data"}
 		case err != nil:
-			return End{Kind: Requeue, Outcome: scheduler.Failed, Cause: err.Error()}
+			return End{Kind: Requeue, Outcome: scheduler.Failed, Cause: err.Error(), Lost: true}
 		}
 	}
 }
--- a/internal/batch/jobstate/job.go
+++ b/internal/batch/jobstate/job.go
@@ -68,11 +68,9 @@
 	software string
 	// failures counts runs that ended with a failure reported by the server.
 	failures int
-	// crashes counts runs that ended because their server went down since the item
-	// last made progress; crashedAt is the number of events after the last one.
-	crashes   int
-	crashedAt int64
-	// backoff is the earliest start of the next run after repeated crashes.
+	// endless counts runs whose answer did not end; the next one starts at backoff at
+	// the earliest.
+	endless int
 	backoff time.Time
 	result  Result
 }
@@ -263,35 +261,25 @@
 }
 
 const (
-	// backoffAfterCrashes is the number of crashes from which an item is delayed
-	// after each crash. Earlier crashes cause no delay, because a server may have
-	// crashed for a reason unrelated to the item.
-	backoffAfterCrashes = 3
-	// minCrashBackoff is the delay after the first of these crashes. It doubles
-	// with each further one up to maxCrashBackoff.
-	minCrashBackoff = 500 * time.Millisecond
-	maxCrashBackoff = 8 * time.Second
+	// minEndlessBackoff is the delay after the first answer of an item that does not
+	// end. It doubles with each further one up to maxEndlessBackoff.
+	minEndlessBackoff = 500 * time.Millisecond
+	maxEndlessBackoff = 8 * time.Second
 )
 
-// RecordCrash records that a run ended because its server went down. It reports
-// whether the item is delayed and until when. An item is never given up for
-// crashes: it is owed, and servers crash for reasons of their own.
-func (j *Job) RecordCrash(i int, now time.Time) (delayed bool, until time.Time) {
+// RecordEndless records that a run was broken off because its answer did not end. The
+// next one begins anew, at the time that is returned.
+func (j *Job) RecordEndless(i int, now time.Time) time.Time {
 	s := j.items[i]
-	if s.eventCount > s.crashedAt {
-		s.crashes = 0
-	}
-	s.crashes, s.crashedAt = s.crashes+1, s.eventCount
-	j.Requeue(i)
-	if s.crashes < backoffAfterCrashes {
-		return false, time.Time{}
-	}
-	delay := minCrashBackoff
-	for n := backoffAfterCrashes; n < s.crashes && delay < maxCrashBackoff; n++ {
+	delay := minEndlessBackoff
+	for n := 0; n < s.endless && delay < maxEndlessBackoff; n++ {
 		delay *= 2
 	}
+	s.endless++
 	s.backoff = now.Add(delay)
-	return true, s.backoff
+	j.DiscardOutput(i)
+	j.Requeue(i)
+	return s.backoff
 }
 
 // GiveUp finishes an item without an answer. It does nothing if the item is
--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -95,7 +95,8 @@
 	Timer           timer.Service
 	Log             logr.Logger
 	Store           Store
-	Servers         exchange.MonitoredServers
+	Servers         Servers
+	Crashes         Crashes
 	ServerDirectory *backend.Directory
 	Placer          *scheduler.Placer
 	Config          *routes.Holder
@@ -110,6 +111,29 @@
 	Ended func(id string)
 }
 
+// Servers are the backend servers; crash.Detector implements it.
+type Servers interface {
+	exchange.MonitoredServers
+	// Watch looks for later evidence that a server which has lost a connection has
+	// crashed, and has it recorded with the Crashes.
+	Watch(s backend.Server)
+}
+
+// Crashes is what all hosts together know of the items under whose runs servers
+// crashed; suspect.Guard implements it.
+type Crashes interface {
+	// ItemLost remembers a run of an item that ended with its connection to a start of
+	// a server.
+	ItemLost(job, item, start string)
+	// Ended records that a start of a server has ended, and with it what was lost.
+	Ended(start string)
+	// ItemDone records that an item has been answered.
+	ItemDone(job, item string)
+	// RestingItems returns when each item that rests after crashes may run again, by
+	// its suspect.ItemName.
+	RestingItems() map[string]time.Time
+}
+
 // ownedJob is a job that this host owns, with its runs.
 type ownedJob struct {
 	job *jobstate.Job
--- a/internal/batch/ownership/running.go
+++ b/internal/batch/ownership/running.go
@@ -15,6 +15,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/events"
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
 	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
+	"github.com/kingcupquay/kingcupquay/internal/serving/suspect"
 )
 
 // maxResultBytes bounds the result of an item, which is stored in one value.
@@ -39,8 +40,9 @@
 	now := m.Timer.Now()
 	m.preemptSurplus(now)
 	queues := make(map[string][]*queuedItem)
+	resting := m.Crashes.RestingItems()
 	for _, j := range m.jobs {
-		m.enqueue(now, config, j, queues)
+		m.enqueue(now, config, j, resting, queues)
 	}
 	for service := range m.backlogged {
 		if len(queues[service]) == 0 {
@@ -77,8 +79,9 @@
 
 // enqueue adds a job's waiting items to the queues of their services. It gives up
 // those whose route the operator has removed, and those that failed in all attempts
-// of their route. Both need the configuration; until it is known they wait.
-func (m *Manager) enqueue(now time.Time, config *routes.Config, j *ownedJob, queues map[string][]*queuedItem) {
+// of their route. Both need the configuration; until it is known they wait. Items that
+// rest are left out.
+func (m *Manager) enqueue(now time.Time, config *routes.Config, j *ownedJob, resting map[string]time.Time, queues map[string][]*queuedItem) {
 	if j.ending > 0 || now.Before(j.heldUntil) {
 		return
 	}
@@ -96,6 +99,9 @@
 			m.Log.Info("item given up", "job", record.ID, "item", j.job.Item(i).ID, "cause", "it failed in all attempts of its route", "attempts", route.MaxAttempts, "config", config.Version())
 			continue
 		}
+		if len(resting) > 0 && now.Before(resting[suspect.ItemName(record.ID, j.job.Item(i).ID)]) {
+			continue
+		}
 		service := route.Pick(splitPoint(j.job.Item(i).ID))
 		queues[service] = append(queues[service], &queuedItem{ownedJob: j, index: i, route: route, Item: m.priorityOf(now, j, i)})
 	}
@@ -205,6 +211,22 @@
 	}
 }
 
+// recordCrash records the end of a run with its server, or what may turn out to be one.
+func (m *Manager) recordCrash(job, item string, s backend.Server, end itemrun.End) {
+	if end.Kind != itemrun.Crashed && !end.Lost {
+		return
+	}
+	m.Crashes.ItemLost(job, item, s.Start())
+	if end.Kind != itemrun.Crashed {
+		m.Servers.Watch(s)
+		return
+	}
+	m.Crashes.Ended(s.Start())
+	if until, rests := m.Crashes.RestingItems()[suspect.ItemName(job, item)]; rests {
+		m.Log.Info("item rests", "job", job, "item", item, "until", until, "cause", "its servers crashed during its runs")
+	}
+}
+
 // runItem runs an item on a server until its answer is complete, the run is
 // cancelled or the server fails.
 func (m *Manager) runItem(ctx context.Context, j *ownedJob, i int, r *run, route *routes.Route, service string) {
@@ -233,7 +255,11 @@
 		})
 	}
 	if endless {
-		end = itemrun.End{Kind: itemrun.Crashed, Outcome: scheduler.Failed, Cause: "its answer does not end"}
+		end = itemrun.End{Kind: itemrun.Requeue, Outcome: scheduler.Failed, Cause: "its answer does not end"}
+	}
+	m.recordCrash(record.ID, item.ID, r.server, end)
+	if end.Kind == itemrun.Completed {
+		m.Crashes.ItemDone(record.ID, item.ID)
 	}
 	if end.Misdirected {
 		m.ServerDirectory.MarkMisdirected(r.server)
@@ -255,18 +281,15 @@
 			break
 		}
 		j.job.Finish(i)
-	case itemrun.Requeue:
+	case itemrun.Requeue, itemrun.Crashed:
+		if endless {
+			until := j.job.RecordEndless(i, now)
+			m.Log.Info("item rests", "job", record.ID, "item", item.ID, "until", until, "cause", end.Cause)
+		}
 		j.job.Requeue(i)
 	case itemrun.RequeueFromStart:
 		j.job.DiscardOutput(i)
 		j.job.Requeue(i)
-	case itemrun.Crashed:
-		if endless {
-			j.job.DiscardOutput(i)
-		}
-		if delayed, until := j.job.RecordCrash(i, now); delayed {
-			m.Log.Info("item rests", "job", record.ID, "item", item.ID, "until", until, "cause", "its servers crashed during its runs")
-		}
 	case itemrun.Failed:
 		j.job.DiscardOutput(i)
 		j.job.RecordFailure(i)
--- a/internal/serving/suspect/guard.go
+++ b/internal/serving/suspect/guard.go
@@ -154,9 +154,14 @@
 	}
 	withdrawn = append(withdrawn, g.registry.RecordAnswer(now, c.SharedParts)...)
 	g.mu.Unlock()
+	g.reportWithdrawn(withdrawn, c.ID)
+}
+
+// reportWithdrawn logs and spreads accusations that the answer to a request withdrew.
+func (g *Guard) reportWithdrawn(withdrawn []Record, request string) {
 	for _, r := range withdrawn {
 		withdrawnTotal.Inc()
-		g.log.Info("accusation withdrawn", "part", r.Part, "request", c.ID, "cause", "a server answered a request with it")
+		g.log.Info("accusation withdrawn", "part", r.Part, "request", request, "cause", "a server answered a request with it")
 	}
 	if len(withdrawn) > 0 {
 		g.spread()
--- /dev/null
+++ b/internal/serving/suspect/items.go
@@ -0,0 +1,122 @@
+package suspect
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/kingcupquay/kingcupquay/internal/fleet/rendezvous"
+)
+
+// Items of batch jobs under which servers ended have records like bodies, so that a
+// new owner of a job knows of them. An item is never refused: it is owed, and servers
+// end for reasons of their own. It rests between its runs instead.
+
+const (
+	// itemPrefix begins the names of the records of items.
+	itemPrefix = "item/"
+	// lostRest is how long an item rests after it lost its connection to a server that
+	// is not known to have crashed. Most crashes are confirmed in that time.
+	lostRest = 200 * time.Millisecond
+	// firstItemRest is how long an item rests after the crash that condemns it, or a
+	// lost connection that may turn out to be that crash or a later one. It is short,
+	// as chance may account for so many crashes.
+	firstItemRest = time.Second
+	// itemRest is how long it rests after each of the next shortItemRests crashes: less
+	// than the 20 s after which an item that waits beside idle servers counts as
+	// forgotten. After each further crash it rests twice as long, up to maxItemRest.
+	itemRest       = 19 * time.Second
+	shortItemRests = 3
+	maxItemRest    = 10 * time.Minute
+)
+
+// ItemName returns the name of the record of an item.
+func ItemName(job, item string) string {
+	return itemPrefix + strconv.FormatUint(rendezvous.Hash(job+"/"+item), 16)
+}
+
+// restAfter returns how long an item rests after the nth crash under it.
+func restAfter(n int) time.Duration {
+	switch {
+	case n < condemnAfter:
+		return 0
+	case n == condemnAfter:
+		return firstItemRest
+	}
+	rest := itemRest
+	for k := condemnAfter + 1 + shortItemRests; k <= n && rest < maxItemRest; k++ {
+		rest *= 2
+	}
+	return min(rest, maxItemRest)
+}
+
+// RestingItems returns when each item that rests may run again, by its name.
+func (g *Registry) RestingItems(now time.Time) map[string]time.Time {
+	var resting map[string]time.Time
+	rest := func(name string, until time.Time) {
+		if now.Before(until) && until.After(resting[name]) {
+			if resting == nil {
+				resting = make(map[string]time.Time)
+			}
+			resting[name] = until
+		}
+	}
+	for name, r := range g.records {
+		if len(r.Servers) >= condemnAfter && now.Before(r.ExpiresAt) && strings.HasPrefix(name, itemPrefix) {
+			rest(name, r.lastCrash().Add(restAfter(len(r.Servers))))
+		}
+	}
+	if len(g.losses) == 0 {
+		return resting
+	}
+	// crashes counts the crashes and lost connections of each item that lost one.
+	crashes := make(map[string]int)
+	for _, l := range g.losses {
+		if !strings.HasPrefix(l.Body, itemPrefix) || now.Sub(l.At) >= lossTTL {
+			continue
+		}
+		if _, counted := crashes[l.Body]; !counted {
+			if r := g.lookup(now, l.Body); r != nil {
+				crashes[l.Body] = len(r.Servers)
+			}
+		}
+		crashes[l.Body]++
+		if crashes[l.Body] < condemnAfter {
+			rest(l.Body, l.At.Add(lostRest))
+		} else {
+			rest(l.Body, l.At.Add(firstItemRest))
+		}
+	}
+	return resting
+}
+
+// lastCrash returns when the last server ended under the part. It holds for all hosts
+// that have the record, as each crash makes it valid for recordTTL.
+func (r *Record) lastCrash() time.Time { return r.ExpiresAt.Add(-recordTTL) }
+
+// RestingItems returns when each item that rests may run again, by its ItemName.
+func (g *Guard) RestingItems() map[string]time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.registry.RestingItems(g.timer.Now())
+}
+
+// ItemLost remembers a run of an item that ended with its connection to a server,
+// until Ended is called for the server.
+func (g *Guard) ItemLost(job, item, server string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.registry.RecordLoss(Loss{Server: server, Request: item, Body: ItemName(job, item), At: g.timer.Now()})
+}
+
+// ItemDone records that an item has been answered.
+func (g *Guard) ItemDone(job, item string) {
+	now := g.timer.Now()
+	g.mu.Lock()
+	var withdrawn []Record
+	if g.registry.ClearedByAnswers(now) {
+		withdrawn = g.registry.RecordBodyAnswer(now, ItemName(job, item))
+	}
+	g.mu.Unlock()
+	g.reportWithdrawn(withdrawn, item)
+}
--- a/internal/serving/suspect/registry.go
+++ b/internal/serving/suspect/registry.go
@@ -38,8 +38,8 @@
 // may crash each server after the same number of events, or of seconds, and reach its
 // end over several servers all the same.
 //
-// Items of batch jobs are neither accused nor refused: they are owed whatever
-// crashed under them, and are delayed after crashes by package jobstate.
+// Items of batch jobs are never refused: they are owed whatever crashed under them.
+// From the third crash on they rest after each, see restAfter.
 package suspect
 
 import (
@@ -310,6 +310,10 @@
 		g.put(now, r)
 	}
 	r.firsthand = true
+	if len(r.Servers) == maxServers {
+		// The time of the last crash counts though the server has no room.
+		r.changedAt, r.ExpiresAt = now, now.Add(recordTTL)
+	}
 	isNew := r.addServers(now, now.Add(recordTTL), []string{server})
 	if isNew && len(r.Servers) >= keptServers {
 		g.unsaved = true
