Crashes: each trial of a condemned part is claimed in the store, and there are two

What callers lose: a server for each run of a condemned request. Three trials alone used up the three late runs that the rule allows, if callers come more seldom than every 3 s, and hosts that are cut off from each other, with the store in reach, each sent three.

Change: before a trial is sent, its number is written with the records by a conditional write; a trial that another host has claimed, or whose claim fails, is not sent, and the request is refused. Two trials in place of three leave one run for a request that was on its way. Withdrawn accusations that the store shows end the condemnation at once. A trial is due again 2 s after a claim that failed.

--- a/internal/fleet/entry/suspects.go
+++ b/internal/fleet/entry/suspects.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -40,6 +41,34 @@
 	h.passOn()
 }
 
+const (
+	// claimTimeout bounds the claim of a trial, whose request waits for it.
+	claimTimeout = 500 * time.Millisecond
+	// maxClaimAttempts is how often a claim is tried if other hosts write meanwhile.
+	maxClaimAttempts = 3
+)
+
+// ClaimTrial claims a trial by a conditional write of the records. One whose outcome is
+// unknown counts as claimed by another host when it is tried again.
+func (f *suspectsFleet) ClaimTrial(ctx context.Context, trial suspect.Record) error {
+	h := (*Host)(f)
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	for attempt := 1; ; attempt++ {
+		stored, revision, err := h.readSuspects(ctx)
+		if err != nil {
+			return err
+		}
+		kept, err := h.suspects.Claim(stored, trial)
+		if err != nil || kept == nil {
+			return err
+		}
+		if err = h.writeSuspects(ctx, kept, revision); !errors.Is(err, errKeptChanged) || attempt == maxClaimAttempts {
+			return err
+		}
+	}
+}
+
 // KeepSoon has the records written to the store.
 func (f *suspectsFleet) KeepSoon() { (*Host)(f).suspectsKeeper.trigger() }
 
@@ -105,29 +134,40 @@
 // differs.
 func (k *suspectsKeeper) keep() error {
 	h := k.host
-	entry, found, err := h.adapter.Store.Get(h.ctx, suspect.KeptKey)
+	stored, revision, err := h.readSuspects(h.ctx)
 	if err != nil {
 		return err
 	}
-	wall := time.Now()
-	var stored []suspect.Report
-	if found {
-		if stored, err = suspect.DecodeKept(wall, entry.Value); err != nil {
-			// They are replaced, as nothing else would ever remove them.
-			h.log.Error(err, "records of crashing parts can't be read", "key", suspect.KeptKey)
-		}
-		h.suspects.MergeKept(stored)
-	}
+	h.suspects.MergeKept(stored)
 	kept := h.suspects.Kept()
 	if suspect.SameReports(kept, stored) {
 		return nil
 	}
-	text, err := suspect.EncodeKept(wall, kept)
+	return h.writeSuspects(h.ctx, kept, revision)
+}
+
+// readSuspects returns the records that the store keeps, and the revision of their key.
+func (h *Host) readSuspects(ctx context.Context) ([]suspect.Report, int64, error) {
+	entry, found, err := h.adapter.Store.Get(ctx, suspect.KeptKey)
+	if err != nil || !found {
+		return nil, 0, err
+	}
+	stored, err := suspect.DecodeKept(time.Now(), entry.Value)
+	if err != nil {
+		// They are replaced, as nothing else would ever remove them.
+		h.log.Error(err, "records of crashing parts can't be read", "key", suspect.KeptKey)
+	}
+	return stored, entry.ModRevision, nil
+}
+
+// writeSuspects has the store keep records in place of those of a revision.
+func (h *Host) writeSuspects(ctx context.Context, kept []suspect.Report, revision int64) error {
+	text, err := suspect.EncodeKept(time.Now(), kept)
 	if err != nil {
 		return err
 	}
-	result, err := h.adapter.Store.Commit(h.ctx, store.Txn{
-		Compares: []store.Compare{{Key: suspect.KeptKey, Target: store.ModRevision, Revision: entry.ModRevision}},
+	result, err := h.adapter.Store.Commit(ctx, store.Txn{
+		Compares: []store.Compare{{Key: suspect.KeptKey, Target: store.ModRevision, Revision: revision}},
 		Puts:     []store.Put{{Key: suspect.KeptKey, Value: text}},
 	})
 	if err != nil {
--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -252,7 +252,7 @@
 		return choice, result.New(result.Overloaded, "no slot within %d ms: %d expected at the best of %d servers, %d of them at their limit, as told up to %d ms ago",
 			maxWait.Milliseconds(), choice.Wait.Milliseconds(), servers, choice.Limited, choice.ReportAge.Milliseconds()).WithRetry(choice.RetryAfter)
 	}
-	if failure := f.suspects.Begin(c); failure != nil {
+	if failure := f.suspects.Begin(ctx, c); failure != nil {
 		f.slots.EndOnline(f.timer.Now(), choice, 0, scheduler.Unknown)
 		return choice, failure
 	}
--- a/internal/serving/suspect/kept.go
+++ b/internal/serving/suspect/kept.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
 	"slices"
 	"time"
 
@@ -90,6 +91,30 @@
 	return reports
 }
 
+// errTrialTaken means that another host sent a trial, or sends it.
+var errTrialTaken = errors.New("another host claimed it")
+
+// Claim returns the records that the store is to keep for the claim of a trial, after
+// it has merged those that it keeps. There are none if the part is no longer condemned
+// and its requests need no trial. It returns an error if the trial can't be claimed.
+func (g *Registry) Claim(now time.Time, stored []Report, trial Record) ([]Report, error) {
+	g.MergeKept(now, stored)
+	r := g.lookup(now, trial.Part)
+	switch {
+	case r == nil || !r.condemned:
+		return nil, nil
+	case r.Version != trial.Version || r.Trials >= trial.Trials:
+		return nil, errTrialTaken
+	}
+	reports := g.Kept(now)
+	for i := range reports {
+		if reports[i].Part == trial.Part {
+			reports[i].Trials = trial.Trials
+		}
+	}
+	return reports, nil
+}
+
 // SameReports reports whether two lists name the same records, apart from when these
 // expire.
 func SameReports(a, b []Report) bool {
--- a/internal/serving/suspect/registry.go
+++ b/internal/serving/suspect/registry.go
@@ -14,8 +14,9 @@
 // Requests with a condemned part are refused. The first answer to one that is
 // still running withdraws the accusation. After that only a trial can: at
 // growing intervals, one request with the part is sent by the one host that all
-// hosts agree on, at most maxTrials times. A condemnation expires after
-// recordTTL or is withdrawn by an operator.
+// hosts agree on, at most maxTrials times. Hosts that are cut off from each other
+// may not agree, so each trial is claimed in the store before it is sent. A
+// condemnation expires after recordTTL or is withdrawn by an operator.
 //
 // A Registry is the state machine over the records of one host and does no I/O.
 // Records are exchanged between hosts with their status messages. The store keeps
@@ -61,9 +62,10 @@
 	// answerTTL is how long it is known that a part has been answered.
 	answerTTL = 10 * time.Minute
 	// maxTrials is the number of trials of a condemned part. The first is due
-	// firstTrialDelay after the condemnation; each further delay is
-	// trialDelayFactor times as long.
-	maxTrials        = 3
+	// firstTrialDelay after the condemnation, or after a claim that failed; each
+	// further delay is trialDelayFactor times as long. Three requests may reach a
+	// server after a condemnation: one more than the trials may have been on its way.
+	maxTrials        = 2
 	firstTrialDelay  = 2 * time.Second
 	trialDelayFactor = 4
 	// recordTTL is how long a record is valid after its last crash, withdrawnTTL
@@ -110,8 +112,10 @@
 	kept      bool
 	firsthand bool
 	changedAt time.Time
-	// trialAt is when the next trial is due, if Trials is below maxTrials.
-	trialAt time.Time
+	// trialAt is when the next trial is due, if Trials is below maxTrials. claiming is
+	// set while this host claims it.
+	trialAt  time.Time
+	claiming bool
 }
 
 // Report is a Record as hosts tell it to each other.
@@ -383,18 +387,36 @@
 	return *condemned[0], true
 }
 
-// BeginTrial counts a request with the parts that Refusing has let pass and that
-// is sent now. It returns the record of the part on trial, if there is one.
+// BeginTrial begins the claim of a trial for a request with the parts that Refusing
+// has let pass. It returns the record of the part on trial, if there is one, with the
+// number of the trial. Refusing lets no other pass until EndTrial.
 func (g *Registry) BeginTrial(now time.Time, parts []string) (Record, bool) {
 	condemned := g.condemned(now, parts)
 	if len(condemned) == 0 {
 		return Record{}, false
 	}
 	r := condemned[0]
-	r.Trials++
-	r.changedAt, r.trialAt = now, now.Add(trialDelay(r.Trials))
-	g.unsaved = true
-	return *r, true
+	r.claiming = true
+	trial := *r
+	trial.Trials++
+	return trial, true
+}
+
+// EndTrial ends the claim of a trial. If claimed, the trial is sent and counts.
+func (g *Registry) EndTrial(now time.Time, trial Record, claimed bool) {
+	r := g.lookup(now, trial.Part)
+	if r == nil {
+		return
+	}
+	r.claiming = false
+	if !claimed {
+		r.trialAt = now.Add(trialDelay(r.Trials))
+		return
+	}
+	if r.Version == trial.Version {
+		r.Trials = max(r.Trials, trial.Trials)
+		r.changedAt, r.trialAt = now, now.Add(trialDelay(r.Trials))
+	}
 }
 
 func (g *Registry) condemned(now time.Time, parts []string) []*Record {
@@ -408,7 +430,7 @@
 }
 
 func (r *Record) trialDue(now time.Time, isTrialHost func(part string) bool) bool {
-	return r.Trials < maxTrials && !now.Before(r.trialAt) && isTrialHost(r.Part)
+	return r.Trials < maxTrials && !r.claiming && !now.Before(r.trialAt) && isTrialHost(r.Part)
 }
 
 // NextTrial returns when the next trial is due, or when the record expires if no
