--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -120,6 +120,13 @@
 		again.At += second
 		h.Runs = append(h.Runs, again)
 	}),
+	Entry("a second run a second later with all the time again, by a host that stood still", "", func(h *checker.History, r *checker.Request) {
+		r.AtMostOnce, r.Deadline, h.Runs[0].Deadline = false, 4*second, 4*second
+		again := h.Runs[0]
+		again.At += second
+		h.Runs = append(h.Runs, again)
+		h.Plan.Faults = []plan.Fault{{Kind: plan.Pause, Target: 1, Start: 9 * second, Duration: 2 * second}}
+	}),
 	Entry("a second run a second later with the time that is left", "", func(h *checker.History, r *checker.Request) {
 		r.AtMostOnce, r.Deadline, h.Runs[0].Deadline = false, 4*second, 4*second
 		again := h.Runs[0]
