Items: a condemned item rests after a lost connection as after a crash

The item rests as long as if the crash were confirmed, once three were. The list is looked at after 0.4 and 0.7 s, too, without a connection more. The spec expects 19 s for the lost connection of a condemned item; on the code before it got 1 s.

--- a/internal/serving/crash/watch.go
+++ b/internal/serving/crash/watch.go
@@ -13,16 +13,21 @@
 	// watchPeriod is how long a server is watched. Crashed servers are back after some
 	// seconds. The lost calls must be remembered for longer, see package suspect.
 	watchPeriod = 15 * time.Second
-	// listInterval is the interval at which the list of servers is checked after the
-	// last dial.
+	// listInterval is the interval at which the list of servers is checked after
+	// firstLooks.
 	listInterval = 250 * time.Millisecond
 	// maxWatches bounds the servers that are watched at once.
 	maxWatches = 256
 )
 
-// dialDelays are the times after the loss of a connection at which the port of a
-// server is dialled again.
-var dialDelays = []time.Duration{30 * time.Millisecond, 150 * time.Millisecond, time.Second}
+// firstLooks are the first looks at a server after the loss of a connection, most of
+// which also dial its port.
+var firstLooks = []struct {
+	after time.Duration
+	dials bool
+}{
+	{30 * time.Millisecond, true}, {150 * time.Millisecond, true}, {400 * time.Millisecond, false}, {700 * time.Millisecond, false}, {time.Second, true},
+}
 
 var confirmedLaterTotal = metrics.NewCounter("kingcupquay_crashes_confirmed_later_total")
 
@@ -37,10 +42,10 @@
 // nextLook returns when the look that follows n others is due, after the connection
 // was lost, and whether the port is dialled then. It returns false after the last one.
 func nextLook(n int) (after time.Duration, dials, ok bool) {
-	if n < len(dialDelays) {
-		return dialDelays[n], true, true
+	if n < len(firstLooks) {
+		return firstLooks[n].after, firstLooks[n].dials, true
 	}
-	after = dialDelays[len(dialDelays)-1] + time.Duration(n+1-len(dialDelays))*listInterval
+	after = firstLooks[len(firstLooks)-1].after + time.Duration(n+1-len(firstLooks))*listInterval
 	return after, false, after <= watchPeriod
 }
 
@@ -53,7 +58,7 @@
 	start := s.Start()
 	if w, watched := d.watches[start]; watched {
 		// While dials are left, these are for the new loss as well.
-		if w.looks > len(dialDelays) {
+		if w.looks > len(firstLooks) {
 			w.looks, w.began = 0, d.timer.Now()
 		}
 		return
--- a/internal/serving/suspect/items.go
+++ b/internal/serving/suspect/items.go
@@ -19,8 +19,9 @@
 	// is not known to have crashed. Most crashes are confirmed in that time.
 	lostRest = 200 * time.Millisecond
 	// firstItemRest is how long an item rests after the crash that condemns it, or a
-	// lost connection that may turn out to be that crash or a later one. It is short,
-	// as chance may account for so many crashes.
+	// lost connection that may turn out to be that crash. It is short, as chance may
+	// account for so many crashes. A condemned item rests after a lost connection as
+	// after a crash.
 	firstItemRest = time.Second
 	// itemRest is how long it rests after each of the next shortItemRests crashes: less
 	// than the 20 s after which an item that waits beside idle servers counts as
@@ -69,27 +70,33 @@
 	if len(g.losses) == 0 {
 		return resting
 	}
-	// crashes counts the crashes and lost connections of each item that lost one.
-	crashes := make(map[string]int)
+	lost := make(map[string]int)
 	for _, l := range g.losses {
 		if !strings.HasPrefix(l.Body, itemPrefix) || now.Sub(l.At) >= lossTTL {
 			continue
 		}
-		if _, counted := crashes[l.Body]; !counted {
-			if r := g.lookup(now, l.Body); r != nil {
-				crashes[l.Body] = len(r.Servers)
-			}
-		}
-		crashes[l.Body]++
-		if crashes[l.Body] < condemnAfter {
-			rest(l.Body, l.At.Add(lostRest))
-		} else {
-			rest(l.Body, l.At.Add(firstItemRest))
+		crashes := 0
+		if r := g.lookup(now, l.Body); r != nil {
+			crashes = len(r.Servers)
 		}
+		lost[l.Body]++
+		rest(l.Body, l.At.Add(restAfterLoss(crashes, lost[l.Body])))
 	}
 	return resting
 }
 
+// restAfterLoss returns how long an item under which servers crashed rests after the
+// nth of its lost connections that are not known to be crashes.
+func restAfterLoss(crashes, n int) time.Duration {
+	switch {
+	case crashes+n < condemnAfter:
+		return lostRest
+	case crashes < condemnAfter:
+		return firstItemRest
+	}
+	return restAfter(crashes + n)
+}
+
 // lastCrash returns when the last server ended under the part. It holds for all hosts
 // that have the record, as each crash makes it valid for recordTTL.
 func (r *Record) lastCrash() time.Time { return r.ExpiresAt.Add(-recordTTL) }
--- a/internal/serving/suspect/items_test.go
+++ b/internal/serving/suspect/items_test.go
@@ -107,7 +107,7 @@
 		}
 		clock.Advance(19 * time.Second)
 		lose(5)
-		Expect(rests).To(Equal([]time.Duration{200 * time.Millisecond, 200 * time.Millisecond, time.Second, time.Second, 200 * time.Millisecond, time.Second}))
+		Expect(rests).To(Equal([]time.Duration{200 * time.Millisecond, 200 * time.Millisecond, time.Second, time.Second, 200 * time.Millisecond, 19 * time.Second}))
 	})
 
 	It("rest no more once they are answered, and make no request be refused", func() {
