--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -127,6 +127,8 @@
 	// Crashing holds the bodies of requests and items that crash each server that runs
 	// them.
 	Crashing map[string]bool
+	// CrashesEnd is when they crash no server any more, 0 for never.
+	CrashesEnd time.Duration
 	// Ended holds the servers that ended or were cut off; runs there don't count
 	// against a request's attempts.
 	Ended map[string]bool
@@ -478,7 +480,7 @@
 func (h History) crashRuns(body string) []Run {
 	var runs []Run
 	for _, run := range h.Runs {
-		if run.Body == body {
+		if run.Body == body && (h.CrashesEnd == 0 || run.At < h.CrashesEnd) {
 			runs = append(runs, run)
 		}
 	}
--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -153,10 +153,13 @@
 	}),
 )
 
+// crashesEnd is when the requests of crashingRuns crash no server any more.
+const crashesEnd = 90 * second
+
 // crashingRuns returns runs of a request that crashes servers, at the given seconds,
 // each under an ID of its own.
 func crashingRuns(h *checker.History, seconds ...time.Duration) {
-	h.Crashing, h.Requests, h.Runs = map[string]bool{"b": true}, nil, nil
+	h.Crashing, h.CrashesEnd, h.Requests, h.Runs = map[string]bool{"b": true}, crashesEnd, nil, nil
 	for i, at := range seconds {
 		r, x := request(), run()
 		r.ID, x.ID = fmt.Sprint("q", i), fmt.Sprint("q", i)
@@ -178,6 +181,7 @@
 	Entry("three runs, and three more late", "", nil, time.Duration(10), time.Duration(11), time.Duration(12), time.Duration(16), time.Duration(24), time.Duration(50)),
 	Entry("many runs within the window", "", nil, time.Duration(10), time.Duration(11), time.Duration(12), time.Duration(13), time.Duration(13), time.Duration(14), time.Duration(14)),
 	Entry("a fourth late run", "budget", nil, time.Duration(10), time.Duration(11), time.Duration(12), time.Duration(16), time.Duration(18), time.Duration(20), time.Duration(22)),
+	Entry("a fourth late run that crashes no server any more", "", nil, time.Duration(10), time.Duration(11), time.Duration(12), time.Duration(16), time.Duration(18), time.Duration(20), crashesEnd/time.Second),
 	Entry("a fourth late run while servers crash", "budget", []plan.Fault{{Kind: plan.ServerCrashes, Start: 10 * second, Duration: 20 * second}},
 		time.Duration(10), time.Duration(11), time.Duration(12), time.Duration(16), time.Duration(18), time.Duration(20), time.Duration(22)),
 	Entry("a fourth late run through a host that was killed", "", []plan.Fault{{Kind: plan.Kill, Start: 20 * second, Duration: second}},
