Crashes: a host reads the kept records with the first crash that it sees itself

Two halves of a fleet that don't hear each other, both with the store in reach: the half that had not condemned a request learned of it with its own second crash. Now the first crash has the host read the key, at a tenth of the price of other reads and at most twice a second.

Spec: a host that started before the condemnation and hears no other refuses the request after one crash; without the change it never does.

--- a/internal/fleet/entry/suspects.go
+++ b/internal/fleet/entry/suspects.go
@@ -72,9 +72,14 @@
 // KeepSoon has the records written to the store.
 func (f *suspectsFleet) KeepSoon() { (*Host)(f).suspectsKeeper.trigger() }
 
+// LearnSoon has the records read that the store keeps.
+func (f *suspectsFleet) LearnSoon() { (*Host)(f).suspectsKeeper.triggerLearn() }
+
 const (
 	// keepDelay is the time for which changes of kept records are gathered.
 	keepDelay = 50 * time.Millisecond
+	// learnInterval is the pause after the records were read only.
+	learnInterval = 500 * time.Millisecond
 	// keepRetry is the pause after a failure, or after another host has written the
 	// records meanwhile. It doubles with each further one up to maxKeepRetry.
 	keepRetry    = time.Second
@@ -85,20 +90,26 @@
 // they outlive the hosts' memories.
 type suspectsKeeper struct {
 	host *Host
-	// due has room for one request.
-	due chan struct{}
+	// due and learnDue have room for one request to write the records, and to read
+	// them only.
+	due, learnDue chan struct{}
 }
 
 func newSuspectsKeeper(h *Host) *suspectsKeeper {
-	k := &suspectsKeeper{host: h, due: make(chan struct{}, 1)}
+	k := &suspectsKeeper{host: h, due: make(chan struct{}, 1), learnDue: make(chan struct{}, 1)}
 	// What was kept before the host started is read first.
 	k.trigger()
 	return k
 }
 
-func (k *suspectsKeeper) trigger() {
+func (k *suspectsKeeper) trigger() { request(k.due) }
+
+func (k *suspectsKeeper) triggerLearn() { request(k.learnDue) }
+
+// request leaves a request in a channel that has room for one.
+func request(due chan<- struct{}) {
 	select {
-	case k.due <- struct{}{}:
+	case due <- struct{}{}:
 	default:
 	}
 }
@@ -111,6 +122,14 @@
 		select {
 		case <-h.ctx.Done():
 			return
+		case <-k.learnDue:
+			if err := k.learn(); err != nil {
+				h.log.Info("records of crashing parts not read", "cause", err.Error())
+			}
+			if !timer.Pause(h.timer, h.ctx.Done(), learnInterval) {
+				return
+			}
+			continue
 		case <-k.due:
 		}
 		pause := keepDelay
@@ -130,6 +149,23 @@
 // errKeptChanged means that another host wrote the records in between.
 var errKeptChanged = errors.New("another host wrote them at the same time")
 
+// learn merges the records of the store, which may be some seconds old, into the
+// host's. It costs a tenth of other reads.
+func (k *suspectsKeeper) learn() error {
+	entries, err := k.host.adapter.Store.RangeStale(k.host.ctx, suspect.KeptKey)
+	if err != nil {
+		return err
+	}
+	for _, entry := range entries {
+		stored, err := suspect.DecodeKept(time.Now(), entry.Value)
+		if err != nil {
+			return err
+		}
+		k.host.suspects.MergeKept(stored)
+	}
+	return nil
+}
+
 // keep merges the records of the store into the host's and writes the union if it
 // differs.
 func (k *suspectsKeeper) keep() error {
--- a/internal/fleet/entry/suspects_test.go
+++ b/internal/fleet/entry/suspects_test.go
@@ -71,6 +71,31 @@
 		Expect(sendFor(120)).To(Equal(1))
 	})
 
+	// Guards against two more crashes in each half of a split fleet.
+	It("learn of a condemnation with the first crash that they see themselves", func() {
+		bad := &exchange.Call{ID: "1", Target: "/x", Body: []byte("bad")}
+		crash := func(h *Host, server string) {
+			h.suspects.Lost(bad, server, true, 7)
+			h.suspects.Ended(server)
+		}
+		alone := hosts[1]
+		alone.wait.Add(1)
+		go alone.suspectsKeeper.run()
+		defer alone.cancel()
+		// It reads what was kept before it started.
+		Eventually(func() int { return kv.Calls()["get"] }, 10*time.Second).Should(Equal(1))
+		for _, server := range []string{"s4", "s5", "s6"} {
+			crash(hosts[0], server)
+		}
+		Expect(hosts[0].suspectsKeeper.keep()).To(Succeed())
+		Expect(alone.suspects.Check(bad)).To(BeNil())
+		crash(alone, "s7")
+		Eventually(func() any {
+			clock.Advance(10 * time.Millisecond)
+			return alone.suspects.Check(bad)
+		}, 10*time.Second).ShouldNot(BeNil())
+	})
+
 	It("refuse nothing once the store shows that the accusation was withdrawn", func() {
 		Expect(hosts[0].suspectsKeeper.keep()).To(Succeed())
 		Expect(hosts[0].suspects.Withdraw("bad")).To(BeTrue())
--- a/internal/serving/suspect/guard.go
+++ b/internal/serving/suspect/guard.go
@@ -43,6 +43,9 @@
 	ShareSoon()
 	// KeepSoon requests that the store keep the records soon, with Kept and MergeKept.
 	KeepSoon()
+	// LearnSoon requests that the records that the store keeps be merged soon, with
+	// MergeKept. They may be some seconds old.
+	LearnSoon()
 }
 
 // Alone is the Fleet of a host without others.
@@ -62,6 +65,9 @@
 // KeepSoon does nothing.
 func (Alone) KeepSoon() {}
 
+// LearnSoon does nothing.
+func (Alone) LearnSoon() {}
+
 // Guard decides which requests may be sent to servers. It is safe for concurrent
 // use.
 type Guard struct {
@@ -225,6 +231,8 @@
 	}
 	if changed {
 		g.spread()
+		// Hosts from which this one is cut off may have condemned the part.
+		g.fleet.LearnSoon()
 	}
 }
 
