--- a/internal/serving/suspect/bench_test.go
+++ b/internal/serving/suspect/bench_test.go
@@ -32,3 +32,23 @@
 		})
 	}
 }
+
+// BenchmarkRestingItems measures what a scheduling pass asks, with as many records and
+// lost connections as a host keeps.
+func BenchmarkRestingItems(b *testing.B) {
+	for _, records := range []int{0, 256, 1024} {
+		b.Run(fmt.Sprint(records, " records"), func(b *testing.B) {
+			guard := suspect.NewGuard(timer.NewManual(start), logr.Discard(), suspect.Alone{})
+			for i := range records {
+				guard.Merge([]suspect.Report{{Part: suspect.ItemName("j", fmt.Sprint(i)), Servers: []string{"s1"}, ExpiresIn: time.Hour}})
+				guard.ItemLost("j", fmt.Sprint(i), "s2")
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if len(guard.RestingItems()) != min(records, 256) {
+					b.Fatal("lost connections are missing")
+				}
+			}
+		})
+	}
+}
