--- a/internal/soak/faultproxy/proxy.go
+++ b/internal/soak/faultproxy/proxy.go
@@ -7,6 +7,7 @@
 package faultproxy
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -65,7 +66,12 @@
 
 // Listen starts a proxy that listens at address and forwards to target.
 func Listen(address, target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp4", address)
+	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
+		var optionErr error
+		err := conn.Control(func(fd uintptr) { optionErr = setOption(int(fd), unix.SO_REUSEPORT, true) })
+		return errors.Join(err, optionErr)
+	}}
+	listener, err := config.Listen(context.Background(), "tcp4", address)
 	if err != nil {
 		return nil, err
 	}
@@ -84,43 +90,41 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	port := p.listener.Addr().(*net.TCPAddr).Port
-	// A process that is being started has copies of all descriptors until it executes
-	// its program, so that the port would still be listening.
-	syscall.ForkLock.RLock()
-	defer syscall.ForkLock.RUnlock()
-	if err := p.listener.Close(); err != nil {
-		return err
-	}
 	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return err
 	}
 	p.reserved = fd
-	// The open connections have the port, too, which only the option allows. Without
-	// it no other socket can be bound.
-	if err := setReuse(fd, true); err != nil {
+	// The socket shares the port with the listener, so that the port is held all the
+	// time: a process that is being started may have a copy of the listener for a
+	// moment after it is closed.
+	if err := errors.Join(setOption(fd, unix.SO_REUSEADDR, true), setOption(fd, unix.SO_REUSEPORT, true)); err != nil {
 		return err
 	}
 	if err := unix.Bind(fd, &unix.SockaddrInet4{Port: port, Addr: [4]byte{127, 0, 0, 1}}); err != nil {
 		return err
 	}
-	return setReuse(fd, false)
+	if err := p.listener.Close(); err != nil {
+		return err
+	}
+	// No other socket can be bound without the option.
+	return setOption(fd, unix.SO_REUSEADDR, false)
 }
 
-// setReuse sets SO_REUSEADDR of a socket.
-func setReuse(fd int, on bool) error {
+// setOption switches an option of a socket.
+func setOption(fd, option int, on bool) error {
 	value := 0
 	if on {
 		value = 1
 	}
-	return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, value)
+	return unix.SetsockoptInt(fd, unix.SOL_SOCKET, option, value)
 }
 
 // Reopen listens again after Shut.
 func (p *Proxy) Reopen() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if err := setReuse(p.reserved, true); err != nil {
+	if err := setOption(p.reserved, unix.SO_REUSEADDR, true); err != nil {
 		return err
 	}
 	if err := unix.Listen(p.reserved, backlog); err != nil {
