Soak: connections that hosts in touch close without an answer

LOST holds at any time, also beside faults of other hosts; the checker looked at requests only while nothing but orderly operations went on. More than three requests that a sound server ran and whose connection was closed without an answer, at hosts in touch, are now a violation; four entries.

--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -207,6 +207,8 @@
 	// crashWindow after the last of these.
 	condemningCrashes = 3
 	maxLateRetries    = 3
+	// maxClosed is how many requests that a server ran may end with a closed connection.
+	maxClosed = 3
 	// deadlineSlack is by how much a run may be given more time than is left.
 	deadlineSlack = 500 * time.Millisecond
 	// rollbackSlack is how long a host may still apply an older configuration after
@@ -240,6 +242,7 @@
 		v.checkCompletion(r)
 	}
 	v.checkVersions()
+	v.checkClosed()
 	for _, j := range h.Jobs {
 		for _, item := range j.Items {
 			known[item.ID] = true
@@ -340,6 +343,29 @@
 	}
 }
 
+// checkClosed checks that hosts in touch hardly ever close the connection of a request
+// without an answer that they have passed on to a sound server.
+func (v *verifier) checkClosed() {
+	var closed []Request
+	for _, r := range v.Requests {
+		runs := v.runs[r.ID]
+		if r.Status != 0 || r.Unsent || r.Abandoned || len(runs) == 0 || r.Deadline > 0 && r.Ended-r.Sent >= r.Deadline {
+			continue
+		}
+		sound := !slices.ContainsFunc(runs, func(x Run) bool { return v.Ended[x.Server] })
+		inTouch := func(f plan.Fault) bool {
+			return f.Kind == plan.Configure || f.SparesHost(r.Host) && !f.Kind.TargetsServer()
+		}
+		if sound && v.Plan.AllDuring(r.Sent-stableWindow, r.Ended, inTouch) {
+			closed = append(closed, r)
+		}
+	}
+	if len(closed) > maxClosed {
+		r := closed[0]
+		v.report("lost", "the connections of %d requests that servers ran were closed without an answer, first of %s, sent to host %d at %s", len(closed), r.ID, r.Host, r.Sent)
+	}
+}
+
 // checkVersions checks that no host process goes back to an older configuration.
 func (v *verifier) checkVersions() {
 	type start struct{ host, start int }
--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -168,6 +168,27 @@
 	}
 }
 
+var _ = DescribeTable("connections that are closed without an answer", func(count int, rule string, fault plan.Fault) {
+	h := checker.History{Plan: plan.Plan{Faults: []plan.Fault{fault}}}
+	for i := range count {
+		r, x := request(), run()
+		r.ID, x.ID = fmt.Sprint("q", i), fmt.Sprint("q", i)
+		r.Status, r.Complete, r.Text = 0, false, ""
+		h.Requests, h.Runs = append(h.Requests, r), append(h.Runs, x)
+	}
+	violations := checker.Check(h)
+	if rule == "" {
+		Expect(violations).To(BeEmpty())
+		return
+	}
+	Expect(violations).To(ContainElement(HaveField("Rule", rule)))
+},
+	Entry("three, beside a kill of another host", 3, "", plan.Fault{Kind: plan.Kill, Target: 1, Start: 9 * second, Duration: second}),
+	Entry("four, beside a kill of another host", 4, "lost", plan.Fault{Kind: plan.Kill, Target: 1, Start: 9 * second, Duration: second}),
+	Entry("four, beside a kill of their host", 4, "", plan.Fault{Kind: plan.Kill, Start: 9 * second, Duration: second}),
+	Entry("four, beside a reset of their server", 4, "", plan.Fault{Kind: plan.ServerReset, Start: 9 * second, Duration: second}),
+)
+
 var _ = DescribeTable("requests that crash servers", func(rule string, faults []plan.Fault, seconds ...time.Duration) {
 	h := checker.History{Plan: plan.Plan{Faults: faults}}
 	crashingRuns(&h, seconds...)
