Crashes: the records are written without waiting for the pause between two reads

Found on reading the diff: a read after a first crash held the write of a condemnation back for up to 0.5 s, in which hosts may be killed. The pause is now between reads only.

--- a/internal/fleet/entry/suspects.go
+++ b/internal/fleet/entry/suspects.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/kingcupquay/kingcupquay/internal/fleet/rendezvous"
@@ -78,7 +79,7 @@
 const (
 	// keepDelay is the time for which changes of kept records are gathered.
 	keepDelay = 50 * time.Millisecond
-	// learnInterval is the pause after the records were read only.
+	// learnInterval is the least time between two reads of the records only.
 	learnInterval = 500 * time.Millisecond
 	// keepRetry is the pause after a failure, or after another host has written the
 	// records meanwhile. It doubles with each further one up to maxKeepRetry.
@@ -93,6 +94,12 @@
 	// due and learnDue have room for one request to write the records, and to read
 	// them only.
 	due, learnDue chan struct{}
+
+	mu sync.Mutex
+	// learning is set while a read is planned for learnAt, which is else when the last
+	// one was due; both are protected by mu.
+	learning bool
+	learnAt  time.Time
 }
 
 func newSuspectsKeeper(h *Host) *suspectsKeeper {
@@ -104,7 +111,31 @@
 
 func (k *suspectsKeeper) trigger() { request(k.due) }
 
-func (k *suspectsKeeper) triggerLearn() { request(k.learnDue) }
+// triggerLearn requests a read, at most one in each learnInterval.
+func (k *suspectsKeeper) triggerLearn() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.learning {
+		return
+	}
+	k.learning = true
+	now := k.host.timer.Now()
+	k.learnAt = maxTime(now, k.learnAt.Add(learnInterval))
+	k.host.timer.After(k.learnAt.Sub(now), func(time.Time) {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.learning = false
+		request(k.learnDue)
+	})
+}
+
+// maxTime returns the later of two times.
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
 
 // request leaves a request in a channel that has room for one.
 func request(due chan<- struct{}) {
@@ -126,9 +157,6 @@
 			if err := k.learn(); err != nil {
 				h.log.Info("records of crashing parts not read", "cause", err.Error())
 			}
-			if !timer.Pause(h.timer, h.ctx.Done(), learnInterval) {
-				return
-			}
 			continue
 		case <-k.due:
 		}
--- a/internal/serving/suspect/kept.go
+++ b/internal/serving/suspect/kept.go
@@ -91,8 +91,9 @@
 	return reports
 }
 
-// errTrialTaken means that another host sent a trial, or sends it.
-var errTrialTaken = errors.New("another host claimed it")
+// errTrialTaken means that another host sent a trial, or sends it, or that the part has
+// been accused anew.
+var errTrialTaken = errors.New("another host claimed it, or the record is another one")
 
 // Claim returns the records that the store is to keep for the claim of a trial, after
 // it has merged those that it keeps. There are none if the part is no longer condemned
