--- a/internal/soak/faultproxy/proxy.go
+++ b/internal/soak/faultproxy/proxy.go
@@ -62,6 +62,8 @@
 	// conns maps the client side of each open connection to its server side.
 	conns map[net.Conn]net.Conn
 	wg    sync.WaitGroup
+	// closed is set once Close has closed the open connections.
+	closed bool
 }
 
 // Listen starts a proxy that listens at address and forwards to target.
@@ -196,6 +198,7 @@
 func (p *Proxy) Close() {
 	p.SetFault(None)
 	p.mu.Lock()
+	p.closed = true
 	_ = p.listener.Close()
 	if p.reserved >= 0 {
 		_ = unix.Close(p.reserved)
@@ -234,6 +237,10 @@
 	}
 	p.mu.Lock()
 	p.conns[client] = server
+	if p.closed {
+		_ = client.Close()
+		_ = server.Close()
+	}
 	p.mu.Unlock()
 	var directions sync.WaitGroup
 	directions.Add(2)
