Crashes: the calls that a server loses at once share one check

Since streams are evidence at any event, each of the calls that an ended server cuts dialled it twice and up to three others. A confirmed crash of a start is known for 10 s without a dial, unless the server does not say when it was born. The benchmark of the check uses such servers, as it measured the check.

--- a/internal/serving/crash/bench_test.go
+++ b/internal/serving/crash/bench_test.go
@@ -19,7 +19,7 @@
 			d := backend.NewDirectory(func(backend.Server, string) {})
 			list := make([]backend.Server, servers)
 			for i := range list {
-				list[i] = backend.Server{ID: fmt.Sprintf("i-%05d", i), Service: "s", Zone: fmt.Sprint(i % 12), Address: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250), Born: 1}
+				list[i] = backend.Server{ID: fmt.Sprintf("i-%05d", i), Service: "s", Zone: fmt.Sprint(i % 12), Address: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250)}
 			}
 			d.Replace(timer.Real{}.Now(), list, 0)
 			detector := crash.NewDetector(timer.Real{}, logr.Discard(), &network{refusing: list[servers/2].ID}, d, &records{})
--- a/internal/serving/crash/detector.go
+++ b/internal/serving/crash/detector.go
@@ -57,6 +57,14 @@
 	// watches holds the servers that are watched, at most maxWatches, by their
 	// starts; protected by mu.
 	watches map[string]*watch
+	// checks holds the checks that run, by the starts of their servers; protected by mu.
+	checks map[string]*check
+}
+
+// check is a check whether a server has crashed. crashed is valid once done is closed.
+type check struct {
+	done    chan struct{}
+	crashed bool
 }
 
 var _ exchange.MonitoredServers = (*Detector)(nil)
@@ -65,23 +73,51 @@
 func NewDetector(t timer.Service, log logr.Logger, servers exchange.Servers, directory *backend.Directory, r Records) *Detector {
 	return &Detector{
 		Servers: servers, timer: t, log: log, directory: directory, records: r,
-		crashed: make(map[string]time.Time), watches: make(map[string]*watch),
+		crashed: make(map[string]time.Time), watches: make(map[string]*watch), checks: make(map[string]*check),
 	}
 }
 
 // Crashed reports whether nothing listens at a server's address while this host
-// reaches another server.
+// reaches another server. The calls that a server loses at once share one answer.
 func (d *Detector) Crashed(ctx context.Context, s backend.Server) bool {
-	crashed, dialled, doubt := d.check(ctx, s)
+	start := s.Start()
+	d.mu.Lock()
+	if d.confirmed(s) {
+		d.mu.Unlock()
+		return true
+	}
+	if c, running := d.checks[start]; running {
+		d.mu.Unlock()
+		<-c.done
+		return c.crashed
+	}
+	c := &check{done: make(chan struct{})}
+	d.checks[start] = c
+	d.mu.Unlock()
+	// Others wait for the check, whoever's call began it.
+	crashed, dialled, doubt := d.dial(context.WithoutCancel(ctx), s)
 	if !crashed {
 		d.log.Info("crash not confirmed", "server", s.ID, "dialled", dialled, "cause", doubt)
 	}
+	d.mu.Lock()
+	delete(d.checks, start)
+	d.mu.Unlock()
+	c.crashed = crashed
+	close(c.done)
 	return crashed
 }
 
-// check is Crashed. It also returns how many other servers were dialled, and why the
-// crash is not confirmed.
-func (d *Detector) check(ctx context.Context, s backend.Server) (crashed bool, dialled int, doubt string) {
+// confirmed reports whether a crash of a server's start was confirmed here lately. A
+// server that does not say when it was born may have started again since. The caller
+// holds d.mu.
+func (d *Detector) confirmed(s backend.Server) bool {
+	at, crashed := d.crashed[s.Start()]
+	return crashed && s.Born != 0 && d.timer.Now().Sub(at) < crashedTTL
+}
+
+// dial is Crashed without an answer that is shared. It also returns how many other
+// servers were dialled, and why the crash is not confirmed.
+func (d *Detector) dial(ctx context.Context, s backend.Server) (crashed bool, dialled int, doubt string) {
 	if !d.Down(ctx, s) {
 		return false, 0, "its port does not refuse connections"
 	}
--- a/internal/serving/crash/detector_test.go
+++ b/internal/serving/crash/detector_test.go
@@ -190,6 +190,26 @@
 		Expect(len(n.dials())).To(BeNumerically("<=", 30), "in 10 s")
 	})
 
+	// Guards against dials for each call that a server loses.
+	It("dials once for all calls that a server loses at once", func() {
+		n, directory := &network{refusing: "a1"}, directoryOf("a1 a2 a3 b1")
+		a1, _ := directory.Get("a1")
+		a1.Born = 5
+		d := crash.NewDetector(timer.Real{}, logr.Discard(), n, directory, &records{})
+		var calls sync.WaitGroup
+		for range 50 {
+			calls.Go(func() {
+				defer GinkgoRecover()
+				Expect(d.Crashed(context.Background(), a1)).To(BeTrue())
+			})
+		}
+		calls.Wait()
+		Expect(n.dials()).To(ConsistOf("a1", "a2", "a3", "a1"))
+		a1.Born = 9
+		n.setRefusing("")
+		Expect(d.Crashed(context.Background(), a1)).To(BeFalse(), "its next start")
+	})
+
 	It("dials at most three others", func() {
 		n := &network{refusing: "a4"}
 		d := crash.NewDetector(timer.Real{}, logr.Discard(), n, directoryOf("a1 a2 a3 a4 a5 a6 b1"), &records{})
--- a/internal/serving/crash/watch.go
+++ b/internal/serving/crash/watch.go
@@ -92,7 +92,7 @@
 	case d.directory.HasEnded(w.server):
 		evidence = "it started again, or another server has its address"
 	case dials:
-		if crashed, _, _ := d.check(context.Background(), w.server); crashed {
+		if crashed, _, _ := d.dial(context.Background(), w.server); crashed {
 			evidence = "its port refuses connections"
 		}
 	}
