Items: one that was sent after its server was lost is no evidence against it

TestSoundRequests with streams of 200 events (-soak.events 200) failed: two sound items were condemned while servers started again in turn, late by 19 s each. They had been sent to ports that were open though their servers were down, for up to 0.75 s, and each such server counted once it was back.

A lost connection, or a report of another host, marks a start as lost until it answers a call that was sent after that. Items that are sent meanwhile and lost rest for 0.2 s, and accuse nothing. Requests count as before: connections are also reset by servers that go on, and a crash under the first request after that must not go uncounted. Specs for each case; without the change the item of the first rests for 1 and 19 s. Nothing that hosts tell each other changes.

--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -122,9 +122,12 @@
 // Crashes is what all hosts together know of the items under whose runs servers
 // crashed; suspect.Guard implements it.
 type Crashes interface {
-	// ItemLost remembers a run of an item that ended with its connection to a start of
-	// a server.
-	ItemLost(job, item, start string)
+	// Alive reports that a start of a server has answered an item that was sent at a
+	// time.
+	Alive(start string, sentAt time.Time)
+	// ItemLost remembers a run of an item that was sent at a time and ended with its
+	// connection to a start of a server.
+	ItemLost(job, item, start string, sentAt time.Time)
 	// Ended records that a start of a server has ended, and with it what was lost.
 	Ended(start string)
 	// ItemDone records that an item has been answered.
--- a/internal/batch/ownership/running.go
+++ b/internal/batch/ownership/running.go
@@ -212,11 +212,11 @@
 }
 
 // recordCrash records the end of a run with its server, or what may turn out to be one.
-func (m *Manager) recordCrash(job, item string, s backend.Server, end itemrun.End) {
+func (m *Manager) recordCrash(job, item string, s backend.Server, sentAt time.Time, end itemrun.End) {
 	if end.Kind != itemrun.Crashed && !end.Lost {
 		return
 	}
-	m.Crashes.ItemLost(job, item, s.Start())
+	m.Crashes.ItemLost(job, item, s.Start(), sentAt)
 	if end.Kind != itemrun.Crashed {
 		m.Servers.Watch(s)
 		return
@@ -240,9 +240,15 @@
 		Route: route, Service: service, Received: m.Timer.Now(),
 	}
 	end := itemrun.End{Kind: itemrun.Requeue, Cause: "its record does not allow it"}
-	endless := false
+	endless, answered := false, false
+	var sentAt time.Time
 	if m.mayRun(ctx, j) {
+		sentAt = m.Timer.Now()
 		end = itemrun.Run(ctx, m.Timer, m.Servers, r.server, call, resume, func(received []events.Event) {
+			if !answered && len(received) > 0 {
+				answered = true
+				m.Crashes.Alive(r.server.Start(), sentAt)
+			}
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			for _, e := range received {
@@ -257,7 +263,7 @@
 	if endless {
 		end = itemrun.End{Kind: itemrun.Requeue, Outcome: scheduler.Failed, Cause: "its answer does not end"}
 	}
-	m.recordCrash(record.ID, item.ID, r.server, end)
+	m.recordCrash(record.ID, item.ID, r.server, sentAt, end)
 	if end.Kind == itemrun.Completed {
 		m.Crashes.ItemDone(record.ID, item.ID)
 	}
--- a/internal/fleet/entry/suspects_test.go
+++ b/internal/fleet/entry/suspects_test.go
@@ -75,7 +75,7 @@
 	It("learn of a condemnation with the first crash that they see themselves", func() {
 		bad := &exchange.Call{ID: "1", Target: "/x", Body: []byte("bad")}
 		crash := func(h *Host, server string) {
-			h.suspects.Lost(bad, server, true, 7)
+			h.suspects.Lost(bad, server, clock.Now(), true, 7)
 			h.suspects.Ended(server)
 		}
 		alone := hosts[1]
--- a/internal/serving/forward/carry.go
+++ b/internal/serving/forward/carry.go
@@ -110,7 +110,7 @@
 					return errOutOfOrder
 				}
 			}
-			f.suspects.Answering(c, a.events, a.events+len(found))
+			f.recordEvents(c, a, len(found))
 			a.events += len(found)
 			if invalid != nil {
 				return invalid
--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -306,7 +306,7 @@
 		return
 	}
 	start := a.server.Start()
-	f.suspects.Lost(c, start, a.reply != nil, a.events)
+	f.suspects.Lost(c, start, a.started, a.reply != nil, a.events)
 	if a.crashed = f.servers.Crashed(context.WithoutCancel(ctx), a.server); a.crashed {
 		f.suspects.Ended(start)
 		return
@@ -314,6 +314,14 @@
 	f.servers.Watch(a.server)
 }
 
+// recordEvents records that an attempt whose call this host sent brought n more events.
+func (f *Forwarder) recordEvents(c *exchange.Call, a *attempt, n int) {
+	if a.events == 0 && n > 0 {
+		f.suspects.Alive(a.server.Start(), a.started)
+	}
+	f.suspects.Answering(c, a.events, a.events+n)
+}
+
 // outcomeOf classifies an attempt that returned no usable reply. If the address
 // belongs to another server, it also marks the server in the directory.
 func (f *Forwarder) outcomeOf(ctx context.Context, a *attempt) scheduler.Outcome {
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -356,7 +356,7 @@
 		s.forwarder.origins.Begin(s.call, s.software, s.callerDeadline)
 	}
 	if att.host == "" {
-		s.forwarder.suspects.Answering(s.call, att.events, att.events+len(found))
+		s.forwarder.recordEvents(s.call, att, len(found))
 	}
 	att.events += len(found)
 	now := s.forwarder.timer.Now()
--- a/internal/serving/forward/unary.go
+++ b/internal/serving/forward/unary.go
@@ -75,6 +75,9 @@
 		return res
 	}
 	body, err := f.readAnswer(ctx, c, a)
+	if err == nil && a.host == "" {
+		f.suspects.Alive(a.server.Start(), a.started)
+	}
 	switch {
 	case err == nil && f.perhapsCut(ctx, a, body):
 		err = errUnframedEnd
--- a/internal/serving/suspect/guard.go
+++ b/internal/serving/suspect/guard.go
@@ -198,11 +198,18 @@
 	}
 }
 
-// Lost remembers a call that was lost with its connection to a server, until Ended is
-// called for the server. begun is set if the server had begun to answer, and events is
-// how many events of the answer it had sent.
-func (g *Guard) Lost(c *exchange.Call, server string, begun bool, events int) {
-	l := Loss{Server: server, Request: c.ID, Body: bodyName(c), At: g.timer.Now()}
+// Alive reports that a server has answered a call that was sent at a time.
+func (g *Guard) Alive(server string, sentAt time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.registry.RecordAlive(server, sentAt)
+}
+
+// Lost remembers a call that was sent at a time and lost with its connection to a
+// server, until Ended is called for the server. begun is set if the server had begun to
+// answer, and events is how many events of the answer it had sent.
+func (g *Guard) Lost(c *exchange.Call, server string, sentAt time.Time, begun bool, events int) {
+	l := Loss{Server: server, Request: c.ID, Body: bodyName(c), SentAt: sentAt, At: g.timer.Now()}
 	if begun && events < soundEvents {
 		l.Parts = c.SharedParts
 	}
--- a/internal/serving/suspect/items.go
+++ b/internal/serving/suspect/items.go
@@ -77,6 +77,10 @@
 		if !strings.HasPrefix(l.Body, itemPrefix) || now.Sub(l.At) >= lossTTL {
 			continue
 		}
+		if l.late {
+			rest(l.Body, l.At.Add(lostRest))
+			continue
+		}
 		crashes := 0
 		if r := g.lookup(now, l.Body); r != nil {
 			crashes = len(r.Servers)
@@ -110,12 +114,12 @@
 	return g.registry.RestingItems(g.timer.Now())
 }
 
-// ItemLost remembers a run of an item that ended with its connection to a server,
-// until Ended is called for the server.
-func (g *Guard) ItemLost(job, item, server string) {
+// ItemLost remembers a run of an item that was sent at a time and ended with its
+// connection to a server, until Ended is called for the server.
+func (g *Guard) ItemLost(job, item, server string, sentAt time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.registry.RecordLoss(Loss{Server: server, Request: item, Body: ItemName(job, item), At: g.timer.Now()})
+	g.registry.RecordLoss(Loss{Server: server, Request: item, Body: ItemName(job, item), SentAt: sentAt, At: g.timer.Now()})
 }
 
 // ItemDone records that an item has been answered.
--- a/internal/serving/suspect/items_test.go
+++ b/internal/serving/suspect/items_test.go
@@ -25,7 +25,7 @@
 	})
 	crash := func(n int) {
 		server := fmt.Sprint("s", n)
-		guard.ItemLost("j", "i", server)
+		guard.ItemLost("j", "i", server, clock.Now())
 		guard.Ended(server)
 	}
 	rest := func(g *suspect.Guard) time.Duration {
@@ -78,7 +78,7 @@
 
 	It("count a server that turns out later to have ended", func() {
 		for n := range 3 {
-			guard.ItemLost("j", "i", fmt.Sprint("s", n))
+			guard.ItemLost("j", "i", fmt.Sprint("s", n), clock.Now())
 		}
 		clock.Advance(time.Second)
 		Expect(rest(guard)).To(BeZero())
@@ -92,7 +92,7 @@
 	It("rest for a moment after each lost connection, in case its server has crashed", func() {
 		var rests []time.Duration
 		lose := func(n int) {
-			guard.ItemLost("j", "i", fmt.Sprint("lost", n))
+			guard.ItemLost("j", "i", fmt.Sprint("lost", n), clock.Now())
 			rests = append(rests, rest(guard))
 			clock.Advance(rest(guard))
 			Expect(rest(guard)).To(BeZero())
@@ -110,6 +110,20 @@
 		Expect(rests).To(Equal([]time.Duration{200 * time.Millisecond, 200 * time.Millisecond, time.Second, time.Second, 200 * time.Millisecond, 19 * time.Second}))
 	})
 
+	// Guards against sound items that are sent to open ports whose servers are down.
+	It("do not count servers that were lost before the item was sent", func() {
+		for n := range 5 {
+			server := fmt.Sprint("s", n)
+			guard.ItemLost("j", "other", server, clock.Now())
+			clock.Advance(100 * time.Millisecond)
+			guard.ItemLost("j", "i", server, clock.Now())
+			Expect(rest(guard)).To(Equal(200 * time.Millisecond))
+			guard.Ended(server)
+			clock.Advance(time.Second)
+		}
+		Expect(rest(guard)).To(BeZero())
+	})
+
 	It("rest no more once they are answered, and make no request be refused", func() {
 		for n := range 4 {
 			crash(n)
--- a/internal/serving/suspect/losses.go
+++ b/internal/serving/suspect/losses.go
@@ -1,7 +1,9 @@
 package suspect
 
 import (
+	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -20,24 +22,61 @@
 	// Parts are the shared parts of the prompt if the server had begun to answer it.
 	Parts []string
 	Body  string
-	// At is when the call was lost.
-	At time.Time
+	// SentAt is when the call was sent to the server, At when it was lost.
+	SentAt, At time.Time
+	// late is set for an item whose server may have ended before the item reached its
+	// port.
+	late bool
 }
 
-// RecordLoss remembers a call until its server is known to have ended.
+// RecordLoss remembers a call until its server is known to have ended. An item that was
+// sent after the server was lost, or reported as ended, is no evidence: a port may be
+// open although its server is down. A request is, since connections are also reset by
+// servers that go on, and it may be the first to reach one after that.
 func (g *Registry) RecordLoss(l Loss) {
+	since, lost := g.lostSince(l.At, l.Server)
+	l.late = lost && l.SentAt.After(since) && strings.HasPrefix(l.Body, itemPrefix)
+	g.noteLost(l.At, l.Server)
 	l.Parts = slices.Clone(l.Parts)
 	g.losses = slices.DeleteFunc(g.losses, func(o Loss) bool { return l.At.Sub(o.At) >= lossTTL })
 	g.losses = append(g.losses[max(0, len(g.losses)+1-maxLosses):], l)
 }
 
+// noteLost records that this host has reason to take a server for ended.
+func (g *Registry) noteLost(now time.Time, server string) {
+	if _, lost := g.lostSince(now, server); lost {
+		return
+	}
+	if len(g.lost) >= maxRecords {
+		maps.DeleteFunc(g.lost, func(_ string, at time.Time) bool { return now.Sub(at) >= lossTTL })
+	}
+	if len(g.lost) < maxRecords {
+		g.lost[server] = now
+	}
+}
+
+// lostSince returns since when this host has reason to take a server for ended, false
+// if it has none.
+func (g *Registry) lostSince(now time.Time, server string) (time.Time, bool) {
+	at, lost := g.lost[server]
+	return at, lost && now.Sub(at) < lossTTL
+}
+
+// RecordAlive records that a server answered a call that was sent at a time. Calls that
+// it lost before are still remembered: it may have started again since.
+func (g *Registry) RecordAlive(server string, sentAt time.Time) {
+	if at, lost := g.lost[server]; lost && sentAt.After(at) {
+		delete(g.lost, server)
+	}
+}
+
 // RecordEnd records that a server has ended, and returns the calls that were lost
-// with it and not answered since.
+// with it, not after it, and not answered since.
 func (g *Registry) RecordEnd(now time.Time, server string) []Loss {
 	var lost []Loss
 	g.losses = slices.DeleteFunc(g.losses, func(l Loss) bool {
 		ended := l.Server == server
-		if ended && now.Sub(l.At) < lossTTL {
+		if ended && !l.late && now.Sub(l.At) < lossTTL {
 			lost = append(lost, l)
 		}
 		return ended
--- a/internal/serving/suspect/registry.go
+++ b/internal/serving/suspect/registry.go
@@ -184,13 +184,16 @@
 	seed    maphash.Seed
 	// losses has at most maxLosses entries, the oldest first.
 	losses []Loss
+	// lost holds since when this host has reason to take starts of servers for ended,
+	// at most maxRecords.
+	lost map[string]time.Time
 	// unsaved is set if a record that the store keeps has changed here.
 	unsaved bool
 }
 
 // NewRegistry returns a Registry without records.
 func NewRegistry() *Registry {
-	return &Registry{records: make(map[string]*Record), answers: make([]answer, answerSlots), seed: maphash.MakeSeed()}
+	return &Registry{records: make(map[string]*Record), answers: make([]answer, answerSlots), seed: maphash.MakeSeed(), lost: make(map[string]time.Time)}
 }
 
 // RecordAnswer records that a server has begun to answer a prompt with the parts
@@ -333,6 +336,11 @@
 		changed = g.mergeOne(now, in) || changed
 	}
 	if changed {
+		for _, in := range reports {
+			for _, server := range in.Servers {
+				g.noteLost(now, server)
+			}
+		}
 		g.judge(now)
 	}
 	return changed
--- a/internal/serving/suspect/registry_test.go
+++ b/internal/serving/suspect/registry_test.go
@@ -84,6 +84,37 @@
 		}),
 	)
 
+	DescribeTable("take only items for evidence that were sent before the server was lost",
+		func(body string, sentAfter time.Duration, evidence bool, meanwhile func()) {
+			lose := func(request, body string, sentAt, at time.Duration) {
+				g.RecordLoss(suspect.Loss{Server: "s1", Request: request, Body: body, SentAt: start.Add(sentAt), At: start.Add(at)})
+			}
+			lose("first", "body/1", 0, 100*time.Millisecond)
+			meanwhile()
+			lose("second", body, sentAfter, 500*time.Millisecond)
+			var got []string
+			for _, l := range g.RecordEnd(start.Add(time.Second), "s1") {
+				got = append(got, l.Request)
+			}
+			want := []string{"first"}
+			if evidence {
+				want = append(want, "second")
+			}
+			Expect(got).To(Equal(want))
+		},
+		Entry("sent before", "item/1", 50*time.Millisecond, true, func() {}),
+		Entry("sent after", "item/1", 200*time.Millisecond, false, func() {}),
+		Entry("a request sent after", "body/2", 200*time.Millisecond, true, func() {}),
+		Entry("sent after, when the server had answered again", "item/1", 300*time.Millisecond, true, func() { g.RecordAlive("s1", start.Add(200*time.Millisecond)) }),
+		Entry("sent after, when it had answered a call from before", "item/1", 300*time.Millisecond, false, func() { g.RecordAlive("s1", start.Add(50*time.Millisecond)) }),
+	)
+
+	It("take no item for evidence that was sent to a server that others had seen end", func() {
+		g.Merge(start, []suspect.Report{{Part: "body/other", Depth: -1, Servers: []string{"s1"}, ExpiresIn: time.Hour}})
+		g.RecordLoss(suspect.Loss{Server: "s1", Request: "q", Body: "item/1", SentAt: start.Add(time.Second), At: start.Add(2 * time.Second)})
+		Expect(g.RecordEnd(start.Add(3*time.Second), "s1")).To(BeEmpty())
+	})
+
 	Describe("in the store", func() {
 		// reopened returns a registry of a host that has only what the store keeps.
 		reopened := func(now time.Time) *suspect.Registry {
