Jobs: a host that has read that another one owns a job no longer serves it

A host stood still, and another one took its job over and listed a result. The first host read the new owner before it sent an item ('items held', owner host-1), and then went on serving its own list for 2.8 s: the job was only dropped after a second read, which the host's store did not answer in that time.

The record that was read is newer than the host's own and names another owner, so the job is dropped at once. The spec (second read fails) still owned the job before. No record or message changes.

--- a/internal/batch/ownership/ending_test.go
+++ b/internal/batch/ownership/ending_test.go
@@ -57,6 +57,23 @@
 		Expect(f.servers.totalRuns()).To(BeZero())
 	})
 
+	// Guards against an outdated list of results of a job that another host has listed more of.
+	It("is no longer served by a host that has read that another one owns it, though a second read fails", func() {
+		f := waitingJob()
+		hostA := f.hosts["A"]
+		f.rewrite("j", func(r *jobstate.Record) { r.Owner, r.Writer, r.Serial = "B", "B/1", r.Serial+1 })
+		pass(f, endGrace)
+		var reads atomic.Int32
+		hostA.beforeCall.set(func(op string) {
+			if op == "get" {
+				hostA.cutOff.Store(reads.Add(1) > 1)
+			}
+		})
+		hostA.directory.Put(backendServer)
+		pass(f, endGrace)
+		Expect(hostA.OwnedJobs()).To(BeEmpty())
+	})
+
 	It("keeps items from being sent after one read of the record has failed", func() {
 		f := waitingJob()
 		hostA := f.hosts["A"]
--- a/internal/batch/ownership/recordcheck.go
+++ b/internal/batch/ownership/recordcheck.go
@@ -82,7 +82,7 @@
 		r, invalid = jobstate.DecodeRecord(e.Value)
 	}
 	m.mu.Lock()
-	allowed, hold := false, minRefreshInterval
+	allowed, hold, newOwner := false, minRefreshInterval, ""
 	switch {
 	case err != nil:
 		// After a pause, the store may have been readable between the failures.
@@ -106,6 +106,9 @@
 		j.allow(began)
 	default:
 		m.Log.Info("items held", "job", id, "ended", r.Ended, "owner", r.Owner, "found", found)
+		if found && e.ModRevision > j.revision && r.Owner != m.Host {
+			newOwner = r.Owner
+		}
 	}
 	if err == nil {
 		m.unreadSince, m.unreadAt = time.Time{}, time.Time{}
@@ -116,7 +119,11 @@
 	close(j.checking)
 	j.checking = nil
 	m.mu.Unlock()
-	if !allowed && err == nil {
+	switch {
+	case newOwner != "":
+		// The list of this host may be outdated, and a second read may fail.
+		m.drop(j, "owned by "+newOwner)
+	case !allowed && err == nil:
 		m.refresh(id)
 	}
 	return allowed
