--- a/internal/batch/ownership/routing_test.go
+++ b/internal/batch/ownership/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -17,6 +18,9 @@
 	return &r
 }
 
+// passTime is longer than a scheduling pass takes.
+const passTime = 50 * time.Millisecond
+
 // below is the prefix of the routes that the operator adds below route's.
 const below = "/batch/0/"
 
@@ -63,6 +67,8 @@
 		h.placer.SetCutOff(true, f.clock.Now())
 		Expect(h.Submit(ctx, pathsSubmission())).To(BeNil())
 		h.config.SetIfNewer(newConfig(2, list...))
+		// A scheduling pass that began with the former configuration ends first.
+		time.Sleep(passTime)
 		h.placer.SetCutOff(false, f.clock.Now())
 		close(f.servers.block)
 		f.eventually(func(g Gomega) { g.Expect(listResults(g, h, "j")).To(HaveLen(3)) })
