Items: two short rests before the long ones

A sound item under which servers end in turn was late by 19 s after its fourth crash (TestSoundRequests with long streams). Runs within 3 s after the third crash are not late, so that the fourth also costs 1 s only: rests of 1, 1, 19, 19, 38 s. An item that crashes its servers has seven runs in its first minute, two of them late.

--- a/internal/serving/suspect/items.go
+++ b/internal/serving/suspect/items.go
@@ -18,11 +18,13 @@
 	// lostRest is how long an item rests after it lost its connection to a server that
 	// is not known to have crashed. Most crashes are confirmed in that time.
 	lostRest = 200 * time.Millisecond
-	// firstItemRest is how long an item rests after the crash that condemns it, or a
-	// lost connection that may turn out to be that crash. It is short, as chance may
-	// account for so many crashes. A condemned item rests after a lost connection as
-	// after a crash.
-	firstItemRest = time.Second
+	// firstItemRest is how long an item rests after each of firstItemRests crashes, from
+	// the one that condemns it on, or a lost connection that may turn out to be that one.
+	// It is short, as chance may account for so many crashes, and runs
+	// within the window after the third are not late. A condemned item rests after a lost
+	// connection as after a crash.
+	firstItemRest  = time.Second
+	firstItemRests = 2
 	// itemRest is how long it rests after each of the next shortItemRests crashes: less
 	// than the 20 s after which an item that waits beside idle servers counts as
 	// forgotten. After each further crash it rests twice as long, up to maxItemRest. Of
@@ -40,14 +42,18 @@
 
 // restAfter returns how long an item rests after the nth crash under it.
 func restAfter(n int) time.Duration {
+	const (
+		long     = condemnAfter + firstItemRests
+		doubling = long + shortItemRests
+	)
 	switch {
 	case n < condemnAfter:
 		return 0
-	case n == condemnAfter:
+	case n < long:
 		return firstItemRest
 	}
 	rest := itemRest
-	for k := condemnAfter + 1 + shortItemRests; k <= n && rest < maxItemRest; k++ {
+	for k := doubling; k <= n && rest < maxItemRest; k++ {
 		rest *= 2
 	}
 	return min(rest, maxItemRest)
