Crashes: the last part of a stream clears its body if it got further than the parts that broke off

A body that crashes servers after some events, or some time, of each run crashes the run that goes on, too, unless that run is shorter. So a run that goes on to the end with at least as many events, and for at least as long, as each part that broke off proves the body sound. Take-ups and attempts that other hosts carry out don't, as the parts before are not known there.

--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -47,6 +47,8 @@
 	// hold blocks after body, or before the reply if body is empty, until the
 	// call is cancelled.
 	hold bool
+	// takes is the time until the reply begins.
+	takes time.Duration
 }
 
 // scriptedServers gives its replies in order, whichever server is called.
@@ -78,6 +80,7 @@
 		s.resumedAfter = append(s.resumedAfter, resume.After)
 	}
 	s.mu.Unlock()
+	time.Sleep(r.takes)
 	switch {
 	case r.unsent:
 		return nil, &exchange.SendError{Err: errors.New("refused")}
@@ -643,6 +646,15 @@
 		Entry("although the last of several servers got to its end", true, 2, 4,
 			scriptedReply{body: numberedEvents(1, 7), truncated: true}, scriptedReply{body: numberedEvents(8, 9)},
 			scriptedReply{body: numberedEvents(1, 7), truncated: true}, scriptedReply{body: numberedEvents(8, 9), truncated: true}),
+		Entry("although a server went on for as many events, but not to the end", true, 3, 3,
+			scriptedReply{body: numberedEvents(1, 2), truncated: true}, scriptedReply{body: numberedEvents(3, 8), truncated: true}, scriptedReply{body: numberedEvents(9, 10), truncated: true}),
+		Entry("although the last part had as many events, in less time", true, 2, 4,
+			scriptedReply{body: numberedEvents(1, 3), truncated: true, takes: 100 * time.Millisecond}, scriptedReply{body: numberedEvents(4, 7)},
+			scriptedReply{truncated: true}, scriptedReply{truncated: true}),
+		Entry("unless the last part got further than those before it", true, 2, 7,
+			scriptedReply{body: numberedEvents(1, 3), truncated: true}, scriptedReply{body: numberedEvents(4, 7), takes: 100 * time.Millisecond},
+			scriptedReply{body: numberedEvents(1, 3), truncated: true}, scriptedReply{body: numberedEvents(4, 7), takes: 100 * time.Millisecond},
+			scriptedReply{truncated: true}, scriptedReply{truncated: true}, scriptedReply{truncated: true}),
 		Entry("unless one server answered it from its start to its end", true, 2, 6,
 			scriptedReply{body: numberedEvents(1, 7), truncated: true}, scriptedReply{body: numberedEvents(8, 12), truncated: true},
 			scriptedReply{body: numberedEvents(1, 12)}, scriptedReply{body: numberedEvents(1, 7), truncated: true}, scriptedReply{body: numberedEvents(8, 12), truncated: true}),
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -80,6 +80,10 @@
 	ran          result.Ran
 	lastEvent    time.Time
 	reach        reaching
+	// cutEvents and cutAfter are the most events, and the longest time, after which an
+	// attempt broke off.
+	cutEvents int
+	cutAfter  time.Duration
 }
 
 var (
@@ -121,6 +125,7 @@
 		}
 		s.ran = s.ran.Or(failure.Ran())
 		s.reach.avoidHost(att)
+		s.cutEvents, s.cutAfter = max(s.cutEvents, att.events), max(s.cutAfter, f.timer.Now().Sub(att.started))
 		if ctx.Err() != nil || failure.Code() == result.Cancelled || !s.canFailOver(att) {
 			return s.begun, failure.WithRan(s.ran)
 		}
@@ -145,6 +150,17 @@
 	}
 }
 
+// provesSound reports whether an attempt that ended well proves the body to be sound: it
+// made the whole answer, or got further than each attempt that broke off, by its events
+// and by its time. A body that crashes servers at some point of their runs had crashed
+// this one, too.
+func (s *streamSession) provesSound(att *attempt) bool {
+	if !att.resumed {
+		return true
+	}
+	return s.call.TakeUp == nil && att.events >= s.cutEvents && s.forwarder.timer.Now().Sub(att.started) >= s.cutAfter
+}
+
 // takeUp binds the stream to the software version that began it. It returns an
 // error, with result.RanNo, if that is not known.
 func (s *streamSession) takeUp(ctx context.Context) *result.Error {
@@ -276,7 +292,7 @@
 				}
 				f.end(att, scheduler.Completed)
 				if att.host == "" {
-					f.suspects.Answered(s.call, !att.resumed)
+					f.suspects.Answered(s.call, s.provesSound(att))
 				}
 				return nil
 			default:
--- a/internal/serving/suspect/guard.go
+++ b/internal/serving/suspect/guard.go
@@ -169,17 +169,17 @@
 	}
 }
 
-// Answered reports that a server has answered a call to its end; fromStart is not set
-// if the answer went on from one of another server.
-func (g *Guard) Answered(c *exchange.Call, fromStart bool) { g.clear(c, fromStart) }
+// Answered reports that a server has answered a call to its end. provesSound is not set
+// if it only went on from another server, and not as far as that one got.
+func (g *Guard) Answered(c *exchange.Call, provesSound bool) { g.clear(c, provesSound) }
 
-// clear withdraws the accusation of the parts of a call and, if the answer is whole,
-// of its body.
-func (g *Guard) clear(c *exchange.Call, whole bool) {
+// clear withdraws the accusation of the parts of a call and, if the answer proves it
+// sound, of its body.
+func (g *Guard) clear(c *exchange.Call, body bool) {
 	now := g.timer.Now()
 	g.mu.Lock()
 	var withdrawn []Record
-	if whole && g.registry.ClearedByAnswers(now) {
+	if body && g.registry.ClearedByAnswers(now) {
 		withdrawn = g.registry.RecordBodyAnswer(now, bodyName(c))
 	}
 	withdrawn = append(withdrawn, g.registry.RecordAnswer(now, c.SharedParts)...)
--- a/internal/serving/suspect/registry.go
+++ b/internal/serving/suspect/registry.go
@@ -35,9 +35,10 @@
 // Requests that have no part in common, but whose body is sent again and again,
 // are found in the same way: the body counts as a part of its own. It is accused
 // however far its answer had got, and explains the end of no server. Only an answer
-// that one server made from its start to its end proves a body to be sound: a stream
-// may crash each server after the same number of events, or of seconds, and reach its
-// end over several servers all the same.
+// that one server made from its start to its end proves a body to be sound, or the last
+// part of one that got further than each part before it: a stream may crash each server
+// after the same number of events, or of seconds, and reach its end over several servers
+// all the same.
 //
 // Items of batch jobs are never refused: they are owed whatever crashed under them.
 // From the third crash on they rest after each, see restAfter.
