--- a/internal/fleet/entry/suspects_test.go
+++ b/internal/fleet/entry/suspects_test.go
@@ -96,6 +96,32 @@
 		}, 10*time.Second).ShouldNot(BeNil())
 	})
 
+	// Guards against condemnations that wait for the pause between two reads.
+	It("write a condemnation soon after they have read the records", func() {
+		alone := hosts[1]
+		alone.wait.Add(1)
+		go alone.suspectsKeeper.run()
+		defer alone.cancel()
+		crash := func(server string) {
+			alone.suspects.Lost(&exchange.Call{ID: "1", Body: []byte("bad")}, server, clock.Now(), true, 7)
+			alone.suspects.Ended(server)
+		}
+		stepUntil := func(reached func() bool) {
+			Eventually(func() bool {
+				clock.Advance(time.Millisecond)
+				return reached()
+			}, 10*time.Second).Should(BeTrue())
+		}
+		stepUntil(func() bool { return kv.Calls()["txn"] == 1 })
+		clock.Advance(time.Second)
+		crash("s4")
+		stepUntil(func() bool { return kv.Calls()["range"] == 1 })
+		began := clock.Now()
+		crash("s5")
+		stepUntil(func() bool { return kv.Calls()["txn"] == 2 })
+		Expect(clock.Now().Sub(began)).To(BeNumerically("<", 250*time.Millisecond))
+	})
+
 	It("refuse nothing once the store shows that the accusation was withdrawn", func() {
 		Expect(hosts[0].suspectsKeeper.keep()).To(Succeed())
 		Expect(hosts[0].suspects.Withdraw("bad")).To(BeTrue())
--- a/internal/soak/faultproxy/proxy_test.go
+++ b/internal/soak/faultproxy/proxy_test.go
@@ -103,6 +103,32 @@
 		}
 	})
 
+	// Guards against a wait for the end of a connection that escaped the close.
+	It("closes connections that are being opened", func() {
+		silent, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = silent.Close() }()
+		for range 300 {
+			p, err := faultproxy.Listen("127.0.0.1:0", silent.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			var dials sync.WaitGroup
+			for range 8 {
+				dials.Go(func() {
+					if conn, err := net.Dial("tcp4", p.Address()); err == nil {
+						DeferCleanup(conn.Close)
+					}
+				})
+			}
+			closed := make(chan struct{})
+			go func() {
+				p.Close()
+				close(closed)
+			}()
+			Eventually(closed, timeout).Should(BeClosed())
+			dials.Wait()
+		}
+	})
+
 	It("resets its open connections and accepts new ones", func() {
 		open, in := dial()
 		send(open, "a")
