Jobs: pages without results are counted by their source, and logged with the age of what is known

The logs did not tell whether such a page came from the memory of an owner, from another host or from the store, nor how old its knowledge was. A line is written where an owner answers from a record that it has not read or written for so long that it would send no item; the others are counted.

--- a/internal/batch/ownership/reading.go
+++ b/internal/batch/ownership/reading.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/kingcupquay/kingcupquay/internal/batch/jobstate"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
@@ -18,6 +21,18 @@
 	storePollInterval = 500 * time.Millisecond
 )
 
+// emptyPage counts the pages without results of jobs that are not complete, by the
+// source of the knowledge that there are none.
+func emptyPage(source string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf(`kingcupquay_jobs_pages_without_results_total{source=%q}`, source))
+}
+
+var (
+	emptyFromMemory = emptyPage("memory")
+	emptyFromPeer   = emptyPage("host")
+	emptyFromStore  = emptyPage("store")
+)
+
 // Results returns the results from position after on, waiting at most wait for
 // the first. Without mayForward, only a job that this host owns is served.
 func (m *Manager) Results(ctx context.Context, id string, after int, wait time.Duration, mayForward bool) (ResultPage, *result.Error) {
@@ -43,6 +58,10 @@
 	if owner != "" && owner != m.Host {
 		page, failure := m.Peers.Results(ctx, owner, id, after, deadline.Sub(m.Timer.Now()))
 		if failure == nil {
+			if len(page.Results) == 0 && after < page.Total {
+				emptyFromPeer.Inc()
+				m.Log.V(1).Info("page without results", "job", id, "after", after, "total", page.Total, "source", owner)
+			}
 			return page, nil
 		}
 		if failure.Code() != result.LeaseLost && failure.Code() != result.NoBackend {
@@ -60,12 +79,18 @@
 		m.mu.Lock()
 		record, results, changed := j.job.Record(), j.job.Results(), j.changed
 		owned, complete := m.jobs[record.ID] == j, j.job.Complete()
+		provedAt, revision := j.allowedAt, j.revision
 		m.mu.Unlock()
 		if !owned {
 			return ResultPage{}, false
 		}
 		remaining := deadline.Sub(m.Timer.Now())
 		if after < len(results) || complete || remaining <= 0 || ctx.Err() != nil {
+			if age := m.Timer.Now().Sub(provedAt); after >= len(results) && !complete {
+				emptyFromMemory.Inc()
+				m.Log.V(m.emptyPageLevel(age)).Info("page without results", "job", record.ID, "after", after, "listed", len(results), "total", record.Total,
+					"source", "memory", "revision", revision, "age_ms", age.Milliseconds())
+			}
 			return pageOf(record.Total, results, after), true
 		}
 		timedOut := make(chan struct{})
@@ -79,6 +104,16 @@
 	}
 }
 
+// emptyPageLevel returns the level of the line on a page without results: it is
+// written if the owner's knowledge of the record is older than what items may be
+// sent on.
+func (m *Manager) emptyPageLevel(age time.Duration) int {
+	if age > m.recordAge() {
+		return 0
+	}
+	return 1
+}
+
 // pageOf returns the results from position after on that fit into one page.
 func pageOf(total int, results []jobstate.Result, after int) ResultPage {
 	page := ResultPage{Total: total, Next: after}
@@ -171,6 +206,10 @@
 		page := pageOf(r.Total, cached.Results, after)
 		m.mu.Unlock()
 		if len(page.Results) > 0 || !r.Open() || deadline.Sub(m.Timer.Now()) < storePollInterval || ctx.Err() != nil {
+			if len(page.Results) == 0 && r.Open() {
+				emptyFromStore.Inc()
+				m.Log.V(1).Info("page without results", "job", id, "after", after, "listed", r.Listed, "total", r.Total, "source", "store", "owner", r.Owner)
+			}
 			return page, nil
 		}
 		timer.Pause(m.Timer, ctx.Done(), storePollInterval)
