Timer: the uptime, which goes on while the machine is suspended

Differences of Now leave out a suspension, so that an age that is judged by them stands still with the machine.

--- a/internal/fleet/timer/manual.go
+++ b/internal/fleet/timer/manual.go
@@ -9,8 +9,10 @@
 // Manual is a Service whose time moves only when Advance is called. Callbacks
 // run in the order of their times; ties run in the order of subscription.
 type Manual struct {
-	mu      sync.Mutex
-	now     time.Time
+	mu  sync.Mutex
+	now time.Time
+	// uptime is the uptime at now, which Suspend advances by itself.
+	uptime  time.Duration
 	serial  int
 	pending eventHeap
 }
@@ -18,7 +20,7 @@
 var _ Service = (*Manual)(nil)
 
 // NewManual returns a manual clock that is set to start.
-func NewManual(start time.Time) *Manual { return &Manual{now: start} }
+func NewManual(start time.Time) *Manual { return &Manual{now: start, uptime: time.Hour} }
 
 // Now returns the time that the clock is set to.
 func (m *Manual) Now() time.Time {
@@ -27,6 +29,21 @@
 	return m.now
 }
 
+// Uptime returns an hour plus the time by which the clock was advanced and for which
+// it was suspended.
+func (m *Manual) Uptime() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.uptime
+}
+
+// Suspend acts as if the machine was suspended for d: only the uptime advances.
+func (m *Manual) Suspend(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.uptime += d
+}
+
 // Every calls fn once per period of manual time.
 func (m *Manual) Every(period time.Duration, fn func(now time.Time)) *Subscription {
 	return m.subscribe(period, period, fn)
@@ -60,7 +77,7 @@
 		if e.cancelled {
 			continue
 		}
-		m.now = e.at
+		m.setNow(e.at)
 		if e.period > 0 {
 			e.at = e.at.Add(e.period)
 			heap.Push(&m.pending, e)
@@ -70,10 +87,16 @@
 		e.fn(now)
 		m.mu.Lock()
 	}
-	m.now = end
+	m.setNow(end)
 	m.mu.Unlock()
 }
 
+// setNow sets the clock to a later time. The caller holds m.mu.
+func (m *Manual) setNow(now time.Time) {
+	m.uptime += max(0, now.Sub(m.now))
+	m.now = now
+}
+
 // event is a pending or cancelled callback.
 type event struct {
 	at        time.Time
--- a/internal/fleet/timer/service.go
+++ b/internal/fleet/timer/service.go
@@ -10,12 +10,18 @@
 import (
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Service tells the time and calls functions at later times.
 type Service interface {
-	// Now returns the current time.
+	// Now returns the current time. Differences of two times leave out how long the
+	// machine was suspended in between.
 	Now() time.Time
+	// Uptime returns the time since the machine was started, with the time for which
+	// it was suspended. It is above zero.
+	Uptime() time.Duration
 	// Every calls fn once per period until the subscription is cancelled.
 	Every(period time.Duration, fn func(now time.Time)) *Subscription
 	// After calls fn once after d, unless the subscription is cancelled first.
@@ -70,6 +76,16 @@
 // Now returns the wall clock's time with its monotonic reading.
 func (Real) Now() time.Time { return time.Now() }
 
+// Uptime reads CLOCK_BOOTTIME.
+func (Real) Uptime() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		// Every Linux kernel since 2.6.39 has this clock.
+		panic("read CLOCK_BOOTTIME: " + err.Error())
+	}
+	return time.Duration(t.Nano())
+}
+
 // Every calls fn once per period. Ticks that fn is too slow for are dropped.
 func (Real) Every(period time.Duration, fn func(now time.Time)) *Subscription {
 	ticker := time.NewTicker(period)
