Jobs: an owner denies a result only while it is proved that it owns the job

Callers saw 200 and no results at a position that had been read before (LOST): a former owner answered from its list in memory, for its own callers and for hosts that believed its claim, with no bound on the age of what it knew.

A position is denied only within half of EndWithin from the start of a call to the store that showed the record, with the list that the owner knows; otherwise the record is read first, and if it can't be, the caller gets 503. A host that takes a job over lists no result for the same time, unless the former owner named it. So the two never contradict each other, whatever the notices between them do. The age is judged by the uptime: an owner whose machine was suspended has no proof left. While a write has no reply, each page needs a read. An owner whose job comes back from another host, which it had not known of, drops its old list; it kept it until its next write failed.

Builds side by side: the record has a new field, released, set by an owner that names its heir; the build before ignores it and leaves it out when it rewrites the record, and without it a new owner waits. Pages between hosts have a new field, confirmed; the build before ignores it, and a page without results that lacks it is not passed on: the record is read. An owner of the build before still denies results to its own callers, and as a new owner it does not wait: against it a proof may be 1.5 s too old.

--- a/internal/batch/jobstate/job.go
+++ b/internal/batch/jobstate/job.go
@@ -331,6 +331,7 @@
 func (j *Job) NextRecord(newResults []Result) Record {
 	r := j.record
 	r.Serial++
+	r.Released = false
 	r.Listed += len(newResults)
 	if len(newResults) > 0 {
 		r.ResultParts++
--- a/internal/batch/ownership/accept.go
+++ b/internal/batch/ownership/accept.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"github.com/kingcupquay/kingcupquay/internal/batch/claim"
 	"github.com/kingcupquay/kingcupquay/internal/batch/jobstate"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
@@ -105,7 +106,7 @@
 			}
 			return failure
 		}
-		began := m.Timer.Now()
+		began := m.Timer.Uptime()
 		outcome, err := m.Store.Commit(ctx, m.acceptanceTxn(sub, record, parts, q))
 		switch {
 		case errors.Is(err, store.ErrOutcomeUnknown):
@@ -196,10 +197,10 @@
 
 // finishAcceptance takes a job into memory that the store has; began is when the
 // call began that showed it.
-func (m *Manager) finishAcceptance(sub Submission, record jobstate.Record, revision int64, q quotaUsage, began time.Time) {
+func (m *Manager) finishAcceptance(sub Submission, record jobstate.Record, revision int64, q quotaUsage, began time.Duration) {
 	acceptedTotal.Inc()
 	m.mu.Lock()
-	m.addOwned(jobstate.NewJob(record, sub.Items, nil), revision, began)
+	m.addOwned(jobstate.NewJob(record, sub.Items, nil), revision, claim.New(m.proofPeriod(), began))
 	if sub.Route.TokenCap > 0 {
 		m.quotas[sub.Route.Name] = quotaUsage{Sum: q.Sum + record.Tokens, revision: revision}
 	}
@@ -211,7 +212,7 @@
 
 // resolveAcceptConflict handles an acceptance whose conditions did not hold. If
 // done is false, the acceptance is to be tried again.
-func (m *Manager) resolveAcceptConflict(ctx context.Context, sub Submission, record jobstate.Record, current []store.Entry, q quotaUsage, began time.Time) (done bool, failure *result.Error) {
+func (m *Manager) resolveAcceptConflict(ctx context.Context, sub Submission, record jobstate.Record, current []store.Entry, q quotaUsage, began time.Duration) (done bool, failure *result.Error) {
 	for _, e := range current {
 		switch e.Key {
 		case jobstate.RecordKey(sub.ID):
--- a/internal/batch/ownership/evacuate.go
+++ b/internal/batch/ownership/evacuate.go
@@ -98,7 +98,7 @@
 		}
 		unlisted := j.job.Unlisted()
 		added, size := jobstate.FirstPart(unlisted)
-		if len(added) < len(unlisted) {
+		if len(added) < len(unlisted) || len(added) > 0 && !j.claim.MayList(m.Timer.Uptime()) {
 			// flush lists the first of them before.
 			continue
 		}
@@ -111,7 +111,7 @@
 		}
 		bytes += size
 		c := m.newChange(j, added)
-		c.after.Owner, c.partials = rendezvous.First(heirs, id), partials
+		c.after.Owner, c.after.Released, c.partials = rendezvous.First(heirs, id), true, partials
 		group = append(group, c)
 	}
 	return group
--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -10,6 +10,11 @@
 // Any host can serve any job: through its owner or, if the owner is gone, from
 // the store.
 //
+// An owner need not learn at once that it was replaced. Only for a while after a
+// call to the store that proved the record does it send items and answer that a
+// position holds no result yet (see package claim); a new owner lists no result
+// before the proofs of the former one have ended.
+//
 // A result is listed once it is durable. Only listed results are served, and
 // their positions in the list never change.
 //
@@ -26,6 +31,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
+	"github.com/kingcupquay/kingcupquay/internal/batch/claim"
 	"github.com/kingcupquay/kingcupquay/internal/batch/jobstate"
 	"github.com/kingcupquay/kingcupquay/internal/batch/priority"
 	"github.com/kingcupquay/kingcupquay/internal/batch/resultcache"
@@ -57,6 +63,9 @@
 	Total   int               `json:"total"`
 	Next    int               `json:"next"`
 	Results []jobstate.Result `json:"results"`
+	// Confirmed is set if no result was listed at Next when the page was read. Hosts
+	// of earlier builds don't set it; their lists may end too early.
+	Confirmed bool `json:"confirmed,omitempty"`
 }
 
 // Peers sends requests about a job to its owner on another host, and reports
@@ -146,12 +155,10 @@
 	// changed is closed and replaced when results are listed, the job ends or this
 	// host stops owning it.
 	changed chan struct{}
-	// allowedAt is when the last call to the store began that showed that this host
-	// may run the job.
-	allowedAt time.Time
-	// endReportedAt is when another host last said that it ended the job; it is zero
-	// if the record was read since.
-	endReportedAt time.Time
+	// claim is what this host knows of the record, and for how long it may act on it.
+	claim *claim.Claim
+	// unprovedUntil is until when items may be sent without a proof of the record.
+	unprovedUntil time.Duration
 	// ending counts the calls that end the job; no item starts meanwhile.
 	ending int
 	// heldUntil is until when no item starts, since the record did not allow it.
@@ -200,10 +207,10 @@
 	// owners maps jobs of other hosts to their last known owners.
 	owners map[string]string
 	quotas map[string]quotaUsage
-	// unreadSince is when the first read before a run began that failed since the
-	// last one that did not, and unreadAt when the last failed one did; they are zero
-	// if none failed.
-	unreadSince, unreadAt time.Time
+	// unreadSince is when the first check of a record began that failed since the
+	// last one that did not, and unreadAt when the last failed one did, by
+	// Timer.Uptime; they are zero if none failed.
+	unreadSince, unreadAt time.Duration
 	// backlogged holds the services with a backlog at the placer.
 	backlogged  map[string]bool
 	resultCache *resultcache.Cache
@@ -328,7 +335,8 @@
 	var claimed []string
 	m.mu.Lock()
 	for _, id := range ids {
-		if _, owned := m.jobs[id]; owned {
+		if j, owned := m.jobs[id]; owned {
+			j.claim.Withdraw()
 			claimed = append(claimed, id)
 		} else {
 			m.owners[id] = host
@@ -359,7 +367,8 @@
 	m.mu.Lock()
 	for _, id := range ids {
 		if j, owned := m.jobs[id]; owned {
-			j.endReportedAt, j.allowedAt = m.Timer.Now(), time.Time{}
+			j.claim.Dispute(m.Timer.Uptime())
+			j.unprovedUntil = 0
 		}
 	}
 	m.mu.Unlock()
@@ -399,15 +408,14 @@
 }
 
 // addOwned adds a job to those that this host owns and reports whether it was
-// new. allowedAt is when the call to the store began that made it so. The
-// job may be present already: after an acceptance whose reply was lost, a
+// new. The job may be present already: after an acceptance whose reply was lost, a
 // scan may find the record first. The caller holds m.mu.
-func (m *Manager) addOwned(job *jobstate.Job, revision int64, allowedAt time.Time) bool {
+func (m *Manager) addOwned(job *jobstate.Job, revision int64, c *claim.Claim) bool {
 	id := job.Record().ID
 	if _, owned := m.jobs[id]; owned {
 		return false
 	}
-	m.jobs[id] = &ownedJob{job: job, revision: revision, allowedAt: allowedAt, runs: make(map[int]*run), changed: make(chan struct{})}
+	m.jobs[id] = &ownedJob{job: job, revision: revision, claim: c, runs: make(map[int]*run), changed: make(chan struct{})}
 	delete(m.owners, id)
 	signal(m.wakeFlush)
 	return true
--- a/internal/batch/ownership/owning.go
+++ b/internal/batch/ownership/owning.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/kingcupquay/kingcupquay/internal/batch/claim"
 	"github.com/kingcupquay/kingcupquay/internal/batch/jobstate"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/rendezvous"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
@@ -199,7 +200,7 @@
 func (m *Manager) tryTakeOver(ctx context.Context, id, formerOwner string) error {
 	m.writeMu.Lock()
 	defer m.writeMu.Unlock()
-	began := m.Timer.Now()
+	began := m.Timer.Uptime()
 	e, ok, err := m.Store.Get(ctx, jobstate.RecordKey(id))
 	if err != nil || !ok {
 		return err
@@ -217,7 +218,7 @@
 	if r.Owner != formerOwner {
 		return errRecordChanged
 	}
-	revision := e.ModRevision
+	revision, released := e.ModRevision, r.Released
 	if r.Owner != m.Host || r.Writer != m.Writer {
 		r.Owner = m.Host
 		var outcome store.TxnResult
@@ -229,6 +230,10 @@
 		}
 		revision = outcome.Revision
 	}
+	c := claim.New(m.proofPeriod(), began)
+	if !released {
+		c.AwaitFormerOwner(m.Timer.Uptime())
+	}
 	items, results, err := m.load(ctx, r)
 	if err != nil {
 		return err
@@ -237,13 +242,13 @@
 	job := jobstate.NewJob(r, items, results)
 	job.RestorePartials(partials)
 	m.mu.Lock()
-	added := m.addOwned(job, revision, began)
+	added := m.addOwned(job, revision, c)
 	m.mu.Unlock()
 	if !added {
 		return nil
 	}
 	takenOverTotal.Inc()
-	m.Log.Info("job taken over", "job", id, "from", formerOwner, "listed", r.Listed, "total", r.Total, "revision", revision)
+	m.Log.Info("job taken over", "job", id, "from", formerOwner, "released", released, "listed", r.Listed, "total", r.Total, "revision", revision)
 	m.Accepted(id)
 	m.TriggerSchedule()
 	return nil
@@ -252,7 +257,7 @@
 // rewriteRecord writes the record of a job that is not in m.jobs on the condition
 // that its revision is unchanged, and returns the record as written.
 func (m *Manager) rewriteRecord(ctx context.Context, r jobstate.Record, revision int64) (jobstate.Record, store.TxnResult, error) {
-	r.Writer = m.Writer
+	r.Writer, r.Released = m.Writer, false
 	r.Serial++
 	text, err := r.Encode()
 	if err != nil {
@@ -321,10 +326,15 @@
 // Adopt makes this host run a job whose record names this host as the owner.
 func (m *Manager) Adopt(ctx context.Context, id string) *result.Error {
 	m.mu.Lock()
-	_, owned := m.jobs[id]
+	j, owned := m.jobs[id]
 	stopping := m.stopping
+	if owned {
+		j.claim.Withdraw()
+	}
 	m.mu.Unlock()
 	if owned {
+		// The job may have come back from another owner that this host did not know of.
+		m.refresh(id)
 		return nil
 	}
 	if stopping {
@@ -396,7 +406,7 @@
 		delete(m.jobs, id)
 		j.notify()
 		c := m.newChange(j, nil)
-		c.after.Owner, c.partials = m.successor(c.after.ID), j.job.Partials(maxPartialBytes)
+		c.after.Owner, c.after.Released, c.partials = m.successor(c.after.ID), true, j.job.Partials(maxPartialBytes)
 		group = append(group, c)
 	}
 	m.mu.Unlock()
--- a/internal/batch/ownership/reading.go
+++ b/internal/batch/ownership/reading.go
@@ -41,8 +41,9 @@
 	j, owned := m.jobs[id]
 	m.mu.Unlock()
 	if owned {
-		if page, ok := m.ownedResults(ctx, j, after, deadline); ok {
-			return page, nil
+		page, failure := m.ownedResults(ctx, j, after, deadline)
+		if failure == nil || mayForward && failure.Code() != result.LeaseLost {
+			return page, failure
 		}
 	}
 	if !mayForward {
@@ -57,41 +58,55 @@
 	}
 	if owner != "" && owner != m.Host {
 		page, failure := m.Peers.Results(ctx, owner, id, after, deadline.Sub(m.Timer.Now()))
-		if failure == nil {
+		switch {
+		case failure == nil && (len(page.Results) > 0 || page.Confirmed):
 			if len(page.Results) == 0 && after < page.Total {
 				emptyFromPeer.Inc()
 				m.Log.V(1).Info("page without results", "job", id, "after", after, "total", page.Total, "source", owner)
 			}
 			return page, nil
-		}
-		if failure.Code() != result.LeaseLost && failure.Code() != result.NoBackend {
+		case failure == nil:
+			// A host of a build that confirms no pages may be a former owner.
+		case failure.Code() != result.LeaseLost && failure.Code() != result.NoBackend:
 			return ResultPage{}, failure
+		default:
+			m.forgetOwner(id, owner)
 		}
-		m.forgetOwner(id, owner)
 	}
 	return m.storedResults(ctx, id, after, deadline)
 }
 
-// ownedResults waits for results of a job that this host owns. It returns false
-// if this host does not own the job any more.
-func (m *Manager) ownedResults(ctx context.Context, j *ownedJob, after int, deadline time.Time) (ResultPage, bool) {
+// ownedResults waits for results of a job that this host owns. The code LeaseLost
+// means that this host does not own the job any more, or may not know all results.
+func (m *Manager) ownedResults(ctx context.Context, j *ownedJob, after int, deadline time.Time) (ResultPage, *result.Error) {
+	confirmed := false
 	for {
 		m.mu.Lock()
 		record, results, changed := j.job.Record(), j.job.Results(), j.changed
 		owned, complete := m.jobs[record.ID] == j, j.job.Complete()
-		provedAt, revision := j.allowedAt, j.revision
+		age, revision := j.claim.ListAge(m.Timer.Uptime()), j.revision
 		m.mu.Unlock()
 		if !owned {
-			return ResultPage{}, false
+			return ResultPage{}, result.New(result.LeaseLost, "job %.64q is not this host's any more", record.ID)
 		}
 		remaining := deadline.Sub(m.Timer.Now())
-		if after < len(results) || complete || remaining <= 0 || ctx.Err() != nil {
-			if age := m.Timer.Now().Sub(provedAt); after >= len(results) && !complete {
+		ends := remaining <= 0 || ctx.Err() != nil
+		switch {
+		case after < len(results) || complete || confirmed:
+			page := pageOf(record.Total, results, after)
+			page.Confirmed = confirmed || complete
+			if len(page.Results) == 0 && !complete {
 				emptyFromMemory.Inc()
-				m.Log.V(m.emptyPageLevel(age)).Info("page without results", "job", record.ID, "after", after, "listed", len(results), "total", record.Total,
+				m.Log.V(1).Info("page without results", "job", record.ID, "after", after, "listed", len(results), "total", record.Total,
 					"source", "memory", "revision", revision, "age_ms", age.Milliseconds())
 			}
-			return pageOf(record.Total, results, after), true
+			return page, nil
+		case ends:
+			if failure := m.confirmList(ctx, j); failure != nil {
+				return ResultPage{}, failure
+			}
+			confirmed = true
+			continue
 		}
 		timedOut := make(chan struct{})
 		sub := m.Timer.After(remaining, func(time.Time) { close(timedOut) })
@@ -104,16 +119,6 @@
 	}
 }
 
-// emptyPageLevel returns the level of the line on a page without results: it is
-// written if the owner's knowledge of the record is older than what items may be
-// sent on.
-func (m *Manager) emptyPageLevel(age time.Duration) int {
-	if age > m.recordAge() {
-		return 0
-	}
-	return 1
-}
-
 // pageOf returns the results from position after on that fit into one page.
 func pageOf(total int, results []jobstate.Result, after int) ResultPage {
 	page := ResultPage{Total: total, Next: after}
--- a/internal/batch/ownership/recordcheck.go
+++ b/internal/batch/ownership/recordcheck.go
@@ -5,37 +5,27 @@
 	"time"
 
 	"github.com/kingcupquay/kingcupquay/internal/batch/jobstate"
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/record/store"
 )
 
 // A job may be ended, or taken over, by any host at any moment, and the notice of
-// it may be lost. Before an item is sent, the owner therefore must have read or
-// written the job's record within recordAge.
+// it may be lost. Before an item is sent, or a position said to hold no result yet,
+// the owner therefore must have read or written the job's record within proofPeriod.
 
 const (
-	// recordCheckTimeout bounds the read of a record that a run waits for. A
-	// reachable store answers in a tenth of it.
+	// recordCheckTimeout bounds the read of a record that a run or a reader waits for.
+	// A reachable store answers in a tenth of it.
 	recordCheckTimeout = 300 * time.Millisecond
 	// unreadAllowance is for how long items are sent, or held, after a read that
 	// failed, before the next is tried, once the store counts as unavailable.
 	unreadAllowance = time.Second
 )
 
-// recordAge returns for how long a record that was read or written allows items to
-// start: half of the time in which they may still reach a server after the end of
-// the job. The other half is for the way to the server.
-func (m *Manager) recordAge() time.Duration { return m.EndWithin / 2 }
-
-// allow records that a call to the store, which began at a time, showed that this
-// host may run the job. The caller holds m.mu.
-func (j *ownedJob) allow(began time.Time) {
-	if began.Before(j.endReportedAt) {
-		return
-	}
-	j.endReportedAt = time.Time{}
-	if began.After(j.allowedAt) {
-		j.allowedAt = began
-	}
-}
+// proofPeriod returns for how long a record that was read or written proves that this
+// host owns its job: half of the time in which items may still reach a server after
+// the end of the job. The other half is for the way to the server.
+func (m *Manager) proofPeriod() time.Duration { return m.EndWithin / 2 }
 
 // mayRun reports whether an item of a job may be sent, and reads the job's record
 // before if that is necessary. A read that fails is repeated. Items are sent without
@@ -44,87 +34,162 @@
 func (m *Manager) mayRun(ctx context.Context, j *ownedJob) bool {
 	for {
 		m.mu.Lock()
-		now := m.Timer.Now()
-		id := j.job.Record().ID
+		now := m.Timer.Uptime()
 		switch {
-		case m.jobs[id] != j || j.job.Record().Ended || j.ending > 0 || now.Before(j.heldUntil):
+		case m.jobs[j.job.Record().ID] != j || j.job.Record().Ended || j.ending > 0 || m.Timer.Now().Before(j.heldUntil):
 			m.mu.Unlock()
 			return false
-		case now.Sub(j.allowedAt) <= m.recordAge():
+		case j.claim.MaySend(now) || now < j.unprovedUntil:
 			m.mu.Unlock()
 			return true
 		}
-		checking := j.checking
-		if checking == nil {
-			j.checking = make(chan struct{})
-			m.mu.Unlock()
-			return m.checkRecord(ctx, j, id, now)
+		m.mu.Unlock()
+		checked, check := m.checkRecord(ctx, j)
+		if checked {
+			return check.maySend
 		}
+		if ctx.Err() != nil {
+			return false
+		}
+	}
+}
+
+// confirmList reports whether a job's list of results in memory was the whole list at
+// some time since the call, and reads the job's record if that is necessary. The code
+// LeaseLost means that it was not, or may not have been.
+func (m *Manager) confirmList(ctx context.Context, j *ownedJob) *result.Error {
+	for {
+		m.mu.Lock()
+		id := j.job.Record().ID
+		owned, proved := m.jobs[id] == j, j.job.Complete() || j.claim.MayDeny(m.Timer.Uptime())
+		m.mu.Unlock()
+		if !owned {
+			return result.New(result.LeaseLost, "job %.64q is not this host's any more", id)
+		}
+		if proved {
+			return nil
+		}
+		checked, check := m.checkRecord(ctx, j)
+		switch {
+		case checked && check.err != nil:
+			return result.New(result.StoreUnavailable, "whether this host still owns job %.64q is not known: %v", id, check.err).WithRetry(storeRetryAfter)
+		case checked && !check.listKnown:
+			return result.New(result.LeaseLost, "job %.64q may have more results", id)
+		case checked:
+			return nil
+		case ctx.Err() != nil:
+			return result.New(result.Cancelled, "the caller has left")
+		}
+	}
+}
+
+// recordCheck is the outcome of a read of a job's record.
+type recordCheck struct {
+	// maySend is set if items may be sent; hold is for how long none is, otherwise.
+	maySend bool
+	hold    time.Duration
+	// listKnown is set if no result is listed that this host does not know of.
+	listKnown bool
+	// err is why the record could not be read.
+	err error
+	// newOwner is the host that owns the job now, if this one does not; outdated is
+	// set if the job came back from another owner, which listed further results.
+	newOwner string
+	outdated bool
+}
+
+// checkRecord reads the record of a job. If another read of it is in progress, it
+// waits for the end of that one instead, and returns false.
+func (m *Manager) checkRecord(ctx context.Context, j *ownedJob) (checked bool, check recordCheck) {
+	m.mu.Lock()
+	if checking := j.checking; checking != nil {
 		m.mu.Unlock()
 		select {
 		case <-checking:
 		case <-ctx.Done():
-			return false
 		}
+		return false, recordCheck{}
 	}
-}
+	j.checking = make(chan struct{})
+	id, began := j.job.Record().ID, m.Timer.Uptime()
+	m.mu.Unlock()
 
-// checkRecord reads the record of a job and reports whether its items may be sent.
-// The runs that wait for j.checking go on with the result.
-func (m *Manager) checkRecord(ctx context.Context, j *ownedJob, id string, began time.Time) bool {
 	readCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordCheckTimeout)
 	defer cancel()
 	checkedTotal.Inc()
 	e, found, err := m.Store.Get(readCtx, jobstate.RecordKey(id))
-	var r jobstate.Record
-	var invalid error
-	if err == nil && found {
-		r, invalid = jobstate.DecodeRecord(e.Value)
-	}
 	m.mu.Lock()
-	allowed, hold, newOwner := false, minRefreshInterval, ""
-	switch {
-	case err != nil:
-		// After a pause, the store may have been readable between the failures.
-		if m.unreadSince.IsZero() || began.Sub(m.unreadAt) > m.EndWithin {
-			m.unreadSince = began
-		}
-		m.unreadAt = began
-		if now := m.Timer.Now(); now.Sub(m.unreadSince) >= m.EndWithin {
-			allowed, hold = j.endReportedAt.IsZero(), unreadAllowance
-			if allowed {
-				j.allowedAt = now.Add(unreadAllowance - m.recordAge())
-			}
-		}
-		m.Log.Info("record not read before a run", "job", id, "sent", allowed, "unread_ms", m.Timer.Now().Sub(m.unreadSince).Milliseconds(), "cause", err.Error())
-	case invalid != nil:
-		// The store is there, so this does not count as an unread record.
-		hold = unreadAllowance
-		m.Log.Error(invalid, "record can't be read", "job", id)
-	case found && !r.Ended && r.Owner == m.Host:
-		allowed = true
-		j.allow(began)
-	default:
-		m.Log.Info("items held", "job", id, "ended", r.Ended, "owner", r.Owner, "found", found)
-		if found && e.ModRevision > j.revision && r.Owner != m.Host {
-			newOwner = r.Owner
-		}
-	}
-	if err == nil {
-		m.unreadSince, m.unreadAt = time.Time{}, time.Time{}
+	if err != nil {
+		check = m.recordUnread(j, began, err)
+	} else {
+		m.unreadSince, m.unreadAt = 0, 0
+		check = m.compareRecord(j, e, found, began)
 	}
-	if !allowed {
-		j.heldUntil = m.Timer.Now().Add(hold)
+	if !check.maySend {
+		j.heldUntil = m.Timer.Now().Add(check.hold)
 	}
 	close(j.checking)
 	j.checking = nil
 	m.mu.Unlock()
 	switch {
-	case newOwner != "":
+	case check.newOwner != "":
 		// The list of this host may be outdated, and a second read may fail.
-		m.drop(j, "owned by "+newOwner)
-	case !allowed && err == nil:
+		m.drop(j, "owned by "+check.newOwner)
+	case check.outdated:
+		m.dropOutdated(j)
+	case !check.maySend && check.err == nil:
 		m.refresh(id)
 	}
-	return allowed
+	return true, check
+}
+
+// recordUnread decides what follows from a read of a job's record that failed. The
+// caller holds m.mu.
+func (m *Manager) recordUnread(j *ownedJob, began time.Duration, err error) recordCheck {
+	// After a pause, the store may have been readable between the failures.
+	if m.unreadSince == 0 || began-m.unreadAt > m.EndWithin {
+		m.unreadSince = began
+	}
+	m.unreadAt = began
+	now := m.Timer.Uptime()
+	check := recordCheck{hold: minRefreshInterval, err: err}
+	if now-m.unreadSince >= m.EndWithin {
+		check.maySend, check.hold = !j.claim.Disputed(), unreadAllowance
+		if check.maySend {
+			j.unprovedUntil = now + unreadAllowance
+		}
+	}
+	m.Log.Info("record not read", "job", j.job.Record().ID, "items_sent", check.maySend, "unread_ms", (now - m.unreadSince).Milliseconds(), "cause", err.Error())
+	return check
+}
+
+// compareRecord decides what follows from a job's entry in the store that a read
+// returned, which began at a time. The caller holds m.mu.
+func (m *Manager) compareRecord(j *ownedJob, e store.Entry, found bool, began time.Duration) recordCheck {
+	known := j.job.Record()
+	if !found {
+		m.Log.Info("items held", "job", known.ID, "found", false)
+		return recordCheck{hold: minRefreshInterval}
+	}
+	r, err := jobstate.DecodeRecord(e.Value)
+	switch {
+	case err != nil:
+		m.Log.Error(err, "record can't be read", "job", known.ID)
+		return recordCheck{hold: unreadAllowance, err: err}
+	case r.Owner == m.Host && !r.Ended && r.Listed <= known.Listed:
+		j.claim.Prove(began)
+		return recordCheck{maySend: true, listKnown: true}
+	case r.Owner == m.Host && !r.Ended && r.Writer == m.Writer:
+		// A write of this host has taken effect, and its reply is still to come.
+		return recordCheck{maySend: true}
+	}
+	check := recordCheck{hold: minRefreshInterval}
+	if e.ModRevision > j.revision {
+		check.outdated = r.Owner == m.Host && r.Listed > known.Listed
+		if r.Owner != m.Host {
+			check.newOwner = r.Owner
+		}
+	}
+	m.Log.Info("items held", "job", known.ID, "ended", r.Ended, "owner", r.Owner, "listed", r.Listed, "known", known.Listed)
+	return check
 }
--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -330,6 +330,9 @@
 	// dead is set if the host is gone: it and the other hosts can't reach each
 	// other, and Dead returns true for it.
 	dead atomic.Bool
+	// earlierBuild is set if the host's pages to other hosts are those of an earlier
+	// build.
+	earlierBuild atomic.Bool
 	// cutOff makes the store unavailable to this host.
 	cutOff        atomic.Bool
 	delayedWrites delayedWrites
@@ -428,7 +431,11 @@
 	if failure != nil {
 		return ownership.ResultPage{}, failure
 	}
-	return p.Manager.Results(ctx, id, after, wait, false)
+	page, failure := p.Manager.Results(ctx, id, after, wait, false)
+	if p.earlierBuild.Load() {
+		page.Confirmed = false
+	}
+	return page, failure
 }
 
 func (h *host) Body(ctx context.Context, name, id, item string) ([]byte, *result.Error) {
--- a/internal/batch/ownership/writing.go
+++ b/internal/batch/ownership/writing.go
@@ -98,6 +98,9 @@
 			j.unlistedSince = time.Time{}
 			continue
 		}
+		if !j.claim.MayList(m.Timer.Uptime()) {
+			continue
+		}
 		if len(group) == maxTxnJobs || bytes > maxTxnBytes {
 			break
 		}
@@ -134,25 +137,47 @@
 		m.Log.Error(err, "results can't be written")
 		return false
 	}
+	m.mu.Lock()
+	for _, c := range group {
+		c.j.claim.BeginWrite()
+	}
+	m.mu.Unlock()
+	unclear := false
 	for range maxWriteAttempts {
-		began := m.Timer.Now()
+		began := m.Timer.Uptime()
 		outcome, err := m.Store.Commit(ctx, txn)
 		switch {
 		case errors.Is(err, store.ErrOutcomeUnknown):
+			unclear = true
 			m.Log.Info("write unclear", "jobs", len(group), "cause", err.Error())
 			continue
 		case err != nil:
 			m.Log.Info("write refused", "jobs", len(group), "cause", err.Error())
+			m.cancelWrite(group, unclear)
 			return false
 		case outcome.Succeeded:
 			m.applyWrite(group, outcome.Revision, began)
 			return true
 		}
+		m.cancelWrite(group, unclear)
 		return m.resolveConflicts(ctx, group)
 	}
 	return false
 }
 
+// cancelWrite records that the last attempt to write a group of changes failed. An
+// attempt with an unclear outcome before may still take effect.
+func (m *Manager) cancelWrite(group []change, unclear bool) {
+	if unclear {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range group {
+		c.j.claim.CancelWrite()
+	}
+}
+
 // buildTxn returns the transaction that writes a group of changes.
 func buildTxn(group []change) (store.Txn, error) {
 	var txn store.Txn
@@ -185,13 +210,13 @@
 
 // applyWrite updates the jobs in memory after a group of changes was written;
 // began is when the call began that showed it.
-func (m *Manager) applyWrite(group []change, revision int64, began time.Time) {
+func (m *Manager) applyWrite(group []change, revision int64, began time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.Timer.Now()
 	for _, c := range group {
 		c.j.revision = revision
-		c.j.allow(began)
+		c.j.claim.Settle(began)
 		c.j.job.ApplyWrite(c.after, c.added)
 		m.cancelRuns(c.j, c.after.Ended)
 		c.j.unlistedSince = time.Time{}
@@ -210,7 +235,7 @@
 // returns false if a record can't be read.
 func (m *Manager) resolveConflicts(ctx context.Context, group []change) bool {
 	for _, c := range group {
-		began := m.Timer.Now()
+		began := m.Timer.Uptime()
 		e, ok, err := m.Store.Get(ctx, jobstate.RecordKey(c.after.ID))
 		if err != nil {
 			m.Log.Info("record not read", "job", c.after.ID, "cause", err.Error())
@@ -222,7 +247,7 @@
 		}
 		if e.ModRevision == c.revision {
 			m.mu.Lock()
-			c.j.allow(began)
+			c.j.claim.Prove(began)
 			m.mu.Unlock()
 			continue
 		}
@@ -235,12 +260,14 @@
 			// The write took effect or, when called by refresh, the record has the
 			// content that this host last saw.
 			m.applyWrite([]change{c}, e.ModRevision, began)
-		case current.Owner != m.Host || current.Listed != c.before.Listed:
+		case current.Owner != m.Host:
 			m.drop(c.j, "owned by "+current.Owner)
+		case current.Listed != c.before.Listed:
+			m.dropOutdated(c.j)
 		default:
 			m.mu.Lock()
 			c.j.revision = e.ModRevision
-			c.j.allow(began)
+			c.j.claim.Settle(began)
 			c.j.job.ApplyWrite(current, nil)
 			if current.Ended {
 				m.Log.Info("job ended elsewhere", "job", current.ID, "writer", current.Writer, "running", len(c.j.runs), "revision", e.ModRevision)
@@ -311,6 +338,24 @@
 	}
 }
 
+// dropOutdated drops a job whose record names this host as the owner but has
+// results that this host does not know of: another host owned the job in between.
+// The job is then taken over anew.
+func (m *Manager) dropOutdated(j *ownedJob) {
+	m.drop(j, "listed further by a host that owned it in between")
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopping {
+		return
+	}
+	id := j.job.Record().ID
+	m.wg.Add(1)
+	go func() {
+		defer m.wg.Done()
+		m.takeOver(m.ctx, id, m.Host)
+	}()
+}
+
 // endTimeout bounds the time in which an end is pursued whose caller has left.
 const endTimeout = 5 * time.Second
 
