--- a/internal/batch/ownership/recordcheck.go
+++ b/internal/batch/ownership/recordcheck.go
@@ -159,7 +159,7 @@
 			j.unprovedUntil = now + unreadAllowance
 		}
 	}
-	m.Log.Info("record not read", "job", j.job.Record().ID, "items_sent", check.maySend, "unread_ms", (now - m.unreadSince).Milliseconds(), "cause", err.Error())
+	m.Log.Info("ownership not confirmed", "job", j.job.Record().ID, "items_sent", check.maySend, "unread_ms", (now - m.unreadSince).Milliseconds(), "cause", err.Error())
 	return check
 }
 
