Jobs: no host of the past denies a result when an heir that need not wait lists one

Found by a review of: a host answered 200 and no results at a position that had been read, in two ways, both through the mark that a job was released, on which its heir does not wait.

- An owner that is cut off from all servers hands jobs over.
The write that gave a job away proved its record anew, and the job stayed in memory until the writes of the whole group were known.
Now it is dropped with the write, in applyWrite.
- B takes a job over from A and stops within the wait.
C, which B names, need not wait, though A still has a proof.
Now a job is marked only once its owner itself may list results.

The record's form is unchanged.

--- a/internal/batch/ownership/evacuate.go
+++ b/internal/batch/ownership/evacuate.go
@@ -68,14 +68,21 @@
 	if len(group) == 0 {
 		return
 	}
-	if !m.write(m.writeContext(), group) {
+	written := m.write(m.writeContext(), group)
+	for _, c := range group {
+		// A write whose reply was lost may be known to have taken effect for some only.
+		m.mu.Lock()
+		owned := m.jobs[c.after.ID] == c.j
+		m.mu.Unlock()
+		if !owned {
+			m.notifyHeir(c)
+		}
+	}
+	if !written {
 		m.delayNextWrite()
 		return
 	}
 	m.writeFailures = 0
-	for _, c := range group {
-		m.release(c)
-	}
 }
 
 // collectEvacuated returns the changes that hand jobs over, and cancels the runs
@@ -111,37 +118,37 @@
 		}
 		bytes += size
 		c := m.newChange(j, added)
-		c.after.Owner, c.after.Released, c.partials = rendezvous.First(heirs, id), true, partials
+		c.after.Owner, c.after.Released, c.partials = rendezvous.First(heirs, id), j.claim.MayList(m.Timer.Uptime()), partials
 		group = append(group, c)
 	}
 	return group
 }
 
-// release removes a job from this host once its record names another owner, and
-// tells that host.
-func (m *Manager) release(c change) {
+// letGo removes a job whose record now names another owner, before the heir can have
+// listed a result that this host denies. The caller holds m.mu.
+func (m *Manager) letGo(c change) {
 	id, heir := c.after.ID, c.after.Owner
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.jobs[id] == c.j {
-		if c.j.job.Record().Owner != heir {
-			return
-		}
-		m.cancelRuns(c.j, true)
-		delete(m.jobs, id)
-		m.owners[id] = heir
-		c.j.notify()
-		handedOverTotal.Inc()
-		m.Log.Info("job handed over", "job", id, "heir", heir, "listed", c.after.Listed, "total", c.after.Total, "with_output", len(c.partials),
-			"cause", "this host is cut off from all servers")
+	if m.jobs[id] != c.j {
+		return
 	}
-	// If this host lost the job, an earlier write whose reply was lost may have
-	// made heir the owner. It takes nothing over if that is not so.
+	m.cancelRuns(c.j, true)
+	delete(m.jobs, id)
+	m.owners[id] = heir
+	c.j.notify()
+	handedOverTotal.Inc()
+	m.Log.Info("job handed over", "job", id, "heir", heir, "listed", c.after.Listed, "total", c.after.Total, "with_output", len(c.partials),
+		"cause", "this host is cut off from all servers")
+}
+
+// notifyHeir tells the heir of a job that it owns it. If this host lost the job, an
+// earlier write whose reply was lost may have made heir the owner; it takes nothing
+// over if that is not so.
+func (m *Manager) notifyHeir(c change) {
 	m.wg.Add(1)
 	go func() {
 		defer m.wg.Done()
-		if failure := m.Peers.Adopt(m.ctx, heir, id); failure != nil {
-			m.Log.Info("heir not told", "job", id, "heir", heir, "cause", failure.Error())
+		if failure := m.Peers.Adopt(m.ctx, c.after.Owner, c.after.ID); failure != nil {
+			m.Log.Info("heir not told", "job", c.after.ID, "heir", c.after.Owner, "cause", failure.Error())
 		}
 	}()
 }
--- a/internal/batch/ownership/writing.go
+++ b/internal/batch/ownership/writing.go
@@ -216,8 +216,12 @@
 	now := m.Timer.Now()
 	for _, c := range group {
 		c.j.revision = revision
-		c.j.claim.Settle(began)
 		c.j.job.ApplyWrite(c.after, c.added)
+		if c.after.Owner != m.Host {
+			m.letGo(c)
+			continue
+		}
+		c.j.claim.Settle(began)
 		m.cancelRuns(c.j, c.after.Ended)
 		c.j.unlistedSince = time.Time{}
 		if len(c.j.job.Unlisted()) > 0 {
