Jobs: a read of the record for a reader holds no items, and readers share one that fails

- Readers of one job that the store did not answer read the record one after another, each until its time limit: ten readers, the slowest answered after 3.0 s.
Now they share the outcome.
- A read for a reader that failed kept items from being sent although an earlier read still allowed them.
- The allowance to send items while the store is away outlasted a read that showed the end of the job: one item sent.

Three specs failed before and pass. Messages and records are unchanged.

--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -163,9 +163,9 @@
 	ending int
 	// heldUntil is until when no item starts, since the record did not allow it.
 	heldUntil time.Time
-	// checking is closed when the read of the record ends that runs wait for; it is
-	// nil if there is none.
-	checking chan struct{}
+	// checking is the read of the record in progress that runs and readers wait for; it
+	// is nil if there is none.
+	checking *recordCheck
 	// refreshing is set while the record is read to detect a change by another
 	// host; refreshedAt is when such a read last began.
 	refreshing  bool
--- a/internal/batch/ownership/recordcheck.go
+++ b/internal/batch/ownership/recordcheck.go
@@ -44,13 +44,13 @@
 			return true
 		}
 		m.mu.Unlock()
-		checked, check := m.checkRecord(ctx, j)
-		if checked {
-			return check.maySend
-		}
+		check, joined := m.checkRecord(ctx, j)
 		if ctx.Err() != nil {
 			return false
 		}
+		if !joined || check.err != nil {
+			return check.maySend
+		}
 	}
 }
 
@@ -69,22 +69,26 @@
 		if proved {
 			return nil
 		}
-		checked, check := m.checkRecord(ctx, j)
+		check, joined := m.checkRecord(ctx, j)
 		switch {
-		case checked && check.err != nil:
+		case ctx.Err() != nil:
+			return result.New(result.Cancelled, "the caller has left")
+		case check.err != nil:
 			return result.New(result.StoreUnavailable, "whether this host still owns job %.64q is not known: %v", id, check.err).WithRetry(storeRetryAfter)
-		case checked && !check.listKnown:
+		case joined:
+			// The read may have begun before the call.
+		case !check.listKnown:
 			return result.New(result.LeaseLost, "job %.64q may have more results", id)
-		case checked:
+		default:
 			return nil
-		case ctx.Err() != nil:
-			return result.New(result.Cancelled, "the caller has left")
 		}
 	}
 }
 
-// recordCheck is the outcome of a read of a job's record.
+// recordCheck is a read of a job's record and its outcome, which is valid once done is
+// closed.
 type recordCheck struct {
+	done chan struct{}
 	// maySend is set if items may be sent; hold is for how long none is, otherwise.
 	maySend bool
 	hold    time.Duration
@@ -99,18 +103,21 @@
 }
 
 // checkRecord reads the record of a job. If another read of it is in progress, it
-// waits for the end of that one instead, and returns false.
-func (m *Manager) checkRecord(ctx context.Context, j *ownedJob) (checked bool, check recordCheck) {
+// waits for the end of that one instead, and sets joined. The outcome counts only if
+// ctx is not done.
+func (m *Manager) checkRecord(ctx context.Context, j *ownedJob) (check *recordCheck, joined bool) {
 	m.mu.Lock()
-	if checking := j.checking; checking != nil {
+	if check := j.checking; check != nil {
 		m.mu.Unlock()
 		select {
-		case <-checking:
+		case <-check.done:
 		case <-ctx.Done():
+			return &recordCheck{}, true
 		}
-		return false, recordCheck{}
+		return check, true
 	}
-	j.checking = make(chan struct{})
+	check = &recordCheck{done: make(chan struct{})}
+	j.checking = check
 	id, began := j.job.Record().ID, m.Timer.Uptime()
 	m.mu.Unlock()
 
@@ -120,16 +127,21 @@
 	e, found, err := m.Store.Get(readCtx, jobstate.RecordKey(id))
 	m.mu.Lock()
 	if err != nil {
-		check = m.recordUnread(j, began, err)
+		m.recordUnread(j, check, began, err)
 	} else {
 		m.unreadSince, m.unreadAt = 0, 0
-		check = m.compareRecord(j, e, found, began)
+		m.compareRecord(j, check, e, found, began)
+	}
+	if !check.maySend && check.err == nil {
+		j.claim.Withdraw()
+		j.unprovedUntil = 0
 	}
-	if !check.maySend {
+	// A read for a reader may fail while an earlier one still allows items to be sent.
+	if !check.maySend && !j.claim.MaySend(m.Timer.Uptime()) {
 		j.heldUntil = m.Timer.Now().Add(check.hold)
 	}
-	close(j.checking)
 	j.checking = nil
+	close(check.done)
 	m.mu.Unlock()
 	switch {
 	case check.newOwner != "":
@@ -140,19 +152,18 @@
 	case !check.maySend && check.err == nil:
 		m.refresh(id)
 	}
-	return true, check
+	return check, false
 }
 
-// recordUnread decides what follows from a read of a job's record that failed. The
-// caller holds m.mu.
-func (m *Manager) recordUnread(j *ownedJob, began time.Duration, err error) recordCheck {
+// recordUnread decides what follows from a check that failed. The caller holds m.mu.
+func (m *Manager) recordUnread(j *ownedJob, check *recordCheck, began time.Duration, err error) {
 	// After a pause, the store may have been readable between the failures.
 	if m.unreadSince == 0 || began-m.unreadAt > m.EndWithin {
 		m.unreadSince = began
 	}
 	m.unreadAt = began
 	now := m.Timer.Uptime()
-	check := recordCheck{hold: minRefreshInterval, err: err}
+	check.hold, check.err = minRefreshInterval, err
 	if now-m.unreadSince >= m.EndWithin {
 		check.maySend, check.hold = !j.claim.Disputed(), unreadAllowance
 		if check.maySend {
@@ -160,30 +171,32 @@
 		}
 	}
 	m.Log.Info("ownership not confirmed", "job", j.job.Record().ID, "items_sent", check.maySend, "unread_ms", (now - m.unreadSince).Milliseconds(), "cause", err.Error())
-	return check
 }
 
-// compareRecord decides what follows from a job's entry in the store that a read
-// returned, which began at a time. The caller holds m.mu.
-func (m *Manager) compareRecord(j *ownedJob, e store.Entry, found bool, began time.Duration) recordCheck {
+// compareRecord decides what follows from a check, which began at a time and returned
+// the job's entry in the store. The caller holds m.mu.
+func (m *Manager) compareRecord(j *ownedJob, check *recordCheck, e store.Entry, found bool, began time.Duration) {
 	known := j.job.Record()
+	check.hold = minRefreshInterval
 	if !found {
 		m.Log.Info("items held", "job", known.ID, "found", false)
-		return recordCheck{hold: minRefreshInterval}
+		return
 	}
 	r, err := jobstate.DecodeRecord(e.Value)
 	switch {
 	case err != nil:
 		m.Log.Error(err, "record can't be read", "job", known.ID)
-		return recordCheck{hold: unreadAllowance, err: err}
+		check.hold, check.err = unreadAllowance, err
+		return
 	case r.Owner == m.Host && !r.Ended && r.Listed <= known.Listed:
 		j.claim.Prove(began)
-		return recordCheck{maySend: true, listKnown: true}
+		check.maySend, check.listKnown = true, true
+		return
 	case r.Owner == m.Host && !r.Ended && r.Writer == m.Writer:
 		// A write of this host has taken effect, and its reply is still to come.
-		return recordCheck{maySend: true}
+		check.maySend = true
+		return
 	}
-	check := recordCheck{hold: minRefreshInterval}
 	if e.ModRevision > j.revision {
 		check.outdated = r.Owner == m.Host && r.Listed > known.Listed
 		if r.Owner != m.Host {
@@ -191,5 +204,4 @@
 		}
 	}
 	m.Log.Info("items held", "job", known.ID, "ended", r.Ended, "owner", r.Owner, "listed", r.Listed, "known", known.Listed)
-	return check
 }
--- /dev/null
+++ b/internal/batch/ownership/refused_read_test.go
@@ -0,0 +1,123 @@
+package ownership_test
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupquay/kingcupquay/internal/batch/jobstate"
+)
+
+var _ = Describe("the readers of an owner that can't reach the store", func() {
+	// A write that has no reply takes the proof of the list away, but not the one by
+	// which items may be sent. A reader's read of the record that fails then holds them.
+	DescribeTable("do not keep its items from being sent while the record allows it", func(reads bool) {
+		f := newFleet("A")
+		f.noScanners = true
+		hostA := f.hosts["A"]
+		hostA.directory.Remove(f.clock.Now(), backendServer.ID, 0)
+		Expect(hostA.Submit(ctx, submission("j", 2, 1))).To(BeNil())
+		// A write that lists a result, without a reply: one item fails for good.
+		hostA.delayedWrites.set(true)
+		f.servers.mu.Lock()
+		f.servers.status["j-0"] = 422
+		f.servers.block = make(chan struct{})
+		f.servers.mu.Unlock()
+		defer close(f.servers.block)
+		hostA.directory.Put(backendServer)
+		Eventually(func() int {
+			f.tick()
+			return hostA.delayedWrites.count()
+		}, waitTimeout, time.Millisecond).Should(BeNumerically(">=", 4))
+		hostA.cutOff.Store(true)
+		runs := f.servers.runsOf("j-1")
+		// The run of the other item breaks off and is to be started again.
+		hostA.setServersCut(true)
+		f.advance(50 * time.Millisecond)
+		if reads {
+			_, ok := hostA.read("j", 0)
+			Expect(ok).To(BeFalse())
+		}
+		hostA.setServersCut(false)
+		f.advance(200 * time.Millisecond)
+		Expect(f.servers.runsOf("j-1")).To(Equal(runs + 1))
+	},
+		Entry("without a reader", false),
+		Entry("with a reader", true),
+	)
+
+	// The allowance to send items while the store is away outlasts a read that shows
+	// that the job was ended, if that read was a reader's.
+	It("learn that the job has ended, and no item is sent after that", func() {
+		f := newFleet("A")
+		f.noScanners = true
+		hostA := f.hosts["A"]
+		hostA.directory.Remove(f.clock.Now(), backendServer.ID, 0)
+		Expect(hostA.Submit(ctx, submission("j", 1, 1))).To(BeNil())
+		f.advance(endGrace)
+		hostA.cutOff.Store(true)
+		for range 12 {
+			_, _ = hostA.read("j", 0)
+			f.advance(300 * time.Millisecond)
+		}
+		_, _ = hostA.read("j", 0)
+		// The store is back for reads; refresh waits for a write in progress or is left
+		// out, as it was made just before.
+		f.rewrite("j", func(r *jobstate.Record) { r.Ended, r.Writer, r.Serial = true, "B/1", r.Serial+1 })
+		var gets atomic.Int32
+		hostA.cutOff.Store(false)
+		hostA.beforeCall.set(func(op string) {
+			if op == "get" {
+				hostA.cutOff.Store(gets.Add(1) > 1)
+			}
+		})
+		_, _ = hostA.read("j", 0)
+		f.advance(310 * time.Millisecond)
+		hostA.directory.Put(backendServer)
+		f.advance(300 * time.Millisecond)
+		Expect(f.servers.totalRuns()).To(BeZero())
+	})
+
+	It("do not wait for each other's reads of the record", func() {
+		f := newFleet("A")
+		f.noScanners = true
+		f.servers.block = make(chan struct{})
+		defer close(f.servers.block)
+		hostA := f.hosts["A"]
+		Expect(hostA.Submit(ctx, submission("j", 1, 1))).To(BeNil())
+		f.eventually(func(g Gomega) { g.Expect(f.servers.activeRuns()).To(Equal(1)) })
+		f.advance(endGrace)
+		// The store gives no answer, and each read ends with its time limit.
+		var gets atomic.Int32
+		hostA.beforeCall.set(func(op string) {
+			if op == "get" {
+				gets.Add(1)
+				time.Sleep(300 * time.Millisecond)
+			}
+		})
+		hostA.cutOff.Store(true)
+		const readers = 10
+		var wg sync.WaitGroup
+		var slowest atomic.Int64
+		for range readers {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				began := time.Now()
+				_, _ = hostA.read("j", 0)
+				for took := int64(time.Since(began)); ; {
+					old := slowest.Load()
+					if took <= old || slowest.CompareAndSwap(old, took) {
+						return
+					}
+				}
+			}()
+		}
+		wg.Wait()
+		Expect(gets.Load()).To(BeNumerically("<=", 3))
+		Expect(time.Duration(slowest.Load())).To(BeNumerically("<", time.Second))
+	})
+})
