Jobs: a host whose owner can't confirm a position still asks it for listed results

The owner now answers with the code of an unavailable store in place of that of a lost job; the other host reads the store and keeps the owner in mind. The build before passes that code on to the caller as 503.

--- a/internal/batch/ownership/reading.go
+++ b/internal/batch/ownership/reading.go
@@ -42,7 +42,7 @@
 	m.mu.Unlock()
 	if owned {
 		page, failure := m.ownedResults(ctx, j, after, deadline)
-		if failure == nil || mayForward && failure.Code() != result.LeaseLost {
+		if failure == nil || failure.Code() != result.LeaseLost {
 			return page, failure
 		}
 	}
@@ -67,6 +67,8 @@
 			return page, nil
 		case failure == nil:
 			// A host of a build that confirms no pages may be a former owner.
+		case failure.Code() == result.StoreUnavailable:
+			// The owner can't tell whether it still is. It still shows what is listed.
 		case failure.Code() != result.LeaseLost && failure.Code() != result.NoBackend:
 			return ResultPage{}, failure
 		default:
@@ -92,7 +94,7 @@
 		remaining := deadline.Sub(m.Timer.Now())
 		ends := remaining <= 0 || ctx.Err() != nil
 		switch {
-		case after < len(results) || complete || confirmed:
+		case after < len(results) || complete || confirmed || after >= record.Total:
 			page := pageOf(record.Total, results, after)
 			page.Confirmed = confirmed || complete
 			if len(page.Results) == 0 && !complete {
--- a/internal/batch/ownership/refused_read_test.go
+++ b/internal/batch/ownership/refused_read_test.go
@@ -12,6 +12,42 @@
 )
 
 var _ = Describe("the readers of an owner that can't reach the store", func() {
+	It("get a listed result through another host, after a position could not be denied", func() {
+		f := newFleet("A", "B")
+		f.noScanners = true
+		f.servers.block = make(chan struct{})
+		Expect(f.hosts["A"].Submit(ctx, submission("j", 2, 1))).To(BeNil())
+		f.hosts["B"].LearnOwner("A", []string{"j"})
+		f.eventually(func(g Gomega) { g.Expect(f.servers.activeRuns()).To(Equal(2)) })
+		for range eventsPerItem {
+			f.servers.block <- struct{}{}
+		}
+		// Whichever item has got more events, let one end.
+		for len(f.listed("j")) == 0 {
+			select {
+			case f.servers.block <- struct{}{}:
+			default:
+			}
+			f.tick()
+			time.Sleep(time.Millisecond)
+			if f.servers.activeRuns() < 2 {
+				f.advance(time.Second)
+			}
+		}
+		Expect(f.listed("j")).To(HaveLen(1), "only one item has ended")
+		f.advance(2 * time.Second)
+		// Nobody reaches the store.
+		f.hosts["A"].cutOff.Store(true)
+		f.hosts["B"].cutOff.Store(true)
+		page, ok := f.hosts["B"].read("j", 0)
+		Expect(ok && len(page.Results) == 1).To(BeTrue(), "B shows the listed result that A knows, without the store")
+		_, ok = f.hosts["B"].read("j", 1)
+		Expect(ok).To(BeFalse(), "position 1 can't be denied")
+		page, ok = f.hosts["B"].read("j", 0)
+		Expect(ok && len(page.Results) == 1).To(BeTrue(), "B still shows the listed result that A knows")
+		close(f.servers.block)
+	})
+
 	// A write that has no reply takes the proof of the list away, but not the one by
 	// which items may be sent. A reader's read of the record that fails then holds them.
 	DescribeTable("do not keep its items from being sent while the record allows it", func(reads bool) {
@@ -121,3 +157,13 @@
 		Expect(time.Duration(slowest.Load())).To(BeNumerically("<", time.Second))
 	})
 })
+
+// listed returns the IDs of the results in a job's record and parts in the store.
+func (f *fleet) listed(id string) []jobstate.Result {
+	GinkgoHelper()
+	e, _, err := f.kv.Get(ctx, jobstate.RecordKey(id))
+	Expect(err).NotTo(HaveOccurred())
+	r, err := jobstate.DecodeRecord(e.Value)
+	Expect(err).NotTo(HaveOccurred())
+	return make([]jobstate.Result, r.Listed)
+}
