Jobs: one read of the store at a time while none is answered, for all jobs of a host

After a check that failed, readers are refused and items sent or held as that check decided, for 0.3 s, or 1 s once the store counts as away.

--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -211,6 +211,9 @@
 	// last one that did not, and unreadAt when the last failed one did, by
 	// Timer.Uptime; they are zero if none failed.
 	unreadSince, unreadAt time.Duration
+	// unreadUntil is until when readers are refused, and items sent or held, as after
+	// the last check that failed, without another one.
+	unreadUntil time.Duration
 	// backlogged holds the services with a backlog at the placer.
 	backlogged  map[string]bool
 	resultCache *resultcache.Cache
--- a/internal/batch/ownership/recordcheck.go
+++ b/internal/batch/ownership/recordcheck.go
@@ -42,6 +42,13 @@
 		case j.claim.MaySend(now) || now < j.unprovedUntil:
 			m.mu.Unlock()
 			return true
+		case now < m.unreadUntil:
+			allowed := m.storeAway() && !j.claim.Disputed()
+			if !allowed {
+				j.heldUntil = m.Timer.Now().Add(m.unreadUntil - now)
+			}
+			m.mu.Unlock()
+			return allowed
 		}
 		m.mu.Unlock()
 		check, joined := m.checkRecord(ctx, j)
@@ -61,7 +68,8 @@
 	for {
 		m.mu.Lock()
 		id := j.job.Record().ID
-		owned, proved := m.jobs[id] == j, j.job.Complete() || j.claim.MayDeny(m.Timer.Uptime())
+		now := m.Timer.Uptime()
+		owned, proved, unread := m.jobs[id] == j, j.job.Complete() || j.claim.MayDeny(now), now < m.unreadUntil
 		m.mu.Unlock()
 		if !owned {
 			return result.New(result.LeaseLost, "job %.64q is not this host's any more", id)
@@ -69,6 +77,9 @@
 		if proved {
 			return nil
 		}
+		if unread {
+			return result.New(result.StoreUnavailable, "whether this host still owns job %.64q is not known", id).WithRetry(storeRetryAfter)
+		}
 		check, joined := m.checkRecord(ctx, j)
 		switch {
 		case ctx.Err() != nil:
@@ -129,7 +140,7 @@
 	if err != nil {
 		m.recordUnread(j, check, began, err)
 	} else {
-		m.unreadSince, m.unreadAt = 0, 0
+		m.unreadSince, m.unreadAt, m.unreadUntil = 0, 0, 0
 		m.compareRecord(j, check, e, found, began)
 	}
 	if !check.maySend && check.err == nil {
@@ -164,15 +175,22 @@
 	m.unreadAt = began
 	now := m.Timer.Uptime()
 	check.hold, check.err = minRefreshInterval, err
-	if now-m.unreadSince >= m.EndWithin {
+	if m.storeAway() {
 		check.maySend, check.hold = !j.claim.Disputed(), unreadAllowance
 		if check.maySend {
 			j.unprovedUntil = now + unreadAllowance
 		}
 	}
+	m.unreadUntil = now + check.hold
 	m.Log.Info("ownership not confirmed", "job", j.job.Record().ID, "items_sent", check.maySend, "unread_ms", (now - m.unreadSince).Milliseconds(), "cause", err.Error())
 }
 
+// storeAway reports whether the store counts as unavailable: no record could be read
+// for EndWithin. The caller holds m.mu.
+func (m *Manager) storeAway() bool {
+	return m.unreadSince != 0 && m.Timer.Uptime()-m.unreadSince >= m.EndWithin
+}
+
 // compareRecord decides what follows from a check, which began at a time and returned
 // the job's entry in the store. The caller holds m.mu.
 func (m *Manager) compareRecord(j *ownedJob, check *recordCheck, e store.Entry, found bool, began time.Duration) {
