Jobs: a job that completes late stays readable for 30 s

A job that completed more than 150 s after its acceptance was removed by the next scan, within 2 s, and its results were gone before a caller could read them. Hosts remember when they first saw a job complete. The new spec failed before: no job "j".

--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -173,6 +173,8 @@
 	// unlistedSince is the time from which the flush delay of unlisted results
 	// counts, zero if there are none.
 	unlistedSince time.Time
+	// closedAt is when the job was first seen complete, zero if it was not.
+	closedAt time.Time
 	// routes caches the routes of the items' paths in the configuration routesOf, nil
 	// for a path without one.
 	routes   map[string]*routes.Route
@@ -222,10 +224,11 @@
 	lastSerial int64
 	stopping   bool
 
-	// stalledJobs and earlyScans, the number of consecutive early scans, are only
-	// used by scan.
+	// stalledJobs, earlyScans, the number of consecutive early scans, and closedAt,
+	// when each complete job in the store was first seen, are only used by scan.
 	stalledJobs *stalled.Tracker
 	earlyScans  int
+	closedAt    map[string]time.Time
 
 	// trigger requests a scheduling pass and scanTrigger a scan, without waiting
 	// for the next tick. wakeFlush starts the checks for unlisted results, which
@@ -244,7 +247,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Manager{
 		Options: o, jobs: make(map[string]*ownedJob), owners: make(map[string]string), quotas: make(map[string]quotaUsage), backlogged: make(map[string]bool),
-		resultCache: resultcache.New(), stalledJobs: stalled.New(), trigger: make(chan struct{}, 1), scanTrigger: make(chan struct{}, 1), wakeFlush: make(chan struct{}, 1), done: make(chan struct{}), ctx: ctx, cancelCtx: cancel,
+		resultCache: resultcache.New(), stalledJobs: stalled.New(), closedAt: make(map[string]time.Time), trigger: make(chan struct{}, 1), scanTrigger: make(chan struct{}, 1), wakeFlush: make(chan struct{}, 1), done: make(chan struct{}), ctx: ctx, cancelCtx: cancel,
 	}
 }
 
--- a/internal/batch/ownership/outdated_list_test.go
+++ b/internal/batch/ownership/outdated_list_test.go
@@ -177,3 +177,21 @@
 		Eventually(stopped, waitTimeout).Should(BeClosed())
 	})
 })
+
+var _ = Describe("a job that completes long after its acceptance", func() {
+	// Guards against results that are removed before their callers can read them.
+	It("stays readable for a while", func() {
+		f := newFleet("A", "B")
+		f.servers.block = make(chan struct{})
+		Expect(f.hosts["A"].Submit(ctx, submission("j", 1, 1))).To(BeNil())
+		f.clock.Advance(170 * time.Second)
+		close(f.servers.block)
+		f.eventually(func(g Gomega) { g.Expect(listResults(g, f.hosts["A"], "j")).To(HaveLen(1)) })
+		for range 20 {
+			f.clock.Advance(time.Second)
+			time.Sleep(2 * time.Millisecond)
+		}
+		Expect(listResults(Default, f.hosts["A"], "j")).To(HaveLen(1))
+		Expect(listResults(Default, f.hosts["B"], "j")).To(HaveLen(1))
+	})
+})
--- a/internal/batch/ownership/owning.go
+++ b/internal/batch/ownership/owning.go
@@ -21,6 +21,9 @@
 	scannerKey = "jobs"
 	// jobRetention is how long after its acceptance a complete job stays readable.
 	jobRetention = 150 * time.Second
+	// minReadable is how long a complete job stays readable at least, however long ago
+	// it was accepted.
+	minReadable = 30 * time.Second
 	// reclaimRetryDelay is the pause after the first failed attempt to reclaim this
 	// host's jobs at its start. It doubles up to maxReclaimRetryDelay, since a
 	// job may stay unreadable.
@@ -112,6 +115,7 @@
 	now := m.Timer.Now()
 	gone, unreachable := make(map[string]bool), make(map[string]bool)
 	defer m.stalledJobs.Prune(now)
+	defer m.forgetClosed(now)
 	defer m.scheduleEarlyScan(gone)
 	for _, r := range m.decodeRecords(entries) {
 		m.mu.Lock()
@@ -347,11 +351,19 @@
 }
 
 // removeOld deletes a complete job from the store once jobRetention has passed
-// since its acceptance, if this host is the scanner that is responsible for it.
+// since its acceptance and minReadable since it was first seen complete, if this host is the scanner that is responsible for it.
 func (m *Manager) removeOld(r jobstate.Record, now time.Time) {
 	if r.Open() || now.Sub(r.Accepted) < jobRetention || !m.assignedHere(r.ID) {
 		return
 	}
+	since, seen := m.closedAt[r.ID]
+	if !seen {
+		m.closedAt[r.ID] = now
+		return
+	}
+	if now.Sub(since) < minReadable {
+		return
+	}
 	// The record is deleted last, so that an interrupted removal is repeated.
 	keys := []string{jobstate.PartialKey(r.ID)}
 	for i := range r.BodyParts {
@@ -370,16 +382,31 @@
 	m.Log.Info("job removed", "job", r.ID, "accepted", r.Accepted)
 }
 
+// forgetClosed forgets the complete jobs that were to be removed long ago.
+func (m *Manager) forgetClosed(now time.Time) {
+	for id, since := range m.closedAt {
+		if now.Sub(since) > 2*minReadable {
+			delete(m.closedAt, id)
+		}
+	}
+}
+
 // maxDeletes bounds the keys that one transaction removes.
 const maxDeletes = 30
 
-// evict removes complete jobs of this host from memory after jobRetention, and
-// clears the cached owners once there are too many.
+// evict removes complete jobs of this host from memory, at the times at which they
+// are removed from the store, and clears the cached owners once there are too many.
 func (m *Manager) evict(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for id, j := range m.jobs {
-		if j.job.Complete() && now.Sub(j.job.Record().Accepted) >= jobRetention {
+		if !j.job.Complete() {
+			continue
+		}
+		if j.closedAt.IsZero() {
+			j.closedAt = now
+		}
+		if now.Sub(j.job.Record().Accepted) >= jobRetention && now.Sub(j.closedAt) >= minReadable {
 			delete(m.jobs, id)
 		}
 	}
