--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -229,11 +229,16 @@
 	delayedWrites *delayedWrites
 	// commits counts the transactions.
 	commits *atomic.Int64
-	// before is called before each call with its kind.
-	before *callHook
+	// before is called before each call with its kind, after once the call has taken
+	// effect and before the host has its reply.
+	before, after *callHook
+	// loseReplies lets transactions take effect without a reply.
+	loseReplies *atomic.Bool
+	// staleRecords, if set, is what stale reads of the records return.
+	staleRecords *atomic.Pointer[[]store.Entry]
 }
 
-// callHook is called before each call of a host to the store.
+// callHook is called before or after each call of a host to the store.
 type callHook struct {
 	mu   sync.Mutex
 	hook func(op string)
@@ -278,6 +283,16 @@
 	return d.enabled
 }
 
+// takeEffect applies the writes that were held back, and holds back no more.
+func (d *delayedWrites) takeEffect(kv *platform.KV) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, txn := range d.kept {
+		_, _ = kv.Commit(context.Background(), txn)
+	}
+	d.enabled, d.kept = false, nil
+}
+
 func (d *delayedWrites) count() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -289,6 +304,7 @@
 	if s.cutOff.Load() || ctx.Err() != nil {
 		return store.Entry{}, false, store.ErrUnavailable
 	}
+	defer s.after.call("get")
 	return s.KV.Get(ctx, key)
 }
 
@@ -304,6 +320,9 @@
 	if s.cutOff.Load() {
 		return nil, store.ErrUnavailable
 	}
+	if stale := s.staleRecords.Load(); stale != nil && prefix == jobstate.RecordPrefix {
+		return *stale, nil
+	}
 	return s.KV.RangeStale(ctx, prefix)
 }
 
@@ -319,7 +338,12 @@
 	if s.delayedWrites.delay(txn) {
 		return store.TxnResult{}, store.ErrOutcomeUnknown
 	}
-	return s.KV.Commit(ctx, txn)
+	defer s.after.call("commit")
+	outcome, err := s.KV.Commit(ctx, txn)
+	if err == nil && s.loseReplies.Load() {
+		return store.TxnResult{}, store.ErrOutcomeUnknown
+	}
+	return outcome, err
 }
 
 // host is one host of the fleet. It implements Peers for its manager.
@@ -338,9 +362,11 @@
 	delayedWrites delayedWrites
 	commits       atomic.Int64
 	// links are the host's connections to the servers, placer its view of them.
-	links      links
-	placer     *scheduler.Placer
-	beforeCall callHook
+	links                 links
+	placer                *scheduler.Placer
+	beforeCall, afterCall callHook
+	loseReplies           atomic.Bool
+	staleRecords          atomic.Pointer[[]store.Entry]
 	// config holds configuration 1 with the route of submission, unless a test sets
 	// another one.
 	config *routes.Holder
@@ -508,8 +534,9 @@
 	return routes.New(version, nil, list, nil, routes.Limits{})
 }
 
-// addHostWith is addHost with a configuration, which may hold none yet.
-func (f *fleet) addHostWith(name, writer string, config *routes.Holder) *host {
+// addHostWith is addHost with a configuration, which may hold none yet. It calls
+// prepare with the host before the host is started.
+func (f *fleet) addHostWith(name, writer string, config *routes.Holder, prepare ...func(*host)) *host {
 	list := backend.NewDirectory(func(backend.Server, string) {})
 	list.Put(backendServer)
 	h := &host{fleet: f, name: name, directory: list, config: config, placer: scheduler.New(name, "a", func() float64 { return 0.5 }, func() {}), links: links{servers: f.servers, cut: make(chan struct{}), restart: func(b backend.Server) {
@@ -519,7 +546,7 @@
 		}
 	}}}
 	h.Manager = ownership.New(ownership.Options{
-		Host: name, Writer: writer, Timer: f.clock, Log: f.newLog(), Store: hostStore{f.kv, &h.cutOff, &h.delayedWrites, &h.commits, &h.beforeCall}, Servers: &h.links, Crashes: f.crashes, ServerDirectory: list,
+		Host: name, Writer: writer, Timer: f.clock, Log: f.newLog(), Store: hostStore{f.kv, &h.cutOff, &h.delayedWrites, &h.commits, &h.beforeCall, &h.afterCall, &h.loseReplies, &h.staleRecords}, Servers: &h.links, Crashes: f.crashes, ServerDirectory: list,
 		Placer: h.placer, Config: config, Peers: h,
 		EndWithin: endGrace, Accepted: func(string) {}, Ended: func(id string) {
 			for _, p := range f.hosts {
@@ -530,6 +557,9 @@
 		},
 	})
 	f.hosts[name] = h
+	for _, prepare := range prepare {
+		prepare(h)
+	}
 	h.Start()
 	DeferCleanup(func() {
 		h.dead.Store(true)
