Forward: a stream stays with a silent server while no other has room

Seen by callers: a stream that had begun ended with a closed connection in its middle, or got a 502 before its first event, though its server worked on it. A resumable stream whose server paused for a quarter of the pause objective (100 ms of 400), or twice the objective before the first event, ended its attempt before it asked for another place. If no server had one (no slot in the time left, limits used up, none of its software version any more, a part condemned), the answer was given up at once.

Cause: relay ended the attempt, and start was asked only then. Now the place is taken first (leave); without one the stream stays with its server and asks again after the next such pause. The old attempt still ends before the call is sent again, so no two servers work on a stream. A host that is cut off from all servers passes the stream on as before, since no place can be taken at another host: there the answer still ends if no host can help.

Evidence: "stays with a silent stream while no other server has room, and moves once one has" failed in its three entries before ("server a fell silent" where no failure is expected), passes after; the package passed four times with the race detector. No record or message between hosts changes.

--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -49,6 +49,9 @@
 	hold bool
 	// takes is the time until the reply begins.
 	takes time.Duration
+	// rest follows body after a pause.
+	rest  string
+	pause time.Duration
 }
 
 // scriptedServers gives its replies in order, whichever server is called.
@@ -103,6 +106,8 @@
 		body = io.MultiReader(body, failingReader{})
 	case r.hold:
 		body = io.MultiReader(body, &blockingReader{ctx})
+	case r.rest != "":
+		body = io.MultiReader(body, &pausingReader{ctx, r.pause}, strings.NewReader(r.rest))
 	}
 	status := r.status
 	if status == 0 {
@@ -132,6 +137,21 @@
 	return 0, r.ctx.Err()
 }
 
+// pausingReader ends after a pause, or with an error once its call is cancelled.
+type pausingReader struct {
+	ctx   context.Context
+	pause time.Duration
+}
+
+func (r *pausingReader) Read([]byte) (int, error) {
+	select {
+	case <-time.After(r.pause):
+		return 0, io.EOF
+	case <-r.ctx.Done():
+		return 0, r.ctx.Err()
+	}
+}
+
 // recordingWriter records the answer written to it.
 type recordingWriter struct {
 	status int
@@ -242,6 +262,22 @@
 	return r.Slots.PlaceOnline(ctx, service, software, avoid, maxWait)
 }
 
+// fullSlots places the first call and refuses a number of later ones for lack of a slot.
+type fullSlots struct {
+	*slots.Slots
+	asked   bool
+	refused int
+}
+
+func (s *fullSlots) PlaceOnline(ctx context.Context, service, software string, avoid map[string]bool, maxWait time.Duration) (scheduler.Choice, int) {
+	if s.asked && s.refused > 0 {
+		s.refused--
+		return scheduler.Choice{}, 2
+	}
+	s.asked = true
+	return s.Slots.PlaceOnline(ctx, service, software, avoid, maxWait)
+}
+
 var _ = Describe("a forwarder", func() {
 	var (
 		s         *scriptedServers
@@ -474,6 +510,33 @@
 		Expect(out.body.String()).To(Equal(numberedEvents(1, 4)))
 	})
 
+	// Guards against ending an answer because its server paused, though no other server
+	// may go on with it.
+	DescribeTable("stays with a silent stream while no other server has room, and moves once one has", func(first scriptedReply, placed int, sent []string) {
+		first.pause = 200 * time.Millisecond
+		s, out = &scriptedServers{replies: []scriptedReply{first, {body: numberedEvents(3, 4)}}}, &recordingWriter{}
+		directory = backend.NewDirectory(func(backend.Server, string) {})
+		for _, id := range []string{"a", "b"} {
+			directory.Put(backend.Server{ID: id, Service: "s", Address: id, Zone: "z", Slots: 4, SoftwareVersion: "v1"})
+		}
+		placer := scheduler.New("A", "z", func() float64 { return 0.5 }, func() {})
+		places := &fullSlots{Slots: slots.New(timer.Real{}, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {}), refused: placed}
+		route := routes.Route{
+			Kind: routes.Stream, Resumable: true, MaxAttempts: 2, Timeout: time.Minute, Objective: 20 * time.Millisecond, PauseObjective: 80 * time.Millisecond,
+			Shares: []routes.Share{{Service: "s", Weight: 1}},
+		}
+		_, failure := forward.New(timer.Real{}, logr.Discard(), s, directory, places, newGuard(), &keptOrigins{}, admit{}).Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: time.Now()}, out)
+		Expect(failure).To(BeNil())
+		Expect(out.body.String()).To(Equal(numberedEvents(1, 4)))
+		Expect(s.sent).To(HaveLen(len(sent)))
+		loads, _ := placer.LocalState(time.Now())
+		Expect(loads).To(BeEmpty(), "all slots must be released")
+	},
+		Entry("between two events", scriptedReply{body: numberedEvents(1, 2), rest: numberedEvents(3, 4)}, 100, []string{"a"}),
+		Entry("before its first event", scriptedReply{rest: numberedEvents(1, 4)}, 100, []string{"a"}),
+		Entry("there is room later", scriptedReply{body: numberedEvents(1, 2), rest: "too late"}, 2, []string{"a", "b"}),
+	)
+
 	Describe("a stream that its caller takes up", func() {
 		var recorder *waitRecorder
 		takeUp := func(attempts []string, replies ...scriptedReply) *result.Error {
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -80,6 +80,13 @@
 	ran          result.Ran
 	lastEvent    time.Time
 	reach        reaching
+	// wait is how long the call may wait for a slot until the stream has begun.
+	wait time.Duration
+	// next is the place of the next attempt if that was taken before the one before
+	// it ended.
+	next scheduler.Choice
+	// stayed is set once no place was found for a stream that fell silent.
+	stayed bool
 	// cutEvents and cutAfter are the most events, and the longest time, after which an
 	// attempt broke off.
 	cutEvents int
@@ -96,15 +103,16 @@
 // serveStream answers a call with a stream of numbered events.
 func (f *Forwarder) serveStream(ctx context.Context, c *exchange.Call, callerDeadline time.Time, out ResponseWriter) (bool, *result.Error) {
 	s := &streamSession{forwarder: f, call: c, callerDeadline: callerDeadline, out: out, avoid: make(map[string]bool), ran: result.RanNo}
-	wait := slotWait(c)
+	s.wait = slotWait(c)
 	if c.TakeUp != nil {
 		if failure := s.takeUp(ctx); failure != nil {
 			return false, failure
 		}
 		// The caller has a part of the stream, and fewer servers may go on with it.
-		wait = maxSlotWait
+		s.wait = maxSlotWait
 	}
-	att, failure := s.start(ctx, wait)
+	defer s.release()
+	att, failure := s.start(ctx)
 	if failure != nil {
 		return false, failure
 	}
@@ -129,12 +137,7 @@
 		if ctx.Err() != nil || failure.Code() == result.Cancelled || !s.canFailOver(att) {
 			return s.begun, failure.WithRan(s.ran)
 		}
-		if s.begun {
-			// Part of the answer was sent already; finishing it late is better
-			// than aborting it.
-			wait = max(maxSlotWait, f.remaining(c))
-		}
-		next, refusal := s.start(ctx, wait)
+		next, refusal := s.start(ctx)
 		if refusal != nil {
 			f.log.Info("not moved", "request", c.ID, "from", att.server.ID, "software", s.software, "cause", refusal.Error())
 			return s.begun, failure.WithRan(s.ran).WithRetry(refusal.RetryAfter())
@@ -177,9 +180,23 @@
 	return nil
 }
 
+// maxWait returns how long the next attempt may wait for a slot. Once part of the
+// answer was sent, finishing it late is better than aborting it.
+func (s *streamSession) maxWait() time.Duration {
+	if s.begun {
+		return max(maxSlotWait, s.forwarder.remaining(s.call))
+	}
+	return s.wait
+}
+
 // start picks the next server of the stream and sends the call to it, or has
 // another host do so.
-func (s *streamSession) start(ctx context.Context, maxWait time.Duration) (*attempt, *result.Error) {
+func (s *streamSession) start(ctx context.Context) (*attempt, *result.Error) {
+	if s.next.Placed {
+		choice := s.next
+		s.next = scheduler.Choice{}
+		return s.send(ctx, choice), nil
+	}
 	if s.bound && s.software == "" {
 		return nil, result.New(result.VersionUnavailable, "the software version that began the stream is not known")
 	}
@@ -190,7 +207,7 @@
 		}
 	}
 	if cause := f.passOnCause(s.call, s.software, &s.reach); cause != "" && s.reach.refused == nil {
-		a, failure, unable := f.passOn(ctx, s.call, s.reach.order(s.software, s.avoid, maxWait, s.resume()), cause, func(string, string) {})
+		a, failure, unable := f.passOn(ctx, s.call, s.reach.order(s.software, s.avoid, s.maxWait(), s.resume()), cause, func(string, string) {})
 		if unable {
 			s.reach.refused = failure
 		} else if a != nil || failure != nil {
@@ -200,14 +217,51 @@
 	if !s.reach.mayTry() {
 		return nil, s.reach.refused
 	}
-	choice, failure := f.place(ctx, s.call, s.software, s.avoid, maxWait)
+	choice, failure := f.place(ctx, s.call, s.software, s.avoid, s.maxWait())
 	if failure != nil {
 		return nil, failure
 	}
+	return s.send(ctx, choice), nil
+}
+
+// send sends the call to a server that place picked.
+func (s *streamSession) send(ctx context.Context, choice scheduler.Choice) *attempt {
 	if s.call.Route.MayRepeat() && s.sent+1 < s.call.Route.MaxAttempts {
-		return f.sendUnlessCutOff(ctx, s.call, choice, s.resume(), s.idleTimeout()), nil
+		return s.forwarder.sendUnlessCutOff(ctx, s.call, choice, s.resume(), s.idleTimeout())
+	}
+	return s.forwarder.send(ctx, s.call, choice, s.resume())
+}
+
+// leave takes the place of the next attempt for a stream whose server fell silent, and
+// reports whether the stream may leave that server: while no other has room, it may
+// still go on. A place at another host's servers can't be taken before.
+func (s *streamSession) leave(ctx context.Context, att *attempt) bool {
+	f := s.forwarder
+	switch {
+	case s.reach.refused == nil:
+		if f.passOnCause(s.call, s.software, &s.reach) != "" {
+			return true
+		}
+	case !s.reach.mayTry():
+		return false
+	}
+	choice, refusal := f.place(ctx, s.call, s.software, s.avoid, s.maxWait())
+	if refusal != nil {
+		if !s.stayed {
+			f.log.Info("stays with a silent server", "request", s.call.ID, "server", att.server.ID, "software", s.software, "cause", refusal.Error())
+		}
+		s.stayed = true
+		return false
+	}
+	s.next, s.stayed = choice, false
+	return true
+}
+
+// release gives the place of an attempt back that was not made.
+func (s *streamSession) release() {
+	if s.next.Placed {
+		s.forwarder.slots.EndOnline(s.forwarder.timer.Now(), s.next, 0, scheduler.Unknown)
 	}
-	return f.send(ctx, s.call, choice, s.resume()), nil
 }
 
 // hasOther reports whether a server that was not tried may go on with the stream.
@@ -265,10 +319,14 @@
 			f.end(att, scheduler.Unknown)
 			return result.New(result.Cancelled, "the caller left or its time passed").WithRan(result.RanYes)
 		case <-idleTimer.C:
-			if s.canFailOver(att) && s.hasOther() {
+			if !s.canFailOver(att) || !s.hasOther() {
+				continue
+			}
+			if s.leave(ctx, att) {
 				f.end(att, scheduler.Unreachable)
 				return result.New(result.BackendSilent, "server %s fell silent", att.server.ID).WithRan(result.RanYes)
 			}
+			idleTimer.Reset(s.idleTimeout())
 		case next := <-chunks:
 			err := s.deliver(att, &splitter, next.data)
 			if err == nil {
