Passing on: the rest of a begun stream goes on at its service whatever the configuration has become

Seen by callers: at a host that is cut off from all servers, a stream that had begun ended in its middle ("unexpected EOF") if its route had been moved to another service or removed since. The other hosts could reach its service, but refused to carry the rest out, as their configuration had no route to it.

Cause: an attempt for another host was checked against the configuration of the host that carries it out, as if the request were new. The order now says that the caller has a part of the answer (begun); then the service is the one at which the stream began, and no route is looked up. A new request, also one that takes a stream up again, is checked as before, so a host with an old configuration can't have others run new requests by it.

Messages: passed calls have a new field, begun.

--- a/internal/fleet/entry/passing.go
+++ b/internal/fleet/entry/passing.go
@@ -85,6 +85,7 @@
 	Avoid         []string       `json:"avoid"`
 	MaxWait       time.Duration  `json:"max_wait_ns"`
 	ResumeAfter   *int64         `json:"resume_after"`
+	Begun         bool           `json:"begun"`
 	Remaining     *time.Duration `json:"remaining_ns"`
 }
 
@@ -212,6 +213,7 @@
 	head := passedCall{
 		From: p.host.settings.Name, ConfigVersion: p.host.config.Version(), ID: []byte(c.ID), Method: c.Method, Target: []byte(c.Target),
 		Host: []byte(c.Host), Fields: encodeFields(c.Fields), Service: c.Service, Software: o.Software, Avoid: o.Avoid, MaxWait: o.MaxWait,
+		Begun: o.Begun,
 	}
 	for _, part := range c.SharedParts {
 		head.SharedParts = append(head.SharedParts, []byte(part))
@@ -312,16 +314,13 @@
 }
 
 // decodeCall decodes a call and finds its route. This host may know a newer
-// configuration than the other, never an older one.
+// configuration than the other, never an older one. The rest of a stream whose caller
+// has a part of it needs no route: it goes on as it began.
 func (p *passing) decodeCall(r *http.Request) (passedCall, *exchange.Call, *result.Error) {
 	head, body, err := readCall(r.Body)
 	if err != nil {
 		return head, nil, result.New(result.TruncatedUpload, "%v", err)
 	}
-	config := p.host.config.Current()
-	if config == nil || config.Version() < head.ConfigVersion {
-		return head, nil, result.New(result.NoBackend, "the configuration is older than version %d", head.ConfigVersion)
-	}
 	c := &exchange.Call{
 		ID: string(head.ID), Method: head.Method, Target: string(head.Target), Host: string(head.Host), Fields: decodeFields(head.Fields),
 		Body: body, Service: head.Service, Received: p.host.timer.Now(),
@@ -332,6 +331,14 @@
 	if head.Remaining != nil {
 		c.Deadline = c.Received.Add(*head.Remaining)
 	}
+	if head.Begun && head.ResumeAfter != nil {
+		c.Route = &routes.Route{Kind: routes.Stream, Resumable: true, Shares: []routes.Share{{Service: c.Service, Weight: 1}}}
+		return head, c, nil
+	}
+	config := p.host.config.Current()
+	if config == nil || config.Version() < head.ConfigVersion {
+		return head, nil, result.New(result.NoBackend, "the configuration is older than version %d", head.ConfigVersion)
+	}
 	route, found := matchRoute(config, c)
 	if !found || route.Kind == routes.Batch || !route.Allows(c.Service) {
 		return head, nil, result.New(result.UnknownEndpoint, "configuration %d has no route to service %s for %.64q", config.Version(), c.Service, c.Target)
--- a/internal/serving/forward/passing.go
+++ b/internal/serving/forward/passing.go
@@ -44,6 +44,9 @@
 	// MaxWait bounds the wait for a slot.
 	MaxWait time.Duration
 	Resume  exchange.Resume
+	// Begun is set if the caller has a part of the answer, so that the call keeps its
+	// service whatever the configuration has become since.
+	Begun bool
 	// AvoidHosts names hosts that are not asked if another can be.
 	AvoidHosts []string
 }
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -207,7 +207,9 @@
 		}
 	}
 	if cause := f.passOnCause(s.call, s.software, &s.reach); cause != "" && s.reach.refused == nil {
-		a, failure, unable := f.passOn(ctx, s.call, s.reach.order(s.software, s.avoid, s.maxWait(), s.resume()), cause, func(string, string) {})
+		order := s.reach.order(s.software, s.avoid, s.maxWait(), s.resume())
+		order.Begun = s.begun
+		a, failure, unable := f.passOn(ctx, s.call, order, cause, func(string, string) {})
 		if unable {
 			s.reach.refused = failure
 		} else if a != nil || failure != nil {
