Soak: each page of results is judged against all pages that ended before it was sent

At whatever host, and with no allowance for hosts out of touch: nothing at a position that a page had shown over settleMs (1 s) before, 404 or 410 for an accepted job, another result at a position, an item at two positions. The judgement of whole lists stays.

--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -74,6 +74,18 @@
 	Text string
 }
 
+// Page is one read of a job's results from a position on.
+type Page struct {
+	// Host and Start are as in Request.
+	Host, Start int
+	// After is the position asked for.
+	After       int
+	Sent, Ended time.Duration
+	// Status is the HTTP status, 0 for no complete response.
+	Status  int
+	Results []Result
+}
+
 // Job is one job of a caller and what the callers observed of it.
 type Job struct {
 	ID      string
@@ -88,6 +100,10 @@
 	// Lists are the lists of results, each read to its end, in the order in which
 	// they were read; the last one was read at the end of the run.
 	Lists [][]Result
+	// AcceptedAt is when the response to the accepted submission had been read, 0 for
+	// never. Pages are all reads of results, at all hosts.
+	AcceptedAt time.Duration
+	Pages      []Page
 }
 
 // Drain is a period in which a server was draining or its entry deleted. From is
@@ -148,7 +164,17 @@
 			takenUp++
 		}
 	}
-	return fmt.Sprintf("%d requests, %d served, %d broken off, %d taken up, %d runs, %d drains, %d jobs", len(h.Requests), served, broken, takenUp, len(h.Runs), len(h.Drains), len(h.Jobs))
+	pages, empty := 0, 0
+	for _, j := range h.Jobs {
+		for _, p := range j.Pages {
+			pages++
+			if p.Status == 200 && len(p.Results) == 0 {
+				empty++
+			}
+		}
+	}
+	return fmt.Sprintf("%d requests, %d served, %d broken off, %d taken up, %d runs, %d drains, %d jobs, %d pages, %d without results",
+		len(h.Requests), served, broken, takenUp, len(h.Runs), len(h.Drains), len(h.Jobs), pages, empty)
 }
 
 // CrashSummary says how often each request that crashes servers ran, and how many of
@@ -174,7 +200,8 @@
 	//   - twice: a second run of a request that may run at most once, or a result
 	//     that is listed twice or replaced
 	//   - refused: a run of a request or job that was refused
-	//   - lost: a missing response or result
+	//   - lost: a missing response or result, a page without a result that had been
+	//     read, or an accepted job that is denied
 	//   - config: a host that went back to an older configuration
 	//   - drain: a run at a server that was draining
 	//   - budget: runs at more servers than the request may have, a run that is
@@ -211,6 +238,9 @@
 	maxClosed = 3
 	// deadlineSlack is by how much a run may be given more time than is left.
 	deadlineSlack = 500 * time.Millisecond
+	// settle is how long after a result was read, or a job accepted, a host may not know
+	// of it (the platform's settleMs).
+	settle = time.Second
 	// rollbackSlack is how long a host may still apply an older configuration after
 	// a newer one was observed at it (rollbackSlackMs).
 	rollbackSlack = 250 * time.Millisecond
@@ -423,6 +453,7 @@
 		v.checkResults(j, items, previous, results)
 		previous = results
 	}
+	v.checkPages(j, previous)
 	listed := make(map[string]bool, len(previous))
 	for _, result := range previous {
 		listed[result.ID] = true
@@ -465,6 +496,53 @@
 	}
 }
 
+// checkPages checks each page against the job's last list and against all pages that
+// ended before it was sent, at whatever host. It makes no allowance for hosts out of
+// touch, which can refuse a read.
+func (v *verifier) checkPages(j Job, last []Result) {
+	at := make(map[int]Result, len(j.Items))
+	position := make(map[string]int, len(j.Items))
+	show := func(p Page, from int, results []Result) {
+		for i, result := range results {
+			held, shown := at[from+i]
+			first, listed := position[result.ID]
+			switch {
+			case shown && held != result:
+				v.report("twice", "position %d of job %s holds %s, and %s on the page that host %d sent at %s", from+i, j.ID, held.ID, result.ID, p.Host, p.Ended)
+			case listed && first != from+i:
+				v.report("twice", "job %s lists %s at %d, and at %d on the page that host %d sent at %s", j.ID, result.ID, first, from+i, p.Host, p.Ended)
+			}
+			at[from+i], position[result.ID] = result, from+i
+		}
+	}
+	show(Page{}, 0, last)
+	pages := slices.Clone(j.Pages)
+	slices.SortFunc(pages, func(a, b Page) int { return cmp.Compare(a.Ended, b.Ended) })
+	for _, p := range pages {
+		show(p, p.After, p.Results)
+	}
+	bySending := slices.Clone(pages)
+	slices.SortFunc(bySending, func(a, b Page) int { return cmp.Compare(a.Sent, b.Sent) })
+	// shown is the number of results that pages which ended settle ago or earlier had
+	// shown, by the last of them that showed more than those before.
+	shown := 0
+	var by Page
+	for _, p := range bySending {
+		for len(pages) > 0 && pages[0].Ended+settle < p.Sent {
+			if end := pages[0].After + len(pages[0].Results); len(pages[0].Results) > 0 && end > shown {
+				shown, by = end, pages[0]
+			}
+			pages = pages[1:]
+		}
+		switch {
+		case p.Status == 200 && len(p.Results) == 0 && p.After < shown:
+			v.report("lost", "host %d (start %d), asked at %s, had nothing at position %d of job %s, of which host %d had shown %d results at %s", p.Host, p.Start, p.Sent, p.After, j.ID, by.Host, shown, by.Ended)
+		case (p.Status == 404 || p.Status == 410) && j.AcceptedAt > 0 && p.Sent > j.AcceptedAt+settle:
+			v.report("lost", "host %d (start %d), asked at %s, answered %d for job %s, accepted at %s", p.Host, p.Start, p.Sent, p.Status, j.ID, j.AcceptedAt)
+		}
+	}
+}
+
 // checkDrains checks that draining servers receive no new requests through hosts
 // that were in touch, and none at all if no fault may have kept a host from learning
 // of the drain.
--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -255,3 +255,44 @@
 	Entry("an item that ran long after the job's end", "unasked", func(_ *checker.History, j *checker.Job) { j.EndRequested, j.EndedAt = true, 6*second }),
 	Entry("an item at another service", "route", func(h *checker.History, _ *checker.Job) { h.Runs[0].Service = "t" }),
 )
+
+// page returns a page of job at a host, asked for from a position at a time and answered
+// 0.1 s later.
+func page(host int, at time.Duration, after, status int, results ...checker.Result) checker.Page {
+	return checker.Page{Host: host, Start: 1, After: after, Sent: at, Ended: at + second/10, Status: status, Results: results}
+}
+
+var _ = DescribeTable("violations of pages", func(rule string, pages ...checker.Page) {
+	j := job()
+	j.AcceptedAt, j.Pages = 5*second, pages
+	violations := checker.Check(checker.History{Runs: []checker.Run{run()}, Jobs: []checker.Job{j}, Plan: plan.Plan{
+		Faults: []plan.Fault{{Kind: plan.Pause, Target: 1, Start: second, Duration: 30 * second}},
+	}})
+	if rule == "" {
+		Expect(violations).To(BeEmpty())
+		return
+	}
+	Expect(violations).To(ConsistOf(HaveField("Rule", rule)))
+},
+	Entry("a result at each host, and nothing after it", "", page(0, 7*second, 0, 200, result("q")), page(1, 9*second, 0, 200, result("q")), page(1, 9*second, 1, 200)),
+	Entry("nothing at a position that another host has shown", "lost", page(0, 7*second, 0, 200, result("q")), page(1, 9*second, 0, 200)),
+	Entry("nothing at a position that the same host has shown", "lost", page(0, 7*second, 0, 200, result("q")), page(0, 9*second, 0, 200)),
+	Entry("nothing at a position that was shown before the last page", "lost", page(0, 7*second, 0, 200, result("q")), page(0, 7500*time.Millisecond, 1, 200), page(0, 9*second, 0, 200)),
+	Entry("nothing at the first of two positions, the second of which was shown", "lost",
+		page(0, 7*second, 1, 200, result("r")), page(1, 9*second, 0, 200), page(0, 10*second, 0, 200, result("q"))),
+	Entry("nothing, asked at a second after the position was read", "", page(0, 7*second, 0, 200, result("q")), page(1, 8100*time.Millisecond, 0, 200)),
+	Entry("nothing, asked at 1.001 s after the position was read", "lost", page(0, 7*second, 0, 200, result("q")), page(1, 8101*time.Millisecond, 0, 200)),
+	Entry("nothing, asked for before the position was read and answered long after it", "",
+		page(0, 7*second, 0, 200, result("q")), checker.Page{Host: 1, Sent: 6 * second, Ended: 20 * second, Status: 200}),
+	Entry("a refusal, and no response, where a result was read", "", page(0, 7*second, 0, 200, result("q")), page(1, 9*second, 0, 503), page(1, 10*second, 0, 0)),
+	Entry("404 for an accepted job", "lost", page(1, 9*second, 0, 404)),
+	Entry("410 for an accepted job", "lost", page(1, 9*second, 0, 410)),
+	Entry("404 a second after the acceptance", "", page(1, 6*second, 0, 404)),
+	Entry("another result than on a page a moment before", "twice", page(0, 7*second, 1, 200, result("r")), page(1, 7*second, 1, 200, result("s"))),
+	Entry("another result than in the last list", "twice", page(0, 7*second, 0, 200, result("r"))),
+	Entry("another text", "twice", page(0, 7*second, 0, 200, checker.Result{ID: "q", Done: true, Text: "abd"})),
+	Entry("an item at two positions", "twice", page(0, 7*second, 1, 200, result("q"))),
+)
+
+// result returns the result of an item.
+func result(id string) checker.Result { return checker.Result{ID: id, Done: true, Text: "abc"} }
