--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -82,8 +82,11 @@
 	After       int
 	Sent, Ended time.Duration
 	// Status is the HTTP status, 0 for no complete response.
-	Status  int
-	Results []Result
+	Status int
+	// Total and Next are the number of the job's items and the position after the page,
+	// as it names them.
+	Total, Next int
+	Results     []Result
 }
 
 // Job is one job of a caller and what the callers observed of it.
@@ -537,6 +540,8 @@
 		switch {
 		case p.Status == 200 && len(p.Results) == 0 && p.After < shown:
 			v.report("lost", "host %d (start %d), asked at %s, had nothing at position %d of job %s, of which host %d had shown %d results at %s", p.Host, p.Start, p.Sent, p.After, j.ID, by.Host, shown, by.Ended)
+		case p.Status == 200 && (p.Total != len(j.Items) || p.Next != p.After+len(p.Results)):
+			v.report("mixed", "host %d, asked at %s for position %d of job %s, which has %d items, sent %d results, total %d and next %d", p.Host, p.Sent, p.After, j.ID, len(j.Items), len(p.Results), p.Total, p.Next)
 		case (p.Status == 404 || p.Status == 410) && j.AcceptedAt > 0 && p.Sent > j.AcceptedAt+settle:
 			v.report("lost", "host %d (start %d), asked at %s, answered %d for job %s, accepted at %s", p.Host, p.Start, p.Sent, p.Status, j.ID, j.AcceptedAt)
 		}
--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -259,7 +259,7 @@
 // page returns a page of job at a host, asked for from a position at a time and answered
 // 0.1 s later.
 func page(host int, at time.Duration, after, status int, results ...checker.Result) checker.Page {
-	return checker.Page{Host: host, Start: 1, After: after, Sent: at, Ended: at + second/10, Status: status, Results: results}
+	return checker.Page{Host: host, Start: 1, After: after, Sent: at, Ended: at + second/10, Status: status, Total: 1, Next: after + len(results), Results: results}
 }
 
 var _ = DescribeTable("violations of pages", func(rule string, pages ...checker.Page) {
@@ -283,7 +283,7 @@
 	Entry("nothing, asked at a second after the position was read", "", page(0, 7*second, 0, 200, result("q")), page(1, 8100*time.Millisecond, 0, 200)),
 	Entry("nothing, asked at 1.001 s after the position was read", "lost", page(0, 7*second, 0, 200, result("q")), page(1, 8101*time.Millisecond, 0, 200)),
 	Entry("nothing, asked for before the position was read and answered long after it", "",
-		page(0, 7*second, 0, 200, result("q")), checker.Page{Host: 1, Sent: 6 * second, Ended: 20 * second, Status: 200}),
+		page(0, 7*second, 0, 200, result("q")), checker.Page{Host: 1, Sent: 6 * second, Ended: 20 * second, Status: 200, Total: 1}),
 	Entry("a refusal, and no response, where a result was read", "", page(0, 7*second, 0, 200, result("q")), page(1, 9*second, 0, 503), page(1, 10*second, 0, 0)),
 	Entry("404 for an accepted job", "lost", page(1, 9*second, 0, 404)),
 	Entry("410 for an accepted job", "lost", page(1, 9*second, 0, 410)),
@@ -291,6 +291,8 @@
 	Entry("another result than on a page a moment before", "twice", page(0, 7*second, 1, 200, result("r")), page(1, 7*second, 1, 200, result("s"))),
 	Entry("another result than in the last list", "twice", page(0, 7*second, 0, 200, result("r"))),
 	Entry("another text", "twice", page(0, 7*second, 0, 200, checker.Result{ID: "q", Done: true, Text: "abd"})),
+	Entry("a wrong total", "mixed", checker.Page{Sent: 9 * second, Ended: 9 * second, Status: 200, Total: 2}),
+	Entry("a position after the page that is skipped", "mixed", checker.Page{Sent: 9 * second, Ended: 9 * second, Status: 200, Total: 1, Next: 1}),
 	Entry("an item at two positions", "twice", page(0, 7*second, 1, 200, result("q"))),
 )
 
