--- /dev/null
+++ b/internal/soak/plan/away.go
@@ -0,0 +1,113 @@
+package plan
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// A host is away for longer than a take-over of its jobs takes: the lease of a small
+	// fleet is 2.5 s.
+	minAway, maxAway = 4 * time.Second, 9 * time.Second
+	// Absences begin between minAwayGap and maxAwayGap apart in a fleet of awayFleet hosts
+	// or fewer, more often in a larger one, but at most maxOften times as often.
+	minAwayGap, maxAwayGap = 2500 * time.Millisecond, 7 * time.Second
+	awayFleet, maxOften    = 3, 4
+	// maxBehind is how long a host that goes on still has no store, or is back before it
+	// stands still again.
+	maxBehind = 3 * time.Second
+	// A configuration beside the return of a host comes up to maxBeside before or after it.
+	maxBeside = 700 * time.Millisecond
+	// outageProbability is the probability that an outage of the store for all hosts, or
+	// a fault of a server, comes beside an absence.
+	outageProbability = 0.2
+)
+
+// absence is one way in which a host is away and comes back.
+type absence uint8
+
+const (
+	pausedOnce absence = iota
+	// pausedTwice stands still again soon after it went on.
+	pausedTwice
+	// pausedAndCut goes on without the store.
+	pausedAndCut
+	// cutAndPaused stands still while it has no store, and goes on with it.
+	cutAndPaused
+	// cutOnly goes on without the store.
+	cutOnly
+	// cutTwice loses the store again soon after it had it back.
+	cutTwice
+	absenceCount
+)
+
+// String names the absence.
+func (a absence) String() string {
+	return [...]string{"paused", "paused twice", "paused, back without store", "paused in a cut", "cut", "cut twice"}[a]
+}
+
+// cuts are the faults that keep a host from the store.
+var cuts = []Kind{StoreSilent, StoreRefuses, StoreDropsReplies}
+
+// NewAway returns a plan in which hosts are away for longer than a take-over of their jobs
+// takes and then come back, in half of the cases beside a change of the configuration.
+func NewAway(seed uint64, s Sizes) Plan {
+	r := rand.New(rand.NewPCG(seed, 4))
+	p := Plan{Seed: seed}
+	add := func(k Kind, target int, at, duration time.Duration) {
+		p.Faults = append(p.Faults, Fault{Kind: k, Target: target, Start: at, Duration: duration})
+	}
+	// order is the order in which hosts are away, so that two that overlap differ.
+	order := r.Perm(s.Hosts)
+	n := 0
+	often := time.Duration(min(max(1, s.Hosts/awayFleet), maxOften))
+	for at := maxAwayGap / 2; at < s.Length; at += randomDuration(r, minAwayGap, maxAwayGap) / often {
+		host := order[n%len(order)]
+		n++
+		form, cut := absence(r.IntN(int(absenceCount))), cuts[r.IntN(len(cuts))]
+		away, behind := randomDuration(r, minAway, maxAway), randomDuration(r, minGap, maxBehind)
+		back := at + away
+		switch form {
+		case pausedOnce:
+			add(Pause, host, at, away)
+		case pausedTwice:
+			add(Pause, host, at, away)
+			add(Pause, host, back+behind, away/2)
+		case pausedAndCut:
+			add(Pause, host, at, away)
+			add(cut, host, back-minDuration, minDuration+behind)
+		case cutAndPaused:
+			add(cut, host, at, away-minGap)
+			add(Pause, host, at+minDuration, away-minDuration)
+		case cutOnly:
+			add(cut, host, at, away)
+		case cutTwice:
+			add(cut, host, at, away)
+			add(cut, host, back+behind, away/2)
+		}
+		cell := form.String()
+		if form != pausedOnce && form != pausedTwice {
+			cell += fmt.Sprintf(" (%s)", cut)
+		}
+		if r.IntN(2) == 0 {
+			change := Change(r.IntN(int(ChangeCount)))
+			p.Faults = append(p.Faults, Fault{Kind: Configure, Start: back + randomDuration(r, -maxBeside, maxBeside), Change: change})
+			cell += " + " + change.String()
+		}
+		if r.Float64() < outageProbability {
+			f := randomFault(r, s, at+randomDuration(r, 0, away))
+			if !f.Kind.TargetsHost() {
+				p.Faults = append(p.Faults, f)
+				cell += " + " + f.Kind.String()
+			}
+		}
+		p.Cells = append(p.Cells, cell)
+	}
+	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.Start - b.Start) })
+	for _, f := range p.Faults {
+		p.FaultsEnd = max(p.FaultsEnd, f.Start+f.Duration)
+	}
+	return p
+}
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -98,6 +98,30 @@
 	Start time.Duration
 	// Duration is how long the fault lasts.
 	Duration time.Duration
+	// Change is what a new configuration changes besides adding a route, if the Kind is
+	// Configure.
+	Change Change
+}
+
+// Change is a change of the configuration.
+type Change uint8
+
+// The changes of the configuration.
+const (
+	ChangeNone Change = iota
+	ChangeWeight
+	ChangeTimeout
+	ChangeAttempts
+	ChangePriority
+	ChangeCap
+	ChangeIdle
+	// ChangeCount is the number of changes.
+	ChangeCount
+)
+
+// String names the change.
+func (c Change) String() string {
+	return [...]string{"route", "weight", "timeout", "attempts", "priority", "cap", "idle"}[c]
 }
 
 // SparesHost reports whether a host stays in touch during the fault: it affects
@@ -117,6 +141,8 @@
 	Faults []Fault
 	// FaultsEnd is when the last fault ends and recovery can begin.
 	FaultsEnd time.Duration
+	// Cells name the combinations of faults that the plan drew, if it draws any.
+	Cells []string
 }
 
 // Sizes describes the run for which a plan is generated.
@@ -200,7 +226,11 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "seed %d\n", p.Seed)
 	for _, f := range p.Faults {
-		fmt.Fprintf(&b, "%7.3f s  %s %d for %.3f s\n", f.Start.Seconds(), f.Kind, f.Target, f.Duration.Seconds())
+		fmt.Fprintf(&b, "%7.3f s  %s %d for %.3f s", f.Start.Seconds(), f.Kind, f.Target, f.Duration.Seconds())
+		if f.Change != ChangeNone {
+			fmt.Fprintf(&b, ", %s", f.Change)
+		}
+		b.WriteByte('\n')
 	}
 	return b.String()
 }
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -1,6 +1,7 @@
 package plan_test
 
 import (
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -70,6 +71,35 @@
 		}
 	})
 
+	It("keeps hosts away for longer than a take-over takes, the same for equal seeds, and over 40 seeds yields every form and change", func() {
+		cells, changes := map[string]int{}, map[plan.Change]int{}
+		for seed := range uint64(40) {
+			p := plan.NewAway(seed, sizes)
+			Expect(p.String()).To(Equal(plan.NewAway(seed, sizes).String()))
+			away := 0
+			for _, f := range p.Faults {
+				Expect(f.Start).To(BeNumerically(">=", 0))
+				Expect(f.Start + f.Duration).To(BeNumerically("<=", p.FaultsEnd))
+				switch {
+				case f.Kind == plan.Configure:
+					changes[f.Change]++
+				case f.Kind.TargetsHost():
+					Expect(f.Target).To(BeNumerically("<", sizes.Hosts))
+					if f.Duration > 3500*time.Millisecond {
+						away++
+					}
+				}
+			}
+			Expect(away).To(BeNumerically(">=", len(p.Cells)))
+			for _, cell := range p.Cells {
+				form, _, _ := strings.Cut(cell, " +")
+				cells[form]++
+			}
+		}
+		Expect(cells).To(HaveLen(14), "two forms of pauses, and four with each of three cuts")
+		Expect(changes).To(HaveLen(7))
+	})
+
 	It("reports whether only allowed faults overlap a period", func() {
 		p := plan.Plan{Faults: []plan.Fault{{Kind: plan.Stop, Start: 2 * time.Second, Duration: time.Second}, {Kind: plan.Kill, Start: 5 * time.Second, Duration: time.Second}}}
 		graceful := func(f plan.Fault) bool { return f.Kind.Graceful() }
