--- a/internal/batch/ownership/other_ways_test.go
+++ b/internal/batch/ownership/other_ways_test.go
@@ -149,7 +149,7 @@
 	// record and its own knowledge of it.
 	DescribeTable("if another host takes a job over from a new owner that stands still in its take-over,", func(hold func(*host) *gate, completed bool, prevent func(*fleet)) {
 		f, r := newHalfListed("A", "B", "C", "D")
-		f.noScanners = true
+		f.noScanners.Store(true)
 		f.leave("A")
 		f.hosts["A"].cutOff.Store(true)
 		hostB := f.hosts["B"]
@@ -162,13 +162,13 @@
 		}()
 		Eventually(held.reached, waitTimeout).Should(BeClosed())
 		f.leave("B")
-		f.noScanners = false
+		f.noScanners.Store(false)
 		f.takenFrom("A", "B")
 		if completed {
 			close(f.servers.block)
 			r.readUntil(2, "C", "D")
 		}
-		f.noScanners = true
+		f.noScanners.Store(true)
 		prevent(f)
 		hostB.dead.Store(false)
 		held.release()
@@ -303,7 +303,7 @@
 	// Guards against a restarted host that goes on with a job which another one has taken.
 	DescribeTable("if an owner is started again while another host takes its job over,", func(hold func(*host) *gate, completed bool) {
 		f, r := newHalfListed("A", "B", "C")
-		f.noScanners = true
+		f.noScanners.Store(true)
 		f.leave("A")
 		f.hosts["A"].Kill()
 		config := new(routes.Holder)
@@ -312,7 +312,7 @@
 		hostA := f.addHostWith("A", "A/2", config, func(h *host) { held = hold(h) })
 		f.eventually(func(g Gomega) { g.Expect(held.reached).To(BeClosed()) })
 		f.leave("A")
-		f.noScanners = false
+		f.noScanners.Store(false)
 		f.takenFrom("A")
 		close(f.servers.block)
 		if completed {
