Forward: events of a silent server are passed on while a place elsewhere is looked for

The search for a place, which may take the rest of the call's time, stood in the way of the events of a server that went on meanwhile. It runs beside them now, and is given up with the next event. The new spec failed before (the answer came with the end of the call's time), passes now.

--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -278,6 +278,22 @@
 	return s.Slots.PlaceOnline(ctx, service, software, avoid, maxWait)
 }
 
+// lateSlots places the first call at once, and each later one only once its caller has
+// given up waiting.
+type lateSlots struct {
+	*slots.Slots
+	asked bool
+}
+
+func (s *lateSlots) PlaceOnline(ctx context.Context, service, software string, avoid map[string]bool, maxWait time.Duration) (scheduler.Choice, int) {
+	if s.asked {
+		<-ctx.Done()
+		ctx = context.WithoutCancel(ctx)
+	}
+	s.asked = true
+	return s.Slots.PlaceOnline(ctx, service, software, avoid, maxWait)
+}
+
 var _ = Describe("a forwarder", func() {
 	var (
 		s         *scriptedServers
@@ -537,6 +553,31 @@
 		Entry("there is room later", scriptedReply{body: numberedEvents(1, 2), rest: "too late"}, 2, []string{"a", "b"}),
 	)
 
+	// Guards against events that wait until a place elsewhere is found or refused.
+	It("passes a silent server's events on as soon as it goes on, while it looks for a place elsewhere", func() {
+		s, out = &scriptedServers{replies: []scriptedReply{{body: numberedEvents(1, 2), pause: 200 * time.Millisecond, rest: numberedEvents(3, 4)}}}, &recordingWriter{}
+		directory = backend.NewDirectory(func(backend.Server, string) {})
+		for _, id := range []string{"a", "b"} {
+			directory.Put(backend.Server{ID: id, Service: "s", Address: id, Zone: "z", Slots: 4, SoftwareVersion: "v1"})
+		}
+		placer := scheduler.New("A", "z", func() float64 { return 0.5 }, func() {})
+		places := &lateSlots{Slots: slots.New(timer.Real{}, logr.Discard(), notice.Member{Host: "A", Zone: "z"}, placer, directory, slots.Alone{}, func() {})}
+		route := routes.Route{
+			Kind: routes.Stream, Resumable: true, MaxAttempts: 2, Timeout: time.Minute, Objective: 20 * time.Millisecond, PauseObjective: 80 * time.Millisecond,
+			Shares: []routes.Share{{Service: "s", Weight: 1}},
+		}
+		callCtx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		_, failure := forward.New(timer.Real{}, logr.Discard(), s, directory, places, newGuard(), &keptOrigins{}, admit{}).Serve(callCtx, &exchange.Call{ID: "1", Route: &route, Received: time.Now()}, out)
+		Expect(failure).To(BeNil())
+		Expect(out.body.String()).To(Equal(numberedEvents(1, 4)))
+		Expect(s.sent).To(HaveLen(1))
+		Eventually(func() int {
+			loads, _ := placer.LocalState(time.Now())
+			return len(loads)
+		}).Should(BeZero(), "the place that was found too late is given back")
+	})
+
 	Describe("a stream that its caller takes up", func() {
 		var recorder *waitRecorder
 		takeUp := func(attempts []string, replies ...scriptedReply) *result.Error {
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -234,35 +235,74 @@
 	return s.forwarder.send(ctx, s.call, choice, s.resume())
 }
 
-// leave takes the place of the next attempt for a stream whose server fell silent, and
-// reports whether the stream may leave that server: while no other has room, it may
-// still go on. A place at another host's servers can't be taken before.
-func (s *streamSession) leave(ctx context.Context, att *attempt) bool {
-	f := s.forwarder
-	switch {
-	case s.reach.refused == nil:
-		if f.passOnCause(s.call, s.software, &s.reach) != "" {
-			return true
-		}
-	case !s.reach.mayTry():
-		return false
-	}
-	choice, refusal := f.place(ctx, s.call, s.software, s.avoid, s.maxWait())
-	if refusal != nil {
-		if !s.stayed {
-			f.log.Info("stays with a silent server", "request", s.call.ID, "server", att.server.ID, "software", s.software, "cause", refusal.Error())
+// search looks for a place for the next attempt while the server of the present one is
+// silent. Its zero value is none.
+type search struct {
+	found  chan place
+	cancel context.CancelFunc
+}
+
+// place is what a search found.
+type place struct {
+	choice  scheduler.Choice
+	refusal *result.Error
+}
+
+// search starts a search for a place.
+func (s *streamSession) search(ctx context.Context) search {
+	ctx, cancel := context.WithCancel(ctx)
+	found := make(chan place, 1)
+	software, avoid, wait := s.software, maps.Clone(s.avoid), s.maxWait()
+	go func() {
+		choice, refusal := s.forwarder.place(ctx, s.call, software, avoid, wait)
+		found <- place{choice, refusal}
+	}()
+	return search{found, cancel}
+}
+
+// abandon ends a search, if there is one, and gives back what it finds.
+func (s *streamSession) abandon(search *search) {
+	if search.found == nil {
+		return
+	}
+	search.cancel()
+	found := search.found
+	search.found = nil
+	go func() {
+		if p := <-found; p.refusal == nil {
+			s.giveBack(p.choice)
 		}
-		s.stayed = true
-		return false
+	}()
+}
+
+// giveBack frees a place at which no attempt was made.
+func (s *streamSession) giveBack(choice scheduler.Choice) {
+	s.forwarder.slots.EndOnline(s.forwarder.timer.Now(), choice, 0, scheduler.Unknown)
+}
+
+// mayLeave reports whether a stream whose server fell silent may leave it at once, since
+// another host is to go on with it, or may look for a place at another server. The
+// place at another host's servers can't be taken before.
+func (s *streamSession) mayLeave() (atOnce, maySearch bool) {
+	if s.reach.refused == nil {
+		atOnce = s.forwarder.passOnCause(s.call, s.software, &s.reach) != ""
+		return atOnce, !atOnce
+	}
+	return false, s.reach.mayTry()
+}
+
+// stay records that there is no place for a stream whose server fell silent.
+func (s *streamSession) stay(att *attempt, refusal *result.Error) {
+	if !s.stayed {
+		s.forwarder.log.Info("stays with a silent server", "request", s.call.ID, "server", att.server.ID, "software", s.software, "cause", refusal.Error())
 	}
-	s.next, s.stayed = choice, false
-	return true
+	s.stayed = true
 }
 
 // release gives the place of an attempt back that was not made.
 func (s *streamSession) release() {
 	if s.next.Placed {
-		s.forwarder.slots.EndOnline(s.forwarder.timer.Now(), s.next, 0, scheduler.Unknown)
+		s.giveBack(s.next)
 	}
 }
 
@@ -315,6 +355,8 @@
 	s.lastEvent = f.timer.Now()
 	idleTimer := time.NewTimer(s.idleTimeout())
 	defer idleTimer.Stop()
+	var searching search
+	defer s.abandon(&searching)
 	for {
 		select {
 		case <-ctx.Done():
@@ -324,12 +366,26 @@
 			if !s.canFailOver(att) || !s.hasOther() {
 				continue
 			}
-			if s.leave(ctx, att) {
-				f.end(att, scheduler.Unreachable)
-				return result.New(result.BackendSilent, "server %s fell silent", att.server.ID).WithRan(result.RanYes)
+			switch atOnce, maySearch := s.mayLeave(); {
+			case atOnce:
+				return s.leave(att)
+			case maySearch:
+				searching = s.search(ctx)
+			default:
+				idleTimer.Reset(s.idleTimeout())
+			}
+		case p := <-searching.found:
+			searching.cancel()
+			searching.found = nil
+			if p.refusal == nil {
+				s.next, s.stayed = p.choice, false
+				return s.leave(att)
 			}
+			s.stay(att, p.refusal)
 			idleTimer.Reset(s.idleTimeout())
 		case next := <-chunks:
+			// The server goes on.
+			s.abandon(&searching)
 			err := s.deliver(att, &splitter, next.data)
 			if err == nil {
 				err = held.Resize(len(splitter.Remainder()))
@@ -366,6 +422,12 @@
 	}
 }
 
+// leave ends the attempt at a server that fell silent.
+func (s *streamSession) leave(att *attempt) *result.Error {
+	s.forwarder.end(att, scheduler.Unreachable)
+	return result.New(result.BackendSilent, "server %s fell silent", att.server.ID).WithRan(result.RanYes)
+}
+
 // endedEarly reports whether an answer that ended without an error may have been
 // cut off. Only the end of its connection ends an unframed answer, and a crash
 // looks the same. Without any event it shows nothing but its head, so that not
