Jobs: an owner denies no result once its record names an heir

Callers saw 200 and no results at a position that had been read. An owner that is cut off from all servers writes several jobs' heirs at once; the reply is lost, and it reads each record to learn the outcome. Once one was read it counted as proved, while the job was removed from memory only after all had been read. The heir, which lists results at once as it was released, had listed some by then.

A job whose record names another owner now counts as not owned by reads; they go on to the heir.

No record or message changes.

--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -421,6 +421,13 @@
 	return true
 }
 
+// owns reports whether a job is this host's as far as it knows: it was neither dropped
+// nor handed over to an heir. The caller holds m.mu.
+func (m *Manager) owns(j *ownedJob) bool {
+	r := j.job.Record()
+	return m.jobs[r.ID] == j && r.Owner == m.Host
+}
+
 // noteUnlisted starts the flush delay of results that are not listed yet, unless it
 // runs already.
 func (j *ownedJob) noteUnlisted(now time.Time) {
--- a/internal/batch/ownership/reading.go
+++ b/internal/batch/ownership/reading.go
@@ -83,7 +83,7 @@
 	for {
 		m.mu.Lock()
 		record, results, changed := j.job.Record(), j.job.Results(), j.changed
-		owned, complete := m.jobs[record.ID] == j, j.job.Complete()
+		owned, complete := m.owns(j), j.job.Complete()
 		age, revision := j.claim.ListAge(m.Timer.Uptime()), j.revision
 		m.mu.Unlock()
 		if !owned {
--- a/internal/batch/ownership/recordcheck.go
+++ b/internal/batch/ownership/recordcheck.go
@@ -61,7 +61,7 @@
 	for {
 		m.mu.Lock()
 		id := j.job.Record().ID
-		owned, proved := m.jobs[id] == j, j.job.Complete() || j.claim.MayDeny(m.Timer.Uptime())
+		owned, proved := m.owns(j), j.job.Complete() || j.claim.MayDeny(m.Timer.Uptime())
 		m.mu.Unlock()
 		if !owned {
 			return result.New(result.LeaseLost, "job %.64q is not this host's any more", id)
