Jobs: an heir is released only once the owner before has stopped denying results

Callers saw 200 and no results at a position that had been read. A host that had just taken a job over, and still waited for the proofs of the former owner to end, handed it over with released set. The heir then listed results at once, while the former owner could still deny them for the rest of its 1.5 s.

Released is now set only if the owner itself may list results; otherwise the heir waits as after any take-over.

No format changes.

--- a/internal/batch/jobstate/record.go
+++ b/internal/batch/jobstate/record.go
@@ -21,9 +21,9 @@
 	Host  string `json:"host"`
 	// Owner is the host that runs the job; it is empty if there is none.
 	Owner string `json:"owner,omitempty"`
-	// Released is set if the host that named Owner was the owner until then, and has
-	// answered nothing from memory since. It is not set by a host that takes the job
-	// over from another one.
+	// Released is set if the host that named Owner was the owner until then, has
+	// answered nothing from memory since, and no owner before it does so any more. It
+	// is not set by a host that takes the job over from another one.
 	Released bool `json:"released,omitempty"`
 	// Serial increases with each change and Writer identifies the process that
 	// made it. Together they show whether a write took effect whose reply was
--- a/internal/batch/ownership/evacuate.go
+++ b/internal/batch/ownership/evacuate.go
@@ -111,7 +111,7 @@
 		}
 		bytes += size
 		c := m.newChange(j, added)
-		c.after.Owner, c.after.Released, c.partials = rendezvous.First(heirs, id), true, partials
+		c.after.Owner, c.after.Released, c.partials = rendezvous.First(heirs, id), j.claim.MayList(m.Timer.Uptime()), partials
 		group = append(group, c)
 	}
 	return group
--- a/internal/batch/ownership/heir_test.go
+++ b/internal/batch/ownership/heir_test.go
@@ -46,4 +46,33 @@
 			r.expectSound(1, 40)
 		}
 	})
+
+	// Guards against a named heir that does not wait for the owner before the one that
+	// named it.
+	DescribeTable("if it has just taken the job over,", func(handOver func(*host)) {
+		f := newFleet("A", "B", "C")
+		f.servers.block = make(chan struct{})
+		hostA := f.hosts["A"]
+		hostA.directory.Remove(f.clock.Now(), backendServer.ID, 0)
+		Expect(hostA.Submit(ctx, submission("j", 1, 1))).To(BeNil())
+		f.leave("A")
+		hostA.cutOff.Store(true)
+		f.takenFrom("A")
+		next, heir := f.ownerOf("j"), "C"
+		if next == "C" {
+			heir = "B"
+		}
+		handOver(f.hosts[next])
+		close(f.servers.block)
+		r := &readers{fleet: f, job: "j"}
+		f.eventually(func(g Gomega) {
+			r.read(heir, "A")
+			g.Expect(r.seen).To(HaveLen(1))
+		})
+		r.readFor(2*time.Second, heir, "A")
+		r.expectSound(1, 20)
+	},
+		Entry("and stops", func(h *host) { go h.Stop(ctx) }),
+		Entry("and is cut off from all servers", func(h *host) { h.setServersCut(true) }),
+	)
 })
--- a/internal/batch/ownership/owning.go
+++ b/internal/batch/ownership/owning.go
@@ -406,7 +406,7 @@
 		delete(m.jobs, id)
 		j.notify()
 		c := m.newChange(j, nil)
-		c.after.Owner, c.after.Released, c.partials = m.successor(c.after.ID), true, j.job.Partials(maxPartialBytes)
+		c.after.Owner, c.after.Released, c.partials = m.successor(c.after.ID), j.claim.MayList(m.Timer.Uptime()), j.job.Partials(maxPartialBytes)
 		group = append(group, c)
 	}
 	m.mu.Unlock()
