Jobs: a job is removed only if its record is unchanged since the list that named it was read

An accepted job was lost: scans read the records by RangeStale, which may be some seconds old, and removed the keys of an old job without a condition. A job of the same ID that another host had accepted after the first removal went with them.

Each transaction of a removal now compares the record's revision; the record is deleted in the last one, so all of them find it unchanged.

The other specs show that an old list makes no host take a job over: the record is read before.

No format changes.

--- a/internal/batch/ownership/owning.go
+++ b/internal/batch/ownership/owning.go
@@ -52,16 +52,21 @@
 func (m *Manager) decodeRecords(entries []store.Entry) []jobstate.Record {
 	records := make([]jobstate.Record, 0, len(entries))
 	for _, e := range entries {
-		r, err := jobstate.DecodeRecord(e.Value)
-		if err != nil {
-			m.Log.Error(err, "record can't be read", "key", e.Key)
-			continue
+		if r, ok := m.decodeRecord(e); ok {
+			records = append(records, r)
 		}
-		records = append(records, r)
 	}
 	return records
 }
 
+func (m *Manager) decodeRecord(e store.Entry) (r jobstate.Record, ok bool) {
+	r, err := jobstate.DecodeRecord(e.Value)
+	if err != nil {
+		m.Log.Error(err, "record can't be read", "key", e.Key)
+	}
+	return r, err == nil
+}
+
 // reclaimOwned takes back the jobs that this host owned before it was started.
 // It retries until it has all of them, since in a large fleet this host may not
 // be one of the scanners.
@@ -113,7 +118,11 @@
 	gone, unreachable := make(map[string]bool), make(map[string]bool)
 	defer m.stalledJobs.Prune(now)
 	defer m.scheduleEarlyScan(gone)
-	for _, r := range m.decodeRecords(entries) {
+	for _, e := range entries {
+		r, ok := m.decodeRecord(e)
+		if !ok {
+			continue
+		}
 		m.mu.Lock()
 		_, owned := m.jobs[r.ID]
 		if !owned {
@@ -124,9 +133,9 @@
 		case owned && (r.Ended || r.Owner != m.Host):
 			// RangeStale may return an old record, so the current one is read.
 			m.refresh(r.ID)
-			m.removeOld(r, now)
+			m.removeOld(r, e.ModRevision, now)
 		case owned || !r.Open():
-			m.removeOld(r, now)
+			m.removeOld(r, e.ModRevision, now)
 		case r.Owner == m.Host:
 			m.takeOver(m.ctx, r.ID, m.Host)
 		case r.Owner == "" || m.gone(r.Owner, gone):
@@ -347,8 +356,10 @@
 }
 
 // removeOld deletes a complete job from the store once jobRetention has passed
-// since its acceptance, if this host is the scanner that is responsible for it.
-func (m *Manager) removeOld(r jobstate.Record, now time.Time) {
+// since its acceptance, if this host is the scanner that is responsible for it. The
+// record may be an old one, and a job of the same ID have been accepted since, so it
+// must still be at revision.
+func (m *Manager) removeOld(r jobstate.Record, revision int64, now time.Time) {
 	if r.Open() || now.Sub(r.Accepted) < jobRetention || !m.assignedHere(r.ID) {
 		return
 	}
@@ -362,7 +373,14 @@
 	}
 	keys = append(keys, jobstate.RecordKey(r.ID))
 	for batch := range slices.Chunk(keys, maxDeletes) {
-		if _, err := m.Store.Commit(m.ctx, store.Txn{Deletes: batch}); err != nil {
+		outcome, err := m.Store.Commit(m.ctx, store.Txn{
+			Compares: []store.Compare{{Key: jobstate.RecordKey(r.ID), Target: store.ModRevision, Revision: revision}},
+			Deletes:  batch,
+		})
+		if err == nil && !outcome.Succeeded {
+			err = errRecordChanged
+		}
+		if err != nil {
 			m.Log.Info("job not removed", "job", r.ID, "cause", err.Error())
 			return
 		}
