Jobs: a cached list that readers share is read under the lock

A reader that found a cached list compared its record after it had given up the lock, while another reader replaced that record. The compared number is the same in both, so no page was wrong; a data race it is nevertheless.

--- a/internal/batch/ownership/reading.go
+++ b/internal/batch/ownership/reading.go
@@ -196,8 +196,9 @@
 		}
 		m.mu.Lock()
 		cached, ok := m.resultCache.Get(m.Timer.Now(), id)
+		current := ok && cached.Record.ResultParts == r.ResultParts
 		m.mu.Unlock()
-		if !ok || cached.Record.ResultParts != r.ResultParts {
+		if !current {
 			results, err := loadParts(ctx, m.Store, jobstate.ResultPrefix(id), r.ResultParts, jobstate.DecodeResults)
 			if err != nil {
 				return ResultPage{}, result.New(result.StoreUnavailable, "%v", err).WithRetry(storeRetryAfter)
