Entry: a failure of another host that names no code is no answer

A read that was passed on, and was answered with a status other than 200 and a JSON object without a code, ended with a failure of code OK, which no failure may have and whose status is 200. The store was not asked. No host of ours is known to send such an answer.

Of the spec "shows the results of the store if the owner's answer is", the entry "a part of a page" failed before; "a failure without a code" was added with the change. Such an answer now counts as none, and the results are read from the store.

--- a/internal/fleet/entry/peers.go
+++ b/internal/fleet/entry/peers.go
@@ -173,7 +173,7 @@
 		return body, nil
 	}
 	var failure failureBody
-	if err := json.Unmarshal(body, &failure); err != nil {
+	if err := json.Unmarshal(body, &failure); err != nil || result.Code(failure.Code) == result.OK {
 		return nil, result.New(result.NoBackend, "status %d", resp.StatusCode)
 	}
 	return nil, failure.toError()
