--- a/internal/batch/ownership/reading.go
+++ b/internal/batch/ownership/reading.go
@@ -85,7 +85,7 @@
 	for {
 		m.mu.Lock()
 		record, results, changed := j.job.Record(), j.job.Results(), j.changed
-		owned, complete := m.jobs[record.ID] == j, j.job.Complete()
+		owned, complete := m.owns(j), j.job.Complete()
 		age, revision := j.claim.ListAge(m.Timer.Uptime()), j.revision
 		m.mu.Unlock()
 		if !owned {
@@ -198,8 +198,9 @@
 		}
 		m.mu.Lock()
 		cached, ok := m.resultCache.Get(m.Timer.Now(), id)
+		current := ok && cached.Record.ResultParts == r.ResultParts
 		m.mu.Unlock()
-		if !ok || cached.Record.ResultParts != r.ResultParts {
+		if !current {
 			results, err := loadParts(ctx, m.Store, jobstate.ResultPrefix(id), r.ResultParts, jobstate.DecodeResults)
 			if err != nil {
 				return ResultPage{}, result.New(result.StoreUnavailable, "%v", err).WithRetry(storeRetryAfter)
--- a/internal/batch/ownership/recordcheck.go
+++ b/internal/batch/ownership/recordcheck.go
@@ -42,10 +42,10 @@
 		case j.claim.MaySend(now) || now < j.unprovedUntil:
 			m.mu.Unlock()
 			return true
-		case now < m.unreadUntil:
+		case m.unread(now):
 			allowed := m.storeAway() && !j.claim.Disputed()
 			if !allowed {
-				j.heldUntil = m.Timer.Now().Add(m.unreadUntil - now)
+				j.heldUntil = m.Timer.Now().Add(max(minRefreshInterval, m.unreadUntil-now))
 			}
 			m.mu.Unlock()
 			return allowed
@@ -69,7 +69,7 @@
 		m.mu.Lock()
 		id := j.job.Record().ID
 		now := m.Timer.Uptime()
-		owned, proved, unread := m.jobs[id] == j, j.job.Complete() || j.claim.MayDeny(now), now < m.unreadUntil
+		owned, proved, unread := m.owns(j), j.job.Complete() || j.claim.MayDeny(now), m.unread(now)
 		m.mu.Unlock()
 		if !owned {
 			return result.New(result.LeaseLost, "job %.64q is not this host's any more", id)
@@ -129,6 +129,7 @@
 	}
 	check = &recordCheck{done: make(chan struct{})}
 	j.checking = check
+	m.checks++
 	id, began := j.job.Record().ID, m.Timer.Uptime()
 	m.mu.Unlock()
 
@@ -152,6 +153,7 @@
 		j.heldUntil = m.Timer.Now().Add(check.hold)
 	}
 	j.checking = nil
+	m.checks--
 	close(check.done)
 	m.mu.Unlock()
 	switch {
@@ -169,7 +171,7 @@
 // recordUnread decides what follows from a check that failed. The caller holds m.mu.
 func (m *Manager) recordUnread(j *ownedJob, check *recordCheck, began time.Duration, err error) {
 	// After a pause, the store may have been readable between the failures.
-	if m.unreadSince == 0 || began-m.unreadAt > m.EndWithin {
+	if !m.unreadLately(began) {
 		m.unreadSince = began
 	}
 	m.unreadAt = began
@@ -185,10 +187,23 @@
 	m.Log.Info("ownership not confirmed", "job", j.job.Record().ID, "items_sent", check.maySend, "unread_ms", (now - m.unreadSince).Milliseconds(), "cause", err.Error())
 }
 
+// unread reports whether no further check is to be made now: the last one failed a
+// moment ago, or another one tries whether the store is back. The caller holds m.mu.
+func (m *Manager) unread(now time.Duration) bool {
+	return now < m.unreadUntil || m.checks > 0 && m.unreadLately(now)
+}
+
+// unreadLately reports whether the last check failed, so lately that the store was hardly
+// readable since. The caller holds m.mu.
+func (m *Manager) unreadLately(now time.Duration) bool {
+	return m.unreadSince != 0 && now-m.unreadAt <= m.EndWithin
+}
+
 // storeAway reports whether the store counts as unavailable: no record could be read
 // for EndWithin. The caller holds m.mu.
 func (m *Manager) storeAway() bool {
-	return m.unreadSince != 0 && m.Timer.Uptime()-m.unreadSince >= m.EndWithin
+	now := m.Timer.Uptime()
+	return m.unreadLately(now) && now-m.unreadSince >= m.EndWithin
 }
 
 // compareRecord decides what follows from a check, which began at a time and returned
