--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -25,6 +25,9 @@
 	// several times longer than an engine takes to produce an event, and leaves
 	// the next server time to process the prompt.
 	pauseTimeoutFactor = 0.25
+	// overlap is how long a silent server keeps a stream after another one was asked to
+	// go on with it. A refusal comes sooner, and no two servers may work on it for long.
+	overlap = 200 * time.Millisecond
 	// readSize bounds one read from a server, in bytes.
 	readSize = 32 << 10
 )
@@ -83,10 +86,9 @@
 	reach        reaching
 	// wait is how long the call may wait for a slot until the stream has begun.
 	wait time.Duration
-	// next is the place of the next attempt if that was taken before the one before
-	// it ended.
-	next scheduler.Choice
-	// stayed is set once no place was found for a stream that fell silent.
+	// next is the next attempt if it began before the one before it ended.
+	next *attempt
+	// stayed is set once no other server took a stream that fell silent.
 	stayed bool
 	// cutEvents and cutAfter are the most events, and the longest time, after which an
 	// attempt broke off.
@@ -118,16 +120,7 @@
 		return false, failure
 	}
 	for {
-		s.avoid[att.server.ID] = true
-		s.reach.observe(att)
-		if att.err != nil && !att.sent {
-			s.unsent++
-		} else {
-			s.sent++
-		}
-		if att.sent {
-			s.ran = s.ran.Or(result.RanMaybe)
-		}
+		s.count(att)
 		failure = s.relay(ctx, att)
 		if failure == nil {
 			return s.begun, nil
@@ -154,6 +147,20 @@
 	}
 }
 
+// count counts an attempt whose server has got the call or was not reached.
+func (s *streamSession) count(att *attempt) {
+	s.avoid[att.server.ID] = true
+	s.reach.observe(att)
+	if att.err != nil && !att.sent {
+		s.unsent++
+	} else {
+		s.sent++
+	}
+	if att.sent {
+		s.ran = s.ran.Or(result.RanMaybe)
+	}
+}
+
 // provesSound reports whether an attempt that ended well proves the body to be sound: it
 // made the whole answer, or got further than each attempt that broke off, by its events
 // and by its time. A body that crashes servers at some point of their runs had crashed
@@ -193,10 +200,9 @@
 // start picks the next server of the stream and sends the call to it, or has
 // another host do so.
 func (s *streamSession) start(ctx context.Context) (*attempt, *result.Error) {
-	if s.next.Placed {
-		choice := s.next
-		s.next = scheduler.Choice{}
-		return s.send(ctx, choice), nil
+	if next := s.next; next != nil {
+		s.next = nil
+		return next, nil
 	}
 	if s.bound && s.software == "" {
 		return nil, result.New(result.VersionUnavailable, "the software version that began the stream is not known")
@@ -208,9 +214,7 @@
 		}
 	}
 	if cause := f.passOnCause(s.call, s.software, &s.reach); cause != "" && s.reach.refused == nil {
-		order := s.reach.order(s.software, s.avoid, s.maxWait(), s.resume())
-		order.Begun = s.begun
-		a, failure, unable := f.passOn(ctx, s.call, order, cause, func(string, string) {})
+		a, failure, unable := s.passOn(ctx, cause)
 		if unable {
 			s.reach.refused = failure
 		} else if a != nil || failure != nil {
@@ -235,6 +239,31 @@
 	return s.forwarder.send(ctx, s.call, choice, s.resume())
 }
 
+// passOn has another host carry out the next attempt.
+func (s *streamSession) passOn(ctx context.Context, cause string) (a *attempt, failure *result.Error, unable bool) {
+	order := s.reach.order(s.software, s.avoid, s.maxWait(), s.resume())
+	order.Begun = s.begun
+	return s.forwarder.passOn(ctx, s.call, order, cause, func(string, string) {})
+}
+
+// passOnCause returns why another host is to carry out the next attempt, "" if this
+// one is.
+func (s *streamSession) passOnCause() string {
+	if s.reach.refused != nil {
+		return ""
+	}
+	return s.forwarder.passOnCause(s.call, s.software, &s.reach)
+}
+
+// tryPassOn is passOn for a stream that stays where it is if no host takes it.
+func (s *streamSession) tryPassOn(ctx context.Context, cause string) *attempt {
+	a, refused, unable := s.passOn(ctx, cause)
+	if unable {
+		s.reach.refused = refused
+	}
+	return a
+}
+
 // search looks for a place for the next attempt while the server of the present one is
 // silent. Its zero value is none.
 type search struct {
@@ -270,42 +299,63 @@
 	search.found = nil
 	go func() {
 		if p := <-found; p.refusal == nil {
-			s.giveBack(p.choice)
+			s.forwarder.slots.EndOnline(s.forwarder.timer.Now(), p.choice, 0, scheduler.Unknown)
 		}
 	}()
 }
 
-// giveBack frees a place at which no attempt was made.
-func (s *streamSession) giveBack(choice scheduler.Choice) {
-	s.forwarder.slots.EndOnline(s.forwarder.timer.Now(), choice, 0, scheduler.Unknown)
+// leave begins the next attempt of a stream whose server fell silent, by open, and
+// reports whether the stream left that server: while no other takes the stream, it may
+// still go on. The attempt there ends as soon as another server takes the stream, or
+// overlap after that was asked.
+func (s *streamSession) leave(ctx context.Context, att *attempt, open func() *attempt) bool {
+	s.reach.avoidHost(att)
+	opened := make(chan *attempt, 1)
+	go func() { opened <- open() }()
+	overlapTimer := time.NewTimer(overlap)
+	defer overlapTimer.Stop()
+	var next *attempt
+	select {
+	case next = <-opened:
+	case <-overlapTimer.C:
+		s.forwarder.end(att, scheduler.Unreachable)
+		s.next = <-opened
+		return true
+	}
+	switch {
+	case next == nil:
+		s.stay(att, result.New(result.NoBackend, "no other host takes it"))
+		return false
+	case next.err != nil || next.reply.NotRun:
+		s.count(next)
+		if next.err != nil && next.sent && ctx.Err() == nil && !errors.Is(next.err, errCutOff) {
+			s.forwarder.recordCutOff(ctx, s.call, next, next.err)
+		}
+		s.forwarder.end(next, s.forwarder.outcomeOf(ctx, next))
+		s.reach.avoidHost(next)
+		s.stay(att, unansweredError(next))
+		return false
+	}
+	s.forwarder.end(att, scheduler.Unreachable)
+	s.next, s.stayed = next, false
+	return true
 }
 
-// mayLeave reports whether a stream whose server fell silent may leave it at once, since
-// another host is to go on with it, or may look for a place at another server. The
-// place at another host's servers can't be taken before.
-func (s *streamSession) mayLeave() (atOnce, maySearch bool) {
-	if s.reach.refused == nil {
-		atOnce = s.forwarder.passOnCause(s.call, s.software, &s.reach) != ""
-		return atOnce, !atOnce
+// release ends an attempt that began and was not relayed.
+func (s *streamSession) release() {
+	if s.next != nil {
+		s.forwarder.end(s.next, scheduler.Unknown)
 	}
-	return false, s.reach.mayTry()
 }
 
-// stay records that there is no place for a stream whose server fell silent.
-func (s *streamSession) stay(att *attempt, refusal *result.Error) {
+// stay logs, once for each silence, why a stream stays with its silent server.
+func (s *streamSession) stay(att *attempt, cause *result.Error) {
 	if !s.stayed {
-		s.forwarder.log.Info("stays with a silent server", "request", s.call.ID, "server", att.server.ID, "software", s.software, "cause", refusal.Error())
+		s.forwarder.log.Info("stays with a silent server", "request", s.call.ID, "server", att.server.ID, "software", s.software, "cause", cause.Error())
 	}
 	s.stayed = true
 }
 
-// release gives the place of an attempt back that was not made.
-func (s *streamSession) release() {
-	if s.next.Placed {
-		s.giveBack(s.next)
-	}
-}
-
 // hasOther reports whether a server that was not tried may go on with the stream.
 func (s *streamSession) hasOther() bool {
 	if !s.bound {
@@ -366,22 +416,27 @@
 			if !s.canFailOver(att) || !s.hasOther() {
 				continue
 			}
-			switch atOnce, maySearch := s.mayLeave(); {
-			case atOnce:
-				return s.leave(att)
-			case maySearch:
+			switch cause := s.passOnCause(); {
+			case cause != "":
+				// A place at another host's servers can't be taken before.
+				if s.leave(ctx, att, func() *attempt { return s.tryPassOn(ctx, cause) }) {
+					return silent(att)
+				}
+				idleTimer.Reset(s.idleTimeout())
+			case s.reach.mayTry():
 				searching = s.search(ctx)
 			default:
+				s.stay(att, s.reach.refused)
 				idleTimer.Reset(s.idleTimeout())
 			}
 		case p := <-searching.found:
 			searching.cancel()
 			searching.found = nil
-			if p.refusal == nil {
-				s.next, s.stayed = p.choice, false
-				return s.leave(att)
+			if p.refusal != nil {
+				s.stay(att, p.refusal)
+			} else if s.leave(ctx, att, func() *attempt { return s.send(ctx, p.choice) }) {
+				return silent(att)
 			}
-			s.stay(att, p.refusal)
 			idleTimer.Reset(s.idleTimeout())
 		case next := <-chunks:
 			// The server goes on.
@@ -422,9 +477,8 @@
 	}
 }
 
-// leave ends the attempt at a server that fell silent.
-func (s *streamSession) leave(att *attempt) *result.Error {
-	s.forwarder.end(att, scheduler.Unreachable)
+// silent returns the failure of an attempt whose server fell silent.
+func silent(att *attempt) *result.Error {
 	return result.New(result.BackendSilent, "server %s fell silent", att.server.ID).WithRan(result.RanYes)
 }
 
