Jobs: a host that stops hands each job over although the record of another one has changed

The jobs of a host are handed over in one transaction; the record of a third one had been changed by a host that took it over, and the others were not written again. Now each is written alone if the transaction failed. Its spec failed before.

--- a/internal/batch/ownership/heir_test.go
+++ b/internal/batch/ownership/heir_test.go
@@ -5,6 +5,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/kingcupquay/kingcupquay/internal/batch/jobstate"
 )
 
 var _ = Describe("an owner that names its heir", func() {
@@ -76,3 +78,23 @@
 		Entry("and is cut off from all servers", func(h *host) { h.setServersCut(true) }),
 	)
 })
+
+var _ = Describe("a host that stops", func() {
+	// Guards against jobs that wait for the next start of their owner because the record
+	// of another one, written in the same transaction, had changed.
+	It("hands a job over although another one was taken from it meanwhile", func() {
+		f := newFleet("A", "B")
+		f.noScanners.Store(true)
+		f.servers.block = make(chan struct{})
+		defer close(f.servers.block)
+		for _, id := range []string{"j1", "j2", "j3"} {
+			Expect(f.hosts["A"].Submit(ctx, submission(id, 1, 1))).To(BeNil())
+		}
+		f.noScanners.Store(false)
+		f.rewrite("j2", func(r *jobstate.Record) { r.Owner, r.Writer, r.Serial = "B", "B/1", r.Serial+1 })
+		f.hosts["A"].Stop(ctx)
+		for _, id := range []string{"j1", "j2", "j3"} {
+			Expect(f.ownerOf(id)).To(Equal("B"), id)
+		}
+	})
+})
--- a/internal/batch/ownership/owning.go
+++ b/internal/batch/ownership/owning.go
@@ -461,6 +461,7 @@
 			return
 		}
 		for _, c := range group[:n] {
+			m.handOverAlone(ctx, c)
 			if c.after.Owner == "" {
 				continue
 			}
@@ -472,6 +473,21 @@
 	}
 }
 
+// handOverAlone writes the change of one job again if it was not written with those of
+// others: the record of one that has changed keeps all of a transaction from being
+// written.
+func (m *Manager) handOverAlone(ctx context.Context, c change) {
+	m.mu.Lock()
+	written := c.j.job.Record().Owner == c.after.Owner
+	again := m.newChange(c.j, nil)
+	m.mu.Unlock()
+	if written {
+		return
+	}
+	again.after.Owner, again.after.Released, again.partials = c.after.Owner, c.after.Released, c.partials
+	m.write(ctx, []change{again})
+}
+
 // successor returns the live host that a job of this host is handed over to,
 // empty if there is none.
 func (m *Manager) successor(id string) string {
