Crashes: the spec of shared checks waits for the dial of each witness

The detector answers when the first witness accepts; the dial of another one may begin after that. The spec counted the dials at once and failed in one of 16 runs beside each other (a1 a2 a1 in place of a1 a2 a3 a1). It now waits for the four dials and then checks for 50 ms that no further one comes, which the old form did not.

--- a/internal/serving/crash/detector_test.go
+++ b/internal/serving/crash/detector_test.go
@@ -204,7 +204,9 @@
 			})
 		}
 		calls.Wait()
-		Expect(n.dials()).To(ConsistOf("a1", "a2", "a3", "a1"))
+		// The answer may come before the last of the others was dialled.
+		Eventually(n.dials).Should(ConsistOf("a1", "a2", "a3", "a1"))
+		Consistently(n.dials, 50*time.Millisecond).Should(HaveLen(4))
 		a1.Born = 9
 		n.setRefusing("")
 		Expect(d.Crashed(context.Background(), a1)).To(BeFalse(), "its next start")
