Crashes: a server that answers again is no longer taken for ended

Cause: a server whose port is found closed while another one of its zone can be reached counts as crashed; so do the servers of a zone that comes back one server after another, for a moment. That was never taken back: for 10 s each further lost connection to that start counted as a crash without a dial, and the server was no witness, so the others of its zone were judged by witnesses of other zones and counted as crashed whenever the zone could not be reached.

The new spec on the code before: [FAILED] a1 Expected <bool>: true to be false

Change: the registry notes when it learned of an end and whether the server has answered a call that was sent later. Such a server is dialled again, and is a witness. It stays in the records that name it: it may have started again under an ID whose new entry has not arrived. No record and no message changes.

--- a/internal/serving/crash/detector.go
+++ b/internal/serving/crash/detector.go
@@ -28,15 +28,20 @@
 	// witnesses. If there are fewer, those of other zones are dialled too.
 	minZoneWitnesses = 2
 	// crashedTTL is how long a server whose crash was confirmed is no witness under
-	// the same start, maxCrashed how many of these are remembered.
+	// the same start, unless it answers a call; maxCrashed is how many of these are
+	// remembered.
 	crashedTTL = 10 * time.Second
 	maxCrashed = 1024
 )
 
 // Records are what the hosts know of servers that ended.
 type Records interface {
-	// EndedServers returns the starts of servers that any host found to have ended.
+	// EndedServers returns the starts of servers that any host found to have ended, apart
+	// from those that have answered this host since.
 	EndedServers() map[string]bool
+	// Answers reports whether a start of a server that was found to have ended has
+	// answered a call that this host sent later.
+	Answers(start string) bool
 	// Ended records that a start of a server has ended.
 	Ended(start string)
 }
@@ -111,8 +116,15 @@
 // server that does not say when it was born may have started again since. The caller
 // holds d.mu.
 func (d *Detector) confirmed(s backend.Server) bool {
-	at, crashed := d.crashed[s.Start()]
-	return crashed && s.Born != 0 && d.timer.Now().Sub(at) < crashedTTL
+	return s.Born != 0 && d.knownDown(s.Start())
+}
+
+// knownDown reports whether the crash of a start was confirmed here lately and the start
+// has answered no call since. Servers of a zone that can be reached again one after
+// another look like crashed ones for a moment. The caller holds d.mu.
+func (d *Detector) knownDown(start string) bool {
+	at, crashed := d.crashed[start]
+	return crashed && d.timer.Now().Sub(at) < crashedTTL && !d.records.Answers(start)
 }
 
 // dial is Crashed without an answer that is shared. It also returns how many other
@@ -136,12 +148,10 @@
 // perhapsUp returns the listed servers that are not known to have crashed.
 func (d *Detector) perhapsUp() []backend.Server {
 	ended := d.records.EndedServers()
-	now := d.timer.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return slices.DeleteFunc(d.listed(), func(s backend.Server) bool {
-		at, crashed := d.crashed[s.Start()]
-		return crashed && now.Sub(at) < crashedTTL || ended[s.Start()]
+		return ended[s.Start()] || d.knownDown(s.Start())
 	})
 }
 
--- a/internal/serving/crash/detector_test.go
+++ b/internal/serving/crash/detector_test.go
@@ -16,6 +16,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 	"github.com/kingcupquay/kingcupquay/internal/serving/crash"
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
+	"github.com/kingcupquay/kingcupquay/internal/serving/suspect"
 )
 
 // network simulates the connections of a host.
@@ -75,6 +76,7 @@
 }
 
 func (r *records) EndedServers() map[string]bool { return r.known }
+func (r *records) Answers(string) bool           { return false }
 func (r *records) Ended(string)                  { r.recorded.Add(1) }
 
 var _ = Describe("a crash detector", func() {
@@ -115,6 +117,35 @@
 		Entry("a zone of four", "a1 a2 a3 a4 b1", "a1", "a2", "a3", "a4"),
 	)
 
+	// Guards against sound servers that are taken for crashed each time their zone can't be reached.
+	It("confirms no crash of a zone that refuses connections again after two of its servers came back last", func() {
+		clock := timer.NewManual(time.Unix(1000, 0))
+		n, directory := &network{}, backend.NewDirectory(func(backend.Server, string) {})
+		guard := suspect.NewGuard(clock, logr.Discard(), suspect.Alone{})
+		d := crash.NewDetector(clock, logr.Discard(), n, directory, guard)
+		servers := make(map[string]backend.Server)
+		for _, id := range strings.Fields("a1 a2 a3 a4 b1 c1") {
+			servers[id] = backend.Server{ID: id, Service: "s", Zone: id[:1], Address: "address of " + id, Born: 5}
+			directory.Put(servers[id])
+		}
+		n.setRefusing("a3 a4")
+		for _, id := range strings.Fields("a3 a4") {
+			guard.Lost(&exchange.Call{ID: id, Body: []byte(id)}, servers[id].Start(), clock.Now(), false, 0)
+			Expect(d.Crashed(context.Background(), servers[id])).To(BeTrue(), id)
+			guard.Ended(servers[id].Start())
+		}
+		n.setRefusing("")
+		clock.Advance(time.Second)
+		for _, s := range servers {
+			guard.Alive(s.Start(), clock.Now())
+		}
+		clock.Advance(3 * time.Second)
+		n.setRefusing("a1 a2 a3 a4")
+		for _, id := range strings.Fields("a1 a2 a3 a4") {
+			Expect(d.Crashed(context.Background(), servers[id])).To(BeFalse(), id)
+		}
+	})
+
 	It("confirms the third crash of a zone if another host saw the first two", func() {
 		n := &network{refusing: "a1 a2 a3"}
 		seen := &records{known: map[string]bool{"a2": true, "a3": true}}
--- a/internal/serving/suspect/guard.go
+++ b/internal/serving/suspect/guard.go
@@ -244,13 +244,21 @@
 }
 
 // EndedServers returns the starts of the servers that this host or another one knows
-// to have ended under a call.
+// to have ended under a call, apart from those that have answered this host since.
 func (g *Guard) EndedServers() map[string]bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.registry.Ended(g.timer.Now())
 }
 
+// Answers reports whether a server that was found to have ended has answered a call
+// that this host sent later.
+func (g *Guard) Answers(server string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.registry.Answers(server)
+}
+
 func (g *Guard) logAccusation(r Record, request string) {
 	accusedTotal.Inc()
 	if !r.condemned {
--- a/internal/serving/suspect/losses.go
+++ b/internal/serving/suspect/losses.go
@@ -29,6 +29,14 @@
 	late bool
 }
 
+// end is what this host knows of a server that was found to have ended.
+type end struct {
+	// learnedAt is when this host learned of it.
+	learnedAt time.Time
+	// answered is set if the server has answered a call that was sent after learnedAt.
+	answered bool
+}
+
 // RecordLoss remembers a call until its server is known to have ended. An item that was
 // sent after the server was lost, or reported as ended, is no evidence: a port may be
 // open although its server is down. A request is, since connections are also reset by
@@ -63,16 +71,37 @@
 }
 
 // RecordAlive records that a server answered a call that was sent at a time. Calls that
-// it lost before are still remembered: it may have started again since.
+// it lost before are still remembered, and it stays in the records that name it: it may
+// have started again since.
 func (g *Registry) RecordAlive(server string, sentAt time.Time) {
 	if at, lost := g.lost[server]; lost && sentAt.After(at) {
 		delete(g.lost, server)
 	}
+	if e, ended := g.ends[server]; ended && sentAt.After(e.learnedAt) {
+		e.answered = true
+		g.ends[server] = e
+	}
+}
+
+// noteEnd records when this host learned that a server has ended.
+func (g *Registry) noteEnd(now time.Time, server string) {
+	if _, known := g.ends[server]; !known && len(g.ends) >= maxRecords {
+		maps.DeleteFunc(g.ends, func(_ string, e end) bool { return now.Sub(e.learnedAt) >= recordTTL })
+		if len(g.ends) >= maxRecords {
+			return
+		}
+	}
+	g.ends[server] = end{learnedAt: now}
 }
 
+// Answers reports whether a server has answered a call that was sent after this host
+// learned that it had ended.
+func (g *Registry) Answers(server string) bool { return g.ends[server].answered }
+
 // RecordEnd records that a server has ended, and returns the calls that were lost
 // with it, not after it, and not answered since.
 func (g *Registry) RecordEnd(now time.Time, server string) []Loss {
+	g.noteEnd(now, server)
 	var lost []Loss
 	g.losses = slices.DeleteFunc(g.losses, func(l Loss) bool {
 		ended := l.Server == server
--- a/internal/serving/suspect/registry.go
+++ b/internal/serving/suspect/registry.go
@@ -188,13 +188,18 @@
 	// lost holds since when this host has reason to take starts of servers for ended,
 	// at most maxRecords.
 	lost map[string]time.Time
+	// ends holds the starts of servers that were found to have ended, at most maxRecords.
+	ends map[string]end
 	// unsaved is set if a record that the store keeps has changed here.
 	unsaved bool
 }
 
 // NewRegistry returns a Registry without records.
 func NewRegistry() *Registry {
-	return &Registry{records: make(map[string]*Record), answers: make([]answer, answerSlots), seed: maphash.MakeSeed(), lost: make(map[string]time.Time)}
+	return &Registry{
+		records: make(map[string]*Record), answers: make([]answer, answerSlots), seed: maphash.MakeSeed(),
+		lost: make(map[string]time.Time), ends: make(map[string]end),
+	}
 }
 
 // RecordAnswer records that a server has begun to answer a prompt with the parts
@@ -293,13 +298,16 @@
 	return []Record{*g.records[body]}
 }
 
-// Ended returns the starts of the servers that records name as ended.
+// Ended returns the starts of the servers that records name as ended, apart from those
+// that have answered since.
 func (g *Registry) Ended(now time.Time) map[string]bool {
 	ended := make(map[string]bool)
 	for _, r := range g.records {
 		if now.Before(r.ExpiresAt) {
 			for _, s := range r.Servers {
-				ended[s] = true
+				if !g.Answers(s) {
+					ended[s] = true
+				}
 			}
 		}
 	}
@@ -340,6 +348,9 @@
 		for _, in := range reports {
 			for _, server := range in.Servers {
 				g.noteLost(now, server)
+				if _, known := g.ends[server]; !known {
+					g.noteEnd(now, server)
+				}
 			}
 		}
 		g.judge(now)
--- a/internal/serving/suspect/registry_test.go
+++ b/internal/serving/suspect/registry_test.go
@@ -115,6 +115,29 @@
 		Expect(g.RecordEnd(start.Add(3*time.Second), "s1")).To(BeEmpty())
 	})
 
+	// Guards against sound servers that never again count as witnesses of a crash.
+	DescribeTable("name a server as ended until it answers a call that was sent later", func(sentAt time.Duration, endsAgain, ended bool) {
+		g.Merge(start, []suspect.Report{{Part: "body/other", Depth: -1, Servers: []string{"s1"}, ExpiresIn: time.Hour}})
+		Expect(g.Ended(later)).To(HaveKey("s1"))
+		g.RecordAlive("s1", start.Add(sentAt))
+		g.Merge(start.Add(2*time.Second), []suspect.Report{{Part: "body/other", Depth: -1, Servers: []string{"s1", "s2"}, ExpiresIn: time.Hour}})
+		if endsAgain {
+			g.RecordEnd(start.Add(3*time.Second), "s1")
+		}
+		Expect(g.Ended(later)).To(HaveKey("s2"))
+		Expect(g.Answers("s1")).To(Equal(!ended))
+		if ended {
+			Expect(g.Ended(later)).To(HaveKey("s1"))
+		} else {
+			Expect(g.Ended(later)).NotTo(HaveKey("s1"))
+		}
+		Expect(g.Accused(later)[0].Servers).To(ConsistOf("s1", "s2"), "it may have started again")
+	},
+		Entry("a call sent later", time.Second, false, false),
+		Entry("a call sent before", -time.Second, false, true),
+		Entry("a call sent later, but this host saw it end again", time.Second, true, true),
+	)
+
 	Describe("in the store", func() {
 		// reopened returns a registry of a host that has only what the store keeps.
 		reopened := func(now time.Time) *suspect.Registry {
