Crashes: the port of a watched server must refuse connections for 50 ms

Cause: the looks at a server that lost a connection dial it at 30 ms, 150 ms and 1 s, with no time between the two refusals and the dial of the witness. A look in the moment at which a zone comes back finds some of its servers open and others closed.

The new spec on the code before: [FAILED] Expected <int32>: 1 to be zero-valued.

Change: a look waits between the refusals. A server that has crashed is down for longer; the answer to a lost call's own check is not delayed. No record and no message changes.

--- a/internal/serving/crash/detector.go
+++ b/internal/serving/crash/detector.go
@@ -100,7 +100,7 @@
 	d.checks[start] = c
 	d.mu.Unlock()
 	// Others wait for the check, whoever's call began it.
-	crashed, dialled, doubt := d.dial(context.WithoutCancel(ctx), s)
+	crashed, dialled, doubt := d.dial(context.WithoutCancel(ctx), s, 0)
 	if !crashed {
 		d.log.Info("crash not confirmed", "server", s.ID, "dialled", dialled, "cause", doubt)
 	}
@@ -127,9 +127,10 @@
 	return crashed && d.timer.Now().Sub(at) < crashedTTL && !d.records.Answers(start)
 }
 
-// dial is Crashed without an answer that is shared. It also returns how many other
-// servers were dialled, and why the crash is not confirmed.
-func (d *Detector) dial(ctx context.Context, s backend.Server) (crashed bool, dialled int, doubt string) {
+// dial is Crashed without an answer that is shared. The port must refuse connections
+// for a time at least. It also returns how many other servers were dialled, and why the
+// crash is not confirmed.
+func (d *Detector) dial(ctx context.Context, s backend.Server, atLeast time.Duration) (crashed bool, dialled int, doubt string) {
 	if !d.Down(ctx, s) {
 		return false, 0, "its port does not refuse connections"
 	}
@@ -137,6 +138,9 @@
 	if !d.reachesAny(ctx, others) {
 		return false, len(others), "no other server can be reached"
 	}
+	if atLeast > 0 {
+		timer.Pause(d.timer, ctx.Done(), atLeast)
+	}
 	// The refusal counts only if it lasts longer than a cut that has just ended.
 	if !d.Down(ctx, s) {
 		return false, len(others), "its port no longer refuses connections"
--- a/internal/serving/crash/detector_test.go
+++ b/internal/serving/crash/detector_test.go
@@ -207,6 +207,27 @@
 		Entry("nothing changes", time.Duration(0), func(*network, *backend.Directory) {}),
 	)
 
+	// Guards against a look at the moment at which a cut ends.
+	It("does not confirm later that a1 crashed if its zone comes back and a1 is the last", func() {
+		clock := timer.NewManual(time.Unix(1000, 0))
+		n, directory := &network{refusing: "a1 a2 a3"}, directoryOf("a1 a2 a3")
+		a1, _ := directory.Get("a1")
+		known := new(records)
+		d := crash.NewDetector(clock, logr.Discard(), n, directory, known)
+		Expect(d.Crashed(context.Background(), a1)).To(BeFalse())
+		d.Watch(a1)
+		n.setRefusing("a1")
+		for at := time.Duration(0); at < 20*time.Second; at += 10 * time.Millisecond {
+			if at == 60*time.Millisecond {
+				n.setRefusing("")
+			}
+			clock.Advance(10 * time.Millisecond)
+			// Looks run in the background.
+			time.Sleep(time.Millisecond)
+		}
+		Expect(known.recorded.Load()).To(BeZero())
+	})
+
 	// Guards against a server that resets its connections for long.
 	It("dials a server that goes on losing connections a bounded number of times", func() {
 		clock := timer.NewManual(time.Unix(1000, 0))
--- a/internal/serving/crash/watch.go
+++ b/internal/serving/crash/watch.go
@@ -16,6 +16,10 @@
 	// listInterval is the interval at which the list of servers is checked after
 	// firstLooks.
 	listInterval = 250 * time.Millisecond
+	// refusalTime is how long the port of a watched server must refuse connections.
+	// Looks may fall into the end of a cut, when a zone's servers come back one after
+	// another.
+	refusalTime = 50 * time.Millisecond
 	// maxWatches bounds the servers that are watched at once.
 	maxWatches = 256
 )
@@ -92,7 +96,7 @@
 	case d.directory.HasEnded(w.server):
 		evidence = "it started again, or another server has its address"
 	case dials:
-		if crashed, _, _ := d.dial(context.Background(), w.server); crashed {
+		if crashed, _, _ := d.dial(context.Background(), w.server, refusalTime); crashed {
 			evidence = "its port refuses connections"
 		}
 	}
