Jobs: an owner that gets a job back which it still has waits before it lists a result

Callers may be told that a position holds no result after they have read one there. A owns a job and is cut off; B takes it over, is cut off in turn; C takes it over and hands it to A within the period of B's proof. A still has the job in memory, with a list of the same length, so that it goes on with it instead of taking it over: the conflict of its next write, or the check after Adopt, only adopts the record's revision. Nothing made it wait, and it listed a result at once, which B, still within its proof, denied.

An owner that finds its record written by another process, and not released, now waits for the period of a proof, as one that takes a job over does. A record that names this host as the owner and is open can only have been written by another process when the job was handed to this host.

No record or message is changed.

--- /dev/null
+++ b/internal/batch/ownership/returned_job_test.go
@@ -0,0 +1,53 @@
+package ownership_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// stopAside stops a host while the clock goes on, and returns once its job has another
+// owner in the store.
+func (f *fleet) stopAside(name, heir string) {
+	GinkgoHelper()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		f.hosts[name].Stop(ctx)
+	}()
+	DeferCleanup(func() { Eventually(stopped, waitTimeout).Should(BeClosed()) })
+	f.eventually(func(g Gomega) { g.Expect(f.ownerOf("j")).To(Equal(heir)) })
+}
+
+var _ = Describe("an owner that gets a job back which it still has", func() {
+	// Guards against an heir that lists a result while the owner before the last one
+	// still denies it, as the heir does not take the job over.
+	It("lists no result before the owner before the last one has stopped denying it", func() {
+		f, r := newHalfListed("A", "B", "C")
+		hostA := f.hosts["A"]
+		// A learns from no scan that it lost the job.
+		old := f.records()
+		hostA.staleRecords.Store(&old)
+		f.leave("A")
+		f.leave("C")
+		hostA.cutOff.Store(true)
+		f.takenFrom("A")
+		Expect(f.ownerOf("j")).To(Equal("B"))
+		f.leave("B")
+		f.hosts["B"].cutOff.Store(true)
+		f.hosts["C"].dead.Store(false)
+		f.takenFrom("A", "B")
+		Expect(f.ownerOf("j")).To(Equal("C"))
+		hostA.dead.Store(false)
+		hostA.cutOff.Store(false)
+		f.stopAside("C", "A")
+		close(f.servers.block)
+		f.eventually(func(g Gomega) {
+			r.read("A", "B")
+			g.Expect(r.seen).To(HaveLen(2))
+		})
+		r.readFor(2*time.Second, "A", "B")
+		r.expectSound(2, 40)
+	})
+})
--- a/internal/batch/ownership/writing.go
+++ b/internal/batch/ownership/writing.go
@@ -272,6 +272,10 @@
 			m.mu.Lock()
 			c.j.revision = e.ModRevision
 			c.j.claim.Settle(began)
+			if current.Writer != m.Writer && !current.Released {
+				// Other hosts owned the job in between.
+				c.j.claim.AwaitFormerOwner(m.Timer.Uptime())
+			}
 			c.j.job.ApplyWrite(current, nil)
 			if current.Ended {
 				m.Log.Info("job ended elsewhere", "job", current.ID, "writer", current.Writer, "running", len(c.j.runs), "revision", e.ModRevision)
