Jobs: the mark that a job was released counts only for the host that it names

Callers may be told that a position holds no result after they have read one there. B hands a job to A, with the mark "released": no host before A denies a result from memory. A still has the job from before, with a list of the same length, and goes on with it without a write, so that the mark stays in the record. When C then takes the job over from A, it took the mark for a word about A, did not wait, and listed a result at once, which A, within its proof, denied.

A host that takes a job over from another one waits whatever the mark says; the named host itself, and any host if none is named, need not wait.

--- a/internal/batch/ownership/owning.go
+++ b/internal/batch/ownership/owning.go
@@ -231,7 +231,8 @@
 	if r.Owner != formerOwner {
 		return errRecordChanged
 	}
-	revision, released := e.ModRevision, r.Released
+	// A named owner that still had the job goes on with it without a write.
+	revision, released := e.ModRevision, r.Released && (r.Owner == m.Host || r.Owner == "")
 	if r.Owner != m.Host || r.Writer != m.Writer {
 		r.Owner = m.Host
 		var outcome store.TxnResult
--- a/internal/batch/ownership/returned_job_test.go
+++ b/internal/batch/ownership/returned_job_test.go
@@ -50,4 +50,38 @@
 		r.readFor(2*time.Second, "A", "B")
 		r.expectSound(2, 40)
 	})
+
+	// Guards against a mark of release that outlasts the owner which it was made for.
+	It("has stopped denying a result when the host that takes the job over next lists it", func() {
+		f, r := newHalfListed("A", "B", "C")
+		hostA := f.hosts["A"]
+		// A learns from no scan that it lost the job.
+		old := f.records()
+		hostA.staleRecords.Store(&old)
+		f.leave("A")
+		f.leave("C")
+		hostA.cutOff.Store(true)
+		f.takenFrom("A")
+		Expect(f.ownerOf("j")).To(Equal("B"))
+		f.advance(endGrace)
+		hostA.dead.Store(false)
+		hostA.cutOff.Store(false)
+		f.stopAside("B", "A")
+		f.eventually(func(g Gomega) {
+			page, ok := hostA.read("j", 1)
+			g.Expect(ok && page.Confirmed).To(BeTrue())
+		})
+		f.leave("A")
+		f.leave("B")
+		hostA.cutOff.Store(true)
+		f.hosts["C"].dead.Store(false)
+		f.takenFrom("B", "A")
+		close(f.servers.block)
+		f.eventually(func(g Gomega) {
+			r.read("C", "A")
+			g.Expect(r.seen).To(HaveLen(2))
+		})
+		r.readFor(2*time.Second, "A", "C")
+		r.expectSound(2, 40)
+	})
 })
