Jobs: a job that is handed over alone is marked as released by what is known then

Callers may be told that a position holds no result after they have read one there. A host that stops decides for each job whether its heir need not wait, and writes them in one transaction. If that fails, as a record has changed, each job is written again alone, with the mark decided before. But the record that was read in between may show that the job was at other hosts, of which one may still deny results; the heir then listed one at once.

The mark is decided anew.

--- a/internal/batch/ownership/owning.go
+++ b/internal/batch/ownership/owning.go
@@ -481,11 +481,12 @@
 	m.mu.Lock()
 	written := c.j.job.Record().Owner == c.after.Owner
 	again := m.newChange(c.j, nil)
+	// The change of the record may show that the job was elsewhere in between.
+	again.after.Owner, again.after.Released, again.partials = c.after.Owner, c.j.claim.MayList(m.Timer.Uptime()), c.partials
 	m.mu.Unlock()
 	if written {
 		return
 	}
-	again.after.Owner, again.after.Released, again.partials = c.after.Owner, c.after.Released, c.partials
 	m.write(ctx, []change{again})
 }
 
--- a/internal/batch/ownership/returned_job_test.go
+++ b/internal/batch/ownership/returned_job_test.go
@@ -84,4 +84,38 @@
 		r.readFor(2*time.Second, "A", "C")
 		r.expectSound(2, 40)
 	})
+
+	// Guards against a mark of release from before the owner knew that the job had been
+	// elsewhere.
+	It("lets its heir list no result too early, if it stops before it has learnt of this", func() {
+		f, r := newHalfListed("A", "B", "C", "D")
+		hostA := f.hosts["A"]
+		// A learns from no scan that it lost the job.
+		old := f.records()
+		hostA.staleRecords.Store(&old)
+		f.leave("A")
+		f.leave("C")
+		f.leave("D")
+		hostA.cutOff.Store(true)
+		f.takenFrom("A")
+		Expect(f.ownerOf("j")).To(Equal("B"))
+		f.leave("B")
+		f.hosts["B"].cutOff.Store(true)
+		f.hosts["C"].dead.Store(false)
+		f.takenFrom("A", "B")
+		Expect(f.ownerOf("j")).To(Equal("C"))
+		hostA.dead.Store(false)
+		f.stopAside("C", "A")
+		f.leave("C")
+		f.hosts["D"].dead.Store(false)
+		hostA.cutOff.Store(false)
+		f.stopAside("A", "D")
+		close(f.servers.block)
+		f.eventually(func(g Gomega) {
+			r.read("D", "B")
+			g.Expect(r.seen).To(HaveLen(2))
+		})
+		r.readFor(2*time.Second, "D", "B")
+		r.expectSound(2, 40)
+	})
 })
