--- a/internal/batch/ownership/owning.go
+++ b/internal/batch/ownership/owning.go
@@ -231,7 +231,8 @@
 	if r.Owner != formerOwner {
 		return errRecordChanged
 	}
-	revision, released := e.ModRevision, r.Released
+	// A named owner that still had the job goes on with it without a write.
+	revision, released := e.ModRevision, r.Released && (r.Owner == m.Host || r.Owner == "")
 	if r.Owner != m.Host || r.Writer != m.Writer {
 		r.Owner = m.Host
 		var outcome store.TxnResult
@@ -480,11 +481,12 @@
 	m.mu.Lock()
 	written := c.j.job.Record().Owner == c.after.Owner
 	again := m.newChange(c.j, nil)
+	// The change of the record may show that the job was elsewhere in between.
+	again.after.Owner, again.after.Released, again.partials = c.after.Owner, c.j.claim.MayList(m.Timer.Uptime()), c.partials
 	m.mu.Unlock()
 	if written {
 		return
 	}
-	again.after.Owner, again.after.Released, again.partials = c.after.Owner, c.after.Released, c.partials
 	m.write(ctx, []change{again})
 }
 
