Forward: a silent server keeps a stream if the next one answers it with a failure

A resumable stream whose server was silent left that server as soon as the next one answered with anything but a refusal: also with a status of 500, or without a stream of events. With no attempt left, the caller's stream was then cut (before its first event it got the 500), although the silent server went on a moment later. Such an answer is no take-over now, like a refusal or a lost connection: it counts as an attempt, and the stream stays where it is.

Three entries of "stays with a silent stream if the server that is to go on does not take it" failed before:

All pass now, as does the package with -race. If the silent server never goes on, a stream without an attempt left ends at its deadline instead of with the failure. No record, message between hosts or settings key changes.

--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -596,6 +596,9 @@
 	},
 		Entry("it has no room, and no attempt is left", 2, scriptedReply{body: numberedEvents(1, 2), rest: numberedEvents(3, 4)}, scriptedReply{overloaded: true}),
 		Entry("the same before the first event", 2, scriptedReply{rest: numberedEvents(1, 4)}, scriptedReply{overloaded: true}),
+		Entry("it fails", 2, scriptedReply{body: numberedEvents(1, 2), rest: numberedEvents(3, 4)}, scriptedReply{status: 500, body: "no"}),
+		Entry("it fails before the first event", 2, scriptedReply{rest: numberedEvents(1, 4)}, scriptedReply{status: 500, body: "no"}),
+		Entry("it answers with something else", 2, scriptedReply{body: numberedEvents(1, 2), rest: numberedEvents(3, 4)}, scriptedReply{other: true, body: "no"}),
 		Entry("it loses the stream", 2, scriptedReply{body: numberedEvents(1, 2), rest: numberedEvents(3, 4)}, scriptedReply{lost: true}),
 		Entry("none can be connected to", 2, scriptedReply{body: numberedEvents(1, 2), rest: numberedEvents(3, 4)}, scriptedReply{unsent: true}, scriptedReply{unsent: true}, scriptedReply{unsent: true}, scriptedReply{unsent: true}),
 	)
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -326,14 +326,21 @@
 	case next == nil:
 		s.stay(att, result.New(result.NoBackend, "no other host takes it"))
 		return false
-	case next.err != nil || next.reply.NotRun:
+	case !s.takes(next):
 		s.count(next)
 		if next.err != nil && next.sent && ctx.Err() == nil && !errors.Is(next.err, errCutOff) {
 			s.forwarder.recordCutOff(ctx, s.call, next, next.err)
 		}
-		s.forwarder.end(next, s.forwarder.outcomeOf(ctx, next))
+		outcome, cause := s.forwarder.outcomeOf(ctx, next), unansweredError(next)
+		if next.err == nil && !next.reply.NotRun {
+			cause = result.New(result.BackendFailed, "server %s answered %d without a stream of events", next.server.ID, next.reply.Status)
+			if next.reply.Status == http.StatusOK {
+				outcome = scheduler.Failed
+			}
+		}
+		s.forwarder.end(next, outcome)
 		s.reach.avoidHost(next)
-		s.stay(att, unansweredError(next))
+		s.stay(att, cause)
 		return false
 	}
 	s.forwarder.end(att, scheduler.Unreachable)
@@ -341,6 +348,18 @@
 	return true
 }
 
+// takes reports whether the server of an attempt goes on with the stream, or has answered
+// it with an error that is the caller's.
+func (s *streamSession) takes(att *attempt) bool {
+	switch {
+	case att.err != nil || att.reply.NotRun:
+		return false
+	case att.reply.Status == http.StatusOK:
+		return att.reply.EventStream
+	}
+	return !s.begun && att.reply.Status < http.StatusInternalServerError
+}
+
 // release ends an attempt that began and was not relayed.
 func (s *streamSession) release() {
 	if s.next != nil {
