Forward: a stream at a silent server asks again once a cut is over

A stream whose server was silent while its host was cut off from all servers, where no other host could help and this host's own try found no room, never looked for another server again: the refusal of the other hosts was kept for the rest of the stream, and with it that this host had tried. When the server stayed silent, the stream stood still until its deadline; when it broke off later, the stream was cut although another server had room.

Since a stream stays with a silent server there can be many such tries in one stream. What the hosts said is forgotten now once this host's own try has failed too, and when the server goes on; the tries are an idle timeout apart, as before.

Both entries of "goes on elsewhere after a cut that is over" failed before:

its server stays silent: cancelled: the caller left or its time passed its server breaks off: back end failed: server a: stream broke off: unexpected EOF

All pass now, as does the package with -race. No record, message between hosts or settings key changes.

--- a/internal/serving/forward/passing.go
+++ b/internal/serving/forward/passing.go
@@ -212,6 +212,9 @@
 	return first
 }
 
+// forgetRefusal has the next attempt ask other hosts again, if it has to go through one.
+func (r *reaching) forgetRefusal() { r.refused, r.ownTry = nil, false }
+
 // order returns the order for an attempt that avoids servers that had the call.
 // Those that this host can't reach may be reached from elsewhere.
 func (r *reaching) order(software string, avoid map[string]bool, maxWait time.Duration, resume exchange.Resume) Order {
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -435,19 +435,16 @@
 			if !s.canFailOver(att) || !s.hasOther() {
 				continue
 			}
-			switch cause := s.passOnCause(); {
-			case cause != "":
-				// A place at another host's servers can't be taken before.
-				if s.leave(ctx, att, func() *attempt { return s.tryPassOn(ctx, cause) }) {
-					return silent(att)
-				}
-				idleTimer.Reset(s.idleTimeout())
-			case s.reach.mayTry():
+			cause := s.passOnCause()
+			if cause == "" {
 				searching = s.search(ctx)
-			default:
-				s.stay(att, s.reach.refused)
-				idleTimer.Reset(s.idleTimeout())
+				continue
+			}
+			// A place at another host's servers can't be taken before.
+			if s.leave(ctx, att, func() *attempt { return s.tryPassOn(ctx, cause) }) {
+				return silent(att)
 			}
+			idleTimer.Reset(s.idleTimeout())
 		case p := <-searching.found:
 			searching.cancel()
 			searching.found = nil
@@ -456,10 +453,12 @@
 			} else if s.leave(ctx, att, func() *attempt { return s.send(ctx, p.choice) }) {
 				return silent(att)
 			}
+			s.reach.forgetRefusal()
 			idleTimer.Reset(s.idleTimeout())
 		case next := <-chunks:
 			// The server goes on.
 			s.abandon(&searching)
+			s.reach.forgetRefusal()
 			err := s.deliver(att, &splitter, next.data)
 			if err == nil {
 				err = held.Resize(len(splitter.Remainder()))
