--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -326,14 +326,21 @@
 	case next == nil:
 		s.stay(att, result.New(result.NoBackend, "no other host takes it"))
 		return false
-	case next.err != nil || next.reply.NotRun:
+	case !s.takes(next):
 		s.count(next)
 		if next.err != nil && next.sent && ctx.Err() == nil && !errors.Is(next.err, errCutOff) {
 			s.forwarder.recordCutOff(ctx, s.call, next, next.err)
 		}
-		s.forwarder.end(next, s.forwarder.outcomeOf(ctx, next))
+		outcome, cause := s.forwarder.outcomeOf(ctx, next), unansweredError(next)
+		if next.err == nil && !next.reply.NotRun {
+			cause = result.New(result.BackendFailed, "server %s answered %d without a stream of events", next.server.ID, next.reply.Status)
+			if next.reply.Status == http.StatusOK {
+				outcome = scheduler.Failed
+			}
+		}
+		s.forwarder.end(next, outcome)
 		s.reach.avoidHost(next)
-		s.stay(att, unansweredError(next))
+		s.stay(att, cause)
 		return false
 	}
 	s.forwarder.end(att, scheduler.Unreachable)
@@ -341,6 +348,18 @@
 	return true
 }
 
+// takes reports whether the server of an attempt goes on with the stream, or has answered
+// it with an error that is the caller's.
+func (s *streamSession) takes(att *attempt) bool {
+	switch {
+	case att.err != nil || att.reply.NotRun:
+		return false
+	case att.reply.Status == http.StatusOK:
+		return att.reply.EventStream
+	}
+	return !s.begun && att.reply.Status < http.StatusInternalServerError
+}
+
 // release ends an attempt that began and was not relayed.
 func (s *streamSession) release() {
 	if s.next != nil {
@@ -416,19 +435,16 @@
 			if !s.canFailOver(att) || !s.hasOther() {
 				continue
 			}
-			switch cause := s.passOnCause(); {
-			case cause != "":
-				// A place at another host's servers can't be taken before.
-				if s.leave(ctx, att, func() *attempt { return s.tryPassOn(ctx, cause) }) {
-					return silent(att)
-				}
-				idleTimer.Reset(s.idleTimeout())
-			case s.reach.mayTry():
+			cause := s.passOnCause()
+			if cause == "" {
 				searching = s.search(ctx)
-			default:
-				s.stay(att, s.reach.refused)
-				idleTimer.Reset(s.idleTimeout())
+				continue
 			}
+			// A place at another host's servers can't be taken before.
+			if s.leave(ctx, att, func() *attempt { return s.tryPassOn(ctx, cause) }) {
+				return silent(att)
+			}
+			idleTimer.Reset(s.idleTimeout())
 		case p := <-searching.found:
 			searching.cancel()
 			searching.found = nil
@@ -437,10 +453,12 @@
 			} else if s.leave(ctx, att, func() *attempt { return s.send(ctx, p.choice) }) {
 				return silent(att)
 			}
+			s.reach.forgetRefusal()
 			idleTimer.Reset(s.idleTimeout())
 		case next := <-chunks:
 			// The server goes on.
 			s.abandon(&searching)
+			s.reach.forgetRefusal()
 			err := s.deliver(att, &splitter, next.data)
 			if err == nil {
 				err = held.Resize(len(splitter.Remainder()))
