Records: a claim that is certainly not durable is refused as not run when its shard closes

Cause: when a host's lease ended (or a shard was handed over) while a claim waited, every waiting caller was told that the request may have run, even if no group with the claim had been sent to the store or the store had refused each write of it. During an outage of the store a holder pauses up to a second between two refused writes, and its lease ends 5 to 8 s after the outage began, so a keyed call that waits at that moment ended with "maybe".

Change: the recorder asks the shard right before a write is sent (BeginWrite) and the shard notes that the write may take effect until its result is known. A closing shard withdraws the claims that no write can have made durable and refuses them with LeaseLost, ran "no" (or "maybe" if an earlier attempt of an idempotent request may have run, as before). Claims in a group that is at the store, or of which a write has an unknown outcome, are still told "maybe". A group is no longer sent after its shard closed; before, a shard that was handed over could still send one.

Records and messages keep their form.

--- /dev/null
+++ b/internal/record/ledger/close_test.go
@@ -0,0 +1,134 @@
+package ledger_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupquay/kingcupquay/internal/fleet/wire"
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/record/ledger"
+)
+
+// closing is a shard whose messages and results the test passes one by one.
+type closing struct {
+	now     time.Time
+	shard   *ledger.Shard
+	replies map[ledger.Ticket]reply
+	// groups are the groups of the CommitGroup actions so far.
+	groups []*wire.Group
+}
+
+func newClosing() *closing {
+	return &closing{now: start, shard: ledger.Open(ledger.Options{Writer: "w", Host: "h"}, start, nil), replies: make(map[ledger.Ticket]reply)}
+}
+
+func (c *closing) apply(actions []ledger.Action) {
+	for _, a := range actions {
+		switch a.Kind {
+		case ledger.ReplyTo:
+			c.replies[a.Ticket] = reply{a.Failure, a.Found}
+		case ledger.CommitGroup:
+			c.groups = append(c.groups, a.Group)
+		}
+	}
+}
+
+func (c *closing) claim(ticket ledger.Ticket, key, attempt string) {
+	c.apply(c.shard.Claim(c.now, ticket, &wire.ClaimRequest{
+		Key: key, Attempt: attempt, Fingerprint: []byte("f"), DeadlineInMs: 60_000, KeepMs: time.Hour.Milliseconds(),
+	}))
+}
+
+// tick lets the pending records' batch delay pass.
+func (c *closing) tick() {
+	c.now = c.now.Add(100 * time.Millisecond)
+	c.apply(c.shard.Tick(c.now))
+}
+
+// begin starts the latest attempt to write a group.
+func (c *closing) begin() {
+	Expect(c.shard.BeginWrite(c.groups[len(c.groups)-1])).To(BeTrue())
+}
+
+func (c *closing) committed(r ledger.CommitResult) { c.apply(c.shard.Committed(c.now, r)) }
+
+// end ends an attempt to write a group.
+func (c *closing) end(r ledger.CommitResult) {
+	c.begin()
+	c.committed(r)
+}
+
+var _ = Describe("a shard that closes", func() {
+	DescribeTable("tells each waiting claim whether it may be durable",
+		func(steps func(c *closing), want result.Ran) {
+			c := newClosing()
+			c.claim(1, "k", "a")
+			steps(c)
+			c.apply(c.shard.Close())
+			Expect(c.replies).To(HaveKey(ledger.Ticket(1)))
+			failure := c.replies[1].failure
+			Expect(failure).NotTo(BeNil())
+			Expect(failure.Code()).To(Equal(result.LeaseLost))
+			Expect(failure.Ran()).To(Equal(want))
+		},
+		Entry("no group has the claim yet", func(*closing) {}, result.RanNo),
+		Entry("the write of its group has not begun", func(c *closing) { c.tick() }, result.RanNo),
+		Entry("each write of its group was refused", func(c *closing) {
+			c.tick()
+			c.end(ledger.NotWritten)
+			c.end(ledger.NotWritten)
+		}, result.RanNo),
+		Entry("a write of its group is at the store", func(c *closing) {
+			c.tick()
+			c.begin()
+		}, result.RanMaybe),
+		Entry("a repeated write of its group is at the store", func(c *closing) {
+			c.tick()
+			c.end(ledger.NotWritten)
+			c.begin()
+		}, result.RanMaybe),
+		Entry("a write of its group has an unknown outcome", func(c *closing) {
+			c.tick()
+			c.end(ledger.OutcomeUnknown)
+		}, result.RanMaybe),
+		Entry("a refused write of its group follows one with an unknown outcome", func(c *closing) {
+			c.tick()
+			c.end(ledger.OutcomeUnknown)
+			c.apply(c.shard.ReadBack(c.now, ledger.ReadResult{TokenValid: true}))
+			c.end(ledger.NotWritten)
+		}, result.RanMaybe),
+	)
+
+	It("begins no write after it has told a claim that it is not durable", func() {
+		c := newClosing()
+		c.claim(1, "k", "a")
+		c.tick()
+		c.apply(c.shard.Close())
+		Expect(c.shard.BeginWrite(c.groups[0])).To(BeFalse())
+	})
+
+	It("refuses a claim that is not in the group at the store as not run", func() {
+		c := newClosing()
+		c.claim(1, "k", "a")
+		c.tick()
+		c.begin()
+		c.claim(2, "l", "b")
+		c.apply(c.shard.Close())
+		Expect(c.replies[1].failure.Ran()).To(Equal(result.RanMaybe))
+		Expect(c.replies[2].failure.Ran()).To(Equal(result.RanNo))
+	})
+
+	It("tells a claim that waits for another attempt's outcome that the request may have run", func() {
+		c := newClosing()
+		c.claim(1, "k", "a")
+		c.tick()
+		c.end(ledger.Written)
+		c.apply(c.shard.Finish(c.now, 2, &wire.FinishRequest{Key: "k", Attempt: "a", State: int32(ledger.Done)}))
+		c.claim(3, "k", "b")
+		c.apply(c.shard.Close())
+		Expect(c.replies[2].failure.Ran()).To(Equal(result.RanMaybe))
+		Expect(c.replies[3].failure.Ran()).To(Equal(result.RanMaybe))
+	})
+})
--- a/internal/record/ledger/driver_test.go
+++ b/internal/record/ledger/driver_test.go
@@ -238,6 +238,9 @@
 	txn := recorder.GroupTxn(0, h.token, a.Group.GetSequence(), value, a.Deletes)
 	switch injected {
 	case rejectWrite:
+		if !h.shard.BeginWrite(a.Group) {
+			return nil, false
+		}
 		return h.shard.Committed(c.clock.Now(), ledger.NotWritten), true
 	case crashBefore:
 		h.crashed = true
@@ -246,6 +249,9 @@
 		h.pausedUntil = c.clock.Now().Add(pauseTime)
 		return []ledger.Action{a}, true
 	}
+	if !h.shard.BeginWrite(a.Group) {
+		return nil, false
+	}
 	outcome, err := c.kv.Commit(ctx, txn)
 	committed := ledger.Written
 	switch {
--- a/internal/record/ledger/shard.go
+++ b/internal/record/ledger/shard.go
@@ -19,9 +19,9 @@
 // effect after a read-back found nothing. The same group, with the same
 // sequence number and writer id, is therefore written again, never another one.
 //
-// While the store refuses writes, claims that certainly are not durable are
-// withdrawn and refused as not run. Outcomes of claimed requests are kept, up
-// to a limit of bytes, and written when the store is back.
+// While the store refuses writes, and when the shard closes, claims that certainly
+// are not durable are withdrawn and refused as not run. Outcomes of claimed
+// requests are kept, up to a limit of bytes, and written when the store is back.
 //
 // Groups without a live record are deleted together with a later write. When
 // the log has many more groups than its live records need, it is compacted: old
@@ -68,8 +68,8 @@
 const (
 	// ReplyTo sends Failure or Found to the caller that Ticket identifies.
 	ReplyTo ActionKind = iota
-	// CommitGroup writes Group and deletes the groups in Deletes; the result
-	// goes to Committed.
+	// CommitGroup writes Group and deletes the groups in Deletes, if BeginWrite
+	// allows it right before the write; the result goes to Committed.
 	CommitGroup
 	// ReadGroup reads the group with Group's sequence number; the result goes
 	// to ReadBack.
@@ -284,7 +284,16 @@
 // durable. e, the key's earlier state, decides whether the request may have run;
 // it may be nil.
 func claimUnavailable(e *Entry) *result.Error {
-	failure := result.New(result.StoreUnavailable, "the platform's store takes no records now").WithRetry(outageRetryAfter)
+	return claimFailure(result.New(result.StoreUnavailable, "the platform's store takes no records now").WithRetry(outageRetryAfter), e)
+}
+
+// claimMoved returns the failure for a claim that certainly is not durable in a
+// shard that closes; e is as for claimUnavailable.
+func claimMoved(e *Entry) *result.Error {
+	return claimFailure(result.New(result.LeaseLost, "shard moved before the claim was written"), e)
+}
+
+func claimFailure(failure *result.Error, e *Entry) *result.Error {
 	if e != nil && e.State != NotRun {
 		return failure.WithRan(result.RanMaybe)
 	}
@@ -450,15 +459,20 @@
 	return append(actions, s.flush(now)...)
 }
 
-// Close stops the shard. Every waiting caller gets a failure, as it is unknown
+// Close stops the shard. Claims that certainly are not durable are refused as not
+// run. Every other waiting caller gets a failure with RanMaybe, as it is unknown
 // whether its record is durable.
 func (s *Shard) Close() []Action {
 	if s.closed {
 		return nil
 	}
 	s.closed = true
+	_, actions := s.withdrawFrom(s.pending, claimMoved)
+	if w := s.groupWrite; w != nil && !w.atStore && !w.outcomeUnknown {
+		_, refusals := s.withdrawFrom(w.batch, claimMoved)
+		actions = append(actions, refusals...)
+	}
 	failure := result.New(result.LeaseLost, "shard moved while the record was written").WithRan(result.RanMaybe)
-	var actions []Action
 	for _, key := range s.keysWithWaiters() {
 		for _, ticket := range s.takeWaiters(key) {
 			actions = append(actions, Action{Kind: ReplyTo, Ticket: ticket, Failure: failure})
--- a/internal/record/ledger/write.go
+++ b/internal/record/ledger/write.go
@@ -53,6 +53,9 @@
 	// outcomeUnknown is set if an earlier attempt to write the group may still
 	// take effect.
 	outcomeUnknown bool
+	// atStore is set while an attempt to write the group may take effect, from
+	// BeginWrite until Committed.
+	atStore bool
 }
 
 func recordBytes(r *wire.Record) int { return recordOverheadBytes + proto.Size(r) }
@@ -158,6 +161,16 @@
 	return s.groupWrite != nil && now.Sub(s.groupWrite.startedAt) >= stallTimeout
 }
 
+// BeginWrite reports whether an attempt to write group may be sent to the store.
+// Until its result is passed to Committed, the attempt may take effect.
+func (s *Shard) BeginWrite(group *wire.Group) bool {
+	if s.groupWrite == nil || s.groupWrite.group != group {
+		return false
+	}
+	s.groupWrite.atStore = true
+	return true
+}
+
 // CommitResult is the result of an attempt to write a group.
 type CommitResult uint8
 
@@ -178,6 +191,7 @@
 	if s.groupWrite == nil {
 		return nil
 	}
+	s.groupWrite.atStore = false
 	switch outcome {
 	case Written:
 		return s.groupDurable(now)
@@ -276,7 +290,7 @@
 		return nil
 	}
 	var actions []Action
-	s.pending, actions = s.withdrawFrom(s.pending)
+	s.pending, actions = s.withdrawFrom(s.pending, claimUnavailable)
 	s.pendingBytes = 0
 	for _, p := range s.pending {
 		s.pendingBytes += recordBytes(p.record)
@@ -284,7 +298,7 @@
 	if !includeInFlight {
 		return actions
 	}
-	batch, inFlightActions := s.withdrawFrom(s.groupWrite.batch)
+	batch, inFlightActions := s.withdrawFrom(s.groupWrite.batch, claimUnavailable)
 	if len(inFlightActions) == 0 {
 		return actions
 	}
@@ -302,8 +316,9 @@
 }
 
 // withdrawFrom undoes the claims among records. It returns the other records
-// and the replies that refuse the claims.
-func (s *Shard) withdrawFrom(records []pendingRecord) ([]pendingRecord, []Action) {
+// and the replies that refuse the claims; failure returns the failure of a claim
+// by the key's earlier state.
+func (s *Shard) withdrawFrom(records []pendingRecord, failure func(prior *Entry) *result.Error) ([]pendingRecord, []Action) {
 	var kept []pendingRecord
 	var actions []Action
 	for _, p := range records {
@@ -315,7 +330,7 @@
 		}
 		s.restore(key, prior)
 		for _, ticket := range s.takeWaiters(key) {
-			actions = append(actions, replyFailure(ticket, claimUnavailable(prior))...)
+			actions = append(actions, replyFailure(ticket, failure(prior))...)
 		}
 	}
 	return kept, actions
--- a/internal/record/recorder/recorder_test.go
+++ b/internal/record/recorder/recorder_test.go
@@ -32,7 +32,8 @@
 
 // fleet is a set of hosts whose recorders share one store.
 type fleet struct {
-	kv *platform.KV
+	kv    *platform.KV
+	timer timer.Service
 
 	mu   sync.Mutex
 	live []string
@@ -48,7 +49,7 @@
 	timing := lease.DefaultTiming
 	timing.TTL, timing.Margin, timing.RenewInterval = ttl, time.Second, 500*time.Millisecond
 	timing.ReleaseDelay, timing.CheckInterval = 100*time.Millisecond, 100*time.Millisecond
-	r := recorder.New(name, f.kv, timer.Real{}, shards, timing, recorder.Hooks{
+	r := recorder.New(name, f.kv, f.timer, shards, timing, recorder.Hooks{
 		Live: func() []string {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -82,7 +83,7 @@
 var _ = Describe("recorders", func() {
 	var f *fleet
 	BeforeEach(func() {
-		f = &fleet{kv: platform.NewKV(timer.Real{})}
+		f = &fleet{kv: platform.NewKV(timer.Real{}), timer: timer.Real{}}
 		f.setLive("a")
 	})
 
@@ -148,4 +149,29 @@
 			Expect(string(lookup(ctx, a, key).GetEntry().GetAnswer())).To(Equal(key))
 		}
 	}, SpecTimeout(2*waitTimeout))
+
+	It("refuse a claim as not run if the lease ends while each of its writes was refused", func(ctx SpecContext) {
+		clock := timer.NewManual(time.Unix(1000, 0))
+		f.kv, f.timer = platform.NewKV(clock), clock
+		a := f.start("a", shortTTL)
+		Eventually(func() []int {
+			clock.Advance(50 * time.Millisecond)
+			return a.Held()
+		}, waitTimeout).Should(HaveLen(shards))
+		f.kv.SetFaults(func(string) platform.Fault { return platform.Refuse })
+		replies := make(chan *wire.ClaimReply, 1)
+		go func() { replies <- a.Claim(ctx, claimOf("k", "one")) }()
+		// From six refused calls on, each is a second after the one before.
+		before := f.kv.Calls()["txn"]
+		Eventually(func() int {
+			clock.Advance(10 * time.Millisecond)
+			return f.kv.Calls()["txn"] - before
+		}, waitTimeout, 20*time.Millisecond).Should(BeNumerically(">=", 6))
+		Expect(replies).NotTo(Receive())
+		clock.Advance(shortTTL)
+		var reply *wire.ClaimReply
+		Eventually(replies, waitTimeout).Should(Receive(&reply))
+		Expect(reply.GetFailure()).NotTo(BeNil())
+		Expect(reply.GetFailure().Err().Ran()).To(Equal(result.RanNo))
+	}, SpecTimeout(2*waitTimeout))
 })
--- a/internal/record/recorder/write.go
+++ b/internal/record/recorder/write.go
@@ -99,6 +99,12 @@
 		r.closeLost(o.number, o.token, err.Error())
 		return
 	}
+	o.mu.Lock()
+	begun := o.shard.BeginWrite(group)
+	o.mu.Unlock()
+	if !begun {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	outcome, err := r.store.Commit(ctx, GroupTxn(o.number, o.token, group.GetSequence(), value, deletes))
