Forward: a silent stream moves to a server of its version that appears later

A resumable stream looked for another server only once after its server fell silent if none with its software version was known then, as while the servers of a version start again. When one appeared later, the stream stood still until its server went on or its deadline passed. The idle timer now runs on while no other server is known, as it does while none has room.

The spec failed before:

a stream whose server is silent [It] moves once another server of its version appears [FAILED] cancelled: the caller left or its time passed (after 5 s)

It passes now, as does the package with -race. No record, message between hosts or settings key changes.

--- a/internal/serving/forward/silence_test.go
+++ b/internal/serving/forward/silence_test.go
@@ -199,6 +199,15 @@
 		expectOneAtATime()
 	}
 
+	It("moves once another server of its version appears", func() {
+		put("a")
+		appears := directory
+		time.AfterFunc(5*idle, func() {
+			appears.Put(backend.Server{ID: "b", Service: "s", Address: "b", Zone: "z", Slots: 4, SoftwareVersion: "v1"})
+		})
+		expectWhole(serve(places, nil, pacedAnswer{numberedEvents(1, 2), time.Minute}, pacedAnswer{numberedEvents(3, 4)}))
+	})
+
 	// Guards against a refusal of other hosts that counts for the rest of the stream.
 	DescribeTable("goes on elsewhere after a cut that is over", func(rest ...any) {
 		put("a", "b")
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -432,7 +432,11 @@
 			f.end(att, scheduler.Unknown)
 			return result.New(result.Cancelled, "the caller left or its time passed").WithRan(result.RanYes)
 		case <-idleTimer.C:
-			if !s.canFailOver(att) || !s.hasOther() {
+			if !s.canFailOver(att) {
+				continue
+			}
+			if !s.hasOther() {
+				idleTimer.Reset(s.idleTimeout())
 				continue
 			}
 			cause := s.passOnCause()
