Forward: a silent server is left 200 ms after the last host was asked, not the first

At a host that is cut off from all servers, a stream whose server was silent gave that server up 200 ms after it began to look for another host. Hosts that can't be reached take 150 ms each to tell, so the time was over when the second one had not been reached yet, and no server had the stream. If this host's own try found no room, the stream was cut, although its server went on a moment later. The time now begins again with each host that is asked: the one before has certainly not run the call then, so two servers work on it no longer than before.

The spec failed before (three hosts, none of them reached, 150 ms each; the server goes on after 0.8 s):

stays while none of the hosts that are asked can be reached, however long that takes [FAILED] back end silent: server a fell silent

It passes now, as does the package with -race. "leaves its server in time for one that another host asks after others could not be reached" bounds the time of two servers at 400 ms; it passed before and passes now. No record, message between hosts or settings key changes.

--- a/internal/serving/forward/silence_test.go
+++ b/internal/serving/forward/silence_test.go
@@ -90,12 +90,17 @@
 	return append(servers, s.servers...), together
 }
 
-// slowPeers is cut off from one time to another, reaches no other host, and takes a
-// while to learn that.
+// slowPeers is cut off from one time to another, and takes a while to learn that it
+// reaches no other host but the taker.
 type slowPeers struct {
 	scriptedPeers
 	from, until time.Time
 	takes       time.Duration
+	// taker gives a reply after a longer while. It was asked last at askedTaker.
+	taker      string
+	taken      time.Duration
+	reply      forward.PeerReply
+	askedTaker time.Time
 }
 
 func (p *slowPeers) CutOff() bool {
@@ -103,12 +108,17 @@
 	return now.After(p.from) && now.Before(p.until)
 }
 
-func (p *slowPeers) Send(ctx context.Context, _ string, _ *exchange.Call, _ forward.Order) forward.PeerReply {
+func (p *slowPeers) Send(ctx context.Context, host string, _ *exchange.Call, _ forward.Order) forward.PeerReply {
+	takes, reply := p.takes, unableReply
+	if host == p.taker {
+		p.askedTaker = time.Now()
+		takes, reply = p.taken, p.reply
+	}
 	select {
-	case <-time.After(p.takes):
+	case <-time.After(takes):
 	case <-ctx.Done():
 	}
-	return unableReply
+	return reply
 }
 
 // scarceSlots places the first call, and no other until a time.
@@ -220,6 +230,25 @@
 		Entry("its server breaks off", 8*idle, errBroken),
 	)
 
+	// Guards against leaving a server before another one can have been asked.
+	It("stays while none of the hosts that are asked can be reached, however long that takes", func() {
+		put("a", "b")
+		now := time.Now()
+		p := &slowPeers{scriptedPeers: scriptedPeers{hosts: []string{"B", "C", "D"}}, from: now.Add(idle / 2), until: now.Add(time.Hour), takes: 150 * time.Millisecond}
+		expectWhole(serve(&scarceSlots{Slots: places, until: p.until}, p, pacedAnswer{numberedEvents(1, 2), 800 * time.Millisecond, numberedEvents(3, 4)}))
+	})
+
+	It("leaves its server in time for one that another host asks after others could not be reached", func() {
+		put("a", "b")
+		now := time.Now()
+		p := &slowPeers{scriptedPeers: scriptedPeers{hosts: []string{"B", "C"}}, from: now.Add(idle / 2), until: now.Add(time.Hour), takes: 150 * time.Millisecond}
+		p.taker, p.taken, p.reply = "C", 700*time.Millisecond, answer("b", numberedEvents(3, 4))
+		expectWhole(serve(places, p, pacedAnswer{numberedEvents(1, 2), time.Minute}))
+		servers.mu.Lock()
+		defer servers.mu.Unlock()
+		Expect(servers.ended[0].Sub(p.askedTaker)).To(BeNumerically("<=", maxTwoServers))
+	})
+
 	It("is ended at both servers when its caller leaves while another one is asked", func() {
 		put("a", "b", "c")
 		time.AfterFunc(3*idle, cancel)
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -214,7 +214,7 @@
 		}
 	}
 	if cause := f.passOnCause(s.call, s.software, &s.reach); cause != "" && s.reach.refused == nil {
-		a, failure, unable := s.passOn(ctx, cause)
+		a, failure, unable := s.passOn(ctx, cause, func(string, string) {})
 		if unable {
 			s.reach.refused = failure
 		} else if a != nil || failure != nil {
@@ -239,11 +239,11 @@
 	return s.forwarder.send(ctx, s.call, choice, s.resume())
 }
 
-// passOn has another host carry out the next attempt.
-func (s *streamSession) passOn(ctx context.Context, cause string) (a *attempt, failure *result.Error, unable bool) {
+// passOn has another host carry out the next attempt; see Forwarder.passOn.
+func (s *streamSession) passOn(ctx context.Context, cause string, note func(host, server string)) (a *attempt, failure *result.Error, unable bool) {
 	order := s.reach.order(s.software, s.avoid, s.maxWait(), s.resume())
 	order.Begun = s.begun
-	return s.forwarder.passOn(ctx, s.call, order, cause, func(string, string) {})
+	return s.forwarder.passOn(ctx, s.call, order, cause, note)
 }
 
 // passOnCause returns why another host is to carry out the next attempt, "" if this
@@ -255,9 +255,10 @@
 	return s.forwarder.passOnCause(s.call, s.software, &s.reach)
 }
 
-// tryPassOn is passOn for a stream that stays where it is if no host takes it.
-func (s *streamSession) tryPassOn(ctx context.Context, cause string) *attempt {
-	a, refused, unable := s.passOn(ctx, cause)
+// tryPassOn is passOn for a stream that stays where it is if no host takes it. It calls
+// asked before it asks a host, those before having done nothing.
+func (s *streamSession) tryPassOn(ctx context.Context, cause string, asked func()) *attempt {
+	a, refused, unable := s.passOn(ctx, cause, func(string, string) { asked() })
 	if unable {
 		s.reach.refused = refused
 	}
@@ -307,20 +308,32 @@
 // leave begins the next attempt of a stream whose server fell silent, by open, and
 // reports whether the stream left that server: while no other takes the stream, it may
 // still go on. The attempt there ends as soon as another server takes the stream, or
-// overlap after that was asked.
-func (s *streamSession) leave(ctx context.Context, att *attempt, open func() *attempt) bool {
+// overlap after that was asked. open calls asked when it asks another one instead.
+func (s *streamSession) leave(ctx context.Context, att *attempt, open func(asked func()) *attempt) bool {
 	s.reach.avoidHost(att)
-	opened := make(chan *attempt, 1)
-	go func() { opened <- open() }()
+	opened, askedAgain := make(chan *attempt, 1), make(chan struct{}, 1)
+	go func() {
+		opened <- open(func() {
+			select {
+			case askedAgain <- struct{}{}:
+			default:
+			}
+		})
+	}()
 	overlapTimer := time.NewTimer(overlap)
 	defer overlapTimer.Stop()
 	var next *attempt
-	select {
-	case next = <-opened:
-	case <-overlapTimer.C:
-		s.forwarder.end(att, scheduler.Unreachable)
-		s.next = <-opened
-		return true
+	for isOpen := false; !isOpen; {
+		select {
+		case next = <-opened:
+			isOpen = true
+		case <-askedAgain:
+			overlapTimer.Reset(overlap)
+		case <-overlapTimer.C:
+			s.forwarder.end(att, scheduler.Unreachable)
+			s.next = <-opened
+			return true
+		}
 	}
 	switch {
 	case next == nil:
@@ -445,7 +458,7 @@
 				continue
 			}
 			// A place at another host's servers can't be taken before.
-			if s.leave(ctx, att, func() *attempt { return s.tryPassOn(ctx, cause) }) {
+			if s.leave(ctx, att, func(asked func()) *attempt { return s.tryPassOn(ctx, cause, asked) }) {
 				return silent(att)
 			}
 			idleTimer.Reset(s.idleTimeout())
@@ -454,7 +467,7 @@
 			searching.found = nil
 			if p.refusal != nil {
 				s.stay(att, p.refusal)
-			} else if s.leave(ctx, att, func() *attempt { return s.send(ctx, p.choice) }) {
+			} else if s.leave(ctx, att, func(func()) *attempt { return s.send(ctx, p.choice) }) {
 				return silent(att)
 			}
 			s.reach.forgetRefusal()
