Jobs: a job that is handed in again is answered from memory only while it is certain to be kept

Cause: a host answered 202 for each job that it owned or had heard of, without asking the store. A complete job is removed from the store 150 s after its acceptance at the earliest; handed in again after that, it was answered as accepted and kept nowhere. Owners of old lists, hosts that had read the record and hosts that had heard a notice did so alike.

One that has only heard of the owner asks it, which costs no call to the store, and reads the record if the owner does not know. If there is none, the job is accepted anew, and what is in memory of the one before is forgotten. A complete job older than 150 s may be removed at any moment: 502 until it has been. While the store is away, a host that does not know answers 502 ("may have run") and not 503, which promises that nothing runs.

Builds side by side: the question GET /jobs/ID/kept between hosts is new. A host of the build before answers it with 404, which counts as "not known", and the record is read. No record or settings key changes.

--- a/internal/batch/ownership/accept.go
+++ b/internal/batch/ownership/accept.go
@@ -58,21 +58,31 @@
 }
 
 // Submit accepts a job. It returns nil once the job is durable, also if it was
-// accepted before. An error with RanNo guarantees that no item of it will run.
+// accepted before and is still kept. An error with RanNo guarantees that no item of it
+// will run.
 func (m *Manager) Submit(ctx context.Context, sub Submission) *result.Error {
 	m.mu.Lock()
-	_, owned := m.jobs[sub.ID]
-	_, known := m.owners[sub.ID]
-	stopping := m.stopping
+	j, owned := m.jobs[sub.ID]
+	owner, heard := m.owners[sub.ID]
+	kept, stopping := m.isKept(sub.ID), m.stopping
 	m.mu.Unlock()
-	if owned || known {
-		// Only durable jobs are entered in m.owners.
+	if kept {
 		return nil
 	}
-	if stopping {
+	var failure *result.Error
+	accepted := owned || heard
+	if accepted {
+		var removed bool
+		removed, failure = m.checkKept(ctx, sub.ID, j, owner)
+		accepted = !removed
+	}
+	switch {
+	case accepted:
+	case stopping:
 		return result.New(result.Stopping, "this host stops").WithRetry(storeRetryAfter)
+	default:
+		failure = m.accept(ctx, sub)
 	}
-	failure := m.accept(ctx, sub)
 	if failure != nil {
 		refusedTotal.Inc()
 		m.Log.Info("job refused", "job", sub.ID, "route", sub.Route.Name, "items", len(sub.Items), "ran", string(failure.Ran()), "cause", failure.Error())
@@ -97,9 +107,9 @@
 		}
 		q, failure := m.checkQuota(ctx, sub.Route, record.Tokens)
 		if failure != nil {
-			if _, readFailure := m.record(ctx, sub.ID); readFailure == nil {
+			if r, readFailure := m.record(ctx, sub.ID); readFailure == nil {
 				// The job was accepted before and is itself counted in the sum.
-				return nil
+				return m.keeps(r)
 			}
 			if outcomeUnknown {
 				return failure.WithRan(result.RanMaybe)
@@ -201,6 +211,7 @@
 	acceptedTotal.Inc()
 	m.mu.Lock()
 	m.addOwned(jobstate.NewJob(record, sub.Items, nil), revision, claim.New(m.proofPeriod(), began))
+	m.noteOpen(sub.ID, began)
 	if sub.Route.TokenCap > 0 {
 		m.quotas[sub.Route.Name] = quotaUsage{Sum: q.Sum + record.Tokens, revision: revision}
 	}
@@ -228,7 +239,12 @@
 			if failure := m.Peers.Adopt(ctx, existing.Owner, sub.ID); failure != nil {
 				m.Log.Info("owner not told of a job handed in again", "job", sub.ID, "owner", existing.Owner, "cause", failure.Error())
 			}
-			return true, nil
+			if existing.Open() {
+				m.mu.Lock()
+				m.noteOpen(sub.ID, began)
+				m.mu.Unlock()
+			}
+			return true, m.keeps(existing)
 		case jobstate.QuotaKey(sub.Route.Name):
 			m.cacheQuotaUsage(sub.Route.Name, e)
 			return false, nil
--- /dev/null
+++ b/internal/batch/ownership/again_test.go
@@ -0,0 +1,232 @@
+package ownership_test
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupquay/kingcupquay/internal/batch/jobstate"
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/record/store"
+)
+
+// pastRetention is longer than the time for which a complete job is kept.
+const pastRetention = 190 * time.Second
+
+// isStored reports whether the store has the record of a job.
+func (f *fleet) isStored(id string) bool {
+	GinkgoHelper()
+	_, ok, err := f.kv.Get(ctx, jobstate.RecordKey(id))
+	Expect(err).NotTo(HaveOccurred())
+	return ok
+}
+
+// remove removes all of a job from the store, as a host does that no host hears of.
+func (f *fleet) remove(id string) {
+	GinkgoHelper()
+	for _, prefix := range []string{jobstate.BodyPrefix(id), jobstate.ResultPrefix(id), jobstate.PartialKey(id), jobstate.RecordKey(id)} {
+		entries, _, err := store.RangeAll(ctx, f.kv, prefix, 0)
+		Expect(err).NotTo(HaveOccurred())
+		for _, e := range entries {
+			_, err := f.kv.Commit(ctx, store.Txn{Deletes: []string{e.Key}})
+			Expect(err).NotTo(HaveOccurred())
+		}
+	}
+}
+
+// awaitRemoval waits until a scanner has removed a complete job.
+func (f *fleet) awaitRemoval(id string) {
+	GinkgoHelper()
+	f.eventually(func(g Gomega) {
+		f.clock.Advance(time.Second)
+		g.Expect(f.isStored(id)).To(BeFalse())
+	})
+}
+
+// handIn hands a job of two items in at a host.
+func (f *fleet) handIn(name, id string) *result.Error {
+	return f.hosts[name].Submit(ctx, submission(id, 2, 1))
+}
+
+// expectKept expects that a job that was just answered as accepted is kept and runs.
+func (f *fleet) expectKept(id string, names ...string) {
+	GinkgoHelper()
+	Expect(f.isStored(id)).To(BeTrue(), "the job is in the store")
+	for _, name := range names {
+		f.eventually(func(g Gomega) { expectComplete(g, listResults(g, f.hosts[name], id), 2) })
+	}
+}
+
+// completed returns a fleet in which A has accepted job j and completed it, and B has heard
+// of it. No host scans any more.
+func completed() *fleet {
+	GinkgoHelper()
+	f := newFleet("A", "B")
+	Expect(f.handIn("A", "j")).To(BeNil())
+	f.hosts["B"].LearnOwner("A", []string{"j"})
+	f.eventually(func(g Gomega) { expectComplete(g, listResults(g, f.hosts["A"], "j"), 2) })
+	f.noScanners.Store(true)
+	return f
+}
+
+var _ = Describe("a job that is handed in again after its removal", func() {
+	It("is kept by a host that has heard of its owner", func() {
+		f := newFleet("A", "B")
+		Expect(f.handIn("A", "j")).To(BeNil())
+		f.hosts["B"].LearnOwner("A", []string{"j"})
+		f.eventually(func(g Gomega) { expectComplete(g, listResults(g, f.hosts["A"], "j"), 2) })
+		f.awaitRemoval("j")
+		f.hosts["B"].LearnOwner("A", []string{"j"})
+		Expect(f.handIn("B", "j")).To(BeNil())
+		f.expectKept("j", "A", "B")
+	})
+
+	It("is kept by a host that has read its record", func() {
+		f := newFleet("A", "B")
+		f.servers.block = make(chan struct{})
+		Expect(f.handIn("A", "j")).To(BeNil())
+		Expect(f.handIn("B", "j")).To(BeNil())
+		close(f.servers.block)
+		f.eventually(func(g Gomega) { expectComplete(g, listResults(g, f.hosts["A"], "j"), 2) })
+		f.awaitRemoval("j")
+		Expect(f.handIn("B", "j")).To(BeNil())
+		f.expectKept("j", "A", "B")
+	})
+
+	It("is kept by its owner, which still has it as complete", func() {
+		f := newFleet("A")
+		f.noScanners.Store(true)
+		Expect(f.handIn("A", "j")).To(BeNil())
+		f.eventually(func(g Gomega) { expectComplete(g, listResults(g, f.hosts["A"], "j"), 2) })
+		f.remove("j")
+		f.clock.Suspend(pastRetention)
+		Expect(f.handIn("A", "j")).To(BeNil())
+		f.expectKept("j", "A")
+	})
+
+	It("is kept by a former owner, which was cut off and still has it as open", func() {
+		f := newFleet("A", "B")
+		f.servers.block = make(chan struct{})
+		Expect(f.handIn("A", "j")).To(BeNil())
+		f.leave("A")
+		f.hosts["A"].cutOff.Store(true)
+		f.takenFrom("A")
+		f.hosts["A"].directory.Remove(f.clock.Now(), backendServer.ID, 0)
+		close(f.servers.block)
+		f.eventually(func(g Gomega) { expectComplete(g, listResults(g, f.hosts["B"], "j"), 2) })
+		f.awaitRemoval("j")
+		Expect(f.hosts["A"].OwnedJobs()).To(ConsistOf("j"))
+		f.hosts["A"].cutOff.Store(false)
+		Expect(f.handIn("A", "j")).To(BeNil())
+		f.hosts["A"].dead.Store(false)
+		f.hosts["A"].directory.Put(backendServer)
+		f.expectKept("j", "A", "B")
+	})
+})
+
+var _ = Describe("a job that is handed in again beside its removal", func() {
+	It("is not answered as accepted once it may be removed at any moment, and is kept after it", func() {
+		f := completed()
+		f.clock.Advance(pastRetention)
+		failure := f.handIn("B", "j")
+		Expect(failure).NotTo(BeNil())
+		Expect(failure.Ran()).To(Equal(result.RanYes))
+		f.remove("j")
+		Expect(f.handIn("B", "j")).To(BeNil())
+		f.noScanners.Store(false)
+		f.expectKept("j", "A", "B")
+	})
+
+	DescribeTable("is kept if it is answered as accepted, whichever call the removal follows", func(heard bool, op string) {
+		f := completed()
+		f.clock.Advance(pastRetention)
+		h := f.addHost("C", "C/1")
+		if heard {
+			h.LearnOwner("A", []string{"j"})
+		}
+		var once sync.Once
+		h.afterCall.set(func(call string) {
+			if call == op {
+				once.Do(func() { f.remove("j") })
+			}
+		})
+		failure := f.handIn("C", "j")
+		Expect(failure == nil && !f.isStored("j")).To(BeFalse(), "it is answered as accepted and not kept")
+		Expect(f.handIn("C", "j")).To(BeNil())
+		f.expectKept("j", "C")
+	},
+		Entry("the read of the record", true, "get"),
+		Entry("the write that finds the record", false, "commit"),
+	)
+})
+
+var _ = Describe("a job that is handed in again soon after its acceptance", func() {
+	// calls counts the calls of a host to the store from now on.
+	calls := func(h *host) *atomic.Int64 {
+		var n atomic.Int64
+		h.beforeCall.set(func(string) { n.Add(1) })
+		return &n
+	}
+
+	It("costs no call to the store, at its owner and at a host that has heard of it", func() {
+		f := completed()
+		atA, atB := calls(f.hosts["A"]), calls(f.hosts["B"])
+		for range 20 {
+			Expect(f.handIn("A", "j")).To(BeNil())
+			Expect(f.handIn("B", "j")).To(BeNil())
+			f.advance(200 * time.Millisecond)
+		}
+		Expect(atA.Load()).To(BeZero())
+		Expect(atB.Load()).To(BeZero())
+	})
+
+	It("costs one read at a host whose owner is of a build that can't say whether it is kept", func() {
+		f := newFleet("A", "B")
+		f.noScanners.Store(true)
+		f.servers.block = make(chan struct{})
+		defer close(f.servers.block)
+		Expect(f.handIn("A", "j")).To(BeNil())
+		f.hosts["A"].earlierBuild.Store(true)
+		f.hosts["B"].LearnOwner("A", []string{"j"})
+		atB := calls(f.hosts["B"])
+		for range 20 {
+			Expect(f.handIn("B", "j")).To(BeNil())
+		}
+		Expect(atB.Load()).To(BeNumerically("==", 1))
+	})
+
+	DescribeTable("while the store is away", func(ownerIsGone bool, after time.Duration, accepted bool) {
+		f := completed()
+		for _, h := range f.hosts {
+			h.cutOff.Store(true)
+		}
+		f.hosts["A"].dead.Store(ownerIsGone)
+		f.clock.Advance(after)
+		names := []string{"A", "B"}
+		if ownerIsGone {
+			names = names[1:]
+		}
+		for _, name := range names {
+			failure := f.handIn(name, "j")
+			Expect(failure == nil).To(Equal(accepted), name)
+			if failure != nil {
+				Expect(failure.Ran()).To(Equal(result.RanMaybe), "the job may be kept")
+			}
+		}
+	},
+		Entry("is answered as accepted", false, 5*time.Second, true),
+		Entry("may have been accepted, if its owner is gone", true, 5*time.Second, false),
+		Entry("may have been accepted, if its owner knew of it too long ago", false, 25*time.Second, false),
+	)
+
+	It("costs a read by an owner whose machine was suspended", func() {
+		f := completed()
+		f.clock.Suspend(pastRetention)
+		atA := calls(f.hosts["A"])
+		Expect(f.handIn("A", "j")).To(BeNil())
+		Expect(atA.Load()).To(BeNumerically("==", 1))
+	})
+})
--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -76,6 +76,8 @@
 	Body(ctx context.Context, host, id, item string) ([]byte, *result.Error)
 	End(ctx context.Context, host, id string) *result.Error
 	Adopt(ctx context.Context, host, id string) *result.Error
+	// Kept returns nil if the host knows that a job is certain to be kept.
+	Kept(ctx context.Context, host, id string) *result.Error
 	// Alive reports whether notices of a host have been received recently.
 	Alive(host string) bool
 	// Dead reports whether a host is confirmed to be gone: its process has
@@ -208,7 +210,10 @@
 	jobs map[string]*ownedJob
 	// owners maps jobs of other hosts to their last known owners.
 	owners map[string]string
-	quotas map[string]quotaUsage
+	// keptUntil maps jobs to the time, by Timer.Uptime, until when they are certain to
+	// be kept in the store; see noteOpen.
+	keptUntil map[string]time.Duration
+	quotas    map[string]quotaUsage
 	// unreadSince is when the first check of a record began that failed since the
 	// last one that did not, and unreadAt when the last failed one did, by
 	// Timer.Uptime; they are zero if none failed.
@@ -248,7 +253,7 @@
 func New(o Options) *Manager {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Manager{
-		Options: o, jobs: make(map[string]*ownedJob), owners: make(map[string]string), quotas: make(map[string]quotaUsage), backlogged: make(map[string]bool),
+		Options: o, jobs: make(map[string]*ownedJob), owners: make(map[string]string), keptUntil: make(map[string]time.Duration), quotas: make(map[string]quotaUsage), backlogged: make(map[string]bool),
 		resultCache: resultcache.New(), stalledJobs: stalled.New(), closedAt: make(map[string]time.Time), trigger: make(chan struct{}, 1), scanTrigger: make(chan struct{}, 1), wakeFlush: make(chan struct{}, 1), done: make(chan struct{}), ctx: ctx, cancelCtx: cancel,
 	}
 }
--- a/internal/batch/ownership/owning.go
+++ b/internal/batch/ownership/owning.go
@@ -255,6 +255,7 @@
 	job := jobstate.NewJob(r, items, results)
 	job.RestorePartials(partials)
 	m.mu.Lock()
+	m.noteOpen(id, began)
 	added := m.addOwned(job, revision, c)
 	m.mu.Unlock()
 	if !added {
@@ -413,7 +414,8 @@
 const maxDeletes = 30
 
 // evict removes complete jobs of this host from memory, at the times at which they
-// are removed from the store, and clears the cached owners once there are too many.
+// are removed from the store, clears the cached owners once there are too many, and
+// forgets until when jobs were certain to be kept.
 func (m *Manager) evict(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -431,6 +433,11 @@
 	if len(m.owners) > maxKnownOwners {
 		clear(m.owners)
 	}
+	for id := range m.keptUntil {
+		if !m.isKept(id) {
+			delete(m.keptUntil, id)
+		}
+	}
 }
 
 // handOver passes this host's open jobs on to other hosts, so that they need not
--- a/internal/batch/ownership/reading.go
+++ b/internal/batch/ownership/reading.go
@@ -157,6 +157,7 @@
 
 // record reads a job's record from the store and caches its owner.
 func (m *Manager) record(ctx context.Context, id string) (jobstate.Record, *result.Error) {
+	began := m.Timer.Uptime()
 	e, ok, err := m.Store.Get(ctx, jobstate.RecordKey(id))
 	if err != nil {
 		return jobstate.Record{}, result.New(result.StoreUnavailable, "%v", err).WithRetry(storeRetryAfter)
@@ -172,6 +173,9 @@
 	if _, owned := m.jobs[id]; !owned {
 		m.owners[id] = r.Owner
 	}
+	if r.Open() {
+		m.noteOpen(id, began)
+	}
 	m.mu.Unlock()
 	return r, nil
 }
--- a/internal/batch/ownership/recordcheck.go
+++ b/internal/batch/ownership/recordcheck.go
@@ -221,6 +221,10 @@
 		m.Log.Error(err, "record can't be read", "job", known.ID)
 		check.hold, check.err = unreadAllowance, err
 		return
+	case r.Open():
+		m.noteOpen(known.ID, began)
+	}
+	switch {
 	case r.Owner == m.Host && !r.Ended && r.Listed <= known.Listed:
 		j.claim.Prove(began)
 		check.maySend, check.listKnown = true, true
--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -488,6 +488,17 @@
 	return p.Manager.Adopt(ctx, id)
 }
 
+func (h *host) Kept(_ context.Context, name, id string) *result.Error {
+	p, failure := h.peer(name)
+	if failure != nil {
+		return failure
+	}
+	if p.earlierBuild.Load() {
+		return result.New(result.NoBackend, "status 404")
+	}
+	return p.Manager.Kept(id)
+}
+
 func (h *host) Alive(name string) bool { _, failure := h.peer(name); return failure == nil }
 
 func (h *host) Dead(_ context.Context, name string) bool { return h.fleet.hosts[name].dead.Load() }
--- a/internal/batch/ownership/writing.go
+++ b/internal/batch/ownership/writing.go
@@ -216,6 +216,9 @@
 	now := m.Timer.Now()
 	for _, c := range group {
 		c.j.revision = revision
+		if c.after.Open() {
+			m.noteOpen(c.after.ID, began)
+		}
 		c.j.job.ApplyWrite(c.after, c.added)
 		if c.after.Owner != m.Host {
 			m.letGo(c)
--- a/internal/fleet/entry/peers.go
+++ b/internal/fleet/entry/peers.go
@@ -122,6 +122,11 @@
 			writeFailure(w, failure)
 		}
 	})
+	mux.HandleFunc("GET /jobs/{id}/kept", func(w http.ResponseWriter, r *http.Request) {
+		if failure := jobs.Kept(r.PathValue("id")); failure != nil {
+			writeFailure(w, failure)
+		}
+	})
 	mux.HandleFunc("POST /jobs/{id}/adopt", func(w http.ResponseWriter, r *http.Request) {
 		if failure := jobs.Adopt(r.Context(), r.PathValue("id")); failure != nil {
 			writeFailure(w, failure)
@@ -238,6 +243,12 @@
 	return failure
 }
 
+// Kept asks a host whether a job is certain to be kept.
+func (p *peers) Kept(ctx context.Context, host, id string) *result.Error {
+	_, failure := p.callHost(ctx, peerCallTimeout, http.MethodGet, host, "/jobs/"+url.PathEscape(id)+"/kept")
+	return failure
+}
+
 // Alive reports whether a notice of the host was received recently.
 func (p *peers) Alive(host string) bool { return p.host.members.Alive(host) }
 
--- a/internal/fleet/entry/peers_test.go
+++ b/internal/fleet/entry/peers_test.go
@@ -62,6 +62,7 @@
 		return failure
 	}
 	end := func() *result.Error { return h.peers.End(context.Background(), "B", "j") }
+	kept := func() *result.Error { return h.peers.Kept(context.Background(), "B", "j") }
 	results := func() *result.Error {
 		_, failure := h.peers.Results(context.Background(), "B", "j", 0, 0)
 		return failure
@@ -87,6 +88,7 @@
 		Entry("a body with a length", framed("bytes"), body),
 		Entry("a body in chunks", chunked("bytes"), body),
 		Entry("the end of a job", framed(""), end),
+		Entry("that a job is kept", framed(""), kept),
 		Entry("results with a length", framed(`{"Total":1,"Next":1,"Results":null}`), results),
 		Entry("results in chunks", chunked(`{"Total":1,"Next":1,"Results":null}`), results),
 		Entry("a list of servers", framed(list), servers),
@@ -99,6 +101,7 @@
 		Entry("a body", head+"\r\nbyt", body),
 		Entry("an empty body", head+"\r\n", body),
 		Entry("the end of a job", head+"\r\n", end),
+		Entry("that a job is kept", head+"\r\n", kept),
 	)
 
 	It("is none beyond the limit of its size", func() {
