Jobs: a scanner removes a job by what it saw of that one, not of an earlier job under its ID

Cause: a scanner remembered by ID when it first saw a job complete. One that scanned no more for a while kept the entry; if the job was removed by another scanner, accepted anew under its ID and completed late, the next scan removed it at once, before anyone could read it, and against what an answer from memory to a repeat relies on (30 s).

Change: the entry holds the revision of the record that was seen.

Nothing that is stored or sent changes.

--- a/internal/batch/ownership/again_test.go
+++ b/internal/batch/ownership/again_test.go
@@ -230,3 +230,28 @@
 		Expect(atA.Load()).To(BeNumerically("==", 1))
 	})
 })
+
+var _ = Describe("a job that was accepted anew after its removal", func() {
+	// Guards against a removal by what a scanner saw of the job before.
+	It("stays readable for a while, however long ago the one before was complete", func() {
+		f := newFleet("A")
+		Expect(f.handIn("A", "j")).To(BeNil())
+		f.eventually(func(g Gomega) { expectComplete(g, listResults(g, f.hosts["A"], "j"), 2) })
+		f.advance(3 * time.Second)
+		f.clock.Advance(150 * time.Second)
+		f.advance(3 * time.Second)
+		f.noScanners.Store(true)
+		f.remove("j")
+		f.servers.mu.Lock()
+		f.servers.block = make(chan struct{})
+		f.servers.mu.Unlock()
+		f.clock.Suspend(pastRetention)
+		Expect(f.handIn("A", "j")).To(BeNil())
+		f.clock.Advance(pastRetention)
+		close(f.servers.block)
+		f.eventually(func(g Gomega) { expectComplete(g, listResults(g, f.hosts["A"], "j"), 2) })
+		f.noScanners.Store(false)
+		f.advance(6 * time.Second)
+		Expect(f.isStored("j")).To(BeTrue())
+	})
+})
--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -232,10 +232,10 @@
 	stopping   bool
 
 	// stalledJobs, earlyScans, the number of consecutive early scans, and closedAt,
-	// when each complete job in the store was first seen, are only used by scan.
+	// the complete jobs in the store that were seen, are only used by scan.
 	stalledJobs *stalled.Tracker
 	earlyScans  int
-	closedAt    map[string]time.Time
+	closedAt    map[string]closedJob
 
 	// trigger requests a scheduling pass and scanTrigger a scan, without waiting
 	// for the next tick. wakeFlush starts the checks for unlisted results, which
@@ -254,7 +254,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Manager{
 		Options: o, jobs: make(map[string]*ownedJob), owners: make(map[string]string), keptUntil: make(map[string]time.Duration), quotas: make(map[string]quotaUsage), backlogged: make(map[string]bool),
-		resultCache: resultcache.New(), stalledJobs: stalled.New(), closedAt: make(map[string]time.Time), trigger: make(chan struct{}, 1), scanTrigger: make(chan struct{}, 1), wakeFlush: make(chan struct{}, 1), done: make(chan struct{}), ctx: ctx, cancelCtx: cancel,
+		resultCache: resultcache.New(), stalledJobs: stalled.New(), closedAt: make(map[string]closedJob), trigger: make(chan struct{}, 1), scanTrigger: make(chan struct{}, 1), wakeFlush: make(chan struct{}, 1), done: make(chan struct{}), ctx: ctx, cancelCtx: cancel,
 	}
 }
 
--- a/internal/batch/ownership/owning.go
+++ b/internal/batch/ownership/owning.go
@@ -368,12 +368,13 @@
 	if r.Open() || now.Sub(r.Accepted) < jobRetention || !m.assignedHere(r.ID) {
 		return
 	}
-	since, seen := m.closedAt[r.ID]
-	if !seen {
-		m.closedAt[r.ID] = now
+	// A change of a complete job's record, such as its end, only delays the removal.
+	seen, known := m.closedAt[r.ID]
+	if !known || seen.revision != revision {
+		m.closedAt[r.ID] = closedJob{revision: revision, since: now}
 		return
 	}
-	if now.Sub(since) < minReadable {
+	if now.Sub(seen.since) < minReadable {
 		return
 	}
 	// The record is deleted last, so that an interrupted removal is repeated.
@@ -401,10 +402,18 @@
 	m.Log.Info("job removed", "job", r.ID, "accepted", r.Accepted)
 }
 
+// closedJob is what a scanner has seen of a complete job.
+type closedJob struct {
+	// revision is that of its record.
+	revision int64
+	// since is when it was first seen complete.
+	since time.Time
+}
+
 // forgetClosed forgets the complete jobs that were to be removed long ago.
 func (m *Manager) forgetClosed(now time.Time) {
-	for id, since := range m.closedAt {
-		if now.Sub(since) > 2*minReadable {
+	for id, seen := range m.closedAt {
+		if now.Sub(seen.since) > 2*minReadable {
 			delete(m.closedAt, id)
 		}
 	}
