Jobs: what a host has in memory of a removed job is not taken for that of another one under its ID

Cause: jobs were known by ID alone. After its removal an ID may be accepted for another job. A host that had the first one in memory (a complete job that it had not evicted yet, one that it owned before it was cut off, results that it had read from the store) answered for the second one with the total, results, bodies and the end of the first. An heir that had the first one as open took the new revision and ran the items of the first; one that had it as complete answered that it runs the job and did nothing.

Change: records are told apart by their time of acceptance, which no later change touches. What is in memory of a job that is older than 150 s and was not seen open in the last 20 s is answered only after a read of the record; a job that is not that of the record is forgotten. Checks of a record, scans and adoptions treat it likewise. The time of acceptance holds no reading of the steady clock any more, which leaves out suspensions.

Cost: one read in 20 s for an open job that is older than 150 s and is read or ended, one for each call on a complete one. Younger jobs cost nothing more.

--- a/internal/batch/ownership/accept.go
+++ b/internal/batch/ownership/accept.go
@@ -157,7 +157,8 @@
 	if len(parts) > maxBodyParts {
 		return jobstate.Record{}, nil, result.New(result.BodyTooLarge, "the job takes %d parts, more than %d", len(parts), maxBodyParts)
 	}
-	now := m.Timer.Now()
+	// A reading of the steady clock would leave out suspensions of the machine.
+	now := m.Timer.Now().Round(0)
 	record := jobstate.Record{
 		ID: sub.ID, Route: sub.Route.Name, Host: sub.Host, Owner: m.Host, Serial: 1, Writer: m.Writer,
 		BodyParts: len(parts), Total: len(sub.Items), Accepted: now, Due: now.Add(sub.Route.DueAfter),
--- a/internal/batch/ownership/again_test.go
+++ b/internal/batch/ownership/again_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/kingcupquay/kingcupquay/internal/batch/jobstate"
+	"github.com/kingcupquay/kingcupquay/internal/batch/ownership"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
 )
@@ -254,4 +255,118 @@
 		f.advance(6 * time.Second)
 		Expect(f.isStored("j")).To(BeTrue())
 	})
+
+	// other is another job under the ID of the one before.
+	other := ownership.Submission{ID: "j", Route: route, Host: "a.example", Items: []jobstate.Item{{ID: "j-other", Path: "/batch/x", Body: []byte("other"), Tokens: 1}}}
+	// knows returns a fleet in which job j of two items was complete and removed, and its
+	// ID then accepted by B for job other, whose item waits for block. A, which heard
+	// of none of that, has the first job in memory.
+	knows := func(asOpen bool) (f *fleet, block chan struct{}) {
+		f = newFleet("A", "B")
+		f.noScanners.Store(true)
+		f.servers.block = make(chan struct{})
+		Expect(f.handIn("A", "j")).To(BeNil())
+		if asOpen {
+			f.hosts["A"].cutOff.Store(true)
+			f.hosts["A"].directory.Remove(f.clock.Now(), backendServer.ID, 0)
+		} else {
+			close(f.servers.block)
+			f.eventually(func(g Gomega) { expectComplete(g, listResults(g, f.hosts["A"], "j"), 2) })
+		}
+		f.remove("j")
+		f.clock.Advance(pastRetention)
+		block = make(chan struct{})
+		f.servers.mu.Lock()
+		f.servers.block = block
+		f.servers.mu.Unlock()
+		Expect(f.hosts["B"].Submit(ctx, other)).To(BeNil())
+		f.hosts["A"].cutOff.Store(false)
+		return f, block
+	}
+
+	DescribeTable("is served by a host that still has the one before", func(asOpen bool) {
+		f, block := knows(asOpen)
+		for _, name := range []string{"A", "B"} {
+			page, failure := f.hosts[name].Manager.Results(ctx, "j", 0, 0, true)
+			Expect(failure).To(BeNil())
+			Expect(page.Total).To(Equal(1), name)
+			Expect(page.Results).To(BeEmpty(), name)
+			body, failure := f.hosts[name].Manager.Body(ctx, "j", "j-other", true)
+			Expect(failure).To(BeNil(), name)
+			Expect(string(body)).To(Equal("other"))
+		}
+		close(block)
+		for _, name := range []string{"A", "B"} {
+			f.eventually(func(g Gomega) { expectComplete(g, listResults(g, f.hosts[name], "j"), 1) })
+		}
+	},
+		Entry("as complete", false),
+		Entry("as open", true),
+	)
+
+	It("gives no body of the one before at a host that still has it as open", func() {
+		f, block := knows(true)
+		defer close(block)
+		_, failure := f.hosts["A"].Manager.Body(ctx, "j", "j-0", true)
+		Expect(failure).NotTo(BeNil())
+		Expect(failure.Code()).To(Equal(result.NotFound))
+	})
+
+	DescribeTable("is ended through a host that still has the one before", func(asOpen bool) {
+		f, block := knows(asOpen)
+		defer close(block)
+		f.hosts["B"].directory.Remove(f.clock.Now(), backendServer.ID, 0)
+		Expect(f.hosts["A"].Manager.End(ctx, "j", true)).To(BeNil())
+		f.eventually(func(g Gomega) {
+			e, _, err := f.kv.Get(ctx, jobstate.RecordKey("j"))
+			g.Expect(err).NotTo(HaveOccurred())
+			r, err := jobstate.DecodeRecord(e.Value)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(r.Ended).To(BeTrue())
+		})
+	},
+		Entry("as complete", false),
+		Entry("as open", true),
+	)
+
+	DescribeTable("is run by an heir that still has the one before", func(asOpen, asked bool) {
+		f, block := knows(asOpen)
+		f.hosts["B"].Kill()
+		f.leave("B")
+		close(block)
+		f.rewrite("j", func(r *jobstate.Record) { r.Owner, r.Writer, r.Serial = "A", "B/1", r.Serial+1 })
+		f.hosts["A"].directory.Put(backendServer)
+		if asked {
+			Expect(f.hosts["A"].Manager.Adopt(ctx, "j")).To(BeNil())
+		} else {
+			f.noScanners.Store(false)
+			f.hosts["A"].TriggerScan()
+		}
+		f.eventually(func(g Gomega) { expectComplete(g, listResults(g, f.hosts["A"], "j"), 1) })
+		Expect(f.servers.runsOf("j-0")).To(BeNumerically("<=", 1), "no item of the one before runs")
+	},
+		Entry("as complete, and is asked to", false, true),
+		Entry("as open, and is asked to", true, true),
+		Entry("as complete, and scans", false, false),
+		Entry("as open, and scans", true, false),
+	)
+
+	It("is served by a host that has read the results of the one before", func() {
+		f := newFleet("A", "B", "C")
+		f.noScanners.Store(true)
+		Expect(f.handIn("A", "j")).To(BeNil())
+		f.eventually(func(g Gomega) { expectComplete(g, listResults(g, f.hosts["A"], "j"), 2) })
+		f.leave("A")
+		expectComplete(Default, listResults(Default, f.hosts["C"], "j"), 2)
+		f.remove("j")
+		f.clock.Advance(pastRetention)
+		Expect(f.hosts["B"].Submit(ctx, other)).To(BeNil())
+		f.eventually(func(g Gomega) { expectComplete(g, listResults(g, f.hosts["B"], "j"), 1) })
+		f.leave("B")
+		page, failure := f.hosts["C"].Manager.Results(ctx, "j", 0, 0, true)
+		Expect(failure).To(BeNil())
+		Expect(page.Total).To(Equal(1))
+		Expect(page.Results).To(HaveLen(1))
+		Expect(page.Results[0].ID).To(Equal("j-other"))
+	})
 })
--- a/internal/batch/ownership/kept.go
+++ b/internal/batch/ownership/kept.go
@@ -68,7 +68,42 @@
 	return result.New(result.StoreUnavailable, "job %.64q is complete and about to be removed", r.ID).WithRan(result.RanYes)
 }
 
-// forgetRemoved removes a job from memory whose record no longer exists.
+// current returns the job of an ID that this host has in memory, nil if it has none. If
+// it may have been removed since its record was last seen, and another one accepted
+// under its ID, the record is read.
+func (m *Manager) current(ctx context.Context, id string) (*ownedJob, *result.Error) {
+	m.mu.Lock()
+	j, owned := m.jobs[id]
+	if !owned || m.isKept(id) || m.Timer.Now().Sub(j.job.Record().Accepted) < jobRetention {
+		m.mu.Unlock()
+		return j, nil
+	}
+	m.mu.Unlock()
+	r, failure := m.record(ctx, id)
+	switch {
+	case failure == nil && m.isOf(j, r):
+		return j, nil
+	case failure != nil && failure.Code() != result.NotFound:
+		return nil, failure
+	}
+	m.forgetRemoved(j)
+	return nil, nil
+}
+
+// isOf reports whether a record is that of a job, and not of one that was accepted under
+// the same ID after or before it.
+func (m *Manager) isOf(j *ownedJob, r jobstate.Record) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return sameJob(j.job.Record(), r)
+}
+
+// sameJob reports whether two records are of one job, and not of two that were accepted
+// under the same ID one after the other.
+func sameJob(a, b jobstate.Record) bool { return a.Accepted.Equal(b.Accepted) }
+
+// forgetRemoved removes a job from memory whose record no longer exists, or is that of
+// another job.
 func (m *Manager) forgetRemoved(j *ownedJob) {
 	m.mu.Lock()
 	id, complete := j.job.Record().ID, j.job.Complete()
--- a/internal/batch/ownership/owning.go
+++ b/internal/batch/ownership/owning.go
@@ -128,11 +128,16 @@
 			continue
 		}
 		m.mu.Lock()
-		_, owned := m.jobs[r.ID]
+		j, owned := m.jobs[r.ID]
+		replaced := owned && e.ModRevision > j.revision && !sameJob(r, j.job.Record())
 		if !owned {
 			m.owners[r.ID] = r.Owner
 		}
 		m.mu.Unlock()
+		if replaced {
+			m.forgetRemoved(j)
+			owned = false
+		}
 		switch {
 		case owned && (r.Ended || r.Owner != m.Host):
 			// RangeStale may return an old record, so the current one is read.
@@ -339,14 +344,17 @@
 
 // Adopt makes this host run a job whose record names this host as the owner.
 func (m *Manager) Adopt(ctx context.Context, id string) *result.Error {
+	j, failure := m.current(ctx, id)
+	if failure != nil {
+		return failure
+	}
 	m.mu.Lock()
-	j, owned := m.jobs[id]
 	stopping := m.stopping
-	if owned {
+	if j != nil {
 		j.claim.Withdraw()
 	}
 	m.mu.Unlock()
-	if owned {
+	if j != nil {
 		// The job may have come back from another owner that this host did not know of.
 		m.refresh(id)
 		return nil
--- a/internal/batch/ownership/reading.go
+++ b/internal/batch/ownership/reading.go
@@ -37,10 +37,11 @@
 // the first. Without mayForward, only a job that this host owns is served.
 func (m *Manager) Results(ctx context.Context, id string, after int, wait time.Duration, mayForward bool) (ResultPage, *result.Error) {
 	deadline := m.Timer.Now().Add(wait)
-	m.mu.Lock()
-	j, owned := m.jobs[id]
-	m.mu.Unlock()
-	if owned {
+	j, failure := m.current(ctx, id)
+	if failure != nil && !mayForward {
+		return ResultPage{}, failure
+	}
+	if j != nil {
 		page, failure := m.ownedResults(ctx, j, after, deadline)
 		if failure == nil || failure.Code() != result.LeaseLost {
 			return page, failure
@@ -181,12 +182,13 @@
 }
 
 // cachedResults serves results from the cache: all of a complete job, and those
-// of another job that have been read before.
+// of another job that have been read before. A job that may have been removed, and
+// another one accepted under its ID, is not served.
 func (m *Manager) cachedResults(id string, after int) (ResultPage, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	cached, ok := m.resultCache.Get(m.Timer.Now(), id)
-	if !ok || (cached.Record.Open() && after >= len(cached.Results)) {
+	if !ok || (cached.Record.Open() && after >= len(cached.Results)) || m.Timer.Now().Sub(cached.Record.Accepted) >= jobRetention {
 		return ResultPage{}, false
 	}
 	return pageOf(cached.Record.Total, cached.Results, after), true
@@ -202,7 +204,7 @@
 		}
 		m.mu.Lock()
 		cached, ok := m.resultCache.Get(m.Timer.Now(), id)
-		current := ok && cached.Record.ResultParts == r.ResultParts
+		current := ok && cached.Record.ResultParts == r.ResultParts && sameJob(cached.Record, r)
 		m.mu.Unlock()
 		if !current {
 			results, err := loadParts(ctx, m.Store, jobstate.ResultPrefix(id), r.ResultParts, jobstate.DecodeResults)
@@ -230,9 +232,12 @@
 
 // Body returns the body of an item that is not listed yet.
 func (m *Manager) Body(ctx context.Context, id, item string, mayForward bool) ([]byte, *result.Error) {
-	m.mu.Lock()
-	j, owned := m.jobs[id]
-	if owned {
+	j, failure := m.current(ctx, id)
+	if failure != nil {
+		return nil, failure
+	}
+	if j != nil {
+		m.mu.Lock()
 		body, ok := j.job.Body(item)
 		m.mu.Unlock()
 		if !ok {
@@ -240,7 +245,6 @@
 		}
 		return body, nil
 	}
-	m.mu.Unlock()
 	if !mayForward {
 		return nil, result.New(result.LeaseLost, "job %.64q is not this host's", id)
 	}
--- a/internal/batch/ownership/recordcheck.go
+++ b/internal/batch/ownership/recordcheck.go
@@ -108,7 +108,8 @@
 	// err is why the record could not be read.
 	err error
 	// newOwner is the host that owns the job now, if this one does not; outdated is
-	// set if the job came back from another owner, which listed further results.
+	// set if the job came back from another owner, which listed further results, or
+	// another job was accepted under its ID.
 	newOwner string
 	outdated bool
 }
@@ -161,7 +162,7 @@
 		// The list of this host may be outdated, and a second read may fail.
 		m.drop(j, "owned by "+check.newOwner)
 	case check.outdated:
-		m.dropOutdated(j)
+		m.dropOutdated(j, listedFurther)
 	case !check.maySend && check.err == nil:
 		m.refresh(id)
 	}
@@ -224,18 +225,19 @@
 	case r.Open():
 		m.noteOpen(known.ID, began)
 	}
+	same := sameJob(r, known)
 	switch {
-	case r.Owner == m.Host && !r.Ended && r.Listed <= known.Listed:
+	case same && r.Owner == m.Host && !r.Ended && r.Listed <= known.Listed:
 		j.claim.Prove(began)
 		check.maySend, check.listKnown = true, true
 		return
-	case r.Owner == m.Host && !r.Ended && r.Writer == m.Writer:
+	case same && r.Owner == m.Host && !r.Ended && r.Writer == m.Writer:
 		// A write of this host has taken effect, and its reply is still to come.
 		check.maySend = true
 		return
 	}
 	if e.ModRevision > j.revision {
-		check.outdated = r.Owner == m.Host && r.Listed > known.Listed
+		check.outdated = r.Owner == m.Host && (r.Listed > known.Listed || !same)
 		if r.Owner != m.Host {
 			check.newOwner = r.Owner
 		}
--- a/internal/batch/ownership/writing.go
+++ b/internal/batch/ownership/writing.go
@@ -263,6 +263,13 @@
 		case err != nil:
 			m.Log.Error(err, "record can't be read", "job", c.after.ID)
 			return false
+		case !sameJob(current, c.before):
+			cause := "another job was accepted under its ID"
+			if current.Owner == m.Host {
+				m.dropOutdated(c.j, cause)
+			} else {
+				m.drop(c.j, cause)
+			}
 		case current.Writer == c.after.Writer && current.Serial == c.after.Serial:
 			// The write took effect or, when called by refresh, the record has the
 			// content that this host last saw.
@@ -270,7 +277,7 @@
 		case current.Owner != m.Host:
 			m.drop(c.j, "owned by "+current.Owner)
 		case current.Listed != c.before.Listed:
-			m.dropOutdated(c.j)
+			m.dropOutdated(c.j, listedFurther)
 		default:
 			m.mu.Lock()
 			c.j.revision = e.ModRevision
@@ -345,11 +352,15 @@
 	}
 }
 
-// dropOutdated drops a job whose record names this host as the owner but has
-// results that this host does not know of: another host owned the job in between.
-// The job is then taken over anew.
-func (m *Manager) dropOutdated(j *ownedJob) {
-	m.drop(j, "listed further by a host that owned it in between")
+// listedFurther is why a job is dropped whose record has results that this host does
+// not know of.
+const listedFurther = "listed further by a host that owned it in between"
+
+// dropOutdated drops a job whose record names this host as the owner but is not what
+// this host knows: another host owned the job in between, or another job was accepted
+// under its ID. The job is then taken over anew.
+func (m *Manager) dropOutdated(j *ownedJob, cause string) {
+	m.drop(j, cause)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.stopping {
@@ -372,10 +383,11 @@
 func (m *Manager) End(ctx context.Context, id string, mayForward bool) *result.Error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
 	defer cancel()
-	m.mu.Lock()
-	j, owned := m.jobs[id]
-	m.mu.Unlock()
-	if owned {
+	j, failure := m.current(ctx, id)
+	if failure != nil {
+		return failure
+	}
+	if j != nil {
 		return m.endOwned(ctx, j)
 	}
 	owner, failure := m.ownerOf(ctx, id)
