--- a/internal/batch/ownership/owning.go
+++ b/internal/batch/ownership/owning.go
@@ -128,11 +128,16 @@
 			continue
 		}
 		m.mu.Lock()
-		_, owned := m.jobs[r.ID]
+		j, owned := m.jobs[r.ID]
+		replaced := owned && e.ModRevision > j.revision && !sameJob(r, j.job.Record())
 		if !owned {
 			m.owners[r.ID] = r.Owner
 		}
 		m.mu.Unlock()
+		if replaced {
+			m.forgetRemoved(j)
+			owned = false
+		}
 		switch {
 		case owned && (r.Ended || r.Owner != m.Host):
 			// RangeStale may return an old record, so the current one is read.
@@ -256,6 +261,7 @@
 	job := jobstate.NewJob(r, items, results)
 	job.RestorePartials(partials)
 	m.mu.Lock()
+	m.noteOpen(id, began)
 	added := m.addOwned(job, revision, c)
 	m.mu.Unlock()
 	if !added {
@@ -339,14 +345,17 @@
 
 // Adopt makes this host run a job whose record names this host as the owner.
 func (m *Manager) Adopt(ctx context.Context, id string) *result.Error {
+	j, failure := m.current(ctx, id)
+	if failure != nil {
+		return failure
+	}
 	m.mu.Lock()
-	j, owned := m.jobs[id]
 	stopping := m.stopping
-	if owned {
+	if j != nil {
 		j.claim.Withdraw()
 	}
 	m.mu.Unlock()
-	if owned {
+	if j != nil {
 		// The job may have come back from another owner that this host did not know of.
 		m.refresh(id)
 		return nil
@@ -368,12 +377,13 @@
 	if r.Open() || now.Sub(r.Accepted) < jobRetention || !m.assignedHere(r.ID) {
 		return
 	}
-	since, seen := m.closedAt[r.ID]
-	if !seen {
-		m.closedAt[r.ID] = now
+	// A change of a complete job's record, such as its end, only delays the removal.
+	seen, known := m.closedAt[r.ID]
+	if !known || seen.revision != revision {
+		m.closedAt[r.ID] = closedJob{revision: revision, since: now}
 		return
 	}
-	if now.Sub(since) < minReadable {
+	if now.Sub(seen.since) < minReadable {
 		return
 	}
 	// The record is deleted last, so that an interrupted removal is repeated.
@@ -401,10 +411,18 @@
 	m.Log.Info("job removed", "job", r.ID, "accepted", r.Accepted)
 }
 
+// closedJob is what a scanner has seen of a complete job.
+type closedJob struct {
+	// revision is that of its record.
+	revision int64
+	// since is when it was first seen complete.
+	since time.Time
+}
+
 // forgetClosed forgets the complete jobs that were to be removed long ago.
 func (m *Manager) forgetClosed(now time.Time) {
-	for id, since := range m.closedAt {
-		if now.Sub(since) > 2*minReadable {
+	for id, seen := range m.closedAt {
+		if now.Sub(seen.since) > 2*minReadable {
 			delete(m.closedAt, id)
 		}
 	}
@@ -414,7 +432,8 @@
 const maxDeletes = 30
 
 // evict removes complete jobs of this host from memory, at the times at which they
-// are removed from the store, and clears the cached owners once there are too many.
+// are removed from the store, clears the cached owners once there are too many, and
+// forgets until when jobs were certain to be kept.
 func (m *Manager) evict(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -432,6 +451,11 @@
 	if len(m.owners) > maxKnownOwners {
 		clear(m.owners)
 	}
+	for id := range m.keptUntil {
+		if !m.isKept(id) {
+			delete(m.keptUntil, id)
+		}
+	}
 }
 
 // handOver passes this host's open jobs on to other hosts, so that they need not
