Jobs: what is listed of an old job is shown while the store is away

While the store was away callers were refused results and bodies that the owner has; what is listed of a job doesn't change, so it is shown, and only 'nothing at this position' and 'no such body' need the record.

The new spec before: [FAILED] Expected records unavailable: platform store unavailable to be nil. It passes now. No record or message changes.

--- a/internal/batch/ownership/again_test.go
+++ b/internal/batch/ownership/again_test.go
@@ -232,6 +232,27 @@
 	})
 })
 
+// Guards against an outage of the store that hides what is listed of an old job.
+var _ = Describe("a job that is older than complete ones are kept", func() {
+	It("shows its listed results and gives its bodies while the store is away", func() {
+		f, _ := newHalfListed("A")
+		defer close(f.servers.block)
+		f.hosts["A"].cutOff.Store(true)
+		f.clock.Advance(pastRetention)
+		page, failure := f.hosts["A"].Manager.Results(ctx, "j", 0, 0, true)
+		Expect(failure).To(BeNil())
+		Expect(page.Results).To(HaveLen(1))
+		_, failure = f.hosts["A"].Manager.Results(ctx, "j", 1, 0, true)
+		Expect(failure).NotTo(BeNil(), "the host can't know that none is listed")
+		Expect(failure.Code()).To(Equal(result.StoreUnavailable))
+		body, failure := f.hosts["A"].Manager.Body(ctx, "j", "j-1", true)
+		Expect(failure).To(BeNil())
+		Expect(body).NotTo(BeEmpty())
+		_, failure = f.hosts["A"].Manager.Body(ctx, "j", "j-9", true)
+		Expect(failure.Code()).To(Equal(result.StoreUnavailable))
+	})
+})
+
 var _ = Describe("a job that was accepted anew after its removal", func() {
 	// Guards against a removal by what a scanner saw of the job before.
 	It("stays readable for a while, however long ago the one before was complete", func() {
--- a/internal/batch/ownership/kept.go
+++ b/internal/batch/ownership/kept.go
@@ -70,7 +70,7 @@
 
 // current returns the job of an ID that this host has in memory, nil if it has none. If
 // it may have been removed since its record was last seen, and another one accepted
-// under its ID, the record is read.
+// under its ID, the record is read. If that fails, the job is returned with the failure.
 func (m *Manager) current(ctx context.Context, id string) (*ownedJob, *result.Error) {
 	m.mu.Lock()
 	j, owned := m.jobs[id]
@@ -84,7 +84,7 @@
 	case failure == nil && m.isOf(j, r):
 		return j, nil
 	case failure != nil && failure.Code() != result.NotFound:
-		return nil, failure
+		return j, failure
 	}
 	m.forgetRemoved(j)
 	return nil, nil
--- a/internal/batch/ownership/reading.go
+++ b/internal/batch/ownership/reading.go
@@ -37,10 +37,8 @@
 // the first. Without mayForward, only a job that this host owns is served.
 func (m *Manager) Results(ctx context.Context, id string, after int, wait time.Duration, mayForward bool) (ResultPage, *result.Error) {
 	deadline := m.Timer.Now().Add(wait)
-	j, failure := m.current(ctx, id)
-	if failure != nil && !mayForward {
-		return ResultPage{}, failure
-	}
+	// If the record can't be read, what is listed is shown all the same.
+	j, _ := m.current(ctx, id)
 	if j != nil {
 		page, failure := m.ownedResults(ctx, j, after, deadline)
 		if failure == nil || failure.Code() != result.LeaseLost {
@@ -233,17 +231,17 @@
 // Body returns the body of an item that is not listed yet.
 func (m *Manager) Body(ctx context.Context, id, item string, mayForward bool) ([]byte, *result.Error) {
 	j, failure := m.current(ctx, id)
-	if failure != nil {
-		return nil, failure
-	}
 	if j != nil {
 		m.mu.Lock()
 		body, ok := j.job.Body(item)
 		m.mu.Unlock()
-		if !ok {
-			return nil, result.New(result.NotFound, "no item %.64q that is not listed", item)
+		switch {
+		case ok:
+			return body, nil
+		case failure != nil:
+			return nil, failure
 		}
-		return body, nil
+		return nil, result.New(result.NotFound, "no item %.64q that is not listed", item)
 	}
 	if !mayForward {
 		return nil, result.New(result.LeaseLost, "job %.64q is not this host's", id)
