Jobs: a spec for pages without results of a former owner whose build confirms none

With the condition on page.Confirmed replaced by true, no spec of the package failed: the owner of the spec for earlier builds owns its job, so that its pages are right. The new one asks a host that answers as a former owner of an earlier build does. It fails with that change (a page is shorter than what was read), and passes without it.

--- a/internal/batch/ownership/outdated_list_test.go
+++ b/internal/batch/ownership/outdated_list_test.go
@@ -147,6 +147,17 @@
 		Expect(f.hosts["B"].OwnedJobs()).To(BeEmpty())
 	})
 
+	// Guards against the word of a former owner whose build needs no proof.
+	It("is never shorter at a host that asks a former owner of an earlier build", func() {
+		f := takenOver()
+		f.hosts["A"].dead.Store(false)
+		f.hosts["A"].outdatedTotal.Store(2)
+		f.addHost("D", "D/1").LearnOwner("A", []string{"j"})
+		answered, shorter := f.shorterPages("j", 2, period, "D")
+		Expect(shorter).To(BeZero(), "%d pages were answered", answered)
+		Expect(answered).To(Equal(40), "D reads the store itself")
+	})
+
 	It("gets no result from a new owner before the former one has stopped denying it", func() {
 		f := newFleet("A", "B")
 		f.servers.block = make(chan struct{})
--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -357,6 +357,9 @@
 	// earlierBuild is set if the host's pages to other hosts are those of an earlier
 	// build.
 	earlierBuild atomic.Bool
+	// outdatedTotal, if above zero, makes the host answer other hosts as a former owner
+	// of an earlier build does: a job of so many items has no results.
+	outdatedTotal atomic.Int64
 	// cutOff makes the store unavailable to this host.
 	cutOff        atomic.Bool
 	delayedWrites delayedWrites
@@ -457,6 +460,9 @@
 	if failure != nil {
 		return ownership.ResultPage{}, failure
 	}
+	if total := p.outdatedTotal.Load(); total > 0 {
+		return ownership.ResultPage{Total: int(total), Next: after}, nil
+	}
 	page, failure := p.Manager.Results(ctx, id, after, wait, false)
 	if p.earlierBuild.Load() {
 		page.Confirmed = false
