Parts of a large fleet that were cut from each other find each other again

Cause: a host of a large fleet reports to the relays of its zone that it hears, a relay to those of other zones that are live. Where a cut leaves hosts of all zones on both sides, each side has relays of every zone, so nobody sends anything across once the cut has ended: the fleet stays in two parts, each with its coordinators for the same servers, its own readers of the store and its own scanners, until a relay is restarted.

Change: a relay reports, at the regular interval, also to the silent relays of its zone that it heard within removeAfter, and to listed addresses of no live host, which it reads from the store anyway; at most maxLostTargets. Whoever gets such a notice tells the relay of its own part, as it does to any host that reports to it.

Messages: no new kind or field.

--- a/internal/fleet/notice/relay_test.go
+++ b/internal/fleet/notice/relay_test.go
@@ -361,3 +361,48 @@
 		}
 	}
 }
+
+// TestPartsOfAllZonesFindEachOther cuts a part of each zone off, so that both sides have
+// hosts of all zones: after the cut they must become one fleet again, however long it was.
+func TestPartsOfAllZonesFindEachOther(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		cut   time.Duration
+		inCut func(h *simHost, isRelay bool) bool
+		// listed is set if the relays can read each other's addresses from the store.
+		listed bool
+	}{
+		{"a third of the hosts", 8 * time.Second, func(h *simHost, _ bool) bool { return h.Host[len(h.Host)-1]%3 == 0 }, false},
+		{"all relays", 8 * time.Second, func(_ *simHost, isRelay bool) bool { return isRelay }, false},
+		{"no relay", 8 * time.Second, func(h *simHost, isRelay bool) bool { return h.Host[len(h.Host)-1]%3 == 0 && !isRelay }, false},
+		{"a third of the hosts, until they have forgotten each other", removeAfter + 10*time.Second, func(h *simHost, _ bool) bool { return h.Host[len(h.Host)-1]%3 == 0 }, true},
+	} {
+		f := newSimFleet(t, 3, 20)
+		f.run(4 * time.Second)
+		wasRelay := make(map[string]bool)
+		for _, h := range f.hosts {
+			wasRelay[h.Host] = h.table.IsRelay(f.clock.Now())
+		}
+		for _, h := range f.hosts {
+			h.cut = c.inCut(h, wasRelay[h.Host])
+		}
+		f.run(c.cut)
+		for _, h := range f.hosts {
+			h.cut = false
+		}
+		if c.listed {
+			for _, h := range f.hosts {
+				for _, other := range f.sorted() {
+					if other.table.IsRelay(f.clock.Now()) {
+						h.table.AddAddresses(f.clock.Now(), other.Address)
+					}
+				}
+			}
+		}
+		f.run(3 * time.Second)
+		f.expectAgreement(c.name+", 3 s after the cut", "a", "b", "c")
+		f.run(forwardedTimeout)
+		f.expectLiveness(f.relay("a", 0))
+		f.expectLiveness(f.hosts["b-07:1"])
+	}
+}
--- a/internal/fleet/notice/table.go
+++ b/internal/fleet/notice/table.go
@@ -22,6 +22,9 @@
 	// which happens less often. A host that is no relay needs to know the hosts of
 	// other zones only to read jobs from them and to hand its own over.
 	forwardedTimeout = 3 * forwardInterval
+	// listedTimeout is how long addresses count as those of hosts that have a sign of
+	// life in the store. They are read more often than that.
+	listedTimeout = 20 * time.Second
 	// removeAfter is how long hosts and addresses are kept without a message.
 	removeAfter = 60 * time.Second
 	// maxDirect is the largest number of hosts, this one included, that send
@@ -39,6 +42,9 @@
 	// settlingPeriod is how long a host must have been live to become a relay, if
 	// there is another one. By then all hosts of its zone know it.
 	settlingPeriod = time.Second
+	// maxLostTargets bounds the hosts that a relay reports to without hearing them. It
+	// is above the number of relays of a zone that falls into a few parts.
+	maxLostTargets = 16
 	// maxBootstrapTargets bounds the hosts that a host without a relay reports to.
 	maxBootstrapTargets = 8
 )
@@ -72,6 +78,8 @@
 	// addresses are addresses of hosts, with the time at which each was added or a
 	// message last came from it.
 	addresses map[string]time.Time
+	// listed are the addresses of AddAddresses, with the last time of each.
+	listed map[string]time.Time
 	// seeds are addresses that are never forgotten.
 	seeds []string
 	// liveSince holds the live hosts.
@@ -79,10 +87,11 @@
 	// suspects are relays that did not answer, with the end of the suspicion.
 	suspects map[string]time.Time
 	// ranked caches the relays of each zone as of rankedAt, since all hosts have
-	// to be compared to find them.
-	ranked   map[string][]Member
-	far      []string
-	rankedAt time.Time
+	// to be compared to find them; far and lost cache what farRelays and
+	// lostAddresses returned since, nil if they were not called.
+	ranked    map[string][]Member
+	far, lost []string
+	rankedAt  time.Time
 	// relaySince is when this host began to report to each of its relays.
 	relaySince       map[string]time.Time
 	onLivenessChange func(host string, live bool)
@@ -100,7 +109,7 @@
 // called with the table locked when a host becomes live or dead.
 func NewPeerTable(self Member, onLivenessChange func(host string, live bool)) *PeerTable {
 	return &PeerTable{
-		self: self, peers: make(map[string]*Peer), rosters: make(map[string]*roster), addresses: make(map[string]time.Time),
+		self: self, peers: make(map[string]*Peer), rosters: make(map[string]*roster), addresses: make(map[string]time.Time), listed: make(map[string]time.Time),
 		liveSince: make(map[string]time.Time), suspects: make(map[string]time.Time), relaySince: make(map[string]time.Time), onLivenessChange: onLivenessChange,
 	}
 }
@@ -110,6 +119,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.addAddresses(now, addresses)
+	for _, a := range addresses {
+		t.listed[a] = now
+	}
 }
 
 func (t *PeerTable) addAddresses(now time.Time, addresses []string) {
@@ -246,6 +258,7 @@
 		}
 	}
 	maps.DeleteFunc(t.addresses, func(_ string, lastSeen time.Time) bool { return now.Sub(lastSeen) > removeAfter })
+	maps.DeleteFunc(t.listed, func(_ string, lastListed time.Time) bool { return now.Sub(lastListed) > listedTimeout })
 	suspects := len(t.suspects)
 	maps.DeleteFunc(t.suspects, func(_ string, until time.Time) bool { return !now.Before(until) })
 	if len(t.suspects) < suspects {
@@ -423,7 +436,7 @@
 
 func (t *PeerTable) relays(now time.Time, zone string) []Member {
 	if t.ranked == nil || now.Sub(t.rankedAt) >= rankingAge {
-		t.ranked, t.far, t.rankedAt = make(map[string][]Member), nil, now
+		t.ranked, t.far, t.lost, t.rankedAt = make(map[string][]Member), nil, nil, now
 	}
 	list, cached := t.ranked[zone]
 	if !cached {
@@ -520,6 +533,16 @@
 	if !t.addRelays(now, &targets) {
 		targets.Regular = append(targets.Regular, t.bootstrapTargets(targets.Regular)...)
 	}
+	if contains(t.relays(now, t.self.Zone), t.self.Host) {
+		if t.lost == nil {
+			t.lost = t.lostAddresses()
+		}
+		for _, a := range t.lost {
+			if !slices.Contains(targets.OnChange, a) && !slices.Contains(targets.Regular, a) {
+				targets.Regular = append(targets.Regular, a)
+			}
+		}
+	}
 	t.addSummaryTargets(now, &targets)
 	return targets
 }
@@ -582,6 +605,33 @@
 	return list
 }
 
+// lostAddresses returns the addresses to which a relay reports without hearing them:
+// those of the silent relays of its zone, and then the listed ones of no live host. By
+// this, parts of the zone that were cut off from each other, each of which has relays,
+// find each other again.
+func (t *PeerTable) lostAddresses() []string {
+	live := make(map[string]bool, len(t.liveSince))
+	for host, m := range t.known() {
+		if _, isLive := t.liveSince[host]; isLive {
+			live[m.Address] = true
+		}
+	}
+	var silent []string
+	for host, r := range t.rosters {
+		if _, isLive := t.liveSince[host]; !isLive && r.relay.Zone == t.self.Zone {
+			silent = append(silent, r.relay.Address)
+		}
+	}
+	slices.Sort(silent)
+	list := []string{}
+	for _, a := range slices.Concat(silent, slices.Sorted(maps.Keys(t.listed))) {
+		if a != "" && a != t.self.Address && !live[a] && !slices.Contains(list, a) && len(list) < maxLostTargets {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
 // addSummaryTargets adds the hosts that report to this host and, if it is a relay,
 // the relays of the other zones.
 func (t *PeerTable) addSummaryTargets(now time.Time, targets *Targets) {
