Scans read the signs of life of all silent owners at once

Cause: a scan of the jobs asked the store for each silent owner apart: for its key and, in a large fleet, for all lists of the relays. While a fleet is in two parts, every relay of each part asks so for all owners on the other side at each scan, up to several times a second.

Change: ownership.Peers.Dead takes all silent owners of a scan; the host reads the keys of the signs of life once and the lists of the relays once. For a single host it reads its key, as before. The order of the two reads is the same. The log line "sign of life not read" becomes "signs of life not read", with the number of hosts. Nothing is stored or sent differently.

--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -78,9 +78,10 @@
 	Adopt(ctx context.Context, host, id string) *result.Error
 	// Alive reports whether notices of a host have been received recently.
 	Alive(host string) bool
-	// Dead reports whether a host is confirmed to be gone: its process has
-	// ended, or its leased key is missing from the store.
-	Dead(ctx context.Context, host string) bool
+	// Dead returns those of the hosts that are confirmed to be gone: the process has
+	// ended, or the leased key is missing from the store. Its calls to the store don't
+	// grow with the number of hosts.
+	Dead(ctx context.Context, hosts []string) []string
 	// CutOff reports whether a host, which may be this one, has told that it is cut
 	// off from all backend servers.
 	CutOff(host string) bool
--- a/internal/batch/ownership/owning.go
+++ b/internal/batch/ownership/owning.go
@@ -118,15 +118,17 @@
 		return
 	}
 	now := m.Timer.Now()
-	gone, unreachable := make(map[string]bool), make(map[string]bool)
+	var records []scannedRecord
+	for _, e := range entries {
+		if r, ok := m.decodeRecord(e); ok {
+			records = append(records, scannedRecord{r, e.ModRevision})
+		}
+	}
+	gone, unreachable := m.goneOwners(records), make(map[string]bool)
 	defer m.stalledJobs.Prune(now)
 	defer m.forgetClosed(now)
 	defer m.scheduleEarlyScan(gone)
-	for _, e := range entries {
-		r, ok := m.decodeRecord(e)
-		if !ok {
-			continue
-		}
+	for _, r := range records {
 		m.mu.Lock()
 		_, owned := m.jobs[r.ID]
 		if !owned {
@@ -137,17 +139,17 @@
 		case owned && (r.Ended || r.Owner != m.Host):
 			// RangeStale may return an old record, so the current one is read.
 			m.refresh(r.ID)
-			m.removeOld(r, e.ModRevision, now)
+			m.removeOld(r.Record, r.revision, now)
 		case owned || !r.Open():
-			m.removeOld(r, e.ModRevision, now)
+			m.removeOld(r.Record, r.revision, now)
 		case r.Owner == m.Host:
 			m.takeOver(m.ctx, r.ID, m.Host)
-		case r.Owner == "" || m.gone(r.Owner, gone):
+		case r.Owner == "" || gone[r.Owner]:
 			if m.assignedHere(r.ID) {
 				m.takeOver(m.ctx, r.ID, r.Owner)
 			}
 		case m.stalledJobs.Observe(now, r.ID, r.Owner, r.Serial) && m.assignedHere(r.ID) && !unreachable[r.Owner]:
-			unreachable[r.Owner] = !m.ensureAdopted(now, r)
+			unreachable[r.Owner] = !m.ensureAdopted(now, r.Record)
 		}
 	}
 }
@@ -184,14 +186,31 @@
 	return failure == nil || failure.Code() != result.NoBackend
 }
 
-// gone reports whether an owner is gone: this host receives no notices of it,
-// and Peers confirms that it is gone. goneByHost caches the answers of one scan.
-func (m *Manager) gone(host string, goneByHost map[string]bool) bool {
-	if isGone, known := goneByHost[host]; known {
-		return isGone
-	}
-	goneByHost[host] = !m.Peers.Alive(host) && m.Peers.Dead(m.ctx, host)
-	return goneByHost[host]
+// scannedRecord is a job's record as a scan read it, at a revision.
+type scannedRecord struct {
+	jobstate.Record
+	revision int64
+}
+
+// goneOwners returns for each silent owner of an open job, of which this host receives
+// no notices, whether Peers confirms that it is gone.
+func (m *Manager) goneOwners(records []scannedRecord) map[string]bool {
+	gone := make(map[string]bool)
+	var silent []string
+	for _, r := range records {
+		if _, known := gone[r.Owner]; known || !r.Open() || r.Owner == "" || m.Peers.Alive(r.Owner) {
+			continue
+		}
+		gone[r.Owner] = false
+		silent = append(silent, r.Owner)
+	}
+	if len(silent) == 0 {
+		return gone
+	}
+	for _, host := range m.Peers.Dead(m.ctx, silent) {
+		gone[host] = true
+	}
+	return gone
 }
 
 // assignedHere reports whether this host is the scanner that is responsible for
--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -490,7 +490,9 @@
 
 func (h *host) Alive(name string) bool { _, failure := h.peer(name); return failure == nil }
 
-func (h *host) Dead(_ context.Context, name string) bool { return h.fleet.hosts[name].dead.Load() }
+func (h *host) Dead(_ context.Context, names []string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(name string) bool { return !h.fleet.hosts[name].dead.Load() })
+}
 
 func (h *host) Live() []string {
 	if h.fleet.noScanners.Load() {
--- a/internal/fleet/entry/lease.go
+++ b/internal/fleet/entry/lease.go
@@ -108,23 +108,61 @@
 	return names
 }
 
-// listedInStore reports whether a relay lists a host in the store.
-func (h *Host) listedInStore(ctx context.Context, host string) (bool, error) {
+// missingInStore returns those of the hosts that have no liveness key in the store and
+// that no relay lists there. It reads each of the two once, however many hosts it is
+// asked for.
+func (h *Host) missingInStore(ctx context.Context, hosts []string) ([]string, error) {
+	var missing []string
+	switch len(hosts) {
+	case 0:
+		return nil, nil
+	case 1:
+		_, found, err := h.adapter.Store.Get(ctx, hostPrefix+hosts[0])
+		if err != nil {
+			return nil, err
+		}
+		if !found {
+			missing = hosts
+		}
+	default:
+		entries, _, err := store.RangeAll(ctx, h.adapter.Store, hostPrefix, 0)
+		if err != nil {
+			return nil, err
+		}
+		found := make(map[string]bool, len(entries))
+		for _, e := range entries {
+			found[e.Key] = true
+		}
+		missing = slices.DeleteFunc(slices.Clone(hosts), func(host string) bool { return found[hostPrefix+host] })
+	}
+	if len(missing) == 0 || !h.members.LargeFleet() {
+		return missing, nil
+	}
+	listed, err := h.listedInStore(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return slices.DeleteFunc(slices.Clone(missing), func(host string) bool { return listed[host] }), nil
+}
+
+// listedInStore returns the hosts that relays list in the store.
+func (h *Host) listedInStore(ctx context.Context) (map[string]bool, error) {
 	entries, _, err := store.RangeAll(ctx, h.adapter.Store, rosterPrefix, 0)
 	if err != nil {
-		return false, err
+		return nil, err
 	}
+	listed := make(map[string]bool)
 	for _, e := range entries {
 		var names []string
 		if err := json.Unmarshal(e.Value, &names); err != nil {
 			h.log.Error(err, "list of hosts can't be read", "key", e.Key)
 			continue
 		}
-		if slices.Contains(names, host) {
-			return true, nil
+		for _, name := range names {
+			listed[name] = true
 		}
 	}
-	return false, nil
+	return listed, nil
 }
 
 func (h *Host) leaseTTL() time.Duration {
--- a/internal/fleet/entry/peers.go
+++ b/internal/fleet/entry/peers.go
@@ -270,24 +270,25 @@
 	p.mu.Unlock()
 }
 
-// Dead reports whether a host is dead: a probe showed that its process has
-// ended, or its liveness key is not in the store and no relay lists it there.
-func (p *peers) Dead(ctx context.Context, host string) bool {
+// Dead returns those of the hosts that are dead: a probe showed that the process has
+// ended, or the liveness key is not in the store and no relay lists the host there.
+func (p *peers) Dead(ctx context.Context, hosts []string) []string {
+	var dead, unprobed []string
 	p.mu.Lock()
-	dead := p.dead[host]
-	p.mu.Unlock()
-	if dead {
-		return true
-	}
-	_, found, err := p.host.adapter.Store.Get(ctx, hostPrefix+host)
-	if err == nil && !found && p.host.members.LargeFleet() {
-		found, err = p.host.listedInStore(ctx, host)
+	for _, host := range hosts {
+		if p.dead[host] {
+			dead = append(dead, host)
+		} else {
+			unprobed = append(unprobed, host)
+		}
 	}
+	p.mu.Unlock()
+	missing, err := p.host.missingInStore(ctx, unprobed)
 	if err != nil {
-		p.host.log.Info("sign of life not read", "host", host, "cause", err.Error())
-		return false
+		p.host.log.Info("signs of life not read", "hosts", len(unprobed), "cause", err.Error())
+		return dead
 	}
-	return !found
+	return append(dead, missing...)
 }
 
 // Live returns the hosts that may take over a job, this one included unless it
