--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -80,9 +80,10 @@
 	Kept(ctx context.Context, host, id string) *result.Error
 	// Alive reports whether notices of a host have been received recently.
 	Alive(host string) bool
-	// Dead reports whether a host is confirmed to be gone: its process has
-	// ended, or its leased key is missing from the store.
-	Dead(ctx context.Context, host string) bool
+	// Dead returns those of the hosts that are confirmed to be gone: the process has
+	// ended, or the leased key is missing from the store. Its calls to the store don't
+	// grow with the number of hosts.
+	Dead(ctx context.Context, hosts []string) []string
 	// CutOff reports whether a host, which may be this one, has told that it is cut
 	// off from all backend servers.
 	CutOff(host string) bool
@@ -188,8 +189,9 @@
 	server backend.Server
 	cancel context.CancelFunc
 	// cancelled is set when the run was preempted, or cancelled because its job
-	// ends or this host no longer owns it.
+	// ends or this host no longer owns it; cut is why.
 	cancelled bool
+	cut       cutCause
 }
 
 // Manager runs the jobs that one host owns and serves the results of all jobs.
@@ -227,6 +229,8 @@
 	backlogged  map[string]bool
 	resultCache *resultcache.Cache
 	estimator   priority.DurationEstimator
+	// cuts counts the runs that were cut by their causes.
+	cuts map[cutCause]*cutCounter
 	// lastSerial is the highest serial that newChange has assigned.
 	lastSerial int64
 	stopping   bool
@@ -253,8 +257,11 @@
 func New(o Options) *Manager {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Manager{
-		Options: o, jobs: make(map[string]*ownedJob), owners: make(map[string]string), keptUntil: make(map[string]time.Duration), quotas: make(map[string]quotaUsage), backlogged: make(map[string]bool),
-		resultCache: resultcache.New(), stalledJobs: stalled.New(), closedAt: make(map[string]closedJob), trigger: make(chan struct{}, 1), scanTrigger: make(chan struct{}, 1), wakeFlush: make(chan struct{}, 1), done: make(chan struct{}), ctx: ctx, cancelCtx: cancel,
+		Options: o, jobs: make(map[string]*ownedJob), owners: make(map[string]string), keptUntil: make(map[string]time.Duration),
+		quotas: make(map[string]quotaUsage), backlogged: make(map[string]bool), cuts: make(map[cutCause]*cutCounter),
+		resultCache: resultcache.New(), stalledJobs: stalled.New(), closedAt: make(map[string]closedJob),
+		trigger: make(chan struct{}, 1), scanTrigger: make(chan struct{}, 1), wakeFlush: make(chan struct{}, 1), done: make(chan struct{}),
+		ctx: ctx, cancelCtx: cancel,
 	}
 }
 
