Forward: a silent server is not left for a long queue

While a server of a begun stream was silent, the place elsewhere might have any wait for a slot up to the call's deadline. Only the specs' slots refused such a place: the real ones gave one in a queue of any length. The stream was asked for there, its server was given up 200 ms later, and the stream waited in the queue although that server went on a moment later. The bound fits a stream whose server is lost, which has nothing better, but not one that may go on. Its wait is now bounded by the pause objective or, once that is longer, by the time for which the server has been silent, here and in the order to another host.

"stays while the other servers have a long queue, until it has been silent for as long", with the real slots, failed before:

it goes on before: [FAILED] [a b]: Expected <bool>: true to equal <bool>: false

An earlier form, with a server that sends no head while the stream is in its queue, ended after its 5 s without the rest (server a fell silent).

--- a/internal/serving/forward/silence_test.go
+++ b/internal/serving/forward/silence_test.go
@@ -218,6 +218,32 @@
 		expectWhole(serve(places, nil, pacedAnswer{numberedEvents(1, 2), time.Minute}, pacedAnswer{numberedEvents(3, 4)}))
 	})
 
+	// Guards against leaving a server that soon goes on for a place in a long queue.
+	DescribeTable("stays while the other servers have a long queue, until it has been silent for as long", func(pause time.Duration, moves bool) {
+		put("a", "b")
+		b, _ := directory.Get("b")
+		var queue []scheduler.Choice
+		for range 2 * b.Slots {
+			queue = append(queue, placer.PlaceOnline(time.Now(), []backend.Server{b}, nil, time.Hour))
+		}
+		wait := placer.PlaceOnline(time.Now(), []backend.Server{b}, nil, 0).Wait
+		Expect(wait).To(BeNumerically("~", 600*time.Millisecond, 300*time.Millisecond))
+		servers.answers = []pacedAnswer{{numberedEvents(1, 2), pause, numberedEvents(3, 4)}, {numberedEvents(3, 4)}}
+		f := forward.New(timer.Real{}, logr.Discard(), servers, directory, places, newGuard(), &keptOrigins{}, admit{})
+		_, failure := f.Serve(ctx, &exchange.Call{ID: "1", Route: &route, Received: time.Now()}, out)
+		expectWhole(failure)
+		called, _ := servers.calls()
+		Expect(len(called) > 1).To(Equal(moves), "%v", called)
+		for _, c := range queue {
+			places.EndOnline(time.Now(), c, 0, scheduler.Unknown)
+		}
+		loads, _ := placer.LocalState(time.Now())
+		Expect(loads).To(BeEmpty())
+	},
+		Entry("it goes on before", 200*time.Millisecond, false),
+		Entry("it does not go on", time.Minute, true),
+	)
+
 	// Guards against a refusal of other hosts that counts for the rest of the stream.
 	DescribeTable("goes on elsewhere after a cut that is over", func(rest ...any) {
 		put("a", "b")
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -197,6 +197,12 @@
 	return s.wait
 }
 
+// maxMoveWait is maxWait for a stream whose server is silent but may go on: a longer wait
+// than it has been silent, or than makes the answer late, is no gain.
+func (s *streamSession) maxMoveWait() time.Duration {
+	return min(s.maxWait(), max(s.call.Route.PauseObjective, s.forwarder.timer.Now().Sub(s.lastEvent)))
+}
+
 // start picks the next server of the stream and sends the call to it, or has
 // another host do so.
 func (s *streamSession) start(ctx context.Context) (*attempt, *result.Error) {
@@ -214,7 +220,7 @@
 		}
 	}
 	if cause := f.passOnCause(s.call, s.software, &s.reach); cause != "" && s.reach.refused == nil {
-		a, failure, unable := s.passOn(ctx, cause, func(string, string) {})
+		a, failure, unable := s.passOn(ctx, cause, s.maxWait(), func(string, string) {})
 		if unable {
 			s.reach.refused = failure
 		} else if a != nil || failure != nil {
@@ -240,8 +246,8 @@
 }
 
 // passOn has another host carry out the next attempt; see Forwarder.passOn.
-func (s *streamSession) passOn(ctx context.Context, cause string, note func(host, server string)) (a *attempt, failure *result.Error, unable bool) {
-	order := s.reach.order(s.software, s.avoid, s.maxWait(), s.resume())
+func (s *streamSession) passOn(ctx context.Context, cause string, maxWait time.Duration, note func(host, server string)) (a *attempt, failure *result.Error, unable bool) {
+	order := s.reach.order(s.software, s.avoid, maxWait, s.resume())
 	order.Begun = s.begun
 	return s.forwarder.passOn(ctx, s.call, order, cause, note)
 }
@@ -258,7 +264,7 @@
 // tryPassOn is passOn for a stream that stays where it is if no host takes it. It calls
 // asked before it asks a host, those before having done nothing.
 func (s *streamSession) tryPassOn(ctx context.Context, cause string, asked func()) *attempt {
-	a, refused, unable := s.passOn(ctx, cause, func(string, string) { asked() })
+	a, refused, unable := s.passOn(ctx, cause, s.maxMoveWait(), func(string, string) { asked() })
 	if unable {
 		s.reach.refused = refused
 	}
@@ -282,7 +288,7 @@
 func (s *streamSession) search(ctx context.Context) search {
 	ctx, cancel := context.WithCancel(ctx)
 	found := make(chan place, 1)
-	software, avoid, wait := s.software, maps.Clone(s.avoid), s.maxWait()
+	software, avoid, wait := s.software, maps.Clone(s.avoid), s.maxMoveWait()
 	go func() {
 		choice, refusal := s.forwarder.place(ctx, s.call, software, avoid, wait)
 		found <- place{choice, refusal}
