Records: a claim withdrawn after its caller had left is not written later

Cause: a withdrawal counted the replies, not the claims. If the callers of all withdrawn claims of the group in flight had left, the claims were taken out of memory but stayed in the group, which was written once the store was back. Its claim then stood in the log without an owner: after a change of the holder it became "may have run", or a run of an idempotent request whose attempt had been abandoned (the abandonment found no claim and was dropped).

Change: the group is rewritten, or given up if it is empty, whenever a claim was withdrawn from it.

Failed before: a stalled group / is not written with a claim that was withdrawn after its caller had left: BeginWrite: Expected true to be false.

Records and messages keep their form.

--- a/internal/record/ledger/close_test.go
+++ b/internal/record/ledger/close_test.go
@@ -132,3 +132,17 @@
 		Expect(c.replies[3].failure.Ran()).To(Equal(result.RanMaybe))
 	})
 })
+
+var _ = Describe("a stalled group", func() {
+	It("is not written with a claim that was withdrawn after its caller had left", func() {
+		c := newClosing()
+		c.claim(1, "k", "a")
+		c.tick()
+		c.end(ledger.NotWritten)
+		c.shard.CancelWait(1, "k")
+		c.now = c.now.Add(3 * time.Second)
+		c.end(ledger.NotWritten)
+		Expect(c.shard.BeginWrite(c.groups[0])).To(BeFalse())
+		Expect(c.shard.Idle()).To(BeTrue())
+	})
+})
--- a/internal/record/ledger/write.go
+++ b/internal/record/ledger/write.go
@@ -299,7 +299,7 @@
 		return actions
 	}
 	batch, inFlightActions := s.withdrawFrom(s.groupWrite.batch, claimUnavailable)
-	if len(inFlightActions) == 0 {
+	if len(batch) == len(s.groupWrite.batch) {
 		return actions
 	}
 	s.groupWrite.batch = batch
