Records: a claim whose call ends during an outage is refused as not run

Cause: a keyed call whose own deadline is shorter than the 2 to 2.5 s after which a shard withdraws claims was always told "maybe" during an outage of the store. The wait for the claim ended with the call, and the claim was taken for possibly durable although the store had refused each write of it. At a holder on another host the reply also came too late, as the holder waited until the same deadline.

Change: a caller that gives its claim up has the shard withdraw it if no write can have made it durable (GiveUp), and is refused as not run; the group is written without it, or not at all. A claim whose write is at the store or has an unknown outcome stays, and the answer stays "maybe" (an idempotent one may be run again by the holder if its owner is lost). A group is encoded after BeginWrite, since its records may change until then.

Failed before: recorders / tell a claim whose call ends during an outage whether it may be durable, before the call ends, both entries: Unexpected error: context.deadlineExceededError (the reply came after the call's end; its ran was "maybe"). The protocol's new spec fails (lose reply, crash before, given up after 50 ms, idempotent: the request ran again after "not run") if GiveUp withdraws a claim whose group may be durable.

Records and messages keep their form. A host before this one that calls a holder of this build gets the reply earlier; a holder before it still answers at the deadline, which its caller reads as "maybe", as now.

--- a/internal/record/ledger/close_test.go
+++ b/internal/record/ledger/close_test.go
@@ -133,6 +133,97 @@
 	})
 })
 
+var _ = Describe("a caller that gives a claim up", func() {
+	giveUp := func(c *closing, ticket ledger.Ticket, key, attempt string) *result.Error {
+		actions, failure := c.shard.GiveUp(c.now, ticket, key, attempt)
+		c.apply(actions)
+		return failure
+	}
+
+	DescribeTable("is told whether the claim may be durable",
+		func(steps func(c *closing), want result.Ran) {
+			c := newClosing()
+			c.claim(1, "k", "a")
+			steps(c)
+			failure := giveUp(c, 1, "k", "a")
+			Expect(failure.Code()).To(Equal(result.StoreUnavailable))
+			Expect(failure.Ran()).To(Equal(want))
+			Expect(c.replies).To(BeEmpty())
+		},
+		Entry("no group has the claim yet", func(*closing) {}, result.RanNo),
+		Entry("the write of its group has not begun", func(c *closing) { c.tick() }, result.RanNo),
+		Entry("each write of its group was refused", func(c *closing) {
+			c.tick()
+			c.end(ledger.NotWritten)
+		}, result.RanNo),
+		Entry("a write of its group is at the store", func(c *closing) {
+			c.tick()
+			c.begin()
+		}, result.RanMaybe),
+		Entry("a write of its group has an unknown outcome", func(c *closing) {
+			c.tick()
+			c.end(ledger.OutcomeUnknown)
+		}, result.RanMaybe),
+		Entry("the shard was closed", func(c *closing) {
+			c.tick()
+			c.begin()
+			c.shard.Close()
+		}, result.RanMaybe),
+	)
+
+	It("leaves no claim behind that is written later", func() {
+		c := newClosing()
+		c.claim(1, "k", "a")
+		c.claim(2, "l", "b")
+		c.tick()
+		c.end(ledger.NotWritten)
+		Expect(giveUp(c, 1, "k", "a").Ran()).To(Equal(result.RanNo))
+		c.end(ledger.Written)
+		group := c.groups[len(c.groups)-1]
+		Expect(group.GetRecords()).To(HaveLen(1))
+		Expect(group.GetRecords()[0].GetKey()).To(Equal("l"))
+		Expect(c.replies[2].failure).To(BeNil())
+		c.apply(c.shard.Lookup(3, "k"))
+		Expect(c.replies[3].failure.Code()).To(Equal(result.NotFound))
+	})
+
+	It("ends the write of a group that has no other record", func() {
+		c := newClosing()
+		c.claim(1, "k", "a")
+		c.tick()
+		Expect(giveUp(c, 1, "k", "a").Ran()).To(Equal(result.RanNo))
+		Expect(c.shard.BeginWrite(c.groups[0])).To(BeFalse())
+		Expect(c.shard.Idle()).To(BeTrue())
+		c.claim(2, "k", "b")
+		c.tick()
+		c.end(ledger.Written)
+		Expect(c.replies[2].failure).To(BeNil())
+		Expect(c.replies[2].found.Attempt).To(Equal("b"))
+	})
+
+	It("keeps the claim of another attempt that it waited for", func() {
+		c := newClosing()
+		c.claim(1, "k", "a")
+		c.claim(2, "k", "b")
+		c.tick()
+		Expect(giveUp(c, 2, "k", "b").Ran()).To(Equal(result.RanMaybe))
+		c.end(ledger.Written)
+		Expect(c.replies[1].found.Attempt).To(Equal("a"))
+	})
+
+	It("lets another attempt that waited for the claim claim the key itself", func() {
+		c := newClosing()
+		c.claim(1, "k", "a")
+		c.claim(2, "k", "b")
+		Expect(giveUp(c, 1, "k", "a").Ran()).To(Equal(result.RanNo))
+		Expect(c.replies[2].failure.Ran()).To(Equal(result.RanNo))
+		c.claim(3, "k", "b")
+		c.tick()
+		c.end(ledger.Written)
+		Expect(c.replies[3].found.Attempt).To(Equal("b"))
+	})
+})
+
 var _ = Describe("a stalled group", func() {
 	It("is not written with a claim that was withdrawn after its caller had left", func() {
 		c := newClosing()
--- a/internal/record/ledger/protocol_test.go
+++ b/internal/record/ledger/protocol_test.go
@@ -102,6 +102,36 @@
 		})
 	}
 
+	It("keeps its guarantees with any two faults when callers give their claims up", func() {
+		reported := make(map[string]int)
+		for firstFault := noFault; firstFault < faultCount; firstFault++ {
+			for secondFault := noFault; secondFault < faultCount; secondFault++ {
+				for _, giveUpAfter := range []time.Duration{fineStep, 2 * fineStep, 3 * fineStep, 5 * fineStep, 20 * fineStep} {
+					for _, idempotent := range []bool{false, true} {
+						c := newCluster(faultPlan{0: firstFault, 1: secondFault}.at)
+						c.owners = []*owner{
+							{key: "k", attempt: "a", idempotent: idempotent, startAfter: fineStep, giveUpAfter: giveUpAfter},
+							{key: "k", attempt: "b", idempotent: idempotent, startAfter: 2 * fineStep, giveUpAfter: giveUpAfter},
+							{key: "k", attempt: "c", idempotent: idempotent, startAfter: 16 * time.Second},
+						}
+						c.run(20*time.Second, fineStep)
+						c.run(resolveTime, coarseStep)
+						Expect(c.violation()).To(BeEmpty(), "write 0: %v, write 1: %v, given up after %v, idempotent %v",
+							firstFault, secondFault, giveUpAfter, idempotent)
+						if c.owners[0].reported == "not run" && c.owners[1].reported == "not run" {
+							Expect(c.owners[2].reported).To(Equal("answer"), "the key must be free: write 0: %v, write 1: %v, given up after %v",
+								firstFault, secondFault, giveUpAfter)
+						}
+						reported[c.owners[0].reported]++
+					}
+				}
+			}
+		}
+		Expect(reported).To(HaveKey("not run"))
+		Expect(reported).To(HaveKey("maybe"))
+		Expect(reported).To(HaveKey("answer"))
+	})
+
 	It("refuses a paused former holder at the store", func() {
 		c := newCluster(faultPlan{0: pauseBefore}.at)
 		c.owners = []*owner{{key: "k", attempt: "a", startAfter: fineStep}}
--- a/internal/record/ledger/shard.go
+++ b/internal/record/ledger/shard.go
@@ -69,7 +69,8 @@
 	// ReplyTo sends Failure or Found to the caller that Ticket identifies.
 	ReplyTo ActionKind = iota
 	// CommitGroup writes Group and deletes the groups in Deletes, if BeginWrite
-	// allows it right before the write; the result goes to Committed.
+	// allows it right before; the result goes to Committed. The records of Group
+	// may change until BeginWrite.
 	CommitGroup
 	// ReadGroup reads the group with Group's sequence number; the result goes
 	// to ReadBack.
@@ -467,9 +468,10 @@
 		return nil
 	}
 	s.closed = true
-	_, actions := s.withdrawFrom(s.pending, claimMoved)
-	if w := s.groupWrite; w != nil && !w.atStore && !w.outcomeUnknown {
-		_, refusals := s.withdrawFrom(w.batch, claimMoved)
+	all := func(pendingRecord) bool { return true }
+	_, actions := s.withdrawFrom(s.pending, all, claimMoved)
+	if w := s.groupWrite; w != nil && !w.mayBeDurable() {
+		_, refusals := s.withdrawFrom(w.batch, all, claimMoved)
 		actions = append(actions, refusals...)
 	}
 	failure := result.New(result.LeaseLost, "shard moved while the record was written").WithRan(result.RanMaybe)
--- a/internal/record/recorder/recorder_test.go
+++ b/internal/record/recorder/recorder_test.go
@@ -174,4 +174,31 @@
 		Expect(reply.GetFailure()).NotTo(BeNil())
 		Expect(reply.GetFailure().Err().Ran()).To(Equal(result.RanNo))
 	}, SpecTimeout(2*waitTimeout))
+
+	DescribeTable("tell a claim whose call ends during an outage whether it may be durable, before the call ends",
+		func(ctx SpecContext, fault platform.Fault, want result.Ran) {
+			a := f.start("a", longTTL)
+			Eventually(a.Held, waitTimeout).Should(HaveLen(shards))
+			f.kv.SetFaults(func(op string) platform.Fault {
+				if op == "txn" {
+					return fault
+				}
+				return platform.Refuse
+			})
+			callCtx, cancel := context.WithTimeout(ctx, 2*time.Second)
+			defer cancel()
+			reply := a.Claim(callCtx, claimOf("k", "one"))
+			Expect(callCtx.Err()).NotTo(HaveOccurred())
+			Expect(reply.GetFailure().Err().Code()).To(Equal(result.StoreUnavailable))
+			Expect(reply.GetFailure().Err().Ran()).To(Equal(want))
+			f.kv.SetFaults(nil)
+			if want == result.RanNo {
+				Expect(lookup(ctx, a, "k").GetFailure().Err().Code()).To(Equal(result.NotFound))
+			} else {
+				Expect(lookup(ctx, a, "k").GetEntry().GetAttempt()).To(Equal("one"))
+			}
+		},
+		Entry("if the store refuses its writes", platform.Refuse, result.RanNo, SpecTimeout(2*waitTimeout)),
+		Entry("if the reply to its write is lost", platform.LoseReply, result.RanMaybe, SpecTimeout(2*waitTimeout)),
+	)
 })
--- a/internal/record/recorder/write.go
+++ b/internal/record/recorder/write.go
@@ -94,17 +94,17 @@
 		r.closeLost(o.number, o.token, "lease lapsed")
 		return
 	}
-	value, err := ledger.Encode(group)
-	if err != nil {
-		r.closeLost(o.number, o.token, err.Error())
-		return
-	}
 	o.mu.Lock()
 	begun := o.shard.BeginWrite(group)
 	o.mu.Unlock()
 	if !begun {
 		return
 	}
+	value, err := ledger.Encode(group)
+	if err != nil {
+		r.closeLost(o.number, o.token, err.Error())
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	outcome, err := r.store.Commit(ctx, GroupTxn(o.number, o.token, group.GetSequence(), value, deletes))
