--- a/internal/standin/deployment/outage_test.go
+++ b/internal/standin/deployment/outage_test.go
@@ -39,7 +39,7 @@
 			Expect(chatError(ctx, d, host)()).To(Succeed())
 			r := tankRequest(ctx, d, host, "during", "during")
 			Expect(r.Status).To(Equal(http.StatusServiceUnavailable), r.Body)
-			Expect(r.Ran).To(Equal("no"))
+			Expect(r.Ran).To(Equal("no"), r.Body)
 			Expect(r.Body).To(ContainSubstring("retry_after"))
 		}
 		d.Hosts()[1].Kill()
