Jobs: items share one read of the record while a reply to their owner's write is late

A read that shows a write of this host in force, whose reply is still to come, shows that the host owns the job; only its list is not known. Since it allowed the one item that had asked for it, and proved nothing, so that each further item read the record again, one after the other. It costs calls to the store just while that is slow, and delays the items.

Such a read now proves that items may be sent, as it did before; it still proves nothing of the list.

No record or message is changed.

--- a/internal/batch/claim/claim.go
+++ b/internal/batch/claim/claim.go
@@ -68,14 +68,20 @@
 // be the owner, with the list that it knows. It proves nothing if the record was
 // disputed since.
 func (c *Claim) Prove(began time.Duration) {
+	if began >= c.disputedAt && c.unsettled == 0 {
+		c.listProvedAt = max(c.listProvedAt, began)
+	}
+	c.ProveOwner(began)
+}
+
+// ProveOwner is Prove after a call that showed results which this host does not know,
+// since the reply to its write of them is still to come.
+func (c *Claim) ProveOwner(began time.Duration) {
 	if began < c.disputedAt {
 		return
 	}
 	c.disputedAt = 0
 	c.provedAt = max(c.provedAt, began)
-	if c.unsettled == 0 {
-		c.listProvedAt = max(c.listProvedAt, began)
-	}
 }
 
 // BeginWrite records that a write of the record is about to be sent. CancelWrite or
--- a/internal/batch/ownership/recordcheck.go
+++ b/internal/batch/ownership/recordcheck.go
@@ -227,6 +227,7 @@
 		return
 	case r.Owner == m.Host && !r.Ended && r.Writer == m.Writer:
 		// A write of this host has taken effect, and its reply is still to come.
+		j.claim.ProveOwner(began)
 		check.maySend = true
 		return
 	}
--- a/internal/batch/ownership/refused_read_test.go
+++ b/internal/batch/ownership/refused_read_test.go
@@ -196,6 +196,40 @@
 	})
 })
 
+var _ = Describe("the items of a job whose last write has no reply yet", func() {
+	// Guards against a read of the record for each item.
+	It("share one read of the record", func() {
+		f := newFleet("A")
+		f.noScanners.Store(true)
+		hostA := f.hosts["A"]
+		f.servers.block = make(chan struct{})
+		defer close(f.servers.block)
+		f.servers.status["j-0"] = 422
+		held := hostA.afterCall.hold("commit", 2)
+		Expect(hostA.Submit(ctx, submission("j", 8, 1))).To(BeNil())
+		f.eventually(func(g Gomega) { g.Expect(held.reached).To(BeClosed()) })
+		// The runs break off, and none starts before the proof of the record has ended.
+		hostA.directory.Remove(f.clock.Now(), backendServer.ID, 0)
+		hostA.setServersCut(true)
+		f.advance(endGrace)
+		var gets atomic.Int32
+		hostA.beforeCall.set(func(op string) {
+			if op == "get" {
+				gets.Add(1)
+				// All items come to wait for the first read.
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+		runs := f.servers.totalRuns()
+		hostA.setServersCut(false)
+		hostA.directory.Put(backendServer)
+		f.advance(500 * time.Millisecond)
+		Expect(f.servers.totalRuns() - runs).To(Equal(7))
+		Expect(gets.Load()).To(Equal(int32(1)))
+		held.release()
+	})
+})
+
 // listed returns the IDs of the results in a job's record and parts in the store.
 func (f *fleet) listed(id string) []jobstate.Result {
 	GinkgoHelper()
