--- a/internal/batch/ownership/returned_job_test.go
+++ b/internal/batch/ownership/returned_job_test.go
@@ -119,3 +119,30 @@
 		r.expectSound(2, 40)
 	})
 })
+
+var _ = Describe("an heir that has taken a job over", func() {
+	// Guards against a mark of release that is taken for one of the heir's own.
+	It("has stopped denying a result when the host that takes the job over next lists it", func() {
+		f, r := newHalfListed("A", "B", "C")
+		hostB := f.hosts["B"]
+		// B runs no item, so that it attempts no write.
+		hostB.directory.Remove(f.clock.Now(), backendServer.ID, 0)
+		f.leave("C")
+		f.stopAside("A", "B")
+		f.eventually(func(g Gomega) { g.Expect(hostB.OwnedJobs()).To(ConsistOf("j")) })
+		page, ok := hostB.read("j", 1)
+		Expect(ok && page.Confirmed).To(BeTrue())
+		f.leave("A")
+		f.leave("B")
+		hostB.cutOff.Store(true)
+		f.hosts["C"].dead.Store(false)
+		f.takenFrom("A", "B")
+		close(f.servers.block)
+		f.eventually(func(g Gomega) {
+			r.read("C", "B")
+			g.Expect(r.seen).To(HaveLen(2))
+		})
+		r.readFor(2*time.Second, "B", "C")
+		r.expectSound(2, 40)
+	})
+})
