Jobs: a spec for results that an owner would list with the name of its heir

An owner that has just taken a job over and is cut off from all servers does not list results in the write that names its heir, as the owner before it may still deny them.

--- a/internal/batch/ownership/heir_test.go
+++ b/internal/batch/ownership/heir_test.go
@@ -49,6 +49,30 @@
 		}
 	})
 
+	// Guards against a result that is listed with the name of the heir while the owner
+	// before the one that lists it still denies it.
+	It("lists no result with its heir's name if it has just taken the job over", func() {
+		f := newFleet("A", "B", "C")
+		f.servers.block = make(chan struct{})
+		f.servers.status["j-0"] = 422
+		hostA, hostB := f.hosts["A"], f.hosts["B"]
+		hostA.directory.Remove(f.clock.Now(), backendServer.ID, 0)
+		f.leave("C")
+		Expect(hostA.Submit(ctx, submission("j", 2, 1))).To(BeNil())
+		f.leave("A")
+		hostA.cutOff.Store(true)
+		f.takenFrom("A")
+		f.eventually(func(g Gomega) { g.Expect(f.servers.runsOf("j-0")).To(Equal(1)) })
+		f.hosts["C"].dead.Store(false)
+		hostB.setServersCut(true)
+		r := &readers{fleet: f, job: "j"}
+		r.readFor(endGrace, "C", "A")
+		Expect(f.ownerOf("j")).To(Equal("C"))
+		close(f.servers.block)
+		r.readUntil(2, "C", "A")
+		r.expectSound(2, 40)
+	})
+
 	// Guards against a named heir that does not wait for the owner before the one that
 	// named it.
 	DescribeTable("if it has just taken the job over,", func(handOver func(*host)) {
