Jobs: a proof ends before the next owner may list a result

Callers could be told that a position holds no result by a former owner at the moment at which the next one listed it: a proof was valid up to and including its period, and a new owner lists from the end of that period on.

A proof is now valid for less than its period: it began before the take-over, so it ends before the first listing, however coarse the clock. No record or message changes; builds before may deny at the very end of the period.

--- a/internal/batch/claim/claim.go
+++ b/internal/batch/claim/claim.go
@@ -61,7 +61,7 @@
 func (c *Claim) MayDeny(now time.Duration) bool { return c.valid(now, c.listProvedAt) }
 
 func (c *Claim) valid(now, provedAt time.Duration) bool {
-	return provedAt > 0 && now-provedAt <= c.period
+	return provedAt > 0 && now-provedAt < c.period
 }
 
 // Prove records that a call to the store, which began at a time, showed this host to
