Jobs: a check of a record begins in the step that finds no other is to be made

While the store is away, one check at a time tries whether it is back. Whether another one is under way was asked in one critical section and the check counted in the next, so the readers of several jobs whose hold ended at once each read the store: 21 reads where 20 are asked for, in 1 of 1 run of the package and 3 of 40 runs of its spec alone. Both are one step now: none of 40 runs of the spec, eight at a time, fails. No record or message changes.

--- a/internal/batch/ownership/recordcheck.go
+++ b/internal/batch/ownership/recordcheck.go
@@ -50,8 +50,9 @@
 			m.mu.Unlock()
 			return allowed
 		}
+		check, joined := m.beginCheck(j)
 		m.mu.Unlock()
-		check, joined := m.checkRecord(ctx, j)
+		m.finishCheck(ctx, j, check, joined)
 		if ctx.Err() != nil {
 			return false
 		}
@@ -70,17 +71,20 @@
 		id := j.job.Record().ID
 		now := m.Timer.Uptime()
 		owned, proved, unread := m.owns(j), j.job.Complete() || j.claim.MayDeny(now), m.unread(now)
-		m.mu.Unlock()
-		if !owned {
+		switch {
+		case !owned:
+			m.mu.Unlock()
 			return result.New(result.LeaseLost, "job %.64q is not this host's any more", id)
-		}
-		if proved {
+		case proved:
+			m.mu.Unlock()
 			return nil
-		}
-		if unread {
+		case unread:
+			m.mu.Unlock()
 			return result.New(result.StoreUnavailable, "whether this host still owns job %.64q is not known", id).WithRetry(storeRetryAfter)
 		}
-		check, joined := m.checkRecord(ctx, j)
+		check, joined := m.beginCheck(j)
+		m.mu.Unlock()
+		m.finishCheck(ctx, j, check, joined)
 		switch {
 		case ctx.Err() != nil:
 			return result.New(result.Cancelled, "the caller has left")
@@ -100,6 +104,9 @@
 // closed.
 type recordCheck struct {
 	done chan struct{}
+	// id is the job's, began when the check began, by Timer.Uptime.
+	id    string
+	began time.Duration
 	// maySend is set if items may be sent; hold is for how long none is, otherwise.
 	maySend bool
 	hold    time.Duration
@@ -114,26 +121,29 @@
 	outdated bool
 }
 
-// checkRecord reads the record of a job. If another read of it is in progress, it
-// waits for the end of that one instead, and sets joined. The outcome counts only if
-// ctx is not done.
-func (m *Manager) checkRecord(ctx context.Context, j *ownedJob) (check *recordCheck, joined bool) {
-	m.mu.Lock()
-	if check := j.checking; check != nil {
-		m.mu.Unlock()
+// beginCheck begins a read of a job's record or, with joined set, returns the one that is
+// in progress. The caller passes either to finishCheck. It holds m.mu, and has held it
+// since it called unread, so that only one check is made while the store can't be read.
+func (m *Manager) beginCheck(j *ownedJob) (check *recordCheck, joined bool) {
+	if j.checking != nil {
+		return j.checking, true
+	}
+	j.checking = &recordCheck{done: make(chan struct{}), id: j.job.Record().ID, began: m.Timer.Uptime()}
+	m.checks++
+	return j.checking, false
+}
+
+// finishCheck reads the record for a check that has begun, or waits for the end of one
+// that was joined. The outcome counts only if ctx is not done.
+func (m *Manager) finishCheck(ctx context.Context, j *ownedJob, check *recordCheck, joined bool) {
+	if joined {
 		select {
 		case <-check.done:
 		case <-ctx.Done():
-			return &recordCheck{}, true
 		}
-		return check, true
+		return
 	}
-	check = &recordCheck{done: make(chan struct{})}
-	j.checking = check
-	m.checks++
-	id, began := j.job.Record().ID, m.Timer.Uptime()
-	m.mu.Unlock()
-
+	id, began := check.id, check.began
 	readCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordCheckTimeout)
 	defer cancel()
 	checkedTotal.Inc()
@@ -166,7 +176,6 @@
 	case !check.maySend && check.err == nil:
 		m.refresh(id)
 	}
-	return check, false
 }
 
 // recordUnread decides what follows from a check that failed. The caller holds m.mu.
