Specs of jobs that are handed in several times at once; one fault of it in KNOWN-RED

Two hosts that accept one job at once, and one host twice, run it once. With different bodies under one ID at one host, both acceptances write the same writer and serial. The one that finds the other's record takes it for its own if the first has not added its job yet, and the host runs items that the store does not have. The spec of that is labelled known-red:

[FAIL] a job that is handed in several times at once [It] runs the items that the store has, if the bodies differ Expected <int>: 1 to be zero-valued (runs of j-0-differing)

The two others pass; internal/batch/ownership passes with -race (106 s). No product code changes.

--- a/internal/batch/ownership/again_test.go
+++ b/internal/batch/ownership/again_test.go
@@ -12,6 +12,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/batch/ownership"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
+	"github.com/kingcupquay/kingcupquay/internal/standin/specs"
 )
 
 // pastRetention is longer than the time for which a complete job is kept.
@@ -370,3 +371,59 @@
 		Expect(page.Results[0].ID).To(Equal("j-other"))
 	})
 })
+
+var _ = Describe("a job that is handed in several times at once", func() {
+	// hold makes a host's transactions wait after they have taken effect, until release
+	// is closed; held is closed once the first one waits.
+	hold := func(h *host) (held, release chan struct{}) {
+		held, release = make(chan struct{}), make(chan struct{})
+		var first atomic.Bool
+		h.afterCall.set(func(op string) {
+			if op == "commit" && first.CompareAndSwap(false, true) {
+				close(held)
+				<-release
+			}
+		})
+		return held, release
+	}
+
+	DescribeTable("is accepted once", func(second string) {
+		f := newFleet("A", "B")
+		f.noScanners.Store(true)
+		f.servers.block = make(chan struct{})
+		held, release := hold(f.hosts["A"])
+		accepted := make(chan *result.Error, 1)
+		go func() { accepted <- f.handIn("A", "j") }()
+		Eventually(held, waitTimeout).Should(BeClosed())
+		Expect(f.handIn(second, "j")).To(BeNil())
+		close(release)
+		Eventually(accepted, waitTimeout).Should(Receive(BeNil()))
+		close(f.servers.block)
+		f.expectKept("j", "A", "B")
+		Expect(f.servers.totalRuns()).To(Equal(2))
+	},
+		Entry("at one host", "A"),
+		Entry("at two hosts", "B"),
+	)
+
+	// Guards against an acceptance that takes the record of another one by the same
+	// process for its own, and runs items that the store does not have.
+	It("runs the items that the store has, if the bodies differ", Label(specs.KnownRed), func() {
+		f := newFleet("A")
+		f.noScanners.Store(true)
+		held, release := hold(f.hosts["A"])
+		accepted := make(chan *result.Error, 1)
+		go func() { accepted <- f.handIn("A", "j") }()
+		Eventually(held, waitTimeout).Should(BeClosed())
+		differing := submission("j", 2, 1)
+		for i := range differing.Items {
+			differing.Items[i].ID += "-differing"
+		}
+		Expect(f.hosts["A"].Submit(ctx, differing)).To(BeNil())
+		close(release)
+		Eventually(accepted, waitTimeout).Should(Receive(BeNil()))
+		f.expectKept("j", "A")
+		Expect(f.servers.runsOf("j-0-differing")).To(BeZero())
+		Expect(f.servers.runsOf("j-0")).To(Equal(1))
+	})
+})
