Jobs: a spec for readers of one job while the record of another one is read

Without the condition that a check failed lately (unread), any check in progress would refuse the readers of all other jobs, and hold their items.

--- a/internal/batch/ownership/refused_read_test.go
+++ b/internal/batch/ownership/refused_read_test.go
@@ -230,6 +230,34 @@
 	})
 })
 
+var _ = Describe("the readers of an owner that reaches the store", func() {
+	// Guards against a read of one record that keeps the readers of all other jobs from
+	// an answer.
+	It("are answered while the record of another job is read", func() {
+		f := newFleet("A")
+		f.noScanners.Store(true)
+		f.servers.block = make(chan struct{})
+		defer close(f.servers.block)
+		hostA := f.hosts["A"]
+		for _, id := range []string{"j1", "j2"} {
+			Expect(hostA.Submit(ctx, submission(id, 1, 1))).To(BeNil())
+		}
+		f.eventually(func(g Gomega) { g.Expect(f.servers.activeRuns()).To(Equal(2)) })
+		f.advance(endGrace)
+		held := hostA.beforeCall.hold("get", 1)
+		first := make(chan struct{})
+		go func() {
+			defer close(first)
+			_, _ = hostA.read("j1", 0)
+		}()
+		Eventually(held.reached, waitTimeout).Should(BeClosed())
+		page, ok := hostA.read("j2", 0)
+		Expect(ok && page.Confirmed).To(BeTrue())
+		held.release()
+		Eventually(first, waitTimeout).Should(BeClosed())
+	})
+})
+
 // listed returns the IDs of the results in a job's record and parts in the store.
 func (f *fleet) listed(id string) []jobstate.Result {
 	GinkgoHelper()
