--- a/internal/batch/ownership/other_ways_test.go
+++ b/internal/batch/ownership/other_ways_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -274,6 +275,31 @@
 		Entry("after 6 s and a take-over", 6*time.Second, true),
 	)
 
+	// Guards against a refusal of a second attempt that is taken for the outcome of the
+	// first one.
+	It("if a write takes effect late whose next attempt was refused", func() {
+		f, r := newHalfListed("A", "B")
+		f.noScanners.Store(true)
+		hostA := f.hosts["A"]
+		hostA.delayedWrites.set(true)
+		var commits atomic.Int32
+		hostA.beforeCall.set(func(op string) {
+			// The store delays the first write and refuses all others.
+			hostA.cutOff.Store(op == "commit" && commits.Add(1) > 1)
+		})
+		close(f.servers.block)
+		f.eventually(func(g Gomega) { g.Expect(f.logged("write refused")).NotTo(BeEmpty()) })
+		f.leave("A")
+		r.read("A")
+		Expect(hostA.delayedWrites.count()).To(Equal(1))
+		hostA.delayedWrites.takeEffect(f.kv)
+		r.read("B", "A")
+		hostA.beforeCall.set(nil)
+		hostA.cutOff.Store(false)
+		r.readFor(period, "A", "B")
+		r.expectSound(2, 100)
+	})
+
 	// Guards against a read from before a take-over that proves the record after it.
 	DescribeTable("if an owner's read of the record ends after a take-over,", func(begin func(*host), completed bool) {
 		f, r := newHalfListed("A", "B", "C")
