Jobs: the times at which items are due and may be given up keep the steady clock

A step of its time of day moved both in its memory. Only the time of acceptance, which tells jobs apart, goes without that reading now. Found by reading; the manual clock of the specs has no such reading, so none shows it. The record is unchanged.

--- a/internal/batch/ownership/accept.go
+++ b/internal/batch/ownership/accept.go
@@ -157,11 +157,12 @@
 	if len(parts) > maxBodyParts {
 		return jobstate.Record{}, nil, result.New(result.BodyTooLarge, "the job takes %d parts, more than %d", len(parts), maxBodyParts)
 	}
-	// A reading of the steady clock would leave out suspensions of the machine.
-	now := m.Timer.Now().Round(0)
+	now := m.Timer.Now()
 	record := jobstate.Record{
 		ID: sub.ID, Route: sub.Route.Name, Host: sub.Host, Owner: m.Host, Serial: 1, Writer: m.Writer,
-		BodyParts: len(parts), Total: len(sub.Items), Accepted: now, Due: now.Add(sub.Route.DueAfter),
+		BodyParts: len(parts), Total: len(sub.Items), Due: now.Add(sub.Route.DueAfter),
+		// A reading of the steady clock would leave out suspensions of the machine.
+		Accepted: now.Round(0),
 	}
 	if sub.Route.GiveUpAfter > 0 {
 		record.GiveUpAt = now.Add(sub.Route.GiveUpAfter + giveUpMargin)
