--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -386,7 +386,7 @@
 	}
 }
 
-// stay logs, once for each silence, why a stream stays with its silent server.
+// stay logs, once until the stream moves, why it stays with its silent server.
 func (s *streamSession) stay(att *attempt, cause *result.Error) {
 	if !s.stayed {
 		s.forwarder.log.Info("stays with a silent server", "request", s.call.ID, "server", att.server.ID, "software", s.software, "cause", cause.Error())
