--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -66,6 +66,13 @@
 	// Confirmed is set if no result was listed at Next when the page was read. Hosts
 	// of earlier builds don't set it; their lists may end too early.
 	Confirmed bool `json:"confirmed,omitempty"`
+	// KnownAfterMS is how long after a host received the question, in milliseconds, it
+	// knew that no result was listed at Next. Hosts of earlier builds don't set it.
+	KnownAfterMS int64 `json:"known_after_ms,omitempty"`
+	// asOf is the same time by the uptime of the host that holds the page, source where
+	// it knew that from: "memory", "store" or the host that was asked.
+	asOf   time.Duration
+	source string
 }
 
 // Peers sends requests about a job to its owner on another host, and reports
--- a/internal/batch/ownership/outdated_list_test.go
+++ b/internal/batch/ownership/outdated_list_test.go
@@ -13,7 +13,7 @@
 
 // read reads one page of a job at a host.
 func (h *host) read(id string, after int) (page ownership.ResultPage, ok bool) {
-	page, failure := h.Manager.Results(ctx, id, after, 0, true)
+	page, failure := h.tellResults(ctx, id, after, 0, true)
 	return page, failure == nil
 }
 
--- a/internal/batch/ownership/reading.go
+++ b/internal/batch/ownership/reading.go
@@ -56,7 +56,9 @@
 		return ResultPage{}, failure
 	}
 	if owner != "" && owner != m.Host {
+		asked := m.Timer.Uptime()
 		page, failure := m.Peers.Results(ctx, owner, id, after, deadline.Sub(m.Timer.Now()))
+		page.asOf, page.source = asked+time.Duration(page.KnownAfterMS)*time.Millisecond, owner
 		switch {
 		case failure == nil && (len(page.Results) > 0 || page.Confirmed):
 			if len(page.Results) == 0 && after < page.Total {
@@ -81,11 +83,13 @@
 // means that this host does not own the job any more, or may not know all results.
 func (m *Manager) ownedResults(ctx context.Context, j *ownedJob, after int, deadline time.Time) (ResultPage, *result.Error) {
 	confirmed := false
+	var confirmedAsOf time.Duration
 	for {
 		m.mu.Lock()
+		now := m.Timer.Uptime()
 		record, results, changed := j.job.Record(), j.job.Results(), j.changed
 		owned, complete := m.owns(j), j.job.Complete()
-		age, revision := j.claim.ListAge(m.Timer.Uptime()), j.revision
+		age, revision := j.claim.ListAge(now), j.revision
 		m.mu.Unlock()
 		if !owned {
 			return ResultPage{}, result.New(result.LeaseLost, "job %.64q is not this host's any more", record.ID)
@@ -95,7 +99,10 @@
 		switch {
 		case after < len(results) || complete || confirmed || after >= record.Total:
 			page := pageOf(record.Total, results, after)
-			page.Confirmed = confirmed || complete
+			page.Confirmed, page.asOf, page.source = confirmed || complete, now, "memory"
+			if confirmed && !complete {
+				page.asOf = confirmedAsOf
+			}
 			if len(page.Results) == 0 && !complete {
 				emptyFromMemory.Inc()
 				m.Log.V(1).Info("page without results", "job", record.ID, "after", after, "listed", len(results), "total", record.Total,
@@ -103,10 +110,11 @@
 			}
 			return page, nil
 		case ends:
-			if failure := m.confirmList(ctx, j); failure != nil {
+			asOf, failure := m.confirmList(ctx, j)
+			if failure != nil {
 				return ResultPage{}, failure
 			}
-			confirmed = true
+			confirmed, confirmedAsOf = true, asOf
 			continue
 		}
 		timedOut := make(chan struct{})
@@ -196,6 +204,7 @@
 // longer has it.
 func (m *Manager) storedResults(ctx context.Context, id string, after int, deadline time.Time) (ResultPage, *result.Error) {
 	for {
+		began := m.Timer.Uptime()
 		r, failure := m.record(ctx, id)
 		if failure != nil {
 			return ResultPage{}, failure
@@ -216,6 +225,7 @@
 		m.mu.Lock()
 		cached.Record = r
 		page := pageOf(r.Total, cached.Results, after)
+		page.asOf, page.source = began, "store"
 		m.mu.Unlock()
 		if len(page.Results) > 0 || !r.Open() || deadline.Sub(m.Timer.Now()) < storePollInterval || ctx.Err() != nil {
 			if len(page.Results) == 0 && r.Open() {
--- a/internal/batch/ownership/recordcheck.go
+++ b/internal/batch/ownership/recordcheck.go
@@ -63,9 +63,9 @@
 }
 
 // confirmList reports whether a job's list of results in memory was the whole list at
-// some time since the call, and reads the job's record if that is necessary. The code
-// LeaseLost means that it was not, or may not have been.
-func (m *Manager) confirmList(ctx context.Context, j *ownedJob) *result.Error {
+// some time since the call, and as of when, by the uptime. It reads the job's record if
+// that is necessary. The code LeaseLost means that it was not, or may not have been.
+func (m *Manager) confirmList(ctx context.Context, j *ownedJob) (asOf time.Duration, failure *result.Error) {
 	for {
 		m.mu.Lock()
 		id := j.job.Record().ID
@@ -74,28 +74,28 @@
 		switch {
 		case !owned:
 			m.mu.Unlock()
-			return result.New(result.LeaseLost, "job %.64q is not this host's any more", id)
+			return 0, result.New(result.LeaseLost, "job %.64q is not this host's any more", id)
 		case proved:
 			m.mu.Unlock()
-			return nil
+			return now, nil
 		case unread:
 			m.mu.Unlock()
-			return result.New(result.StoreUnavailable, "whether this host still owns job %.64q is not known", id).WithRetry(storeRetryAfter)
+			return 0, result.New(result.StoreUnavailable, "whether this host still owns job %.64q is not known", id).WithRetry(storeRetryAfter)
 		}
 		check, joined := m.beginCheck(j)
 		m.mu.Unlock()
 		m.finishCheck(ctx, j, check, joined)
 		switch {
 		case ctx.Err() != nil:
-			return result.New(result.Cancelled, "the caller has left")
+			return 0, result.New(result.Cancelled, "the caller has left")
 		case check.err != nil:
-			return result.New(result.StoreUnavailable, "whether this host still owns job %.64q is not known: %v", id, check.err).WithRetry(storeRetryAfter)
+			return 0, result.New(result.StoreUnavailable, "whether this host still owns job %.64q is not known: %v", id, check.err).WithRetry(storeRetryAfter)
 		case joined:
 			// The read may have begun before the call.
 		case !check.listKnown:
-			return result.New(result.LeaseLost, "job %.64q may have more results", id)
+			return 0, result.New(result.LeaseLost, "job %.64q may have more results", id)
 		default:
-			return nil
+			return check.began, nil
 		}
 	}
 }
--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -368,8 +369,13 @@
 	links                 links
 	placer                *scheduler.Placer
 	beforeCall, afterCall callHook
-	loseReplies           atomic.Bool
-	staleRecords          atomic.Pointer[[]store.Entry]
+	// afterPeerCall is called once another host has answered, afterEncoding between the
+	// encoding of a page and its first byte.
+	afterPeerCall, afterEncoding callHook
+	// peerCalls counts the reads at other hosts.
+	peerCalls    atomic.Int64
+	loseReplies  atomic.Bool
+	staleRecords atomic.Pointer[[]store.Entry]
 	// config holds configuration 1 with the route of submission, unless a test sets
 	// another one.
 	config *routes.Holder
@@ -463,10 +469,26 @@
 	if total := p.outdatedTotal.Load(); total > 0 {
 		return ownership.ResultPage{Total: int(total), Next: after}, nil
 	}
-	page, failure := p.Manager.Results(ctx, id, after, wait, false)
+	page, failure := p.tellResults(ctx, id, after, wait, false)
 	if p.earlierBuild.Load() {
-		page.Confirmed = false
+		page.Confirmed, page.KnownAfterMS = false, 0
 	}
+	h.peerCalls.Add(1)
+	h.afterPeerCall.call("results")
+	return page, failure
+}
+
+// tellResults returns the page that the host tells, as it is told to other hosts.
+func (h *host) tellResults(ctx context.Context, id string, after int, wait time.Duration, mayForward bool) (page ownership.ResultPage, failure *result.Error) {
+	h.Manager.TellResults(ctx, id, after, wait, mayForward, func(page ownership.ResultPage) ([]byte, error) {
+		defer h.afterEncoding.call("results")
+		return json.Marshal(page)
+	}, func(text []byte, told *result.Error) {
+		failure = told
+		if failure == nil {
+			Expect(json.Unmarshal(text, &page)).To(Succeed())
+		}
+	})
 	return page, failure
 }
 
--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -506,9 +506,9 @@
 	return h.jobs.Submit(ctx, s)
 }
 
-// Results returns results of a job; see ownership.Manager.
-func (h *Host) Results(ctx context.Context, id string, after int, wait time.Duration) (ownership.ResultPage, *result.Error) {
-	return h.jobs.Results(ctx, id, after, wait, true)
+// TellResults passes results of a job to tell; see ownership.Manager.
+func (h *Host) TellResults(ctx context.Context, id string, after int, wait time.Duration, encode func(ownership.ResultPage) ([]byte, error), tell func([]byte, *result.Error)) {
+	h.jobs.TellResults(ctx, id, after, wait, true, encode, tell)
 }
 
 // ItemBody returns the body of an item whose result is not listed yet.
--- a/internal/fleet/entry/pages_test.go
+++ b/internal/fleet/entry/pages_test.go
@@ -68,7 +68,7 @@
 		GinkgoHelper()
 		answerWith(answer)
 		addJob(id)
-		got, failure := h.Results(context.Background(), id, after, 0)
+		got, failure := h.jobs.Results(context.Background(), id, after, 0, true)
 		Expect(failure).To(BeNil(), "%q", answer)
 		Expect(got.Results).To(HaveLen(listed-after), "%q", answer)
 		Expect(got.Results[0].ID).To(Equal(results[after].ID))
@@ -124,7 +124,7 @@
 		answerWith(answer)
 		kv.SetFaults(func(string) platform.Fault { return platform.Refuse })
 		for after := range listed {
-			_, failure := h.Results(context.Background(), "j", after, 0)
+			_, failure := h.jobs.Results(context.Background(), "j", after, 0, true)
 			Expect(failure).NotTo(BeNil())
 		}
 	},
@@ -140,7 +140,7 @@
 	It("passes on a page without results that the owner confirms", func() {
 		addJob("j")
 		answerWith(framed(`{"total":3,"next":2,"results":null,"confirmed":true}`))
-		got, failure := h.Results(context.Background(), "j", listed, 0)
+		got, failure := h.jobs.Results(context.Background(), "j", listed, 0, true)
 		Expect(failure).To(BeNil())
 		Expect(got.Results).To(BeEmpty())
 		Expect(strings.Contains(page, "confirmed")).To(BeFalse())
--- a/internal/fleet/entry/peers.go
+++ b/internal/fleet/entry/peers.go
@@ -97,17 +97,13 @@
 			writeFailure(w, result.New(result.InvalidField, "after or wait can't be read"))
 			return
 		}
-		page, failure := jobs.Results(r.Context(), r.PathValue("id"), after, wait, false)
-		if failure != nil {
-			writeFailure(w, failure)
-			return
-		}
-		text, err := json.Marshal(page)
-		if err != nil {
-			writeFailure(w, result.New(result.Internal, "%v", err))
-			return
-		}
-		writeBody(w, text)
+		jobs.TellResults(r.Context(), r.PathValue("id"), after, wait, false, encodePage, func(text []byte, failure *result.Error) {
+			if failure != nil {
+				writeFailure(w, failure)
+				return
+			}
+			writeBody(w, text)
+		})
 	})
 	mux.HandleFunc("GET /jobs/{id}/body", func(w http.ResponseWriter, r *http.Request) {
 		body, failure := jobs.Body(r.Context(), r.PathValue("id"), r.URL.Query().Get("item"), false)
@@ -135,6 +131,8 @@
 	return mux
 }
 
+func encodePage(page ownership.ResultPage) ([]byte, error) { return json.Marshal(page) }
+
 // writeBody writes a response body. Errors are ignored: the calling host is
 // gone.
 func writeBody(w http.ResponseWriter, body []byte) { _, _ = w.Write(body) }
