Ownership: an answer that denies a result or a job is told only while it is recent

Callers were told that a position holds no result although another caller had read one there, or that a job does not exist that had been accepted: the answer was true when it was decided, and told later. Cause: a proof bounds the age of the knowledge at the decision, nothing bounded the time from there to the first byte: the way back from the owner, a pause with the store's reply in hand (the check counted although its own limit of 300 ms was long past), between the record and the page, and between the page and its first byte.

Now the last step before the first byte compares the age with a third of the proof's period, decides again, from the store if the owner's page came late, and says 503 after the third time. Hosts that pass a page on count from their question, plus what the owner says it took.

Its own pages count from the question, so one that waited for a result is decided again from the store.

--- /dev/null
+++ b/internal/batch/ownership/late_answer_test.go
@@ -0,0 +1,195 @@
+package ownership_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/kingcupquay/kingcupquay/internal/batch/ownership"
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+)
+
+// told is the answer to one read.
+type told struct {
+	page    ownership.ResultPage
+	failure *result.Error
+}
+
+// ask reads job j at a host in the background.
+func (h *host) ask(after int, wait time.Duration) <-chan told {
+	answer := make(chan told, 1)
+	go func() {
+		defer GinkgoRecover()
+		page, failure := h.tellResults(ctx, "j", after, wait, true)
+		answer <- told{page, failure}
+	}()
+	return answer
+}
+
+// await returns an answer once it is there.
+func (f *fleet) await(answer <-chan told) (a told) {
+	GinkgoHelper()
+	f.eventually(func(g Gomega) { g.Expect(answer).To(Receive(&a)) })
+	return a
+}
+
+// expectNotDenied expects an answer that does not deny the result at a position that
+// was read.
+func expectNotDenied(a told) {
+	GinkgoHelper()
+	Expect(a.failure == nil && len(a.page.Results) == 0).To(BeFalse(), "the answer has no result at a position that was read")
+}
+
+var _ = Describe("an answer that denies a result and is delayed", func() {
+	// newRead returns a fleet in which A owns job j of two items, which run until
+	// servers.block is closed.
+	newRead := func() (*fleet, *readers) {
+		f := newFleet("A", "C", "D")
+		f.servers.block = make(chan struct{})
+		Expect(f.hosts["A"].Submit(ctx, submission("j", 2, 1))).To(BeNil())
+		return f, &readers{fleet: f, job: "j"}
+	}
+	// completeDuring completes the job while a call is held, releases the call a delay
+	// after it was held at the earliest, and returns what it then answers.
+	completeDuring := func(f *fleet, r *readers, held *gate, answer <-chan told, delay time.Duration) told {
+		GinkgoHelper()
+		f.eventually(func(g Gomega) { g.Expect(held.reached).To(BeClosed()) })
+		began := f.clock.Now()
+		close(f.servers.block)
+		r.readUntil(2, "D")
+		if rest := delay - f.clock.Now().Sub(began); rest > 0 {
+			f.advance(rest)
+		}
+		held.release()
+		return f.await(answer)
+	}
+
+	// Guards against the page of another host that was true when it was sent.
+	DescribeTable("does not contradict what was read while the owner's page was on its way,", func(delay, wait time.Duration) {
+		f, r := newRead()
+		held := f.hosts["C"].afterPeerCall.hold("results", 1)
+		a := completeDuring(f, r, held, f.hosts["C"].ask(0, wait), delay)
+		expectNotDenied(a)
+		Expect(a.failure).To(BeNil())
+	},
+		Entry("for 0.6 s", 600*time.Millisecond, time.Duration(0)),
+		Entry("for 1.5 s", 1500*time.Millisecond, time.Duration(0)),
+		Entry("for 5 s", 5*time.Second, time.Duration(0)),
+		Entry("for 0.6 s, after a wait", 600*time.Millisecond, time.Second),
+	)
+
+	// Guards against a check that counts however long ago it began.
+	It("does not contradict what was read while the owner stood still with the store's reply", func() {
+		f, r := newHalfListed("A", "B", "C")
+		hostA := f.hosts["A"]
+		hostA.directory.Remove(f.clock.Now(), backendServer.ID, 0)
+		f.advance(endGrace)
+		held := hostA.afterCall.hold("get", 1)
+		answer := hostA.ask(1, 0)
+		f.eventually(func(g Gomega) { g.Expect(held.reached).To(BeClosed()) })
+		f.leave("A")
+		hostA.beforeCall.set(func(string) { <-held.opened })
+		f.takenFrom("A")
+		close(f.servers.block)
+		r.readUntil(2, "B", "C")
+		held.release()
+		expectNotDenied(f.await(answer))
+	})
+
+	// Guards against a record that is old by the time its parts are read.
+	It("does not contradict what was read while a host stood still with the record in hand", func() {
+		f, r := newRead()
+		hostC := f.hosts["C"]
+		f.hosts["A"].earlierBuild.Store(true)
+		hostC.LearnOwner("A", []string{"j"})
+		a := completeDuring(f, r, hostC.afterCall.hold("get", 1), hostC.ask(0, 0), time.Second)
+		expectNotDenied(a)
+		Expect(a.failure).To(BeNil())
+	})
+
+	// Guards against a pause after the last decision.
+	DescribeTable("does not contradict what was read while a host stood still before the first byte,", func(name string) {
+		f, r := newRead()
+		h := f.hosts[name]
+		a := completeDuring(f, r, h.afterEncoding.hold("results", 1), f.hosts["C"].ask(0, 0), time.Second)
+		expectNotDenied(a)
+		Expect(a.failure).To(BeNil())
+	},
+		Entry("the one that was asked", "C"),
+		Entry("the owner", "A"),
+	)
+
+	It("is told if it is recent", func() {
+		f, _ := newRead()
+		defer close(f.servers.block)
+		hostC := f.hosts["C"]
+		held := hostC.afterPeerCall.hold("results", 1)
+		answer := hostC.ask(0, 0)
+		f.eventually(func(g Gomega) { g.Expect(held.reached).To(BeClosed()) })
+		f.clock.Advance(endGrace/6 - 200*time.Millisecond)
+		held.release()
+		var a told
+		Eventually(answer, waitTimeout).Should(Receive(&a))
+		Expect(a.failure).To(BeNil())
+		Expect(hostC.peerCalls.Load()).To(Equal(int64(1)))
+	})
+
+	It("is told after a long wait at the owner without a second question", func() {
+		f, _ := newRead()
+		defer close(f.servers.block)
+		hostC := f.hosts["C"]
+		a := f.await(hostC.ask(0, time.Second))
+		Expect(a.failure).To(BeNil())
+		Expect(hostC.peerCalls.Load()).To(Equal(int64(1)))
+	})
+
+	It("is refused if no answer is recent", func() {
+		f, _ := newRead()
+		defer close(f.servers.block)
+		hostC := f.hosts["C"]
+		hostC.LearnOwner("A", []string{"j"})
+		hostC.afterPeerCall.set(func(string) { f.clock.Advance(endGrace / 6) })
+		hostC.afterCall.set(func(string) { f.clock.Advance(endGrace / 6) })
+		a := f.await(hostC.ask(0, 0))
+		Expect(a.failure).NotTo(BeNil())
+		Expect(a.failure.Code()).To(Equal(result.StoreUnavailable))
+		Expect(a.failure.RetryAfter()).To(BeNumerically(">", 0))
+		Expect(hostC.peerCalls.Load()).To(Equal(int64(1)), "the store is asked then")
+	})
+})
+
+var _ = Describe("an answer that denies a job and is delayed", func() {
+	// Guards against a 404 of a job that was accepted before it is told.
+	DescribeTable("does not contradict an acceptance meanwhile,", func(ask func(h *host) *result.Error) {
+		f := newFleet("A", "C")
+		f.servers.block = make(chan struct{})
+		defer close(f.servers.block)
+		hostC := f.hosts["C"]
+		held := hostC.afterCall.hold("get", 1)
+		answer := make(chan *result.Error, 1)
+		go func() { answer <- ask(hostC) }()
+		f.eventually(func(g Gomega) { g.Expect(held.reached).To(BeClosed()) })
+		Expect(f.hosts["A"].Submit(ctx, submission("j", 1, 1))).To(BeNil())
+		f.clock.Advance(2 * time.Second)
+		held.release()
+		var failure *result.Error
+		f.eventually(func(g Gomega) { g.Expect(answer).To(Receive(&failure)) })
+		if failure != nil {
+			Expect(failure.Code()).NotTo(Equal(result.NotFound))
+		}
+	},
+		Entry("to a read", func(h *host) *result.Error {
+			_, failure := h.tellResults(ctx, "j", 0, 0, true)
+			return failure
+		}),
+		Entry("to a read of a body", func(h *host) (told *result.Error) {
+			h.Manager.TellBody(ctx, "j", "j-0", func(_ []byte, failure *result.Error) { told = failure })
+			return told
+		}),
+		Entry("to an end", func(h *host) (told *result.Error) {
+			h.Manager.TellEnd(ctx, "j", func(failure *result.Error) { told = failure })
+			return told
+		}),
+	)
+})
--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -70,9 +70,9 @@
 	// knew that no result was listed at Next. Hosts of earlier builds don't set it.
 	KnownAfterMS int64 `json:"known_after_ms,omitempty"`
 	// asOf is the same time by the uptime of the host that holds the page, source where
-	// it knew that from: "memory", "store" or the host that was asked.
+	// it knew that from.
 	asOf   time.Duration
-	source string
+	source source
 }
 
 // Peers sends requests about a job to its owner on another host, and reports
--- a/internal/batch/ownership/reading.go
+++ b/internal/batch/ownership/reading.go
@@ -21,16 +21,25 @@
 	storePollInterval = 500 * time.Millisecond
 )
 
+// source is where a host knows from that there is no result.
+type source string
+
+const (
+	fromMemory source = "memory"
+	fromHost   source = "host"
+	fromStore  source = "store"
+)
+
 // emptyPage counts the pages without results of jobs that are not complete, by the
 // source of the knowledge that there are none.
-func emptyPage(source string) *metrics.Counter {
+func emptyPage(source source) *metrics.Counter {
 	return metrics.GetOrCreateCounter(fmt.Sprintf(`kingcupquay_jobs_pages_without_results_total{source=%q}`, source))
 }
 
 var (
-	emptyFromMemory = emptyPage("memory")
-	emptyFromPeer   = emptyPage("host")
-	emptyFromStore  = emptyPage("store")
+	emptyFromMemory = emptyPage(fromMemory)
+	emptyFromPeer   = emptyPage(fromHost)
+	emptyFromStore  = emptyPage(fromStore)
 )
 
 // Results returns the results from position after on, waiting at most wait for
@@ -58,7 +67,7 @@
 	if owner != "" && owner != m.Host {
 		asked := m.Timer.Uptime()
 		page, failure := m.Peers.Results(ctx, owner, id, after, deadline.Sub(m.Timer.Now()))
-		page.asOf, page.source = asked+time.Duration(page.KnownAfterMS)*time.Millisecond, owner
+		page.asOf, page.source = asked+time.Duration(page.KnownAfterMS)*time.Millisecond, fromHost
 		switch {
 		case failure == nil && (len(page.Results) > 0 || page.Confirmed):
 			if len(page.Results) == 0 && after < page.Total {
@@ -99,7 +108,7 @@
 		switch {
 		case after < len(results) || complete || confirmed || after >= record.Total:
 			page := pageOf(record.Total, results, after)
-			page.Confirmed, page.asOf, page.source = confirmed || complete, now, "memory"
+			page.Confirmed, page.asOf, page.source = confirmed || complete, now, fromMemory
 			if confirmed && !complete {
 				page.asOf = confirmedAsOf
 			}
@@ -225,7 +234,7 @@
 		m.mu.Lock()
 		cached.Record = r
 		page := pageOf(r.Total, cached.Results, after)
-		page.asOf, page.source = began, "store"
+		page.asOf, page.source = began, fromStore
 		m.mu.Unlock()
 		if len(page.Results) > 0 || !r.Open() || deadline.Sub(m.Timer.Now()) < storePollInterval || ctx.Err() != nil {
 			if len(page.Results) == 0 && r.Open() {
--- a/internal/batch/ownership/telling.go
+++ b/internal/batch/ownership/telling.go
@@ -22,6 +22,9 @@
 
 var tooOldTotal = metrics.NewCounter("kingcupquay_jobs_answers_too_old_total")
 
+// maxDecisions is how often an answer is decided that is always too old to be told.
+const maxDecisions = 3
+
 // tellPeriod returns for how long a denial may be told. A reader of another host may
 // have seen for almost as long what is denied.
 func (m *Manager) tellPeriod() time.Duration { return m.proofPeriod() / 3 }
@@ -31,7 +34,7 @@
 type denial struct {
 	denies bool
 	asOf   time.Duration
-	source string
+	source source
 }
 
 // TellResults reads results, as Results does, and passes one page to tell, encoded, or
@@ -39,8 +42,14 @@
 func (m *Manager) TellResults(ctx context.Context, id string, after int, wait time.Duration, mayForward bool,
 	encode func(ResultPage) ([]byte, error), tell func([]byte, *result.Error)) {
 	received := m.Timer.Uptime()
-	m.tell(id, func() ([]byte, denial, *result.Error) {
-		page, failure := m.Results(ctx, id, after, wait, mayForward)
+	read := func() (ResultPage, *result.Error) { return m.Results(ctx, id, after, wait, mayForward) }
+	m.tell(ctx, id, func() ([]byte, denial, *result.Error) {
+		page, failure := read()
+		wait = 0
+		if page.source == fromHost {
+			// The way from the owner is slow, and may be so again.
+			read = func() (ResultPage, *result.Error) { return m.storedResults(ctx, id, after, m.Timer.Now()) }
+		}
 		if failure != nil {
 			return nil, denial{}, failure
 		}
@@ -49,16 +58,44 @@
 		if err != nil {
 			return nil, denial{}, result.New(result.Internal, "%v", err)
 		}
-		return text, denial{len(page.Results) == 0 && after < page.Total, page.asOf, page.source}, nil
+		return text, denial{denies: len(page.Results) == 0 && after < page.Total, asOf: page.asOf, source: page.source}, nil
+	}, tell)
+}
+
+// TellBody passes the body of an item that is not listed yet to tell, or the failure.
+func (m *Manager) TellBody(ctx context.Context, id, item string, tell func([]byte, *result.Error)) {
+	m.tell(ctx, id, func() ([]byte, denial, *result.Error) {
+		body, failure := m.Body(ctx, id, item, true)
+		return body, denial{}, failure
 	}, tell)
 }
 
-// tell passes the answer about a job that decide returns to tell.
-func (m *Manager) tell(id string, decide func() ([]byte, denial, *result.Error), tell func([]byte, *result.Error)) {
-	text, d, failure := decide()
-	if age := m.Timer.Uptime() - d.asOf; d.denies && age >= m.tellPeriod() {
+// TellEnd ends a job and passes the outcome to tell.
+func (m *Manager) TellEnd(ctx context.Context, id string, tell func(*result.Error)) {
+	m.tell(ctx, id, func() ([]byte, denial, *result.Error) {
+		return nil, denial{}, m.End(ctx, id, true)
+	}, func(_ []byte, failure *result.Error) { tell(failure) })
+}
+
+// tell passes the answer about a job that decide returns to tell. What the answer
+// denies is decided again if it is too old.
+func (m *Manager) tell(ctx context.Context, id string, decide func() ([]byte, denial, *result.Error), tell func([]byte, *result.Error)) {
+	for n := 1; ; n++ {
+		began := m.Timer.Uptime()
+		text, d, failure := decide()
+		if failure != nil && failure.Code() == result.NotFound {
+			d = denial{denies: true, asOf: began, source: fromStore}
+		}
+		age := m.Timer.Uptime() - d.asOf
+		if !d.denies || age < m.tellPeriod() {
+			tell(text, failure)
+			return
+		}
 		tooOldTotal.Inc()
-		m.Log.Info("answer too old", "job", id, "age_ms", age.Milliseconds(), "source", d.source)
+		m.Log.Info("answer too old", "job", id, "age_ms", age.Milliseconds(), "source", string(d.source))
+		if n == maxDecisions || ctx.Err() != nil {
+			tell(nil, result.New(result.StoreUnavailable, "what is known of job %.64q is %d ms old", id, age.Milliseconds()).WithRetry(storeRetryAfter))
+			return
+		}
 	}
-	tell(text, failure)
 }
--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -511,14 +511,14 @@
 	h.jobs.TellResults(ctx, id, after, wait, true, encode, tell)
 }
 
-// ItemBody returns the body of an item whose result is not listed yet.
-func (h *Host) ItemBody(ctx context.Context, id, item string) ([]byte, *result.Error) {
-	return h.jobs.Body(ctx, id, item, true)
+// TellBody passes the body of an item whose result is not listed yet to tell.
+func (h *Host) TellBody(ctx context.Context, id, item string, tell func([]byte, *result.Error)) {
+	h.jobs.TellBody(ctx, id, item, tell)
 }
 
-// EndJob ends a job; its owner may be another host.
-func (h *Host) EndJob(ctx context.Context, id string) *result.Error {
-	return h.jobs.End(ctx, id, true)
+// TellEnd ends a job, whose owner may be another host, and passes the outcome to tell.
+func (h *Host) TellEnd(ctx context.Context, id string, tell func(*result.Error)) {
+	h.jobs.TellEnd(ctx, id, tell)
 }
 
 // LogRefusal logs a request that was refused before it became a call.
