Ownership: a page that can't grow any more is told however long it is known

A spec, "is told of an ended job however long it is known", failed with "what is known of job j is 3601740 ms old".

--- a/internal/batch/ownership/late_answer_test.go
+++ b/internal/batch/ownership/late_answer_test.go
@@ -144,6 +144,20 @@
 		Expect(hostC.peerCalls.Load()).To(Equal(int64(1)))
 	})
 
+	// Guards against the age of what can't change any more.
+	It("is told of an ended job however long it is known", func() {
+		f, _ := newHalfListed("A", "C")
+		hostC := f.hosts["C"]
+		Expect(f.hosts["A"].Manager.End(ctx, "j", true)).To(BeNil())
+		f.leave("A")
+		for range 3 {
+			a := f.await(hostC.ask(1, 0))
+			Expect(a.failure).To(BeNil())
+			Expect(a.page).To(Equal(ownership.ResultPage{Total: 2, Next: 1}))
+			f.advance(time.Second)
+		}
+	})
+
 	It("is refused if no answer is recent", func() {
 		f, _ := newRead()
 		defer close(f.servers.block)
--- a/internal/batch/ownership/reading.go
+++ b/internal/batch/ownership/reading.go
@@ -108,8 +108,8 @@
 		switch {
 		case after < len(results) || complete || confirmed || after >= record.Total:
 			page := pageOf(record.Total, results, after)
-			page.Confirmed, page.asOf, page.source = confirmed || complete, now, fromMemory
-			if confirmed && !complete {
+			page.Confirmed, page.final, page.asOf, page.source = confirmed || complete, complete, now, fromMemory
+			if confirmed {
 				page.asOf = confirmedAsOf
 			}
 			if len(page.Results) == 0 && !complete {
@@ -206,7 +206,9 @@
 	if !ok || (cached.Record.Open() && after >= len(cached.Results)) || m.Timer.Now().Sub(cached.Record.Accepted) >= jobRetention {
 		return ResultPage{}, false
 	}
-	return pageOf(cached.Record.Total, cached.Results, after), true
+	page := pageOf(cached.Record.Total, cached.Results, after)
+	page.final = !cached.Record.Open()
+	return page, true
 }
 
 // storedResults serves a job from the store if its owner can't be reached or no
@@ -234,7 +236,7 @@
 		m.mu.Lock()
 		cached.Record = r
 		page := pageOf(r.Total, cached.Results, after)
-		page.asOf, page.source = began, fromStore
+		page.final, page.asOf, page.source = !r.Open(), began, fromStore
 		m.mu.Unlock()
 		if len(page.Results) > 0 || !r.Open() || deadline.Sub(m.Timer.Now()) < storePollInterval || ctx.Err() != nil {
 			if len(page.Results) == 0 && r.Open() {
--- a/internal/batch/ownership/telling.go
+++ b/internal/batch/ownership/telling.go
@@ -37,6 +37,11 @@
 	source source
 }
 
+// denies reports whether a page says that a position holds no result yet.
+func (p ResultPage) denies(position int) bool {
+	return len(p.Results) == 0 && position < p.Total && !p.final
+}
+
 // TellResults reads results, as Results does, and passes one page to tell, encoded, or
 // the failure. To other hosts, mayForward is not set.
 func (m *Manager) TellResults(ctx context.Context, id string, after int, wait time.Duration, mayForward bool,
@@ -58,7 +63,7 @@
 		if err != nil {
 			return nil, denial{}, result.New(result.Internal, "%v", err)
 		}
-		return text, denial{denies: len(page.Results) == 0 && after < page.Total, asOf: page.asOf, source: page.source}, nil
+		return text, denial{denies: page.denies(after), asOf: page.asOf, source: page.source}, nil
 	}, tell)
 }
 
