Ownership: a page of an ended job is told only while it is recent, too

Pages of ended jobs had no age, since no result will be listed any more. But complete jobs are removed 150 s after their acceptance, and another job may then be accepted under the ID: a host that stood still with the page of the ended one in hand denied positions that others had read of the new one. Now such a page is known as of its decision, also one from the cache of results, whose times were missing (the reason for the exemption). The field final is gone.

Between hosts: no field changes; known_after_ms of such pages is told as before.

--- a/internal/batch/ownership/late_answer_test.go
+++ b/internal/batch/ownership/late_answer_test.go
@@ -144,7 +144,37 @@
 		Expect(hostC.peerCalls.Load()).To(Equal(int64(1)))
 	})
 
-	// Guards against the age of what can't change any more.
+	// Guards against the page of a job that was removed meanwhile, and another one accepted
+	// under its ID.
+	DescribeTable("does not contradict what was read of a job that was accepted anew under the ID of an ended one,", func(name string) {
+		f, _ := newHalfListed("A", "B", "C", "D")
+		f.noScanners.Store(true)
+		Expect(f.hosts["A"].Manager.End(ctx, "j", true)).To(BeNil())
+		close(f.servers.block)
+		// C has the ended job in its cache of results.
+		f.leave("A")
+		Expect(f.await(f.hosts["C"].ask(1, 0)).failure).To(BeNil())
+		f.hosts["A"].dead.Store(false)
+		f.clock.Advance(149 * time.Second)
+		h := f.hosts[name]
+		held := h.afterEncoding.hold("results", 1)
+		answer := h.ask(1, 0)
+		f.eventually(func(g Gomega) { g.Expect(held.reached).To(BeClosed()) })
+		f.clock.Advance(time.Second)
+		f.remove("j")
+		Expect(f.handIn("B", "j")).To(BeNil())
+		r := &readers{fleet: f, job: "j"}
+		f.hosts["D"].LearnOwner("B", []string{"j"})
+		r.readUntil(2, "D")
+		f.advance(time.Second)
+		held.release()
+		expectNotDenied(f.await(answer))
+	},
+		Entry("at its owner", "A"),
+		Entry("at a host that has it in its cache", "C"),
+	)
+
+	// Guards against pages of an ended job that are taken for as old as the job's end.
 	It("is told of an ended job however long it is known", func() {
 		f, _ := newHalfListed("A", "C")
 		hostC := f.hosts["C"]
--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -73,8 +73,6 @@
 	// it knew that from.
 	asOf   time.Duration
 	source source
-	// final is set if no result will be listed any more.
-	final bool
 }
 
 // Peers sends requests about a job to its owner on another host, and reports
--- a/internal/batch/ownership/reading.go
+++ b/internal/batch/ownership/reading.go
@@ -108,7 +108,7 @@
 		switch {
 		case after < len(results) || complete || confirmed || after >= record.Total:
 			page := pageOf(record.Total, results, after)
-			page.Confirmed, page.final, page.asOf, page.source = confirmed || complete, complete, now, fromMemory
+			page.Confirmed, page.asOf, page.source = confirmed || complete, now, fromMemory
 			if confirmed {
 				page.asOf = confirmedAsOf
 			}
@@ -207,7 +207,7 @@
 		return ResultPage{}, false
 	}
 	page := pageOf(cached.Record.Total, cached.Results, after)
-	page.final = !cached.Record.Open()
+	page.asOf, page.source = m.Timer.Uptime(), fromMemory
 	return page, true
 }
 
@@ -236,7 +236,7 @@
 		m.mu.Lock()
 		cached.Record = r
 		page := pageOf(r.Total, cached.Results, after)
-		page.final, page.asOf, page.source = !r.Open(), began, fromStore
+		page.asOf, page.source = began, fromStore
 		m.mu.Unlock()
 		if len(page.Results) > 0 || !r.Open() || deadline.Sub(m.Timer.Now()) < storePollInterval || ctx.Err() != nil {
 			if len(page.Results) == 0 && r.Open() {
--- a/internal/batch/ownership/telling.go
+++ b/internal/batch/ownership/telling.go
@@ -37,9 +37,10 @@
 	source source
 }
 
-// denies reports whether a page says that a position holds no result yet.
+// denies reports whether a page says that a position holds no result. That of an ended
+// job does so for good, but after its removal another job may be accepted under its ID.
 func (p ResultPage) denies(position int) bool {
-	return len(p.Results) == 0 && position < p.Total && !p.final
+	return len(p.Results) == 0 && position < p.Total
 }
 
 // TellResults reads results, as Results does, and passes one page to tell, encoded, or
