Ownership: a time of an owner that can't be is not counted

A host counts the age of another one's page from its question plus what the owner says it took (known_after_ms). If that is later than the page's arrival, as when the owner's uptime jumps (a machine that is moved), the age was negative and the page was told however late. Such a page counts from the question, as one without a time.

Found on review, by reading. The new spec failed before: [FAIL] an answer that denies a result and is delayed does not contradict what was read if the owner says that it knew later than its page arrived With it 18 specs of late answers pass in 3 of 3 runs. A jump that is shorter than the way is not found.

Between hosts: no field changes.

--- a/internal/batch/ownership/late_answer_test.go
+++ b/internal/batch/ownership/late_answer_test.go
@@ -79,6 +79,17 @@
 		Entry("for 0.6 s, after a wait", 600*time.Millisecond, time.Second),
 	)
 
+	// Guards against the page of an owner whose uptime jumped between the question and
+	// the decision.
+	It("does not contradict what was read if the owner says that it knew later than its page arrived", func() {
+		f, r := newRead()
+		f.hosts["A"].knownAfterMS.Store(time.Minute.Milliseconds())
+		held := f.hosts["C"].afterPeerCall.hold("results", 1)
+		a := completeDuring(f, r, held, f.hosts["C"].ask(0, 0), time.Second)
+		expectNotDenied(a)
+		Expect(a.failure).To(BeNil())
+	})
+
 	// Guards against a check that counts however long ago it began.
 	It("does not contradict what was read while the owner stood still with the store's reply", func() {
 		f, r := newHalfListed("A", "B", "C")
--- a/internal/batch/ownership/reading.go
+++ b/internal/batch/ownership/reading.go
@@ -68,6 +68,10 @@
 		asked := m.Timer.Uptime()
 		page, failure := m.Peers.Results(ctx, owner, id, after, deadline.Sub(m.Timer.Now()))
 		page.asOf, page.source = asked+time.Duration(page.KnownAfterMS)*time.Millisecond, fromHost
+		if page.asOf > m.Timer.Uptime() {
+			// The owner's uptime has jumped.
+			page.asOf = asked
+		}
 		switch {
 		case failure == nil && (len(page.Results) > 0 || page.Confirmed):
 			if len(page.Results) == 0 && after < page.Total {
--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -358,6 +358,9 @@
 	// earlierBuild is set if the host's pages to other hosts are those of an earlier
 	// build.
 	earlierBuild atomic.Bool
+	// knownAfterMS, unless zero, is what the host's pages to other hosts say instead of
+	// the time.
+	knownAfterMS atomic.Int64
 	// outdatedTotal, if above zero, makes the host answer other hosts as a former owner
 	// of an earlier build does: a job of so many items has no results.
 	outdatedTotal atomic.Int64
@@ -473,6 +476,9 @@
 	if p.earlierBuild.Load() {
 		page.Confirmed, page.KnownAfterMS = false, 0
 	}
+	if ms := p.knownAfterMS.Load(); ms != 0 {
+		page.KnownAfterMS = ms
+	}
 	h.peerCalls.Add(1)
 	h.afterPeerCall.call("results")
 	return page, failure
