Jobs: the denial of an item's body is not refused because a store is slow

A host that had to read an item's body in the store read the record, all bodies and all results before it could say 404. With 200 ms a call that takes 600 ms, which is too old at each of three decisions: 9 calls, and 503 for a sound read. Now the results come first, from the cache if it has them, as for a read of results, and the bodies are only read if the item is not listed. A repeated decision has the results already.

A store that always takes over a third of the proof's period (500 ms) a call still gets 503 for each denial that must be read, after three reads.

Between hosts: nothing changes.

--- a/internal/batch/ownership/late_answer_test.go
+++ b/internal/batch/ownership/late_answer_test.go
@@ -1,6 +1,7 @@
 package ownership_test
 
 import (
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -215,6 +216,55 @@
 	})
 })
 
+// Guards against answers that are too old each time they are decided.
+var _ = Describe("an answer from a store that takes 200 ms for each call", func() {
+	// atSlowStore returns a host that has to read job j of two items, one of which is
+	// listed, in the store, and counts its calls.
+	atSlowStore := func() (h *host, calls *atomic.Int64) {
+		f, _ := newHalfListed("A", "C")
+		DeferCleanup(func() { close(f.servers.block) })
+		f.noScanners.Store(true)
+		f.leave("A")
+		h, calls = f.hosts["C"], new(atomic.Int64)
+		h.beforeCall.set(func(string) {
+			calls.Add(1)
+			f.clock.Advance(200 * time.Millisecond)
+		})
+		return h, calls
+	}
+
+	DescribeTable("denies the body of an item", func(item string, most int) {
+		h, calls := atSlowStore()
+		var told *result.Error
+		h.Manager.TellBody(ctx, "j", item, func(_ []byte, failure *result.Error) { told = failure })
+		Expect(told).NotTo(BeNil())
+		Expect(told.Code()).To(Equal(result.NotFound), "%v", told)
+		Expect(calls.Load()).To(BeNumerically("<=", most))
+	},
+		Entry("that is listed", "j-0", 5),
+		Entry("that the job does not have", "j-9", 6),
+	)
+
+	It("gives the body of an item that is not listed", func() {
+		h, calls := atSlowStore()
+		var body []byte
+		h.Manager.TellBody(ctx, "j", "j-1", func(text []byte, failure *result.Error) {
+			Expect(failure).To(BeNil())
+			body = text
+		})
+		Expect(body).NotTo(BeEmpty())
+		Expect(calls.Load()).To(BeNumerically("<=", 4))
+	})
+
+	It("says that no result is listed", func() {
+		h, calls := atSlowStore()
+		page, failure := h.tellResults(ctx, "j", 1, 0, true)
+		Expect(failure).To(BeNil())
+		Expect(page.Results).To(BeEmpty())
+		Expect(calls.Load()).To(BeNumerically("<=", 3))
+	})
+})
+
 var _ = Describe("an answer that denies a job and is delayed", func() {
 	// Guards against a 404 of a job that was accepted before it is told.
 	DescribeTable("does not contradict an acceptance meanwhile,", func(ask func(h *host) *result.Error) {
--- a/internal/batch/ownership/reading.go
+++ b/internal/batch/ownership/reading.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -224,24 +225,12 @@
 		if failure != nil {
 			return ResultPage{}, failure
 		}
-		m.mu.Lock()
-		cached, ok := m.resultCache.Get(m.Timer.Now(), id)
-		current := ok && cached.Record.ResultParts == r.ResultParts && sameJob(cached.Record, r)
-		m.mu.Unlock()
-		if !current {
-			results, err := loadParts(ctx, m.Store, jobstate.ResultPrefix(id), r.ResultParts, jobstate.DecodeResults)
-			if err != nil {
-				return ResultPage{}, result.New(result.StoreUnavailable, "%v", err).WithRetry(storeRetryAfter)
-			}
-			m.mu.Lock()
-			cached = m.resultCache.Put(m.Timer.Now(), r, results)
-			m.mu.Unlock()
+		results, failure := m.listedResults(ctx, r)
+		if failure != nil {
+			return ResultPage{}, failure
 		}
-		m.mu.Lock()
-		cached.Record = r
-		page := pageOf(r.Total, cached.Results, after)
+		page := pageOf(r.Total, results, after)
 		page.asOf, page.source = began, fromStore
-		m.mu.Unlock()
 		if len(page.Results) > 0 || !r.Open() || deadline.Sub(m.Timer.Now()) < storePollInterval || ctx.Err() != nil {
 			if len(page.Results) == 0 && r.Open() {
 				emptyFromStore.Inc()
@@ -253,6 +242,27 @@
 	}
 }
 
+// listedResults returns the results of a job whose record was just read, from the cache
+// if it has them.
+func (m *Manager) listedResults(ctx context.Context, r jobstate.Record) ([]jobstate.Result, *result.Error) {
+	m.mu.Lock()
+	cached, ok := m.resultCache.Get(m.Timer.Now(), r.ID)
+	if ok && cached.Record.ResultParts == r.ResultParts && sameJob(cached.Record, r) {
+		defer m.mu.Unlock()
+		cached.Record = r
+		return cached.Results, nil
+	}
+	m.mu.Unlock()
+	results, err := loadParts(ctx, m.Store, jobstate.ResultPrefix(r.ID), r.ResultParts, jobstate.DecodeResults)
+	if err != nil {
+		return nil, result.New(result.StoreUnavailable, "%v", err).WithRetry(storeRetryAfter)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.resultCache.Put(m.Timer.Now(), r, results)
+	return results, nil
+}
+
 // Body returns the body of an item that is not listed yet.
 func (m *Manager) Body(ctx context.Context, id, item string, mayForward bool) ([]byte, *result.Error) {
 	j, failure := m.current(ctx, id)
@@ -286,7 +296,15 @@
 	if failure != nil {
 		return nil, failure
 	}
-	items, results, err := m.load(ctx, r)
+	results, failure := m.listedResults(ctx, r)
+	if failure != nil {
+		return nil, failure
+	}
+	isListed := slices.ContainsFunc(results, func(listed jobstate.Result) bool { return listed.ID == item })
+	if r.Ended || isListed {
+		return nil, result.New(result.NotFound, "no item %.64q that is not listed", item)
+	}
+	items, err := loadParts(ctx, m.Store, jobstate.BodyPrefix(id), r.BodyParts, jobstate.DecodeItems)
 	if err != nil {
 		return nil, result.New(result.StoreUnavailable, "%v", err).WithRetry(storeRetryAfter)
 	}
