Items: whether one may be sent is decided again right before its first byte

Cause: the check of a job's record counted however long its read took, and was not looked at again after it; the server was chosen before it. A host that stood still in between sent items of jobs that had been ended or taken over up to seconds before, and to servers that were draining, gone or started again.

Now a call carries a check (exchange.WithCheck) that the client for servers asks once it has a connection, at the first byte: the proof of the record is still valid, and the directory still offers the server as the same incarnation. If not, or if the caller has left, nothing is written and the error says "not sent" (exchange.ErrWithdrawn), which says nothing about the server. The outcome of a read of the record counts only while it is recent. What remains is the time from that check to the kernel.

Calls without a check are sent as before. No record, message or setting changes.

--- a/internal/batch/itemrun/run.go
+++ b/internal/batch/itemrun/run.go
@@ -60,6 +60,8 @@
 const (
 	// Left means that the caller of Run cancelled it.
 	Left Reason = "left"
+	// Withdrawn means that the item was not sent since it may not be any more.
+	Withdrawn Reason = "withdrawn"
 	// Unreachable means that the item could not be sent.
 	Unreachable Reason = "server not reached"
 	// Silent means that the server sent nothing for too long.
@@ -121,6 +123,8 @@
 		switch {
 		case ctx.Err() != nil:
 			return End{Kind: Requeue, Reason: Left, Outcome: scheduler.Unknown, Cause: "left"}
+		case errors.Is(err, exchange.ErrWithdrawn) && sendCtx.Err() == nil:
+			return End{Kind: Requeue, Reason: Withdrawn, Outcome: scheduler.Unknown, Cause: err.Error()}
 		case errors.As(err, &sendErr) && (!sendErr.Sent || sendCtx.Err() != nil):
 			reason := Unreachable
 			if sendErr.Sent {
--- a/internal/batch/ownership/recordcheck.go
+++ b/internal/batch/ownership/recordcheck.go
@@ -7,6 +7,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/batch/jobstate"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
+	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 )
 
 // A job may be ended, or taken over, by any host at any moment, and the notice of
@@ -35,16 +36,9 @@
 	for {
 		m.mu.Lock()
 		now := m.Timer.Uptime()
-		switch {
-		case m.jobs[j.job.Record().ID] != j || j.job.Record().Ended || j.ending > 0 || m.Timer.Now().Before(j.heldUntil):
-			m.mu.Unlock()
-			return false
-		case j.claim.MaySend(now) || now < j.unprovedUntil:
-			m.mu.Unlock()
-			return true
-		case m.unread(now):
-			allowed := m.storeAway() && !j.claim.Disputed()
-			if !allowed {
+		allowed, known := m.maySend(j, now)
+		if known || m.unread(now) {
+			if !known {
 				j.heldUntil = m.Timer.Now().Add(max(minRefreshInterval, m.unreadUntil-now))
 			}
 			m.mu.Unlock()
@@ -56,10 +50,31 @@
 		if ctx.Err() != nil {
 			return false
 		}
-		if !joined || check.err != nil {
-			return check.maySend
-		}
+		// The outcome counts if it is still recent.
+	}
+}
+
+// maySend reports whether an item of a job may be sent now. If that is not known, a read
+// of the record decides, unless none is to be made now. The caller holds m.mu.
+func (m *Manager) maySend(j *ownedJob, now time.Duration) (allowed, known bool) {
+	switch {
+	case m.jobs[j.job.Record().ID] != j || j.job.Record().Ended || j.ending > 0 || m.Timer.Now().Before(j.heldUntil):
+		return false, true
+	case j.claim.MaySend(now) || now < j.unprovedUntil:
+		return true, true
+	case m.unread(now) && m.storeAway() && !j.claim.Disputed():
+		return true, true
 	}
+	return false, false
+}
+
+// stillMaySend is mayRun without a read of the record, right before the first byte of an
+// item.
+func (m *Manager) stillMaySend(j *ownedJob, s backend.Server) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	allowed, _ := m.maySend(j, m.Timer.Uptime())
+	return allowed && m.ServerDirectory.Offers(s)
 }
 
 // confirmList reports whether a job's list of results in memory was the whole list at
--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -45,6 +45,8 @@
 	resumed []int64
 	// services holds the services that ran each item, in the order of its runs.
 	services map[string][]string
+	// sent counts the runs at each incarnation of a server.
+	sent map[backend.Server]int
 	// active is the number of runs in progress.
 	active int
 	// status maps items to an HTTP status that is returned instead of 200.
@@ -63,7 +65,7 @@
 }
 
 func newServers() *servers {
-	return &servers{runs: make(map[string]int), services: make(map[string][]string), status: make(map[string]int)}
+	return &servers{runs: make(map[string]int), services: make(map[string][]string), sent: make(map[backend.Server]int), status: make(map[string]int)}
 }
 
 const eventsPerItem = 5
@@ -71,6 +73,7 @@
 func (s *servers) Send(ctx context.Context, b backend.Server, c *exchange.Call, resume exchange.Resume, _ time.Duration) (*exchange.Reply, error) {
 	s.mu.Lock()
 	s.runs[c.ID]++
+	s.sent[b]++
 	s.services[c.ID] = append(s.services[c.ID], b.Service)
 	first := s.runs[c.ID] == 1
 	status, block, breakAfter := s.status[c.ID], s.block, s.breakAfter
@@ -165,6 +168,13 @@
 	return slices.Clone(s.services[item])
 }
 
+// sentTo returns the number of runs at an incarnation of a server.
+func (s *servers) sentTo(b backend.Server) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sent[b]
+}
+
 func (s *servers) runsOf(item string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -391,7 +401,9 @@
 	*servers
 	// restart starts a server again that has crashed.
 	restart func(backend.Server)
-	mu      sync.Mutex
+	// beforeSend is called once there is a connection, before the first byte of an item.
+	beforeSend callHook
+	mu         sync.Mutex
 	// cut is closed while they are cut, which breaks runs off and lets none begin.
 	cut chan struct{}
 }
@@ -405,6 +417,10 @@
 		return nil, &exchange.SendError{Err: syscall.ECONNREFUSED}
 	default:
 	}
+	l.beforeSend.call("send")
+	if !exchange.MaySend(ctx) {
+		return nil, &exchange.SendError{Err: exchange.ErrWithdrawn}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
 		defer cancel()
--- a/internal/fleet/entry/reaching.go
+++ b/internal/fleet/entry/reaching.go
@@ -27,7 +27,7 @@
 	var failed *exchange.SendError
 	// A connection that was opened meanwhile says more than a failure that began
 	// before it. A caller that left is no failure of the server.
-	if errors.As(err, &failed) && !failed.Sent && ctx.Err() == nil && !o.host.reach.LastConnected().After(began) {
+	if errors.As(err, &failed) && !failed.Sent && !errors.Is(err, exchange.ErrWithdrawn) && ctx.Err() == nil && !o.host.reach.LastConnected().After(began) {
 		o.host.observeReach(s, false, false)
 		o.host.probeServers(o.host.timer.Now())
 	}
--- a/internal/serving/backend/server.go
+++ b/internal/serving/backend/server.go
@@ -273,6 +273,12 @@
 	return e.Server, true
 }
 
+// Offers reports whether a server may still get new work, as the same incarnation.
+func (d *Directory) Offers(s Server) bool {
+	current, ok := d.Get(s.ID)
+	return ok && current.sameIncarnation(s)
+}
+
 // HasEnded reports whether the list shows that a server has ended: it started again
 // under its ID, or another server has its address.
 func (d *Directory) HasEnded(s Server) bool {
