Forward: a call goes to another server if its own stopped taking work before the first byte

Cause: the server was chosen from the directory, then came the claim of a trial, the dial of up to 120 ms and any pause of the host; the directory was not asked again. So a call reached a server that was known to be draining, gone or started again.

Now the directory is asked at the first byte (exchange.WithCheck). A call that is withdrawn there has not run and goes to another server; this counts neither against the server nor as a sign that this host is cut off from its servers.

What remains: news that has not reached the host. A host that goes on after a pause sends by a list that is as old.

--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -263,7 +263,7 @@
 
 // send sends a call to the server that place picked.
 func (f *Forwarder) send(ctx context.Context, c *exchange.Call, choice scheduler.Choice, resume exchange.Resume) *attempt {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(exchange.WithCheck(ctx, func() bool { return f.directory.Offers(choice.Server) }))
 	a := &attempt{choice: choice, server: choice.Server, started: f.timer.Now(), resumed: resume.Set, cancel: cancel}
 	a.reply, a.err = f.servers.Send(ctx, choice.Server, c, resume, f.remaining(c))
 	var failed *exchange.SendError
@@ -332,6 +332,9 @@
 	case errors.Is(a.err, errCutOff):
 		return scheduler.Unknown
 	case errors.As(a.err, &failed):
+		if errors.Is(failed, exchange.ErrWithdrawn) {
+			return scheduler.Unknown
+		}
 		if !failed.Sent {
 			return scheduler.Unreachable
 		}
--- a/internal/serving/forward/passing.go
+++ b/internal/serving/forward/passing.go
@@ -131,6 +131,8 @@
 		}
 	case a.err == nil:
 		r.unreached, r.refused, r.ownTry = nil, nil, false
+	case errors.Is(a.err, exchange.ErrWithdrawn):
+		// The server stopped taking work; that says nothing about the way to it.
 	case !a.sent:
 		if r.unreached == nil {
 			r.unreached = make(map[string]bool)
