Jobs: that one is kept is decided again if it could not be told within 5 s

Cause: 20 s after a call that showed a job open, a host still answers 202, as a complete job is readable for 30 s. The last 10 s were taken for the way of the answer, but nothing bounded it: a host that stood still with the owner's answer or the record in hand told 202 of a job that had been completed and removed since.

Now an acceptance that took 5 s by the uptime is decided again before it is told.

--- a/internal/batch/ownership/accept.go
+++ b/internal/batch/ownership/accept.go
@@ -61,6 +61,20 @@
 // accepted before and is still kept. An error with RanNo guarantees that no item of it
 // will run.
 func (m *Manager) Submit(ctx context.Context, sub Submission) *result.Error {
+	for {
+		began := m.Timer.Uptime()
+		failure := m.submit(ctx, sub)
+		switch {
+		case failure != nil || m.Timer.Uptime()-began < keptTellPeriod:
+			return failure
+		case ctx.Err() != nil:
+			return result.New(result.MayHaveRun, "whether the job is still kept is not known").WithRan(result.RanMaybe)
+		}
+	}
+}
+
+// submit is Submit; its answer is to be told within keptTellPeriod.
+func (m *Manager) submit(ctx context.Context, sub Submission) *result.Error {
 	m.mu.Lock()
 	j, owned := m.jobs[sub.ID]
 	owner, heard := m.owners[sub.ID]
--- a/internal/batch/ownership/kept.go
+++ b/internal/batch/ownership/kept.go
@@ -17,6 +17,10 @@
 // rest of minReadable is for the way of the answer, and for reads after it.
 const keptPeriod = minReadable * 2 / 3
 
+// keptTellPeriod is for how long after it was begun a decision that a job is kept may be
+// told; the rest of minReadable is then for reads.
+const keptTellPeriod = (minReadable - keptPeriod) / 2
+
 // noteOpen records that a job was open in the store when a call to it began, or later.
 // The caller holds m.mu.
 func (m *Manager) noteOpen(id string, began time.Duration) {
--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -546,7 +546,9 @@
 	if p.earlierBuild.Load() {
 		return result.New(result.NoBackend, "status 404")
 	}
-	return p.Manager.Kept(id)
+	failure = p.Manager.Kept(id)
+	h.afterPeerCall.call("kept")
+	return failure
 }
 
 func (h *host) Alive(name string) bool { _, failure := h.peer(name); return failure == nil }
