Forward: a late refusal does not cut a begun stream that has no attempt left

Cause: a silent server is given up 200 ms after the next one was asked. If that refuses later (it certainly did not run the call), the refusal used up the last attempt, and a begun stream has no way to be refused: its connection was cut.

Change: a server that refused a begun stream which is at no other server counts as one that was not reached (five at most), not as an attempt. It ran nothing, so no more servers than the route's attempts run the call. Refusals before the first event, and those during which the silent server still has the stream, count as before. Nothing in records or messages between hosts changes.

--- a/internal/serving/forward/silence_test.go
+++ b/internal/serving/forward/silence_test.go
@@ -31,6 +31,9 @@
 // string, and the end of the connection for an error. With a nil answer no head is sent.
 type pacedAnswer []any
 
+// refusedAfter, alone in a pacedAnswer, is a refusal that comes so late.
+type refusedAfter time.Duration
+
 // pacedServers gives its answers in order, whichever server is called, and records when
 // each call began and ended.
 type pacedServers struct {
@@ -64,6 +67,14 @@
 	var parts []io.Reader
 	for _, part := range s.answers[n] {
 		switch p := part.(type) {
+		case refusedAfter:
+			s.mu.Unlock()
+			select {
+			case <-time.After(time.Duration(p)):
+			case <-ctx.Done():
+			}
+			s.mu.Lock()
+			return &exchange.Reply{Status: http.StatusServiceUnavailable, NotRun: true, Body: http.NoBody}, nil
 		case string:
 			parts = append(parts, strings.NewReader(p))
 		case time.Duration:
@@ -293,6 +304,35 @@
 		expectOneAtATime()
 	})
 
+	// Guards against a stream that is cut since the server that it was moved to refused it
+	// after the silent one had been given up.
+	DescribeTable("goes on at a third server after a late refusal, whatever its attempts", func(attempts int, answers ...pacedAnswer) {
+		put("a", "b", "c", "d")
+		route.MaxAttempts = attempts
+		expectWhole(serve(places, nil, append([]pacedAnswer{{numberedEvents(1, 2), time.Minute}}, answers...)...))
+		called, _ := servers.calls()
+		Expect(called).To(HaveLen(1 + len(answers)))
+	},
+		Entry("of two, none left", 2, pacedAnswer{refusedAfter(250 * time.Millisecond)}, pacedAnswer{numberedEvents(3, 4)}),
+		Entry("of two, two refusals", 2, pacedAnswer{refusedAfter(250 * time.Millisecond)}, pacedAnswer{refusedAfter(0)}, pacedAnswer{numberedEvents(3, 4)}),
+		Entry("of three, one left", 3, pacedAnswer{refusedAfter(250 * time.Millisecond)}, pacedAnswer{numberedEvents(3, 4)}),
+	)
+
+	// Guards against a stream that asks one server after another for as long as they refuse.
+	It("asks no more than five servers that refuse it", func() {
+		for n := range 10 {
+			put(string(rune('a' + n)))
+		}
+		answers := []pacedAnswer{{numberedEvents(1, 2), time.Minute}}
+		for range 9 {
+			answers = append(answers, pacedAnswer{refusedAfter(250 * time.Millisecond)})
+		}
+		route.MaxAttempts = 2
+		Expect(serve(places, nil, answers...)).NotTo(BeNil())
+		called, _ := servers.calls()
+		Expect(len(called)).To(BeNumerically("<=", 6))
+	})
+
 	It("goes on elsewhere if its server breaks off while a place is looked for", func() {
 		put("a", "b")
 		expectWhole(serve(&onceLateSlots{Slots: places}, nil, pacedAnswer{numberedEvents(1, 2), 5 * idle, errBroken}, pacedAnswer{numberedEvents(3, 4)}))
--- a/internal/serving/forward/stream.go
+++ b/internal/serving/forward/stream.go
@@ -78,8 +78,9 @@
 	bound    bool
 	// avoid holds the ids of the servers already tried.
 	avoid map[string]bool
-	// sent counts the servers that may have received the call, unsent those
-	// that certainly did not.
+	// sent counts the servers that may have received the call, unsent those that certainly
+	// did not, and those that refused a begun stream that is at no other server: its caller
+	// can't be told of a refusal.
 	sent, unsent int
 	ran          result.Ran
 	lastEvent    time.Time
@@ -121,6 +122,9 @@
 	}
 	for {
 		s.count(att)
+		if s.begun && att.err == nil && att.reply.NotRun {
+			s.sent, s.unsent = s.sent-1, s.unsent+1
+		}
 		failure = s.relay(ctx, att)
 		if failure == nil {
 			return s.begun, nil
