Testbed of ownership: a start of a server has crashed from the run on that it crashed under

The spec ends the crashes once it has seen one, so a run that had been sent before counted as a lost connection.

--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -54,8 +54,10 @@
 	// breakAfter, if positive, is the number of events after which the first run
 	// of each item breaks off.
 	breakAfter int
-	// crashing is an item that crashes its server in every run.
+	// crashing is an item that crashes its server in every run, crashed the starts of
+	// servers that it has crashed.
 	crashing string
+	crashed  map[string]bool
 	// large is the item whose events are large, endless the one whose first run does
 	// not end.
 	large, endless string
@@ -65,7 +67,10 @@
 }
 
 func newServers() *servers {
-	return &servers{runs: make(map[string]int), services: make(map[string][]string), sent: make(map[backend.Server]int), status: make(map[string]int)}
+	return &servers{
+		runs: make(map[string]int), services: make(map[string][]string), sent: make(map[backend.Server]int), status: make(map[string]int),
+		crashed: make(map[string]bool),
+	}
 }
 
 const eventsPerItem = 5
@@ -81,6 +86,9 @@
 	if resume.Set {
 		s.resumed = append(s.resumed, resume.After)
 	}
+	if c.ID == crashing {
+		s.crashed[b.Start()] = true
+	}
 	s.mu.Unlock()
 	if c.ID == crashing {
 		return nil, &exchange.SendError{Err: io.ErrUnexpectedEOF, Sent: true}
@@ -154,11 +162,11 @@
 // Watch does nothing: no crash shows later.
 func (*servers) Watch(backend.Server) {}
 
-// Down reports a server as crashed if the test has a crashing item.
-func (s *servers) Down(context.Context, backend.Server) bool {
+// Down reports whether a start of a server has crashed.
+func (s *servers) Down(_ context.Context, b backend.Server) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.crashing != ""
+	return s.crashed[b.Start()]
 }
 
 // servicesOf returns the services that ran an item, in the order of its runs.
