Ownership: failures of items are known to the next owner, which writes what it may lack

An owner counted in memory alone how often an item had failed.

The record of a job now says with each write which unlisted items have failed how often, and which can't be done.

Records: failures, rejected, failures_known. The build before reads a record with them as one without and drops them when it writes: it counts anew, as it did. A record without failures_known counts as one whose failures are not all known. An owner keeps its counts when such a write drops them.

--- a/internal/batch/jobstate/job.go
+++ b/internal/batch/jobstate/job.go
@@ -12,6 +12,7 @@
 package jobstate
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -66,8 +67,10 @@
 	// empty if the version is unknown or there is no text. A run of another
 	// version starts from the beginning.
 	software string
-	// failures counts runs that ended with a failure reported by the server.
+	// failures counts runs that ended with a failure reported by the server; rejected
+	// is set once a server has said that the item can't be done.
 	failures int
+	rejected bool
 	// endless counts runs whose answer did not end; the next one starts at backoff at
 	// the earliest.
 	endless int
@@ -99,6 +102,7 @@
 		}
 	}
 	j.results = results
+	j.restoreFailures()
 	return j
 }
 
@@ -249,6 +253,62 @@
 	j.Requeue(i)
 }
 
+// Reject gives an item up that a server has said can't be done.
+func (j *Job) Reject(i int) {
+	j.items[i].rejected = true
+	j.GiveUp(i)
+}
+
+// restoreFailures adds what the record says of failed runs to what the job knows.
+func (j *Job) restoreFailures() {
+	for i, n := range j.record.Failures {
+		if i >= 0 && i < len(j.items) {
+			j.items[i].failures = max(j.items[i].failures, n)
+		}
+	}
+	for _, i := range j.record.Rejected {
+		if i >= 0 && i < len(j.items) {
+			j.Reject(i)
+		}
+	}
+}
+
+// maxRecordedFailures bounds the items whose failures a record holds, as it is stored in
+// one value and read by many. The failures of further ones are known to the owner alone.
+const maxRecordedFailures = 4096
+
+// failuresRecorded reports whether the record says how often the item failed, or has no
+// room for that.
+func (j *Job) failuresRecorded(i int) bool {
+	s := j.items[i]
+	if len(j.record.Failures)+len(j.record.Rejected) >= maxRecordedFailures {
+		return true
+	}
+	if s.rejected {
+		return slices.Contains(j.record.Rejected, i)
+	}
+	return s.failures <= j.record.Failures[i]
+}
+
+// Held reports whether a waiting item may not run before its failures are recorded: if
+// each of many owners is lost after it has run an item, and before it has recorded that it
+// failed, the item runs once for each of them and not as often as it may fail.
+func (j *Job) Held(i int) bool { return !j.record.FailuresKnown && !j.failuresRecorded(i) }
+
+// MustRecord reports whether there are failures of items that are not listed which are to
+// be recorded without waiting for results.
+func (j *Job) MustRecord() bool {
+	if j.record.FailuresKnown || j.record.Ended {
+		return false
+	}
+	for i, s := range j.items {
+		if (s.failures > 0 || s.rejected) && s.phase != listed && !j.failuresRecorded(i) {
+			return true
+		}
+	}
+	return false
+}
+
 // GiveUpFailed gives a waiting item up that has failed in all its attempts, and
 // reports whether it did.
 func (j *Job) GiveUpFailed(i, attempts int) bool {
@@ -339,18 +399,43 @@
 	for _, res := range newResults {
 		r.UnlistedTokens -= j.items[j.indexByID[res.ID]].Tokens
 	}
+	r.Failures, r.Rejected = j.unlistedFailures(newResults)
 	return r
 }
 
+// unlistedFailures returns Record.Failures and Record.Rejected of a record that lists new
+// results.
+func (j *Job) unlistedFailures(newResults []Result) (failures map[int]int, rejected []int) {
+	for i, s := range j.items {
+		if len(failures)+len(rejected) == maxRecordedFailures {
+			break
+		}
+		if s.failures == 0 && !s.rejected || s.phase == listed || slices.ContainsFunc(newResults, func(r Result) bool { return r.ID == s.ID }) {
+			continue
+		}
+		if s.rejected {
+			rejected = append(rejected, i)
+			continue
+		}
+		if failures == nil {
+			failures = make(map[int]int)
+		}
+		failures[i] = s.failures
+	}
+	return failures, rejected
+}
+
 // ApplyWrite applies a record and new results that have become durable. If the
 // record says that the job has ended, the output of all items is released.
 func (j *Job) ApplyWrite(r Record, newResults []Result) {
+	r.FailuresKnown = r.FailuresKnown && j.record.FailuresKnown
 	j.record = r
 	for _, res := range newResults {
 		s := j.items[j.indexByID[res.ID]]
 		s.phase, s.result = listed, res
 		j.results = append(j.results, res)
 	}
+	j.restoreFailures()
 	if r.Ended {
 		for _, s := range j.items {
 			s.text = nil
--- a/internal/batch/jobstate/record.go
+++ b/internal/batch/jobstate/record.go
@@ -47,6 +47,14 @@
 	Accepted time.Time `json:"accepted"`
 	Due      time.Time `json:"due"`
 	GiveUpAt time.Time `json:"give_up_at,omitzero"`
+	// Failures holds how often runs of items that are not listed are known to have
+	// failed, by the items' indexes, and Rejected those that a server said can't be done.
+	Failures map[int]int `json:"failures,omitempty"`
+	Rejected []int       `json:"rejected,omitempty"`
+	// FailuresKnown is set if Failures and Rejected lack only what Owner itself knows. It
+	// is not once a host has taken the job over from an owner that had not let go of it,
+	// or one of an earlier build, which does not keep it.
+	FailuresKnown bool `json:"failures_known,omitempty"`
 }
 
 // Open reports whether the job has not ended and has unlisted items.
--- a/internal/batch/ownership/owning.go
+++ b/internal/batch/ownership/owning.go
@@ -257,6 +257,7 @@
 	}
 	// A named owner that still had the job goes on with it without a write.
 	revision, released := e.ModRevision, r.Released && (r.Owner == m.Host || r.Owner == "")
+	r.FailuresKnown = r.FailuresKnown && released
 	if r.Owner != m.Host || r.Writer != m.Writer {
 		r.Owner = m.Host
 		var outcome store.TxnResult
--- a/internal/batch/ownership/running.go
+++ b/internal/batch/ownership/running.go
@@ -99,6 +99,9 @@
 			m.Log.Info("item given up", "job", record.ID, "item", j.job.Item(i).ID, "cause", "it failed in all attempts of its route", "attempts", route.MaxAttempts, "config", config.Version())
 			continue
 		}
+		if j.job.Held(i) {
+			continue
+		}
 		if len(resting) > 0 && now.Before(resting[suspect.ItemName(record.ID, j.job.Item(i).ID)]) {
 			continue
 		}
@@ -302,7 +305,7 @@
 		j.job.DiscardOutput(i)
 		j.job.RecordFailure(i)
 	case itemrun.Rejected:
-		j.job.GiveUp(i)
+		j.job.Reject(i)
 		m.Log.Info("item given up", "job", record.ID, "item", item.ID, "cause", end.Cause)
 	}
 	if end.Kind != itemrun.Completed && !cancelled {
--- a/internal/batch/ownership/writing.go
+++ b/internal/batch/ownership/writing.go
@@ -93,12 +93,14 @@
 			j.unlistedSince = now
 			m.Log.Info("items given up", "job", j.job.Record().ID, "items", n, "cause", "the job's give-up time has passed")
 		}
-		unlisted := j.job.Unlisted()
+		unlisted, mustRecord := j.job.Unlisted(), j.job.MustRecord()
 		if len(unlisted) == 0 || j.job.Record().Ended {
 			j.unlistedSince = time.Time{}
-			continue
 		}
-		if !j.claim.MayList(m.Timer.Uptime()) {
+		if j.job.Record().Ended || !j.claim.MayList(m.Timer.Uptime()) {
+			unlisted = nil
+		}
+		if len(unlisted) == 0 && !mustRecord {
 			continue
 		}
 		if len(group) == maxTxnJobs || bytes > maxTxnBytes {
@@ -107,7 +109,7 @@
 		added, size := jobstate.FirstPart(unlisted)
 		bytes += size
 		r := j.job.Record()
-		if m.stopping || now.Sub(j.unlistedSince) >= maxFlushDelay || r.Due.Sub(now) < flushBeforeDue || r.Listed+len(unlisted) == r.Total {
+		if mustRecord || m.stopping || now.Sub(j.unlistedSince) >= maxFlushDelay || r.Due.Sub(now) < flushBeforeDue || r.Listed+len(unlisted) == r.Total {
 			due = true
 		}
 		group = append(group, m.newChange(j, added))
@@ -294,6 +296,7 @@
 			c.j.claim.Settle(began)
 			if current.Writer != m.Writer && !current.Released {
 				// Other hosts owned the job in between.
+				current.FailuresKnown = false
 				c.j.claim.AwaitFormerOwner(m.Timer.Uptime())
 			}
 			c.j.job.ApplyWrite(current, nil)
