Items: one whose route changed while its record was read is not sent by the route of before

Cause: an item's route and service are picked when it is placed; a read of the record, which may take any time if the host stands still, comes after that.

Now the check at the first byte compares the service with the one that the configuration in force selects.

--- a/internal/batch/ownership/late_send_test.go
+++ b/internal/batch/ownership/late_send_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/kingcupquay/kingcupquay/internal/batch/jobstate"
+	"github.com/kingcupquay/kingcupquay/internal/operator/routes"
 )
 
 // sendPause is longer than a proof is valid, and shorter than a run waits for a head.
@@ -44,6 +45,10 @@
 		s.Born, s.Address = backendServer.Born+1, "10.0.0.9:1"
 		f.hosts["A"].directory.Put(s)
 	}},
+	{"the operator removed its route", func(f *fleet) { f.hosts["A"].config.SetIfNewer(newConfig(2)) }},
+	{"the operator moved its route to another service", func(f *fleet) {
+		f.hosts["A"].config.SetIfNewer(newConfig(2, changedRoute(func(r *routes.Route) { r.Shares = []routes.Share{{Service: "t", Weight: 1}} })))
+	}},
 }
 
 var _ = Describe("an item whose host stands still between the check of its record and its first byte", func() {
--- a/internal/batch/ownership/recordcheck.go
+++ b/internal/batch/ownership/recordcheck.go
@@ -69,12 +69,16 @@
 }
 
 // stillMaySend is mayRun without a read of the record, right before the first byte of an
-// item.
-func (m *Manager) stillMaySend(j *ownedJob, s backend.Server) bool {
+// item. The item's server and its route may have changed as well.
+func (m *Manager) stillMaySend(j *ownedJob, i int, s backend.Server) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	allowed, _ := m.maySend(j, m.Timer.Uptime())
-	return allowed && m.ServerDirectory.Offers(s)
+	if !allowed || !m.ServerDirectory.Offers(s) {
+		return false
+	}
+	route := j.routeOf(i, m.Config.Current())
+	return route != nil && route.Pick(splitPoint(j.job.Item(i).ID)) == s.Service
 }
 
 // confirmList reports whether a job's list of results in memory was the whole list at
--- a/internal/batch/ownership/running.go
+++ b/internal/batch/ownership/running.go
@@ -246,7 +246,7 @@
 	endless, answered, sent := false, false, false
 	var sentAt time.Time
 	if m.mayRun(ctx, j) {
-		ctx := exchange.WithCheck(ctx, func() bool { return m.stillMaySend(j, r.server) })
+		ctx := exchange.WithCheck(ctx, func() bool { return m.stillMaySend(j, i, r.server) })
 		sent, sentAt = true, m.Timer.Now()
 		end = itemrun.Run(ctx, m.Timer, m.Servers, r.server, call, resume, func(received []events.Event) {
 			if !answered && len(received) > 0 {
