Exchange: a call is not sent after its deadline, also right after a pause

Cause: the end of a call's time cancels its context by a timer. A host that goes on after a pause may write the call's first byte before the timer has fired.

Now the check at the first byte reads the clock as well.

Before, "is not sent once its deadline has passed, though its context has not ended yet" fails (no error); with it the specs of the package pass with the race detector.

--- a/internal/serving/exchange/check.go
+++ b/internal/serving/exchange/check.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 )
 
 // ErrWithdrawn means that a call was not sent since it may not be any more. It says
@@ -22,7 +23,8 @@
 // MaySend reports whether the call with ctx may be sent. Servers call it right before the
 // first byte of the call and return ErrWithdrawn, as the cause of a SendError, if not.
 func MaySend(ctx context.Context) bool {
-	if ctx.Err() != nil {
+	// After a pause, the deadline may have passed and its timer not have fired.
+	if deadline, ok := ctx.Deadline(); ctx.Err() != nil || ok && !time.Now().Before(deadline) {
 		return false
 	}
 	may, ok := ctx.Value(checkKey{}).(func() bool)
