--- a/internal/serving/forward/late_send_test.go
+++ b/internal/serving/forward/late_send_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
 	"github.com/kingcupquay/kingcupquay/internal/operator/routes"
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
@@ -98,3 +99,47 @@
 })
 
 var _ forward.Servers = (*pausingServers)(nil)
+
+// silentPeers have an attempt on its way until it is given up, which other hosts tell as
+// those of this build do.
+type silentPeers struct{ scriptedPeers }
+
+func (p *silentPeers) Send(ctx context.Context, _ string, _ *exchange.Call, _ forward.Order) forward.PeerReply {
+	<-ctx.Done()
+	return forward.PeerReply{Failure: result.New(result.BackendFailed, "%v", ctx.Err()).WithRan(result.RanMaybe)}
+}
+
+var _ = Describe("a call whose time passes while its host stands still", func() {
+	// Guards against "not run" of a call that may be run.
+	DescribeTable("is not told as not run with an attempt on its way", func(kind routes.Kind, passedOn bool, reply scriptedReply) {
+		f, _ := newForwarder(&scriptedServers{replies: []scriptedReply{reply}}, 2, newGuard())
+		if passedOn {
+			f.SetPeers(&silentPeers{scriptedPeers{cutOff: true, hosts: []string{"B"}}})
+		}
+		route := routes.Route{Kind: kind, MaxAttempts: 1, Timeout: 50 * time.Millisecond, Objective: time.Minute, Shares: []routes.Share{{Service: "s", Weight: 1}}}
+		_, failure := f.Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: time.Now()}, &recordingWriter{})
+		Expect(failure).NotTo(BeNil())
+		Expect(failure.Ran()).NotTo(Equal(result.RanNo))
+	},
+		Entry("once", routes.Once, false, scriptedReply{hold: true}),
+		Entry("once, passed on", routes.Once, true, scriptedReply{}),
+		Entry("once, with half of its answer", routes.Once, false, scriptedReply{body: "x", hold: true}),
+		Entry("repeatable", routes.Repeatable, false, scriptedReply{hold: true}),
+		Entry("repeatable, passed on", routes.Repeatable, true, scriptedReply{}),
+		Entry("stream", routes.Stream, false, scriptedReply{hold: true}),
+		Entry("stream, passed on", routes.Stream, true, scriptedReply{}),
+	)
+
+	// Guards against a call that is sent after its caller was told that its time has passed.
+	DescribeTable("reaches no server if that was before its first byte", func(kind routes.Kind) {
+		s := &pausingServers{pauses: 1, meanwhile: func(backend.Server) { time.Sleep(80 * time.Millisecond) }}
+		f, _ := newForwarder(s, 1, newGuard())
+		route := routes.Route{Kind: kind, MaxAttempts: 1, Timeout: 50 * time.Millisecond, Objective: time.Minute, Shares: []routes.Share{{Service: "s", Weight: 1}}}
+		_, failure := f.Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, Received: time.Now()}, &recordingWriter{})
+		Expect(failure).NotTo(BeNil())
+		Expect(s.sent).To(BeEmpty())
+	},
+		Entry("once", routes.Once),
+		Entry("stream", routes.Stream),
+	)
+})
