Jobs: an heir with an older configuration than the acceptance waits for it

Cause: an heir takes a job over within milliseconds of the stop of its owner, and may not have heard of the configuration that added, or moved, the job's route. It took "I know no such route" for "the operator removed it" and gave the items up, or ran them at the service of before.

Now a job's record has the version of the configuration that accepted it (config_version); a host with an older one neither runs nor gives up its items.

Before, 2 of the 3 specs of older_config_test.go fail: [FAIL] waits until the heir knows that configuration: which adds its route (two results, both errored) [FAIL] ...: which moves its route to another service (two runs there) With it all pass.

Builds side by side: the build before ignores the field and leaves it out when it rewrites a record; its heirs act as before. Records of that build lack it, which holds no item back.

--- a/internal/batch/jobstate/record.go
+++ b/internal/batch/jobstate/record.go
@@ -19,6 +19,9 @@
 	ID    string `json:"id"`
 	Route string `json:"route"`
 	Host  string `json:"host"`
+	// ConfigVersion is the version of the configuration that accepted the job; no items
+	// are run or given up by an older one. It is 0 in records of earlier builds.
+	ConfigVersion int64 `json:"config_version,omitempty"`
 	// Owner is the host that runs the job; it is empty if there is none.
 	Owner string `json:"owner,omitempty"`
 	// Released is set if the host that named Owner was the owner until then, and no
--- a/internal/batch/ownership/accept.go
+++ b/internal/batch/ownership/accept.go
@@ -173,7 +173,7 @@
 	}
 	now := m.Timer.Now()
 	record := jobstate.Record{
-		ID: sub.ID, Route: sub.Route.Name, Host: sub.Host, Owner: m.Host, Serial: m.nextSerial(), Writer: m.Writer,
+		ID: sub.ID, Route: sub.Route.Name, Host: sub.Host, ConfigVersion: m.Config.Version(), Owner: m.Host, Serial: m.nextSerial(), Writer: m.Writer,
 		BodyParts: len(parts), Total: len(sub.Items), Due: now.Add(sub.Route.DueAfter),
 		// A reading of the steady clock would leave out suspensions of the machine.
 		Accepted: now.Round(0), FailuresKnown: true,
--- a/internal/batch/ownership/running.go
+++ b/internal/batch/ownership/running.go
@@ -79,13 +79,16 @@
 
 // enqueue adds a job's waiting items to the queues of their services. It gives up
 // those whose route the operator has removed, and those that failed in all attempts
-// of their route. Both need the configuration; until it is known they wait. Items that
-// rest are left out.
+// of their route. Both need the configuration, and none older than the one that accepted
+// the job; until it is known they wait. Items that rest are left out.
 func (m *Manager) enqueue(now time.Time, config *routes.Config, j *ownedJob, resting map[string]time.Time, queues map[string][]*queuedItem) {
 	if j.ending > 0 || now.Before(j.heldUntil) {
 		return
 	}
 	record := j.job.Record()
+	if config.Version() < record.ConfigVersion {
+		return
+	}
 	unrouted, failed := 0, 0
 	for _, i := range j.job.Candidates(now) {
 		route := j.routeOf(i, config)
