Fleet: a spec of the time that a page of another host carries

The specs of late answers call the owner without a connection, so none would have noticed if the time of a page (known_after_ms) got lost between hosts: each read that waits at an owner would then cost calls to the store, or a page without a time would count from its arrival.

--- a/internal/fleet/entry/pages_test.go
+++ b/internal/fleet/entry/pages_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -17,6 +20,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/fleet/notice"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/setup"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
+	"github.com/kingcupquay/kingcupquay/internal/operator/result"
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
 	"github.com/kingcupquay/kingcupquay/internal/standin/platform"
 )
@@ -57,8 +61,9 @@
 		_, err = kv.Commit(context.Background(), store.Txn{Puts: []store.Put{{Key: jobstate.RecordKey(id), Value: value}, {Key: jobstate.ResultKey(id, 0), Value: parts[0]}}})
 		Expect(err).NotTo(HaveOccurred())
 	}
+	var clock *timer.Manual
 	BeforeEach(func() {
-		clock := timer.NewManual(time.Unix(1000, 0))
+		clock = timer.NewManual(time.Unix(1000, 0))
 		kv = platform.NewKV(clock)
 		h = New(&setup.Entry{Name: "A", Zone: "a"}, logr.Discard(), clock, Adapter{Store: kv})
 	})
@@ -145,4 +150,30 @@
 		Expect(got.Results).To(BeEmpty())
 		Expect(strings.Contains(page, "confirmed")).To(BeFalse())
 	})
+
+	// Guards against the time of a page that gets lost between the hosts.
+	DescribeTable("asks the store about a page without results that took the owner a second,", func(known string, asked bool) {
+		addJob("j")
+		h.jobs.LearnOwner("B", []string{"j"})
+		owner := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			clock.Advance(time.Second)
+			_, _ = io.WriteString(w, `{"total":3,"next":2,"results":null,"confirmed":true`+known+`}`)
+		}))
+		DeferCleanup(owner.Close)
+		h.members.Apply(h.timer.Now(), notice.Notice{Member: notice.Member{Host: "B", Zone: "a", Address: owner.Listener.Addr().String(), Start: starts.Add(1)}})
+		var calls atomic.Int64
+		kv.SetFaults(func(string) platform.Fault {
+			calls.Add(1)
+			return platform.NoFault
+		})
+		h.TellResults(context.Background(), "j", listed, 0, encodePage, func(text []byte, failure *result.Error) {
+			Expect(failure).To(BeNil())
+			Expect(string(text)).To(ContainSubstring(`"results":null`))
+		})
+		Expect(calls.Load() > 0).To(Equal(asked))
+	},
+		Entry("if the owner says nothing of when it knew", "", true),
+		Entry("if it knew at the start", `,"known_after_ms":400`, true),
+		Entry("not if it knew at the end", `,"known_after_ms":900`, false),
+	)
 })
