--- a/internal/batch/ownership/late_answer_test.go
+++ b/internal/batch/ownership/late_answer_test.go
@@ -290,11 +290,11 @@
 			return failure
 		}),
 		Entry("to a read of a body", func(h *host) (told *result.Error) {
-			h.Manager.TellBody(ctx, "j", "j-0", func(_ []byte, failure *result.Error) { told = failure })
+			h.TellBody(ctx, "j", "j-0", func(_ []byte, failure *result.Error) { told = failure })
 			return told
 		}),
 		Entry("to an end", func(h *host) (told *result.Error) {
-			h.Manager.TellEnd(ctx, "j", func(failure *result.Error) { told = failure })
+			h.TellEnd(ctx, "j", func(failure *result.Error) { told = failure })
 			return told
 		}),
 	)
--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -510,7 +510,7 @@
 
 // tellResults returns the page that the host tells, as it is told to other hosts.
 func (h *host) tellResults(ctx context.Context, id string, after int, wait time.Duration, mayForward bool) (page ownership.ResultPage, failure *result.Error) {
-	h.Manager.TellResults(ctx, id, after, wait, mayForward, func(page ownership.ResultPage) ([]byte, error) {
+	h.TellResults(ctx, id, after, wait, mayForward, func(page ownership.ResultPage) ([]byte, error) {
 		defer h.afterEncoding.call("results")
 		return json.Marshal(page)
 	}, func(text []byte, told *result.Error) {
