Testbed of ownership: a host may be added while others run

A spec that starts a host again beside others wrote the map of hosts while these read it: the race detector stopped a run of the package (Write at fleet.addHostWith, Previous read at host.peer). The map has a lock; what the specs ask for is unchanged.

--- a/internal/batch/ownership/manager_test.go
+++ b/internal/batch/ownership/manager_test.go
@@ -379,9 +379,13 @@
 		Expect(f.hosts["A"].Submit(ctx, submission("j", 9, 1))).To(BeNil())
 		f.eventually(func(g Gomega) { g.Expect(f.servers.runsOf("j-0")).To(Equal(1)) })
 		hostA := f.hosts["A"]
+		f.hostsMu.Lock()
 		delete(f.hosts, "A")
+		f.hostsMu.Unlock()
 		Expect(f.hosts["B"].Manager.End(ctx, "j", true)).To(BeNil())
+		f.hostsMu.Lock()
 		f.hosts["A"] = hostA
+		f.hostsMu.Unlock()
 		hostA.LearnEnded([]string{"j"})
 		f.eventually(func(g Gomega) {
 			_, failure := hostA.Manager.Body(ctx, "j", "j-0", true)
--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -194,6 +195,8 @@
 	clock   *timer.Manual
 	kv      *platform.KV
 	servers *servers
+	// hosts is written by specs alone, with hostsMu held, as others read it meanwhile.
+	hostsMu sync.RWMutex
 	hosts   map[string]*host
 	// noScanners makes Live return no hosts, so that no host scans.
 	noScanners atomic.Bool
@@ -218,6 +221,20 @@
 	return lines
 }
 
+// host returns the host of a name, nil if there is none.
+func (f *fleet) host(name string) *host {
+	f.hostsMu.RLock()
+	defer f.hostsMu.RUnlock()
+	return f.hosts[name]
+}
+
+// allHosts returns all hosts, also those that are gone.
+func (f *fleet) allHosts() []*host {
+	f.hostsMu.RLock()
+	defer f.hostsMu.RUnlock()
+	return slices.Collect(maps.Values(f.hosts))
+}
+
 func (f *fleet) newLog() logr.Logger {
 	return funcr.New(func(_, line string) {
 		f.logMu.Lock()
@@ -477,12 +494,12 @@
 	if name == h.name {
 		return h.links.isCut()
 	}
-	return h.fleet.hosts[name].links.isCut()
+	return h.fleet.host(name).links.isCut()
 }
 
 func (h *host) peer(name string) (*host, *result.Error) {
-	p, ok := h.fleet.hosts[name]
-	if !ok || p.dead.Load() || h.dead.Load() {
+	p := h.fleet.host(name)
+	if p == nil || p.dead.Load() || h.dead.Load() {
 		return nil, result.New(result.NoBackend, "host %s can't be reached", name)
 	}
 	return p, nil
@@ -562,7 +579,7 @@
 func (h *host) Alive(name string) bool { _, failure := h.peer(name); return failure == nil }
 
 func (h *host) Dead(_ context.Context, names []string) []string {
-	return slices.DeleteFunc(slices.Clone(names), func(name string) bool { return !h.fleet.hosts[name].dead.Load() })
+	return slices.DeleteFunc(slices.Clone(names), func(name string) bool { return !h.fleet.host(name).dead.Load() })
 }
 
 func (h *host) Live() []string {
@@ -570,9 +587,9 @@
 		return nil
 	}
 	var names []string
-	for name, p := range h.fleet.hosts {
+	for _, p := range h.fleet.allHosts() {
 		if !p.dead.Load() {
-			names = append(names, name)
+			names = append(names, p.name)
 		}
 	}
 	return names
@@ -614,7 +631,7 @@
 	list.Put(backendServer)
 	h := &host{fleet: f, name: name, directory: list, config: config, placer: scheduler.New(name, "a", func() float64 { return 0.5 }, func() {}), links: links{servers: f.servers, cut: make(chan struct{}), restart: func(b backend.Server) {
 		b.Born = f.births.Add(1)
-		for _, h := range f.hosts {
+		for _, h := range f.allHosts() {
 			h.directory.Put(b)
 		}
 	}}}
@@ -622,14 +639,16 @@
 		Host: name, Writer: writer, Timer: f.clock, Log: f.newLog(), Store: hostStore{f.kv, &h.cutOff, &h.delayedWrites, &h.commits, &h.beforeCall, &h.afterCall, &h.loseReplies, &h.staleRecords}, Servers: &h.links, Crashes: f.crashes, ServerDirectory: list,
 		Placer: h.placer, Config: config, Peers: h,
 		EndWithin: endGrace, Accepted: func(string) {}, Ended: func(id string) {
-			for _, p := range f.hosts {
+			for _, p := range f.allHosts() {
 				if !p.dead.Load() {
 					p.LearnEnded([]string{id})
 				}
 			}
 		},
 	})
+	f.hostsMu.Lock()
 	f.hosts[name] = h
+	f.hostsMu.Unlock()
 	for _, prepare := range prepare {
 		prepare(h)
 	}
