Soak: the checker judges pages by when their first byte came, too

Cause: a page without results, 404 or 410 was judged only against what had been read over settleMs before it was asked for. An answer that is decided in time and told seconds later was never wrong.

Change: it is judged as well against what had been read over settleMs before its first byte came (httptrace). If the run itself had stopped the host between the question and the answer, the rule is named "late" in place of "lost". It is a violation all the same: the product promises to refuse what it can't be sure of, and a host sees a pause by its clock unless it falls between its last look and the kernel's copy. If the machine stalled meanwhile, when the answer came isn't known; such pages are counted in the summary.

Tests: "nothing, asked for before the position was read and answered long after it" expected no violation. That is the fault; it is replaced by entries for both sides of the bound. Two entries at the bound of the sending have answers without a delay now.

--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -79,8 +79,9 @@
 	// Host and Start are as in Request.
 	Host, Start int
 	// After is the position asked for.
-	After       int
-	Sent, Ended time.Duration
+	After int
+	// Came is when the first byte of the answer came, 0 for never.
+	Sent, Came, Ended time.Duration
 	// Status is the HTTP status, 0 for no complete response.
 	Status int
 	// Total and Next are the number of the job's items and the position after the page,
@@ -168,7 +169,9 @@
 		}
 	}
 	pages, empty := 0, 0
+	v := verifier{History: h}
 	for _, j := range h.Jobs {
+		v.checkPages(j, nil)
 		for _, p := range j.Pages {
 			pages++
 			if p.Status == 200 && len(p.Results) == 0 {
@@ -176,8 +179,8 @@
 			}
 		}
 	}
-	return fmt.Sprintf("%d requests, %d served, %d broken off, %d taken up, %d runs, %d drains, %d jobs, %d pages, %d without results",
-		len(h.Requests), served, broken, takenUp, len(h.Runs), len(h.Drains), len(h.Jobs), pages, empty)
+	return fmt.Sprintf("%d requests, %d served, %d broken off, %d taken up, %d runs, %d drains, %d jobs, %d pages, %d without results, %d not judged for a stall",
+		len(h.Requests), served, broken, takenUp, len(h.Runs), len(h.Drains), len(h.Jobs), pages, empty, v.unjudged)
 }
 
 // CrashSummary says how often each request that crashes servers ran, and how many of
@@ -205,6 +208,8 @@
 	//   - refused: a run of a request or job that was refused
 	//   - lost: a missing response or result, a page without a result that had been
 	//     read, or an accepted job that is denied
+	//   - late: the same, answered after a pause that the run made between the question
+	//     and the answer
 	//   - config: a host that went back to an older configuration
 	//   - drain: a run at a server that was draining
 	//   - budget: runs at more servers than the request may have, a run that is
@@ -259,6 +264,8 @@
 	// runs holds the runs by the id of the request or item.
 	runs       map[string][]Run
 	violations []Violation
+	// unjudged counts the pages that would have come late, had the machine not stalled.
+	unjudged int
 }
 
 // Check returns all violations in a history.
@@ -500,8 +507,10 @@
 }
 
 // checkPages checks each page against the job's last list and against all pages that
-// ended before it was sent, at whatever host. It makes no allowance for hosts out of
-// touch, which can refuse a read.
+// ended before it was sent, or came, at whatever host. It makes no allowance for hosts
+// out of touch, which can refuse a read. A host that the run stopped between the question
+// and the answer must refuse, too, but can't know of a pause after its last look at the
+// clock.
 func (v *verifier) checkPages(j Job, last []Result) {
 	at := make(map[int]Result, len(j.Items))
 	position := make(map[string]int, len(j.Items))
@@ -524,30 +533,59 @@
 	for _, p := range pages {
 		show(p, p.After, p.Results)
 	}
-	bySending := slices.Clone(pages)
-	slices.SortFunc(bySending, func(a, b Page) int { return cmp.Compare(a.Sent, b.Sent) })
-	// shown is the number of results that pages which ended settle ago or earlier had
-	// shown, by the last of them that showed more than those before.
-	shown := 0
-	var by Page
-	for _, p := range bySending {
-		for len(pages) > 0 && pages[0].Ended+settle < p.Sent {
-			if end := pages[0].After + len(pages[0].Results); len(pages[0].Results) > 0 && end > shown {
-				shown, by = end, pages[0]
-			}
-			pages = pages[1:]
+	// shown are the pages that showed more than all that had ended before.
+	var shown []Page
+	for _, p := range pages {
+		if end := p.After + len(p.Results); len(p.Results) > 0 && (len(shown) == 0 || end > shown[len(shown)-1].end()) {
+			shown = append(shown, p)
 		}
+	}
+	// denies says what a page denies that had been known for over settle at a time.
+	denies := func(p Page, at time.Duration) string {
+		n, _ := slices.BinarySearchFunc(shown, at-settle, func(s Page, t time.Duration) int { return cmp.Compare(s.Ended, t) })
 		switch {
-		case p.Status == 200 && len(p.Results) == 0 && p.After < shown:
-			v.report("lost", "host %d (start %d), asked at %s, had nothing at position %d of job %s, of which host %d had shown %d results at %s", p.Host, p.Start, p.Sent, p.After, j.ID, by.Host, shown, by.Ended)
-		case p.Status == 200 && (p.Total != len(j.Items) || p.Next != p.After+len(p.Results)):
+		case p.Status == 200 && len(p.Results) == 0 && n > 0 && p.After < shown[n-1].end():
+			by := shown[n-1]
+			return fmt.Sprintf("nothing at position %d of job %s, of which host %d had shown %d results at %s", p.After, j.ID, by.Host, by.end(), by.Ended)
+		case (p.Status == 404 || p.Status == 410) && j.AcceptedAt > 0 && at > j.AcceptedAt+settle:
+			return fmt.Sprintf("%d for job %s, accepted at %s", p.Status, j.ID, j.AcceptedAt)
+		}
+		return ""
+	}
+	for _, p := range pages {
+		if p.Status == 200 && (p.Total != len(j.Items) || p.Next != p.After+len(p.Results)) {
 			v.report("mixed", "host %d, asked at %s for position %d of job %s, which has %d items, sent %d results, total %d and next %d", p.Host, p.Sent, p.After, j.ID, len(j.Items), len(p.Results), p.Total, p.Next)
-		case (p.Status == 404 || p.Status == 410) && j.AcceptedAt > 0 && p.Sent > j.AcceptedAt+settle:
-			v.report("lost", "host %d (start %d), asked at %s, answered %d for job %s, accepted at %s", p.Host, p.Start, p.Sent, p.Status, j.ID, j.AcceptedAt)
 		}
+		if what := denies(p, p.Sent); what != "" {
+			v.report("lost", "host %d (start %d), asked at %s, answered %s", p.Host, p.Start, p.Sent, what)
+			continue
+		}
+		what := denies(p, p.Came)
+		if what == "" {
+			continue
+		}
+		if v.stoppedBetween(p, plan.Stall) {
+			// When the answer came isn't known.
+			v.unjudged++
+			continue
+		}
+		rule := "lost"
+		if v.stoppedBetween(p, plan.Pause) {
+			rule = "late"
+		}
+		v.report(rule, "host %d (start %d), asked at %s, answered at %s: %s", p.Host, p.Start, p.Sent, p.Came, what)
 	}
 }
 
+// end returns the position after the page's results.
+func (p Page) end() int { return p.After + len(p.Results) }
+
+// stoppedBetween reports whether a fault stopped the host of a page, or the machine,
+// between the question and the answer.
+func (v *verifier) stoppedBetween(p Page, kind plan.Kind) bool {
+	return !v.Plan.AllDuring(p.Sent, p.Came, func(f plan.Fault) bool { return f.Kind != kind || kind == plan.Pause && f.Target != p.Host })
+}
+
 // checkDrains checks that draining servers receive no new requests through hosts
 // that were in touch, and none at all if no fault may have kept a host from learning
 // of the drain.
--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -259,14 +259,20 @@
 // page returns a page of job at a host, asked for from a position at a time and answered
 // 0.1 s later.
 func page(host int, at time.Duration, after, status int, results ...checker.Result) checker.Page {
-	return checker.Page{Host: host, Start: 1, After: after, Sent: at, Ended: at + second/10, Status: status, Total: 1, Next: after + len(results), Results: results}
+	return checker.Page{Host: host, Start: 1, After: after, Sent: at, Came: at + second/10, Ended: at + second/10, Status: status, Total: 1, Next: after + len(results), Results: results}
+}
+
+// latePage returns a page without results that was asked for at one time and whose first
+// byte came at another.
+func latePage(host, after int, sent, came time.Duration, status int) checker.Page {
+	return checker.Page{Host: host, Start: 1, After: after, Sent: sent, Came: came, Ended: came, Status: status, Total: 1, Next: after}
 }
 
 var _ = DescribeTable("violations of pages", func(rule string, pages ...checker.Page) {
 	j := job()
 	j.AcceptedAt, j.Pages = 5*second, pages
 	violations := checker.Check(checker.History{Runs: []checker.Run{run()}, Jobs: []checker.Job{j}, Plan: plan.Plan{
-		Faults: []plan.Fault{{Kind: plan.Pause, Target: 1, Start: second, Duration: 30 * second}},
+		Faults: []plan.Fault{{Kind: plan.Pause, Target: 1, Start: second, Duration: 30 * second}, {Kind: plan.Stall, Start: 41 * second, Duration: second}},
 	}})
 	if rule == "" {
 		Expect(violations).To(BeEmpty())
@@ -280,14 +286,31 @@
 	Entry("nothing at a position that was shown before the last page", "lost", page(0, 7*second, 0, 200, result("q")), page(0, 7500*time.Millisecond, 1, 200), page(0, 9*second, 0, 200)),
 	Entry("nothing at the first of two positions, the second of which was shown", "lost",
 		page(0, 7*second, 1, 200, result("r")), page(1, 9*second, 0, 200), page(0, 10*second, 0, 200, result("q"))),
-	Entry("nothing, asked at a second after the position was read", "", page(0, 7*second, 0, 200, result("q")), page(1, 8100*time.Millisecond, 0, 200)),
+	Entry("nothing, asked at a second after the position was read", "", page(0, 7*second, 0, 200, result("q")), latePage(1, 0, 8100*time.Millisecond, 8100*time.Millisecond, 200)),
 	Entry("nothing, asked at 1.001 s after the position was read", "lost", page(0, 7*second, 0, 200, result("q")), page(1, 8101*time.Millisecond, 0, 200)),
-	Entry("nothing, asked for before the position was read and answered long after it", "",
-		page(0, 7*second, 0, 200, result("q")), checker.Page{Host: 1, Sent: 6 * second, Ended: 20 * second, Status: 200, Total: 1}),
+	Entry("nothing, asked for before the position was read, whose first byte came a second after that", "",
+		page(0, 7*second, 0, 200, result("q")), latePage(2, 0, 6*second, 8100*time.Millisecond, 200)),
+	Entry("nothing, asked for before the position was read, whose first byte came 1.001 s after that", "lost",
+		page(0, 7*second, 0, 200, result("q")), latePage(2, 0, 6*second, 8101*time.Millisecond, 200)),
+	Entry("nothing at the position after the one that was read, whose first byte came long after that", "",
+		page(0, 7*second, 0, 200, result("q")), latePage(2, 1, 6*second, 20*second, 200)),
+	Entry("nothing, whose first byte came long after the position was read, from a host that stood still", "late",
+		page(0, 7*second, 0, 200, result("q")), latePage(1, 0, 6*second, 20*second, 200)),
+	Entry("nothing, whose first byte came long after the position was read, from a host that had stood still before", "lost",
+		page(0, 34*second, 0, 200, result("q")), latePage(1, 0, 33*second, 37*second, 200)),
+	Entry("nothing, whose first byte was seen after a stall of the machine", "",
+		page(0, 41*second, 0, 200, result("q")), latePage(2, 0, 40*second, 43*second, 200)),
+	Entry("nothing, asked for after a stall of the machine and long after the position was read", "lost",
+		page(0, 41*second, 0, 200, result("q")), page(2, 44*second, 0, 200)),
+	Entry("404, asked for before the acceptance, whose first byte came over a second after it", "lost", latePage(2, 0, 4*second, 6001*time.Millisecond, 404)),
+	Entry("410, asked for before the acceptance, from a host that stood still", "late", latePage(1, 0, 4*second, 9*second, 410)),
+	Entry("404, asked for before the acceptance, a second after it", "", latePage(2, 0, 4*second, 6*second, 404)),
+	Entry("a refusal, and no answer, long after the position was read", "",
+		page(0, 7*second, 0, 200, result("q")), latePage(2, 0, 6*second, 20*second, 503), checker.Page{Host: 2, Sent: 6 * second, Ended: 20 * second}),
 	Entry("a refusal, and no response, where a result was read", "", page(0, 7*second, 0, 200, result("q")), page(1, 9*second, 0, 503), page(1, 10*second, 0, 0)),
 	Entry("404 for an accepted job", "lost", page(1, 9*second, 0, 404)),
 	Entry("410 for an accepted job", "lost", page(1, 9*second, 0, 410)),
-	Entry("404 a second after the acceptance", "", page(1, 6*second, 0, 404)),
+	Entry("404 a second after the acceptance", "", latePage(1, 0, 6*second, 6*second, 404)),
 	Entry("another result than on a page a moment before", "twice", page(0, 7*second, 1, 200, result("r")), page(1, 7*second, 1, 200, result("s"))),
 	Entry("another result than in the last list", "twice", page(0, 7*second, 0, 200, result("r"))),
 	Entry("another text", "twice", page(0, 7*second, 0, 200, checker.Result{ID: "q", Done: true, Text: "abd"})),
@@ -296,5 +319,14 @@
 	Entry("an item at two positions", "twice", page(0, 7*second, 1, 200, result("q"))),
 )
 
+// Guards against late pages that nobody hears of.
+var _ = It("says how many late pages were not judged as the machine stalled", func() {
+	j := job()
+	j.Pages = []checker.Page{page(0, 7*second, 0, 200, result("q")), latePage(2, 0, 6*second, 20*second, 200)}
+	h := checker.History{Runs: []checker.Run{run()}, Jobs: []checker.Job{j}, Plan: plan.Plan{Faults: []plan.Fault{{Kind: plan.Stall, Start: 9 * second, Duration: second}}}}
+	Expect(checker.Check(h)).To(BeEmpty())
+	Expect(h.Summary()).To(ContainSubstring(", 1 not judged for a stall"))
+})
+
 // result returns the result of an item.
 func result(id string) checker.Result { return checker.Result{ID: id, Done: true, Text: "abc"} }
