Soak: pauses aimed at a host's calls to the store, and replies that are held

Cause: hosts stood still at random moments, and few reads were under way when they did, so that an answer that is told late was met by chance only.

Change: the plans of hosts that are away draw, apart from what they drew before, what a host has asked the store when it stops (a read of a job's record, a transaction, a renewal), one or two short pauses of other hosts beside each absence, and replies of the store or a server that are held back for 0.3 to 3 s.

--- a/internal/soak/faultproxy/proxy.go
+++ b/internal/soak/faultproxy/proxy.go
@@ -31,6 +31,9 @@
 	Slow
 	// Hold holds all bytes back until the fault changes, as if the target stood still.
 	Hold
+	// HoldReplies forwards what the client sends and holds the server's replies back until
+	// the fault changes.
+	HoldReplies
 	// Reset resets open connections, and new ones once they have sent something.
 	Reset
 	// DropReplies forwards what the client sends and drops the server's replies.
@@ -181,13 +184,14 @@
 	}
 }
 
-// awaitRelease waits while the fault is Hold and returns the one after it.
-func (p *Proxy) awaitRelease() Fault {
+// awaitRelease waits while the fault holds bytes back, those of replies or of calls, and
+// returns the one after it.
+func (p *Proxy) awaitRelease(replies bool) Fault {
 	for {
 		p.mu.Lock()
 		fault, changed := p.fault, p.changed
 		p.mu.Unlock()
-		if fault != Hold {
+		if fault != Hold && (fault != HoldReplies || !replies) {
 			return fault
 		}
 		<-changed
@@ -266,7 +270,7 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
-		switch fault := p.awaitRelease(); {
+		switch fault := p.awaitRelease(dropsFrom == DropReplies); {
 		case n == 0 && fault >= dropsFrom:
 			// The end of the stream is dropped too; dst is reset when the fault
 			// ends.
--- a/internal/soak/faultproxy/proxy_test.go
+++ b/internal/soak/faultproxy/proxy_test.go
@@ -179,6 +179,19 @@
 		Expect(in.ReadString('\n')).To(Equal("re: one\n"))
 	})
 
+	It("holds replies back but not calls, and delivers them when the fault ends", func() {
+		c, in := dial()
+		proxy.SetFault(faultproxy.HoldReplies)
+		send(c, "one")
+		Eventually(received, timeout).Should(Receive(Equal("one")))
+		Expect(c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))).To(Succeed())
+		_, err := in.ReadString('\n')
+		Expect(err).To(MatchError(ContainSubstring("timeout")))
+		proxy.SetFault(faultproxy.None)
+		Expect(c.SetReadDeadline(time.Now().Add(timeout))).To(Succeed())
+		Expect(in.ReadString('\n')).To(Equal("re: one\n"))
+	})
+
 	It("drops replies or everything, and resets connections when the fault ends", func() {
 		for _, fault := range []faultproxy.Fault{faultproxy.DropReplies, faultproxy.DropAll} {
 			proxy.SetFault(fault)
--- a/internal/soak/plan/away.go
+++ b/internal/soak/plan/away.go
@@ -23,8 +23,33 @@
 	// outageProbability is the probability that an outage of the store for all hosts, or
 	// a fault of a server, comes beside an absence.
 	outageProbability = 0.2
+	// A host that stands still for minLate to maxLate is back before its calls to other
+	// hosts time out: a reader's wait, of up to 1 s, and 1.5 s more. Replies are held back
+	// for minHeld to maxHeld.
+	minLate, maxLate = 1400 * time.Millisecond, 2200 * time.Millisecond
+	minHeld, maxHeld = 300 * time.Millisecond, 3 * time.Second
+	// maxShortPauses is how often other hosts stand still for a short time in an absence.
+	maxShortPauses = 2
 )
 
+// Aim is what a host has asked the store, without a reply yet, when a Pause begins.
+type Aim uint8
+
+// The aims.
+const (
+	AimNone Aim = iota
+	// AimRead is a read of a job's record.
+	AimRead
+	// AimWrite is a transaction.
+	AimWrite
+	// AimRenewal keeps a lease.
+	AimRenewal
+	aimCount
+)
+
+// String names the aim.
+func (a Aim) String() string { return [...]string{"random moment", "read", "write", "renewal"}[a] }
+
 // absence is one way in which a host is away and comes back.
 type absence uint8
 
@@ -59,6 +84,9 @@
 	add := func(k Kind, target int, at, duration time.Duration) {
 		p.Faults = append(p.Faults, Fault{Kind: k, Target: target, Start: at, Duration: duration})
 	}
+	// What holds answers up is drawn by itself, so that the absences of a seed stay what
+	// they were.
+	late := rand.New(rand.NewPCG(seed, 6))
 	// order is the order in which hosts are away, so that two that overlap differ.
 	order := r.Perm(s.Hosts)
 	n := 0
@@ -69,6 +97,11 @@
 		form, cut := absence(r.IntN(int(absenceCount))), cuts[r.IntN(len(cuts))]
 		away, behind := randomDuration(r, minAway, maxAway), randomDuration(r, minGap, maxBehind)
 		back := at + away
+		begins := len(p.Faults)
+		if form == cutAndPaused {
+			begins++
+		}
+		aim, beside := Aim(late.IntN(int(aimCount))), randomLate(late, s, at, away, host)
 		switch form {
 		case pausedOnce:
 			add(Pause, host, at, away)
@@ -87,6 +120,9 @@
 			add(cut, host, at, away)
 			add(cut, host, back+behind, away/2)
 		}
+		if form != cutOnly && form != cutTwice {
+			p.Faults[begins].Aim = aim
+		}
 		cell := form.String()
 		if form != pausedOnce && form != pausedTwice {
 			cell += fmt.Sprintf(" (%s)", cut)
@@ -103,6 +139,16 @@
 				cell += " + " + f.Kind.String()
 			}
 		}
+		if p.Faults[begins].Aim != AimNone {
+			cell += " + at a " + aim.String()
+		}
+		for _, f := range beside {
+			cell += fmt.Sprintf(" + %s", f.Kind)
+			if f.Aim != AimNone {
+				cell += " at a " + f.Aim.String()
+			}
+		}
+		p.Faults = append(p.Faults, beside...)
 		p.Cells = append(p.Cells, cell)
 	}
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.Start - b.Start) })
@@ -111,3 +157,21 @@
 	}
 	return p
 }
+
+// randomLate returns what holds answers up while a host is away: short pauses of another
+// host, of which each reader has a page or a read of the store on its way, and replies
+// that are held back.
+func randomLate(r *rand.Rand, s Sizes, at, away time.Duration, host int) []Fault {
+	var faults []Fault
+	for range 1 + r.IntN(maxShortPauses) {
+		other := (host + 1 + r.IntN(max(1, s.Hosts-1))) % s.Hosts
+		faults = append(faults, Fault{Kind: Pause, Target: other, Start: at + randomDuration(r, 0, away), Duration: randomDuration(r, minLate, maxLate), Aim: Aim(r.IntN(int(aimCount)))})
+	}
+	switch r.IntN(4) {
+	case 0:
+		faults = append(faults, Fault{Kind: StoreHoldsReplies, Target: r.IntN(s.Hosts), Start: at + randomDuration(r, 0, away), Duration: randomDuration(r, minHeld, maxHeld)})
+	case 1:
+		faults = append(faults, Fault{Kind: ServerHoldsReplies, Target: r.IntN(s.Servers), Start: at + randomDuration(r, 0, away), Duration: randomDuration(r, minHeld, maxHeld)})
+	}
+	return faults
+}
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -69,18 +69,20 @@
 var kindNames = [...]string{
 	"stop", "kill", "pause", "reload", "store slow", "store reset", "store one way", "store silent", "server slow", "server reset",
 	"server silent", "server breaks", "server fails", "server drains", "server replaced", "store loses answers", "store away", "configure", "machine stalled",
-	"server upgraded", "server removed", "server restarts", "server held", "store refuses", "server crashed",
+	"server upgraded", "server removed", "server restarts", "server held", "store refuses", "server crashed", "store holds replies", "server holds replies",
 }
 
 // String returns the name of the kind as it appears in reports.
 func (k Kind) String() string { return kindNames[k] }
 
 // TargetsHost reports whether faults of this kind target a host.
-func (k Kind) TargetsHost() bool { return k <= StoreSilent || k == StoreRefuses }
+func (k Kind) TargetsHost() bool {
+	return k <= StoreSilent || k == StoreRefuses || k == StoreHoldsReplies
+}
 
 // TargetsServer reports whether faults of this kind target a server.
 func (k Kind) TargetsServer() bool {
-	return k >= ServerSlow && k <= ServerReplaced || k >= ServerUpgraded && k <= ServerHeld || k == ServerCrashes
+	return k >= ServerSlow && k <= ServerReplaced || k >= ServerUpgraded && k <= ServerHeld || k == ServerCrashes || k == ServerHoldsReplies
 }
 
 // Graceful reports whether this kind is an orderly operation, which must not make
@@ -101,6 +103,8 @@
 	// Change is what a new configuration changes besides adding a route, if the Kind is
 	// Configure.
 	Change Change
+	// Aim is what a host is doing when a Pause begins.
+	Aim Aim
 }
 
 // Change is a change of the configuration.
@@ -230,6 +234,9 @@
 		if f.Change != ChangeNone {
 			fmt.Fprintf(&b, ", %s", f.Change)
 		}
+		if f.Aim != AimNone {
+			fmt.Fprintf(&b, ", at a %s", f.Aim)
+		}
 		b.WriteByte('\n')
 	}
 	return b.String()
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -73,6 +73,7 @@
 
 	It("keeps hosts away for longer than a take-over takes, the same for equal seeds, and over 40 seeds yields every form and change", func() {
 		cells, changes := map[string]int{}, map[plan.Change]int{}
+		aims, held := map[plan.Aim]int{}, map[plan.Kind]int{}
 		for seed := range uint64(40) {
 			p := plan.NewAway(seed, sizes)
 			Expect(p.String()).To(Equal(plan.NewAway(seed, sizes).String()))
@@ -81,6 +82,8 @@
 				Expect(f.Start).To(BeNumerically(">=", 0))
 				Expect(f.Start + f.Duration).To(BeNumerically("<=", p.FaultsEnd))
 				switch {
+				case f.Kind == plan.StoreHoldsReplies || f.Kind == plan.ServerHoldsReplies:
+					held[f.Kind]++
 				case f.Kind == plan.Configure:
 					changes[f.Change]++
 				case f.Kind.TargetsHost():
@@ -88,6 +91,9 @@
 					if f.Duration > 3500*time.Millisecond {
 						away++
 					}
+					if f.Kind == plan.Pause {
+						aims[f.Aim]++
+					}
 				}
 			}
 			Expect(away).To(BeNumerically(">=", len(p.Cells)))
@@ -98,6 +104,8 @@
 		}
 		Expect(cells).To(HaveLen(14), "two forms of pauses, and four with each of three cuts")
 		Expect(changes).To(HaveLen(7))
+		Expect(aims).To(HaveLen(4))
+		Expect(held).To(HaveLen(2))
 	})
 
 	It("reports whether only allowed faults overlap a period", func() {
--- a/internal/soak/plan/release.go
+++ b/internal/soak/plan/release.go
@@ -22,6 +22,10 @@
 	StoreRefuses
 	// ServerCrashes records that a request crashed a server. No plan schedules it.
 	ServerCrashes
+	// StoreHoldsReplies holds the store's replies to one host back, ServerHoldsReplies
+	// those of a server. Only NewAway schedules them.
+	StoreHoldsReplies
+	ServerHoldsReplies
 )
 
 // isolations are the faults that keep a host from learning of changes, or stop it.
