Ownership: an ended job whose record can't be read denies nothing once it may be removed

A host that has an ended job in memory after its removal reads the record before it answers, since another job may have been accepted under the ID. If that failed, it answered from memory all the same, and denied positions that others had read of the new job. The removal waits at least 30 s after a scanner saw the job complete, and the host forgets it 30 s after it did itself, so it takes a scan that comes later, or a pause, beside an outage of the store.

--- a/internal/batch/ownership/late_answer_test.go
+++ b/internal/batch/ownership/late_answer_test.go
@@ -7,8 +7,10 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/kingcupquay/kingcupquay/internal/batch/jobstate"
 	"github.com/kingcupquay/kingcupquay/internal/batch/ownership"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
+	"github.com/kingcupquay/kingcupquay/internal/record/store"
 )
 
 // told is the answer to one read.
@@ -186,6 +188,32 @@
 		Entry("at a host that has it in its cache", "C"),
 	)
 
+	// Guards against an ended job that is still in memory after its removal.
+	It("does not contradict what was read of a job that was accepted anew under the ID of an ended one, whose host can't read the record", func() {
+		f, _ := newHalfListed("A", "B", "D")
+		f.noScanners.Store(true)
+		hostA := f.hosts["A"]
+		f.clock.Advance(140 * time.Second)
+		Expect(hostA.Manager.End(ctx, "j", true)).To(BeNil())
+		close(f.servers.block)
+		hostA.cutOff.Store(true)
+		f.clock.Advance(15 * time.Second)
+		f.remove("j")
+		// A keeps the job in memory for 30 s after its end.
+		record := jobstate.Record{ID: "j", Route: "r", Host: "a.example", Owner: "B", Serial: 1, Writer: "B/1", Total: 2, Listed: 2, ResultParts: 1, Accepted: f.clock.Now()}
+		value, err := record.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		parts, err := jobstate.SplitResults([]jobstate.Result{{ID: "j-0", Done: true}, {ID: "j-1", Done: true}})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = f.kv.Commit(ctx, store.Txn{Puts: []store.Put{{Key: jobstate.RecordKey("j"), Value: value}, {Key: jobstate.ResultKey("j", 0), Value: parts[0]}}})
+		Expect(err).NotTo(HaveOccurred())
+		page, ok := f.hosts["D"].read("j", 1)
+		Expect(ok).To(BeTrue())
+		Expect(page.Results).To(HaveLen(1))
+		page, failure := hostA.tellResults(ctx, "j", 1, 0, true)
+		expectNotDenied(told{page, failure})
+	})
+
 	// Guards against pages of an ended job that are taken for as old as the job's end.
 	It("is told of an ended job however long it is known", func() {
 		f, _ := newHalfListed("A", "C")
--- a/internal/batch/ownership/reading.go
+++ b/internal/batch/ownership/reading.go
@@ -47,10 +47,13 @@
 // the first. Without mayForward, only a job that this host owns is served.
 func (m *Manager) Results(ctx context.Context, id string, after int, wait time.Duration, mayForward bool) (ResultPage, *result.Error) {
 	deadline := m.Timer.Now().Add(wait)
-	// If the record can't be read, what is listed is shown all the same.
-	j, _ := m.current(ctx, id)
+	j, unread := m.current(ctx, id)
 	if j != nil {
 		page, failure := m.ownedResults(ctx, j, after, deadline)
+		if failure == nil && unread != nil && page.denies(after) {
+			// The job may have been removed. What is listed is shown all the same.
+			return ResultPage{}, unread
+		}
 		if failure == nil || failure.Code() != result.LeaseLost {
 			return page, failure
 		}
