--- a/internal/batch/ownership/late_answer_test.go
+++ b/internal/batch/ownership/late_answer_test.go
@@ -264,7 +264,7 @@
 	DescribeTable("denies the body of an item", func(item string, most int) {
 		h, calls := atSlowStore()
 		var told *result.Error
-		h.Manager.TellBody(ctx, "j", item, func(_ []byte, failure *result.Error) { told = failure })
+		h.TellBody(ctx, "j", item, func(_ []byte, failure *result.Error) { told = failure })
 		Expect(told).NotTo(BeNil())
 		Expect(told.Code()).To(Equal(result.NotFound), "%v", told)
 		Expect(calls.Load()).To(BeNumerically("<=", most))
@@ -276,7 +276,7 @@
 	It("gives the body of an item that is not listed", func() {
 		h, calls := atSlowStore()
 		var body []byte
-		h.Manager.TellBody(ctx, "j", "j-1", func(text []byte, failure *result.Error) {
+		h.TellBody(ctx, "j", "j-1", func(text []byte, failure *result.Error) {
 			Expect(failure).To(BeNil())
 			body = text
 		})
