Jobs: a job that was accepted is not answered as one that never runs

An acceptance that could not be told within 5 s is decided again. If the job was removed meanwhile, the second decision begins anew and knows nothing of the first: with the caller's time over, the route's cap reached or the host stopping it said 503 or 429, which promise that nothing ran or will. Now a refusal after an acceptance says that it may have run.

It takes a pause until after the job's removal. What remains: the second decision may accept the job once more. No record or message changes.

--- a/internal/batch/ownership/accept.go
+++ b/internal/batch/ownership/accept.go
@@ -61,10 +61,13 @@
 // accepted before and is still kept. An error with RanNo guarantees that no item of it
 // will run.
 func (m *Manager) Submit(ctx context.Context, sub Submission) *result.Error {
-	for {
+	for again := false; ; again = true {
 		began := m.Timer.Uptime()
 		failure := m.submit(ctx, sub)
 		switch {
+		case failure != nil && again && failure.Ran() == result.RanNo:
+			// The job was accepted, and may have run until it was removed.
+			return failure.WithRan(result.RanMaybe)
 		case failure != nil || m.Timer.Uptime()-began < keptTellPeriod:
 			return failure
 		case ctx.Err() != nil:
--- a/internal/batch/ownership/late_kept_test.go
+++ b/internal/batch/ownership/late_kept_test.go
@@ -42,4 +42,23 @@
 			return f.hosts["B"].afterCall.hold("get", 1)
 		}),
 	)
+
+	// Guards against the second decision, which knows nothing of the first one.
+	It("is not answered as one that never runs, though its caller's time has passed", func() {
+		f := newFleet("A")
+		f.noScanners.Store(true)
+		sub := submission("j", 2, 1)
+		sub.Deadline = f.clock.Now().Add(10 * time.Second)
+		held := f.hosts["A"].afterCall.hold("commit", 1)
+		answer := make(chan *result.Error, 1)
+		go func() { answer <- f.hosts["A"].Submit(ctx, sub) }()
+		f.eventually(func(g Gomega) { g.Expect(held.reached).To(BeClosed()) })
+		f.clock.Advance(pastRetention)
+		f.remove("j")
+		held.release()
+		var failure *result.Error
+		Eventually(answer, waitTimeout).Should(Receive(&failure))
+		Expect(failure).NotTo(BeNil())
+		Expect(failure.Ran()).NotTo(Equal(result.RanNo), "the job had been accepted")
+	})
 })
