--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -69,10 +69,10 @@
 	// KnownAfterMS is how long after a host received the question, in milliseconds, it
 	// knew that no result was listed at Next. Hosts of earlier builds don't set it.
 	KnownAfterMS int64 `json:"known_after_ms,omitempty"`
-	// asOf is the same time by the uptime of the host that holds the page, source where
+	// knownAt is the same time by the uptime of the host that holds the page, source where
 	// it knew that from.
-	asOf   time.Duration
-	source source
+	knownAt time.Duration
+	source  source
 }
 
 // Peers sends requests about a job to its owner on another host, and reports
--- a/internal/batch/ownership/reading.go
+++ b/internal/batch/ownership/reading.go
@@ -71,10 +71,10 @@
 	if owner != "" && owner != m.Host {
 		asked := m.Timer.Uptime()
 		page, failure := m.Peers.Results(ctx, owner, id, after, deadline.Sub(m.Timer.Now()))
-		page.asOf, page.source = asked+time.Duration(page.KnownAfterMS)*time.Millisecond, fromHost
-		if page.asOf > m.Timer.Uptime() {
+		page.knownAt, page.source = asked+time.Duration(page.KnownAfterMS)*time.Millisecond, fromHost
+		if page.knownAt > m.Timer.Uptime() {
 			// The owner's uptime has jumped.
-			page.asOf = asked
+			page.knownAt = asked
 		}
 		switch {
 		case failure == nil && (len(page.Results) > 0 || page.Confirmed):
@@ -100,7 +100,7 @@
 // means that this host does not own the job any more, or may not know all results.
 func (m *Manager) ownedResults(ctx context.Context, j *ownedJob, after int, deadline time.Time) (ResultPage, *result.Error) {
 	confirmed := false
-	var confirmedAsOf time.Duration
+	var confirmedAt time.Duration
 	for {
 		m.mu.Lock()
 		now := m.Timer.Uptime()
@@ -116,9 +116,9 @@
 		switch {
 		case after < len(results) || complete || confirmed || after >= record.Total:
 			page := pageOf(record.Total, results, after)
-			page.Confirmed, page.asOf, page.source = confirmed || complete, now, fromMemory
+			page.Confirmed, page.knownAt, page.source = confirmed || complete, now, fromMemory
 			if confirmed {
-				page.asOf = confirmedAsOf
+				page.knownAt = confirmedAt
 			}
 			if len(page.Results) == 0 && !complete {
 				emptyFromMemory.Inc()
@@ -127,11 +127,11 @@
 			}
 			return page, nil
 		case ends:
-			asOf, failure := m.confirmList(ctx, j)
+			knownAt, failure := m.confirmList(ctx, j)
 			if failure != nil {
 				return ResultPage{}, failure
 			}
-			confirmed, confirmedAsOf = true, asOf
+			confirmed, confirmedAt = true, knownAt
 			continue
 		}
 		timedOut := make(chan struct{})
@@ -215,7 +215,7 @@
 		return ResultPage{}, false
 	}
 	page := pageOf(cached.Record.Total, cached.Results, after)
-	page.asOf, page.source = m.Timer.Uptime(), fromMemory
+	page.knownAt, page.source = m.Timer.Uptime(), fromMemory
 	return page, true
 }
 
@@ -233,7 +233,7 @@
 			return ResultPage{}, failure
 		}
 		page := pageOf(r.Total, results, after)
-		page.asOf, page.source = began, fromStore
+		page.knownAt, page.source = began, fromStore
 		if len(page.Results) > 0 || !r.Open() || deadline.Sub(m.Timer.Now()) < storePollInterval || ctx.Err() != nil {
 			if len(page.Results) == 0 && r.Open() {
 				emptyFromStore.Inc()
--- a/internal/batch/ownership/recordcheck.go
+++ b/internal/batch/ownership/recordcheck.go
@@ -84,7 +84,7 @@
 // confirmList reports whether a job's list of results in memory was the whole list at
 // some time since the call, and as of when, by the uptime. It reads the job's record if
 // that is necessary. The code LeaseLost means that it was not, or may not have been.
-func (m *Manager) confirmList(ctx context.Context, j *ownedJob) (asOf time.Duration, failure *result.Error) {
+func (m *Manager) confirmList(ctx context.Context, j *ownedJob) (knownAt time.Duration, failure *result.Error) {
 	for {
 		m.mu.Lock()
 		id := j.job.Record().ID
--- a/internal/batch/ownership/telling.go
+++ b/internal/batch/ownership/telling.go
@@ -22,19 +22,19 @@
 
 var tooOldTotal = metrics.NewCounter("kingcupquay_jobs_answers_too_old_total")
 
-// maxDecisions is how often an answer is decided that is always too old to be told.
+// maxDecisions is how often an answer is decided, at most, until one is recent.
 const maxDecisions = 3
 
-// tellPeriod returns for how long a denial may be told. A reader of another host may
-// have seen for almost as long what is denied.
+// tellPeriod returns for how long a denial may be told after it was known to be true. For
+// as long, a reader elsewhere may have seen what it denies.
 func (m *Manager) tellPeriod() time.Duration { return m.proofPeriod() / 3 }
 
 // denial is what an answer denies, if it denies anything: as of when that is known, by
 // Timer.Uptime, and where from.
 type denial struct {
-	denies bool
-	asOf   time.Duration
-	source source
+	denies  bool
+	knownAt time.Duration
+	source  source
 }
 
 // denies reports whether a page says that a position holds no result. That of an ended
@@ -59,12 +59,12 @@
 		if failure != nil {
 			return nil, denial{}, failure
 		}
-		page.KnownAfterMS = max(0, page.asOf-received).Milliseconds()
+		page.KnownAfterMS = max(0, page.knownAt-received).Milliseconds()
 		text, err := encode(page)
 		if err != nil {
 			return nil, denial{}, result.New(result.Internal, "%v", err)
 		}
-		return text, denial{denies: page.denies(after), asOf: page.asOf, source: page.source}, nil
+		return text, denial{denies: page.denies(after), knownAt: page.knownAt, source: page.source}, nil
 	}, tell)
 }
 
@@ -90,9 +90,9 @@
 		began := m.Timer.Uptime()
 		text, d, failure := decide()
 		if failure != nil && failure.Code() == result.NotFound {
-			d = denial{denies: true, asOf: began, source: fromStore}
+			d = denial{denies: true, knownAt: began, source: fromStore}
 		}
-		age := m.Timer.Uptime() - d.asOf
+		age := m.Timer.Uptime() - d.knownAt
 		if !d.denies || age < m.tellPeriod() {
 			tell(text, failure)
 			return
