--- a/internal/batch/ownership/late_answer_test.go
+++ b/internal/batch/ownership/late_answer_test.go
@@ -111,6 +111,28 @@
 		expectNotDenied(f.await(answer))
 	})
 
+	// Guards against the outcome of a check that another reader began, and that is old by
+	// the time both have it.
+	It("does not contradict what was read while the owner stood still with the store's reply, for a reader that joined the check", func() {
+		f, r := newHalfListed("A", "B", "C")
+		hostA := f.hosts["A"]
+		hostA.directory.Remove(f.clock.Now(), backendServer.ID, 0)
+		f.advance(endGrace)
+		held := hostA.afterCall.hold("get", 1)
+		first := hostA.ask(1, 0)
+		f.eventually(func(g Gomega) { g.Expect(held.reached).To(BeClosed()) })
+		joined := hostA.ask(1, 0)
+		f.leave("A")
+		hostA.beforeCall.set(func(string) { <-held.opened })
+		f.takenFrom("A")
+		close(f.servers.block)
+		r.readUntil(2, "B", "C")
+		Expect(joined).NotTo(Receive())
+		held.release()
+		expectNotDenied(f.await(first))
+		expectNotDenied(f.await(joined))
+	})
+
 	// Guards against a record that is old by the time its parts are read.
 	It("does not contradict what was read while a host stood still with the record in hand", func() {
 		f, r := newRead()
