Jobs: a line for each answer that is told about a job

Each answer has one now, right before its first byte, with the position, the number of results, a checksum of them and, for a denial, the age of its knowledge. At most 200 a second for each host; lines left out are counted in the next one. No answer changes, and no record, message or key of the settings.

--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -238,6 +238,8 @@
 	estimator   priority.DurationEstimator
 	// cuts counts the runs that were cut by their causes.
 	cuts map[cutCause]*cutCounter
+	// toldLines limits the lines of answers that were told.
+	toldLines lineLimit
 	// lastSerial is the highest serial that newChange has assigned.
 	lastSerial int64
 	stopping   bool
--- a/internal/batch/ownership/telling.go
+++ b/internal/batch/ownership/telling.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"strconv"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
 )
@@ -22,8 +25,13 @@
 
 var tooOldTotal = metrics.NewCounter("kingcupquay_jobs_answers_too_old_total")
 
-// maxDecisions is how often an answer is decided, at most, until one is recent.
-const maxDecisions = 3
+const (
+	// maxDecisions is how often an answer is decided, at most, until one is recent.
+	maxDecisions = 3
+	// maxToldLines is how many answers a second are logged, so that readers leave room
+	// for other lines.
+	maxToldLines = 200
+)
 
 // tellPeriod returns for how long a denial may be told after it was known to be true. For
 // as long, a reader elsewhere may have seen what it denies.
@@ -37,6 +45,14 @@
 	source  source
 }
 
+// answer is what is told about a job.
+type answer struct {
+	text []byte
+	// page is the page that text holds; it is nil for other answers.
+	page *ResultPage
+	denial
+}
+
 // denies reports whether a page says that a position holds no result. That of an ended
 // job does so for good, but after its removal another job may be accepted under its ID.
 func (p ResultPage) denies(position int) bool {
@@ -49,7 +65,7 @@
 	encode func(ResultPage) ([]byte, error), tell func([]byte, *result.Error)) {
 	received := m.Timer.Uptime()
 	read := func() (ResultPage, *result.Error) { return m.Results(ctx, id, after, wait, mayForward) }
-	m.tell(ctx, id, func() ([]byte, denial, *result.Error) {
+	m.tell(ctx, question{id, "results", after, mayForward}, func() (answer, *result.Error) {
 		page, failure := read()
 		wait = 0
 		if page.source == fromHost {
@@ -57,51 +73,129 @@
 			read = func() (ResultPage, *result.Error) { return m.storedResults(ctx, id, after, m.Timer.Now()) }
 		}
 		if failure != nil {
-			return nil, denial{}, failure
+			return answer{}, failure
 		}
 		page.KnownAfterMS = max(0, page.knownAt-received).Milliseconds()
 		text, err := encode(page)
 		if err != nil {
-			return nil, denial{}, result.New(result.Internal, "%v", err)
+			return answer{}, result.New(result.Internal, "%v", err)
 		}
-		return text, denial{denies: page.denies(after), knownAt: page.knownAt, source: page.source}, nil
+		return answer{text, &page, denial{denies: page.denies(after), knownAt: page.knownAt, source: page.source}}, nil
 	}, tell)
 }
 
 // TellBody passes the body of an item that is not listed yet to tell, or the failure.
 func (m *Manager) TellBody(ctx context.Context, id, item string, tell func([]byte, *result.Error)) {
-	m.tell(ctx, id, func() ([]byte, denial, *result.Error) {
+	m.tell(ctx, question{id, "body", 0, true}, func() (answer, *result.Error) {
 		body, failure := m.Body(ctx, id, item, true)
-		return body, denial{}, failure
+		return answer{text: body}, failure
 	}, tell)
 }
 
 // TellEnd ends a job and passes the outcome to tell.
 func (m *Manager) TellEnd(ctx context.Context, id string, tell func(*result.Error)) {
-	m.tell(ctx, id, func() ([]byte, denial, *result.Error) {
-		return nil, denial{}, m.End(ctx, id, true)
+	m.tell(ctx, question{id, "end", 0, true}, func() (answer, *result.Error) {
+		return answer{}, m.End(ctx, id, true)
 	}, func(_ []byte, failure *result.Error) { tell(failure) })
 }
 
-// tell passes the answer about a job that decide returns to tell. What the answer
-// denies is decided again if it is too old.
-func (m *Manager) tell(ctx context.Context, id string, decide func() ([]byte, denial, *result.Error), tell func([]byte, *result.Error)) {
+// question is what was asked about a job.
+type question struct {
+	job string
+	// kind is what was asked for: results, body or end.
+	kind string
+	// after is the first position asked for.
+	after int
+	// byCaller is set unless another host asked.
+	byCaller bool
+}
+
+// tell passes the answer that decide returns to tell. What the answer denies is decided
+// again if it is too old.
+func (m *Manager) tell(ctx context.Context, q question, decide func() (answer, *result.Error), tell func([]byte, *result.Error)) {
 	for n := 1; ; n++ {
 		began := m.Timer.Uptime()
-		text, d, failure := decide()
+		a, failure := decide()
 		if failure != nil && failure.Code() == result.NotFound {
-			d = denial{denies: true, knownAt: began, source: fromStore}
+			a.denial = denial{denies: true, knownAt: began, source: fromStore}
 		}
-		age := m.Timer.Uptime() - d.knownAt
-		if !d.denies || age < m.tellPeriod() {
-			tell(text, failure)
+		age := m.Timer.Uptime() - a.knownAt
+		if !a.denies || age < m.tellPeriod() {
+			m.logTold(q, a, age, failure)
+			tell(a.text, failure)
 			return
 		}
 		tooOldTotal.Inc()
-		m.Log.Info("answer too old", "job", id, "age_ms", age.Milliseconds(), "source", string(d.source))
+		m.Log.Info("answer too old", "job", q.job, "age_ms", age.Milliseconds(), "source", string(a.source))
 		if n == maxDecisions || ctx.Err() != nil {
-			tell(nil, result.New(result.StoreUnavailable, "what is known of job %.64q is %d ms old", id, age.Milliseconds()).WithRetry(storeRetryAfter))
+			failure := result.New(result.StoreUnavailable, "what is known of job %.64q is %d ms old", q.job, age.Milliseconds()).WithRetry(storeRetryAfter)
+			m.logTold(q, answer{}, 0, failure)
+			tell(nil, failure)
 			return
 		}
 	}
 }
+
+// logTold writes the line of an answer that is about to be told. By these lines of all
+// hosts each denial can be compared with what had been told before.
+func (m *Manager) logTold(q question, a answer, age time.Duration, failure *result.Error) {
+	skipped, ok := m.toldLines.take(m.Timer.Now())
+	if !ok {
+		return
+	}
+	if !a.denies {
+		age = 0
+	}
+	status, results, total, list := "ok", 0, 0, uint64(0)
+	if failure != nil {
+		status = failure.Code().String()
+	}
+	if a.page != nil {
+		results, total, list = len(a.page.Results), a.page.Total, a.page.digest()
+	}
+	m.Log.V(1).Info("answer told", "job", q.job, "asked", q.kind, "after", q.after, "caller", q.byCaller, "status", status,
+		"results", results, "total", total, "list", strconv.FormatUint(list, 16), "age_ms", age.Milliseconds(), "source", string(a.source), "skipped", skipped)
+}
+
+// digest returns a checksum of the items of a page and how they ended. Pages of the same
+// positions have the same.
+func (p ResultPage) digest() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, listed := range p.Results {
+		state := "\x00errored\x00"
+		if listed.Done {
+			state = "\x00done\x00"
+		}
+		// A digest's writes never fail.
+		_, _ = d.WriteString(listed.ID)
+		_, _ = d.WriteString(state)
+	}
+	return d.Sum64()
+}
+
+// lineLimit bounds the lines of one kind a second. It is safe for concurrent use.
+type lineLimit struct {
+	mu     sync.Mutex
+	second int64
+	lines  int
+	// skipped is the number of lines left out since the last one that was not.
+	skipped int
+}
+
+// take reports whether a line may be written now and, if so, how many were left out
+// since the last one.
+func (l *lineLimit) take(now time.Time) (skipped int, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if second := now.Unix(); second != l.second {
+		l.second, l.lines = second, 0
+	}
+	if l.lines == maxToldLines {
+		l.skipped++
+		return 0, false
+	}
+	l.lines++
+	skipped, l.skipped = l.skipped, 0
+	return skipped, true
+}
