--- a/internal/batch/claim/search_test.go
+++ b/internal/batch/claim/search_test.go
@@ -23,6 +23,8 @@
 	searchResults = 2
 	searchPeriod  = 2
 	searchLate    = 2
+	// first is the serial of the acceptance.
+	first = 1
 )
 
 var searchDepth = flag.Int("claim.depth", 4, "steps of the search that must find nothing; each takes eight to ten times as long as the one before")
@@ -41,6 +43,7 @@
 	markDecidedOnce  fault = "the mark of a release is decided before the record is read again"
 	proofOneTooLong  fault = "a proof is valid at the end of its period"
 	sharedSerial     fault = "the end of a job bears the serial of another write"
+	lateAcceptance   fault = "an acceptance that is shown by a slow call proves its record"
 	takenBackAtStop  fault = "a host that stops takes a job back while its hand-over has no reply"
 )
 
@@ -190,6 +193,7 @@
 				}
 			}
 		}
+		s.accepted(from, int8(i))
 		if h.owns {
 			s.readRecord(from, int8(i))
 			to := from
@@ -338,6 +342,26 @@
 	s.visit(to, "a read of host %d", i)
 }
 
+// accepted is ownership.Manager.resolveAcceptConflict: the host that accepted the job
+// attempts it again, as it had no reply, and a slow call shows that it was done.
+func (s *search) accepted(from state, i int8) {
+	h := from.hosts[i]
+	switch {
+	case h.owns || h.stopping:
+	case h.read == 0 && from.store.writer == h.writer && from.store.serial == first:
+		from.hosts[i].read, from.hosts[i].answer = from.now, from.store
+		s.visit(from, "an acceptance by host %d", i)
+	case h.answer.writer == h.writer && h.answer.serial == first:
+		n := &from.hosts[i]
+		n.owns, n.known, n.claim = true, h.answer, s.newClaim(h.read)
+		n.read, n.answer = 0, record{}
+		if s.fault != lateAcceptance {
+			n.claim.Withdraw()
+		}
+		s.visit(from, "the reply to an acceptance by host %d", i)
+	}
+}
+
 // takeOver is ownership.Manager.tryTakeOver.
 func (s *search) takeOver(from state, i int8, o outcome) {
 	r := from.store
@@ -388,13 +412,13 @@
 // after the other, and none before them knows it.
 func explore(f fault, takeOvers int8, depth int) (found string, states int) {
 	s := &search{fault: f, seen: make(map[state]bool)}
-	first := state{now: 1, revisions: 1, store: record{revision: 1, serial: 1}}
-	for i := range first.hosts {
-		first.hosts[i].writer = int8(i)
+	start := state{now: 1, revisions: 1, store: record{revision: 1, serial: first}}
+	for i := range start.hosts {
+		start.hosts[i].writer = int8(i)
 	}
-	owner := &first.hosts[0]
-	owner.owns, owner.known, owner.claim, owner.lastSerial = true, first.store, s.newClaim(first.now), 1
-	s.visit(first, "the start")
+	owner := &start.hosts[0]
+	owner.owns, owner.known, owner.claim, owner.lastSerial = true, start.store, s.newClaim(start.now), first
+	s.visit(start, "the start")
 	for i := range takeOvers {
 		from := s.next[0]
 		s.next = nil
@@ -429,6 +453,7 @@
 		Entry(nil, proofOneTooLong, int8(0), 4),
 		Entry(nil, sharedSerial, int8(0), 2),
 		Entry(nil, takenBackAtStop, int8(0), 4),
+		Entry(nil, lateAcceptance, int8(0), 4),
 	)
 
 	DescribeTable("finds no denial of a listed result, and no result that is not listed, if", func(takeOvers int8) {
