Answers: judge unlisted pages wherever a line shows them listed

Now only a page that is beyond each listing is left out for that, and a host that was silent and went on, or stopped, has all its lines.

--- a/internal/operator/answers/answers.go
+++ b/internal/operator/answers/answers.go
@@ -26,10 +26,10 @@
 //
 // What is not judged: a body that is not found, as the line names no item, so the item
 // may be listed, or of no job; an answer by a host whose lines are missing; and unlisted
-// pages if lines may be missing: some were left out, or a host that owned the job was
-// silent or ended without notice, which takes its last lines along. A host that stands
-// still between the reading of a denial's age and its line makes the denial look younger
-// than it is: look for a pause before the line.
+// pages if lines may be missing: some were left out, or a host that owned the job ended
+// without notice, which takes its last lines along. A host that stands still between the
+// reading of a denial's age and its line makes the denial look younger than it is: look
+// for a pause before the line.
 //
 // Ages are whole milliseconds, cut off, so times that differ by no more are equal.
 package answers
@@ -104,7 +104,7 @@
 	// Dropped are lines that a host left out, Skipped answers without a line, Unreadable
 	// lines that were cut short.
 	Dropped, Skipped, Unreadable int
-	// NotJudged are pages that were not judged for positions that no record held, as lines
+	// NotJudged are pages with a position that no record held by any line, where the line
 	// may be missing.
 	NotJudged int
 }
@@ -112,7 +112,7 @@
 // Summary returns what was judged.
 func (r *Report) Summary() string {
 	return fmt.Sprintf("%d contradictions (%d told over %v late); judged: %d pages, %d denials of a position, %d of a job, %d pairs of a denial and a page, %d of a denial and a listing; "+
-		"missing: %d lines dropped, %d answers skipped, %d lines unreadable; %d pages not judged for unlisted results",
+		"missing: %d lines dropped, %d answers skipped, %d lines unreadable; %d pages with unlisted results not judged for that",
 		len(r.Contradictions), r.PastSettle, settlePeriod, r.Pages, r.Denials, r.Unknown, r.ShownPairs, r.ListedPairs, r.Dropped, r.Skipped, r.Unreadable, r.NotJudged)
 }
 
@@ -123,33 +123,58 @@
 
 	jobs                         map[string][]Line
 	dropped, skipped, unreadable int
-	// stopped has an entry for each host that was seen: whether it stopped since its start.
-	stopped map[string]bool
-	// unreliable are the hosts whose last lines may be missing.
-	unreliable map[string]bool
+	hosts                        map[string]*hostLines
+}
+
+// hostLines is what is known of the lines of a host.
+type hostLines struct {
+	// running is set between its start and its stop, left after the latter.
+	running, left bool
+	// ended is set if it started again without a stop before.
+	ended bool
+	// last is the time of its last line, silent when another host last missed it.
+	last, silent time.Time
+}
+
+// mayMiss reports whether the host's last lines may be missing.
+func (h *hostLines) mayMiss(tolerance time.Duration) bool {
+	return h.ended || !h.left && !h.silent.IsZero() && !h.last.After(h.silent.Add(tolerance))
+}
+
+// host returns what is known of the lines of a host.
+func (j *Judge) host(name string) *hostLines {
+	if j.hosts == nil {
+		j.hosts = make(map[string]*hostLines)
+	}
+	if j.hosts[name] == nil {
+		j.hosts[name] = new(hostLines)
+	}
+	return j.hosts[name]
 }
 
 // Add takes one line. Those of one host come in the order in which it wrote them.
 func (j *Judge) Add(l Line) {
-	if j.jobs == nil {
-		j.jobs, j.stopped, j.unreliable = make(map[string][]Line), make(map[string]bool), make(map[string]bool)
+	h := j.host(l.Host)
+	if l.At.After(h.last) {
+		h.last = l.At
 	}
 	switch l.Message {
 	case linesDropped:
 		j.dropped += l.Lines
 	case hostSeen:
-		if !l.Live {
-			j.unreliable[l.Other] = true
+		if other := j.host(l.Other); !l.Live && l.At.After(other.silent) {
+			other.silent = l.At
 		}
 	case started:
-		if stopped, seen := j.stopped[l.Host]; seen && !stopped {
-			j.unreliable[l.Host] = true
-		}
-		j.stopped[l.Host] = false
+		h.ended = h.ended || h.running
+		h.running, h.left = true, false
 	case stopped:
-		j.stopped[l.Host] = true
+		h.running, h.left = false, true
 	default:
 		j.skipped += l.Skipped
+		if j.jobs == nil {
+			j.jobs = make(map[string][]Line)
+		}
 		j.jobs[l.Job] = append(j.jobs[l.Job], l)
 	}
 }
@@ -225,19 +250,18 @@
 		if l.Message == answerTold {
 			continue
 		}
-		complete = complete && !j.unreliable[l.Host]
+		complete = complete && !j.host(l.Host).mayMiss(j.Tolerance)
 		if l.Listed > furthest.Listed {
 			furthest = l
 		}
 	}
 	for _, l := range lines {
-		if l.Results == 0 {
-			continue
-		}
-		if !complete {
-			r.NotJudged++
-		} else if l.After+l.Results > furthest.Listed {
+		switch {
+		case l.Results == 0 || l.After+l.Results <= furthest.Listed:
+		case complete:
 			r.Contradictions = append(r.Contradictions, Contradiction{Kind: Unlisted, Told: l, Shown: furthest})
+		default:
+			r.NotJudged++
 		}
 	}
 }
--- a/internal/operator/answers/answers_test.go
+++ b/internal/operator/answers/answers_test.go
@@ -153,6 +153,8 @@
 		Entry("with lines that a host left out", false, at(3, "b", "log lines dropped", `,"lines":2`)),
 		Entry("with answers without a line", false, strings.Replace(page(3, "b", 5, 0, 0, "e"), `"skipped":0`, `"skipped":4`, 1)),
 		Entry("with an owner that was silent", false, at(3, "b", "host seen", `,"host":"a","live":false`)),
+		Entry("with an owner that was silent and went on", true, at(3, "b", "host seen", `,"host":"a","live":false`), at(3.1, "a", "host seen", `,"host":"b","live":true`)),
+		Entry("with an owner that was silent after its stop", true, at(3, "a", "stopped", ""), at(4, "b", "host seen", `,"host":"a","live":false`)),
 		Entry("with an owner that was heard", true, at(3, "b", "host seen", `,"host":"a","live":true`)),
 		Entry("with another host that was silent", true, at(3, "b", "host seen", `,"host":"c","live":false`)),
 		Entry("with an owner that started again without a stop", false, at(-1, "a", "started", `,"host":"a"`), at(3, "a", "started", `,"host":"a"`)),
@@ -180,7 +182,7 @@
 			page(0.9, "b", 2, 0, 0, "e"), page(0.1, "b", 1, 0, 200, "e"), notFound(3, "b", "body", 0), notFound(0.1, "b", "end", 200),
 			at(3, "b", "log lines dropped", `,"lines":2`), `    3.0000 b {"level":"info","ts":"2026-07-15T19:12:28Z","msg":"answer to`+`{"level":"info","ts":"2026-07-15T19:12:28Z","msg":"results listed","jo`)
 		Expect(r.Contradictions).To(BeEmpty())
-		Expect(r).To(Equal(answers.Report{Pages: 4, Denials: 2, Unknown: 1, ShownPairs: 3, ListedPairs: 3, Dropped: 2, Unreadable: 2, NotJudged: 2}))
+		Expect(r).To(Equal(answers.Report{Pages: 4, Denials: 2, Unknown: 1, ShownPairs: 3, ListedPairs: 3, Dropped: 2, Unreadable: 2}))
 	})
 
 	It("reads the output of processes, one file a host", func() {
