--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -37,6 +37,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/batch/resultcache"
 	"github.com/kingcupquay/kingcupquay/internal/batch/stalled"
 	"github.com/kingcupquay/kingcupquay/internal/fleet/timer"
+	"github.com/kingcupquay/kingcupquay/internal/operator/logging"
 	"github.com/kingcupquay/kingcupquay/internal/operator/result"
 	"github.com/kingcupquay/kingcupquay/internal/operator/routes"
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
@@ -239,7 +240,7 @@
 	// cuts counts the runs that were cut by their causes.
 	cuts map[cutCause]*cutCounter
 	// toldLines limits the lines of answers that were told.
-	toldLines lineLimit
+	toldLines *logging.LineLimit
 	// lastSerial is the highest serial that newChange has assigned.
 	lastSerial int64
 	stopping   bool
@@ -268,7 +269,7 @@
 	return &Manager{
 		Options: o, jobs: make(map[string]*ownedJob), owners: make(map[string]string), keptUntil: make(map[string]time.Duration),
 		quotas: make(map[string]quotaUsage), backlogged: make(map[string]bool), cuts: make(map[cutCause]*cutCounter),
-		resultCache: resultcache.New(), stalledJobs: stalled.New(), closedAt: make(map[string]closedJob),
+		resultCache: resultcache.New(), toldLines: logging.NewLineLimit(maxToldLines), stalledJobs: stalled.New(), closedAt: make(map[string]closedJob),
 		trigger: make(chan struct{}, 1), scanTrigger: make(chan struct{}, 1), wakeFlush: make(chan struct{}, 1), done: make(chan struct{}),
 		ctx: ctx, cancelCtx: cancel,
 	}
--- a/internal/batch/ownership/telling.go
+++ b/internal/batch/ownership/telling.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -139,7 +138,7 @@
 // logTold writes the line of an answer that is about to be told. By these lines of all
 // hosts each denial can be compared with what had been told before.
 func (m *Manager) logTold(q question, a answer, age time.Duration, failure *result.Error) {
-	skipped, ok := m.toldLines.take(m.Timer.Now())
+	skipped, ok := m.toldLines.Take(m.Timer.Now())
 	if !ok {
 		return
 	}
@@ -173,29 +172,3 @@
 	}
 	return d.Sum64()
 }
-
-// lineLimit bounds the lines of one kind a second. It is safe for concurrent use.
-type lineLimit struct {
-	mu     sync.Mutex
-	second int64
-	lines  int
-	// skipped is the number of lines left out since the last one that was not.
-	skipped int
-}
-
-// take reports whether a line may be written now and, if so, how many were left out
-// since the last one.
-func (l *lineLimit) take(now time.Time) (skipped int, ok bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if second := now.Unix(); second != l.second {
-		l.second, l.lines = second, 0
-	}
-	if l.lines == maxToldLines {
-		l.skipped++
-		return 0, false
-	}
-	l.lines++
-	skipped, l.skipped = l.skipped, 0
-	return skipped, true
-}
