Hosts: a line for each connection that ends with a request unanswered

The connections of all listeners now keep, per request, the bytes read and written, the ID, the status of the answer and what ended reads and writes; Close reports those that end with a request read, or being read, and not answered completely: by whom and why, with the bytes that had come and were not read. It covers what net/http does by itself: heads that are late, too large or can't be read, panics, answers that are too short, writes that fail or take too long, Server.Close. Lines are limited to 100 a second for those of the host and 20 for others, and a counter has the causes. At a stop a line says how many idle connections were closed.

No answer and no close changes; no message, record or settings key does.

Specs: 17 ways, each on a new and on a kept connection, have their line with party and cause; 11 ends after an answer have none.

--- a/internal/fleet/drain/listener.go
+++ b/internal/fleet/drain/listener.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -23,6 +24,11 @@
 // use.
 type Listener struct {
 	net.Listener
+	// Closed is told of each connection that ends with a request read, or being read,
+	// that was not answered completely. It must not block. RequestID returns the ID of
+	// a request for that. Either may be nil, and they must be set before Serve.
+	Closed    func(Closing)
+	RequestID func(*http.Request) string
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -34,10 +40,14 @@
 	draining  bool
 	isDrained bool
 	drained   chan struct{}
+	// idleClosed is the number of connections that were ended since they were idle and
+	// draining.
+	idleClosed atomic.Int64
 }
 
 // Serve serves a listener's connections. It returns nil after Drain was called,
-// and otherwise the error of s.Serve. It sets s.ConnState and s.ConnContext.
+// and otherwise the error of s.Serve. It sets s.ConnState and s.ConnContext, and wraps
+// s.Handler.
 func Serve(s *http.Server, l *Listener) error {
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if accepted, ok := c.(*conn); ok && state == http.StateIdle {
@@ -45,6 +55,7 @@
 		}
 	}
 	s.ConnContext = withConn
+	s.Handler = handlerOf(l, s.Handler)
 	err := s.Serve(l)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -103,6 +114,10 @@
 	}
 }
 
+// IdleClosed returns how many connections were ended by Drain while no request had
+// come on them, as far as this host knows. Requests may have been on their way.
+func (l *Listener) IdleClosed() int { return int(l.idleClosed.Load()) }
+
 func (l *Listener) remove(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -133,6 +148,9 @@
 	draining bool
 	// readDeadline is the read deadline that the server set last.
 	readDeadline time.Time
+	// progress is that of the current request.
+	progress progress
+	closed   bool
 }
 
 // expiredDeadline is a read deadline that ends a blocked read at once.
@@ -145,14 +163,15 @@
 		return 0, io.EOF
 	}
 	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n == 0 && c.draining && !c.busy {
+		return 0, io.EOF
+	}
+	c.progress.noteRead(n, err)
 	if n == 0 {
-		if c.done() {
-			return 0, io.EOF
-		}
 		return 0, err
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.busy = true
 	if c.draining {
 		// These bytes were read while drain was called. Their request is served, so
@@ -162,6 +181,15 @@
 	return n, err
 }
 
+// Write writes to the connection.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.progress.noteWrite(p, n, err)
+	return n, err
+}
+
 // done reports whether the connection is draining and idle.
 func (c *conn) done() bool {
 	c.mu.Lock()
@@ -187,6 +215,7 @@
 	defer c.mu.Unlock()
 	c.draining = true
 	if !c.busy {
+		c.listener.idleClosed.Add(1)
 		_ = c.Conn.SetReadDeadline(expiredDeadline)
 	}
 }
@@ -196,7 +225,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = false
+	// What ended reads ends the connection, too.
+	c.progress = progress{readFailure: c.progress.readFailure}
 	if c.draining {
+		c.listener.idleClosed.Add(1)
 		_ = c.Conn.SetReadDeadline(expiredDeadline)
 	}
 }
@@ -204,9 +236,24 @@
 // Close closes the connection.
 func (c *conn) Close() error {
 	defer c.listener.remove(c)
+	if report, ok := c.beginClose(); ok && c.listener.Closed != nil {
+		c.listener.Closed(report)
+	}
 	return c.Conn.Close()
 }
 
+// beginClose returns what is reported of the first call of Close, and whether there is
+// anything.
+func (c *conn) beginClose() (Closing, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return Closing{}, false
+	}
+	c.closed = true
+	return c.closing()
+}
+
 // CloseWrite shuts down the writing side if the connection supports it.
 func (c *conn) CloseWrite() error {
 	if halfCloser, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -63,6 +63,8 @@
 	// that of the platform's readiness checks.
 	NewCallerHandler func(h *Host) http.Handler
 	NewReadyHandler  func(ready func() bool) http.Handler
+	// RequestID returns the ID of a caller's request.
+	RequestID func(r *http.Request) string
 }
 
 const (
@@ -134,6 +136,7 @@
 	// httpServers[i] serves listeners[i].
 	httpServers []*http.Server
 	listeners   []*drain.Listener
+	closedLines closedLines
 	expiry      *timer.Subscription
 	ctx         context.Context
 	cancel      context.CancelFunc
@@ -153,7 +156,7 @@
 func New(s *setup.Entry, log logr.Logger, t timer.Service, a Adapter) *Host {
 	ctx, cancel := context.WithCancel(context.Background())
 	a.Store = store.NewInstrumented(a.Store, t)
-	h := &Host{settings: s, timer: t, log: log, adapter: a, ctx: ctx, cancel: cancel, started: t.Now(), oddEntries: make(map[string]bool)}
+	h := &Host{settings: s, timer: t, log: log, adapter: a, ctx: ctx, cancel: cancel, started: t.Now(), oddEntries: make(map[string]bool), closedLines: newClosedLines()}
 	a.Servers = &reachObserver{Servers: &limitObserver{Servers: a.Servers, host: h}, host: h}
 	h.adapter.Servers = a.Servers
 	h.reach, h.passing = reach.NewTracker(), newPassing(h)
@@ -237,11 +240,11 @@
 // Start begins to serve on l. The host closes the sockets when it stops.
 func (h *Host) Start(l Listeners) {
 	h.notices = notice.NewExchange(h.timer, h.log, h.members, h.self, l.Notices, (*statusSource)(h))
-	h.serve(l.Peers, h.peers.handler())
-	h.serve(l.Callers, h.adapter.NewCallerHandler(h))
-	h.serve(l.Ready, h.adapter.NewReadyHandler(h.Ready))
+	h.serve("peers", l.Peers, h.peers.handler(), nil)
+	h.serve("callers", l.Callers, h.adapter.NewCallerHandler(h), h.adapter.RequestID)
+	h.serve("ready", l.Ready, h.adapter.NewReadyHandler(h.Ready), nil)
 	if l.Metrics != nil {
-		h.serve(l.Metrics, MetricsHandler())
+		h.serve("metrics", l.Metrics, MetricsHandler(), nil)
 	}
 	h.members.SetSeeds(h.timer.Now(), h.settings.Seeds)
 	h.notices.Start()
@@ -257,9 +260,10 @@
 	h.log.Info("started", "host", h.settings.Name, "zone", h.settings.Zone, "callers", h.settings.CallerAddress, "peers", h.settings.PeerAddress, "seeds", len(h.settings.Seeds))
 }
 
-func (h *Host) serve(l net.Listener, handler http.Handler) {
+func (h *Host) serve(name string, l net.Listener, handler http.Handler, requestID func(*http.Request) string) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes}
 	listener := drain.NewListener(l)
+	listener.Closed, listener.RequestID = h.logClosed(name), requestID
 	h.httpServers, h.listeners = append(h.httpServers, server), append(h.listeners, listener)
 	go func() {
 		if err := drain.Serve(server, listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
@@ -368,6 +372,7 @@
 	}
 	// Only requests that did not finish in time still have connections.
 	_ = h.httpServers[n].Close()
+	h.log.Info("idle connections closed", "address", h.listeners[n].Addr().String(), "connections", h.listeners[n].IdleClosed())
 }
 
 // applyConfig puts a configuration in force if it is newer than the current
