Ownership: an end of a job that the host does not own has a serial of its own

A record that this process wrote is recognised by its writer and serial. An end for another owner (endUnowned) rewrote the record with the serial after the one that it read, without counting it among this process's serials, and without the lock of writes. If this host took the job over while it ended it, its next write of results had the same serial: the host took the record of the end for that write. It then showed a result that was not in the store, and its next write undid an end that had been acknowledged.

The serial of a rewritten record is now assigned as that of every other change. Serials only have to rise, so records of and for earlier builds are as before.

--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -241,7 +241,7 @@
 	cuts map[cutCause]*cutCounter
 	// toldLines limits the lines of answers that were told.
 	toldLines *logging.LineLimit
-	// lastSerial is the highest serial that newChange has assigned.
+	// lastSerial is the highest serial of a change by this process.
 	lastSerial int64
 	stopping   bool
 
--- a/internal/batch/ownership/owning.go
+++ b/internal/batch/ownership/owning.go
@@ -298,7 +298,7 @@
 // that its revision is unchanged, and returns the record as written.
 func (m *Manager) rewriteRecord(ctx context.Context, r jobstate.Record, revision int64) (jobstate.Record, store.TxnResult, error) {
 	r.Writer, r.Released = m.Writer, false
-	r.Serial++
+	r.Serial = m.serialAfter(r.Serial)
 	text, err := r.Encode()
 	if err != nil {
 		return r, store.TxnResult{}, err
--- a/internal/batch/ownership/writing.go
+++ b/internal/batch/ownership/writing.go
@@ -121,10 +121,14 @@
 }
 
 // nextSerial returns a serial that no other change of this process has.
-func (m *Manager) nextSerial() int64 {
+func (m *Manager) nextSerial() int64 { return m.serialAfter(0) }
+
+// serialAfter is nextSerial for a record whose serial is known; that of the change is
+// higher.
+func (m *Manager) serialAfter(known int64) int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.lastSerial++
+	m.lastSerial = max(m.lastSerial, known) + 1
 	return m.lastSerial
 }
 
