--- a/internal/batch/ownership/give_up_test.go
+++ b/internal/batch/ownership/give_up_test.go
@@ -6,7 +6,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/kingcupquay/kingcupquay/internal/batch/jobstate")
+	"github.com/kingcupquay/kingcupquay/internal/batch/jobstate"
+)
 
 var _ = Describe("the time at which an item may be given up", func() {
 	// earlyResults returns how many results a job has shortly before its items may be given
