Jobs: the line of a lost job says how many results its record lists

An owner whose write of results took effect without a reply finds a longer list in the record and drops the job, 'listed further by a host that owned it in between', though no other host did.

The line has the number of results now, the judge takes it for a listing, and the cause says only what is known. The spec of the judge failed before.

--- a/internal/batch/ownership/kept.go
+++ b/internal/batch/ownership/kept.go
@@ -117,6 +117,6 @@
 	}
 	m.mu.Unlock()
 	if !complete {
-		m.drop(j, "its record no longer exists")
+		m.drop(j, "its record no longer exists", 0)
 	}
 }
--- a/internal/batch/ownership/recordcheck.go
+++ b/internal/batch/ownership/recordcheck.go
@@ -138,6 +138,8 @@
 	// another job was accepted under its ID.
 	newOwner string
 	outdated bool
+	// listed is the number of results in the record that was read, if it is the job's.
+	listed int
 }
 
 // beginCheck begins a read of a job's record or, with joined set, returns the one that is
@@ -189,9 +191,9 @@
 	switch {
 	case check.newOwner != "":
 		// The list of this host may be outdated, and a second read may fail.
-		m.drop(j, "owned by "+check.newOwner)
+		m.drop(j, "owned by "+check.newOwner, check.listed)
 	case check.outdated:
-		m.dropOutdated(j, listedFurther)
+		m.dropOutdated(j, listedFurther, check.listed)
 	case !check.maySend && check.err == nil:
 		m.refresh(id)
 	}
@@ -254,6 +256,9 @@
 		m.noteOpen(known.ID, began)
 	}
 	same := sameJob(r, known)
+	if same {
+		check.listed = r.Listed
+	}
 	switch {
 	case same && r.Owner == m.Host && !r.Ended && r.Listed <= known.Listed:
 		j.claim.Prove(began)
--- a/internal/batch/ownership/writing.go
+++ b/internal/batch/ownership/writing.go
@@ -265,7 +265,7 @@
 			return false
 		}
 		if !ok {
-			m.drop(c.j, "its record no longer exists")
+			m.drop(c.j, "its record no longer exists", 0)
 			continue
 		}
 		if e.ModRevision == c.revision {
@@ -282,18 +282,18 @@
 		case !sameJob(current, c.before):
 			cause := "another job was accepted under its ID"
 			if current.Owner == m.Host {
-				m.dropOutdated(c.j, cause)
+				m.dropOutdated(c.j, cause, 0)
 			} else {
-				m.drop(c.j, cause)
+				m.drop(c.j, cause, 0)
 			}
 		case current.Writer == c.after.Writer && current.Serial == c.after.Serial:
 			// The write took effect or, when called by refresh, the record has the
 			// content that this host last saw.
 			m.applyWrite([]change{c}, e.ModRevision, began)
 		case current.Owner != m.Host:
-			m.drop(c.j, "owned by "+current.Owner)
+			m.drop(c.j, "owned by "+current.Owner, current.Listed)
 		case current.Listed != c.before.Listed:
-			m.dropOutdated(c.j, listedFurther)
+			m.dropOutdated(c.j, listedFurther, current.Listed)
 		default:
 			m.mu.Lock()
 			c.j.revision = e.ModRevision
@@ -355,8 +355,9 @@
 	}
 }
 
-// drop removes a job that this host does not own any more and cancels its runs.
-func (m *Manager) drop(j *ownedJob, cause string) {
+// drop removes a job that this host does not own any more and cancels its runs; listed is
+// the number of results in the record that shows it, if it is the job's.
+func (m *Manager) drop(j *ownedJob, cause string, listed int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	id := j.job.Record().ID
@@ -365,19 +366,19 @@
 	if m.jobs[id] == j {
 		delete(m.jobs, id)
 		lostTotal.Inc()
-		m.Log.Info("job lost", "job", id, "cause", cause)
+		m.Log.Info("job lost", "job", id, "cause", cause, "listed", listed)
 	}
 }
 
 // listedFurther is why a job is dropped whose record has results that this host does
-// not know of.
-const listedFurther = "listed further by a host that owned it in between"
+// not know of. Its own write of them may have taken effect without a reply.
+const listedFurther = "its record lists further results"
 
 // dropOutdated drops a job whose record names this host as the owner but is not what
 // this host knows: another host owned the job in between, or another job was accepted
 // under its ID. The job is then taken over anew.
-func (m *Manager) dropOutdated(j *ownedJob, cause string) {
-	m.drop(j, cause)
+func (m *Manager) dropOutdated(j *ownedJob, cause string, listed int) {
+	m.drop(j, cause, listed)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.stopping {
--- a/internal/operator/answers/answers_test.go
+++ b/internal/operator/answers/answers_test.go
@@ -135,6 +135,8 @@
 		Entry("a page of a job that no record held results of", []answers.Kind{answers.Unlisted}, accepted(0, "a"), page(1, "a", 0, 1, 0, "x")),
 		Entry("a page with as much as the record held", nil, listed(0, "a", 3), page(1, "a", 2, 1, 0, "x")),
 		Entry("a page whose listing has a later line", nil, listed(0, "a", 3), page(1, "b", 2, 2, 0, "x"), listed(2, "a", 4)),
+		Entry("a page whose listing had no reply, which its owner finds later", nil,
+			listed(0, "a", 3), page(1, "b", 2, 2, 0, "x"), at(2, "a", "job lost", `,"cause":"its record lists further results","listed":4`)),
 		Entry("a page whose listing is found at a take-over", nil, listed(0, "a", 3), page(1, "b", 2, 2, 0, "x"), takenOver(20, "c", 4)),
 	)
 
--- a/internal/operator/answers/life.go
+++ b/internal/operator/answers/life.go
@@ -71,7 +71,7 @@
 // take adds a line; lines come in the order of time.
 func (f *life) take(l *Line) {
 	switch l.Message {
-	case resultsListed, jobTakenOver, jobHandedOver:
+	case resultsListed, jobTakenOver, jobHandedOver, jobLost:
 		f.listings = append(f.listings, l)
 	case jobAccepted:
 	case answerTold:
@@ -86,7 +86,8 @@
 	default:
 		return
 	}
-	if f.known == nil {
+	// The cause of a loss may be that the record no longer exists.
+	if f.known == nil && l.Message != jobLost {
 		f.known = l
 	}
 }
--- a/internal/operator/answers/lines.go
+++ b/internal/operator/answers/lines.go
@@ -20,6 +20,7 @@
 	jobAccepted   = "job accepted"
 	jobTakenOver  = "job taken over"
 	jobHandedOver = "job handed over"
+	jobLost       = "job lost"
 	jobRemoved    = "job removed"
 	jobNotRemoved = "job not removed"
 	linesDropped  = "log lines dropped"
@@ -182,7 +183,7 @@
 		message = message[:end]
 	}
 	switch string(message) {
-	case answerTold, resultsListed, jobAccepted, jobTakenOver, jobHandedOver, jobRemoved, jobNotRemoved, linesDropped, hostSeen, started, stopped:
+	case answerTold, resultsListed, jobAccepted, jobTakenOver, jobHandedOver, jobLost, jobRemoved, jobNotRemoved, linesDropped, hostSeen, started, stopped:
 		return true
 	}
 	return false
