Soak: plans in which all hosts end at one moment

The soak had no final fault: hosts died one at a time, so nothing showed what hosts tell that all start at once, take back jobs of their former lives and are disturbed again meanwhile.

--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -183,6 +183,26 @@
 		len(h.Requests), served, broken, takenUp, len(h.Runs), len(h.Drains), len(h.Jobs), pages, empty, v.unjudged)
 }
 
+// Told returns how many answers about jobs came in a period, and how many of them denied a
+// result or a job.
+func (h History) Told(from, to time.Duration) (answers, denials int) {
+	for _, j := range h.Jobs {
+		for _, p := range j.Pages {
+			if p.Came < from || p.Came > to {
+				continue
+			}
+			switch {
+			case p.Status == 404 || p.Status == 410 || p.Status == 200 && len(p.Results) == 0:
+				answers++
+				denials++
+			case p.Status == 200:
+				answers++
+			}
+		}
+	}
+	return answers, denials
+}
+
 // CrashSummary says how often each request that crashes servers ran, and how many of
 // its runs were late.
 func (h History) CrashSummary() string {
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -145,6 +145,8 @@
 	Faults []Fault
 	// FaultsEnd is when the last fault ends and recovery can begin.
 	FaultsEnd time.Duration
+	// Final is when all hosts end at one moment, 0 for never.
+	Final time.Duration
 	// Cells name the combinations of faults that the plan drew, if it draws any.
 	Cells []string
 }
