--- a/internal/operator/answers/answers.go
+++ b/internal/operator/answers/answers.go
@@ -83,10 +83,11 @@
 	if c.Shown.Message == "" {
 		return text + "; no host listed a result of the job"
 	}
+	text += "; but " + c.Shown.String()
 	if c.Kind == Changed || c.Kind == Unlisted {
-		return text + "; but " + c.Shown.String()
+		return text
 	}
-	return fmt.Sprintf("%s; but %.4f s before that was known, %s", text, c.Late.Seconds(), c.Shown)
+	return fmt.Sprintf("%s, %.4f s before that was known", text, c.Late.Seconds())
 }
 
 // Report is the outcome of a judgement.
--- a/internal/operator/answers/answers_test.go
+++ b/internal/operator/answers/answers_test.go
@@ -175,7 +175,7 @@
 		Expect(r.Contradictions[0].Late).To(Equal(1200 * time.Millisecond))
 		Expect(r.Contradictions[0].ToldLate()).To(Equal(1300 * time.Millisecond))
 		Expect(r.Contradictions[0].String()).To(Equal("denied: job j: 2.3000 b told no result at position 2 of 9, from memory, known 100 ms before; " +
-			"but 1.2000 s before that was known, 1.0000 a told 3 results from position 0 on of 9, from memory, checksum x"))
+			"but 1.0000 a told 3 results from position 0 on of 9, from memory, checksum x, 1.2000 s before that was known"))
 		Expect(r.PastSettle).To(Equal(1))
 	})
 
@@ -199,6 +199,6 @@
 		r := j.Report()
 		Expect(r.Contradictions).To(HaveLen(1))
 		Expect(r.Contradictions[0].String()).To(Equal("denied: job j: 2026-12-06T19:00:04.500400Z host-b told no result at position 0 of 9, from store, known 1500 ms before; " +
-			"but 0.5004 s before that was known, 2026-12-06T19:00:02.500000Z host-a told 1 results from position 0 on of 9, from memory, checksum x"))
+			"but 2026-12-06T19:00:02.500000Z host-a told 1 results from position 0 on of 9, from memory, checksum x, 0.5004 s before that was known"))
 	})
 })
--- a/internal/operator/command/answers_test.go
+++ b/internal/operator/command/answers_test.go
@@ -35,7 +35,7 @@
 	It("prints answers that contradict what another host told, and fails", func() {
 		code, out, errOut := judge(told(1, 2), told(3, 0)+taken)
 		Expect(code).To(Equal(1))
-		Expect(out).To(MatchRegexp(`^denied: job j: 2026-12-06T19:00:03.000000Z h-2 told no result at position 0 of 4.*; but 2.0000 s before that was known, 2026-12-06T19:00:01.000000Z h-1 told 2 results.*\n1 contradictions \(1 told over 1s late\)`))
+		Expect(out).To(MatchRegexp(`^denied: job j: 2026-12-06T19:00:03.000000Z h-2 told no result at position 0 of 4.*; but 2026-12-06T19:00:01.000000Z h-1 told 2 results.*, 2.0000 s before that was known\n1 contradictions \(1 told over 1s late\)`))
 		Expect(errOut).To(ContainSubstring("1 answers contradict other lines"))
 	})
 
