Ownership: no job becomes a host's own once it hands its jobs over

A host that stops removes its jobs from memory and writes records that name the heirs as owners and are marked as released, so that an heir lists at once. If the reply is lost, such a write may take effect seconds later. Meanwhile an acceptance without a reply, or a request to run the job that had passed the check for a stop, could find the record as this process had written it, and put the job back into memory: without a write, and with a fresh proof. Once the late write took effect, the host denied results that the heir had listed.

From the moment at which its jobs are removed for the hand-over, a host adds none, and says that it stops where it would take one over. Nothing is lost: no loop of it would run or pass on such a job. Its readers are served from the store, as those of the jobs that were handed over.

--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -244,6 +244,9 @@
 	// lastSerial is the highest serial of a change by this process.
 	lastSerial int64
 	stopping   bool
+	// handedOver is set once this host begins to hand its jobs over. No job becomes its
+	// own any more: the write that names the heir may take effect late.
+	handedOver bool
 
 	// stalledJobs, earlyScans, the number of consecutive early scans, and closedAt,
 	// the complete jobs in the store that were seen, are only used by scan.
@@ -437,12 +440,13 @@
 	m.wg.Wait()
 }
 
-// addOwned adds a job to those that this host owns and reports whether it was
-// new. The job may be present already: after an acceptance whose reply was lost, a
-// scan may find the record first. The caller holds m.mu.
+// addOwned adds a job to those that this host owns and reports whether it did. The
+// job may be present already: after an acceptance whose reply was lost, a scan may
+// find the record first. None is added once the jobs were handed over. The caller
+// holds m.mu.
 func (m *Manager) addOwned(job *jobstate.Job, revision int64, c *claim.Claim) bool {
 	id := job.Record().ID
-	if _, owned := m.jobs[id]; owned {
+	if _, owned := m.jobs[id]; owned || m.handedOver {
 		return false
 	}
 	m.jobs[id] = &ownedJob{job: job, revision: revision, claim: c, runs: make(map[int]*run), changed: make(chan struct{})}
--- a/internal/batch/ownership/owning.go
+++ b/internal/batch/ownership/owning.go
@@ -232,7 +232,10 @@
 	return err == nil || errors.Is(err, errRecordChanged)
 }
 
-var errRecordChanged = errors.New("its record changed meanwhile")
+var (
+	errRecordChanged = errors.New("its record changed meanwhile")
+	errStopping      = errors.New("this host stops")
+)
 
 func (m *Manager) tryTakeOver(ctx context.Context, id, formerOwner string) error {
 	m.writeMu.Lock()
@@ -248,9 +251,13 @@
 	}
 	m.mu.Lock()
 	_, owned := m.jobs[id]
+	handedOver := m.handedOver
 	m.mu.Unlock()
-	if owned || !r.Open() {
+	switch {
+	case owned || !r.Open():
 		return nil
+	case handedOver:
+		return errStopping
 	}
 	if r.Owner != formerOwner {
 		return errRecordChanged
@@ -383,7 +390,11 @@
 	if stopping {
 		return result.New(result.Stopping, "host %s stops", m.Host)
 	}
-	if err := m.tryTakeOver(ctx, id, m.Host); err != nil {
+	err := m.tryTakeOver(ctx, id, m.Host)
+	switch {
+	case errors.Is(err, errStopping):
+		return result.New(result.Stopping, "host %s stops", m.Host)
+	case err != nil:
 		return result.New(result.LeaseLost, "%v", err)
 	}
 	return nil
@@ -486,6 +497,7 @@
 	m.writeMu.Lock()
 	defer m.writeMu.Unlock()
 	m.mu.Lock()
+	m.handedOver = true
 	var group []change
 	for id, j := range m.jobs {
 		if j.job.Complete() {
