Ownership: an acceptance that is found in the store proves nothing

An acceptance without a reply is sent again. If the second attempt finds the record of the first, the job is added with a proof from the start of that attempt. Its reply may be late, and by then a scan, or a request to run the job, may have found the record, run the job, and handed it over to an heir that does not wait. The host then added the job again, with a valid proof, and denied what the heir had listed.

Such a job is now added without a proof. Its first denial, or first item, needs one read of the record, which shows the heir.

An acceptance with a late reply to its first attempt needs no change: whoever found the record before lists nothing for the period of a proof after that, and the acceptance's proof, which began earlier, has ended by then.

--- a/internal/batch/ownership/accept.go
+++ b/internal/batch/ownership/accept.go
@@ -149,7 +149,7 @@
 			m.pause(ctx, unknownOutcomeRetryDelay)
 			continue
 		case outcome.Succeeded:
-			m.finishAcceptance(sub, record, outcome.Revision, q, began)
+			m.finishAcceptance(sub, record, outcome.Revision, q, began, claim.New(m.proofPeriod(), began))
 			return nil
 		}
 		if done, failure := m.resolveAcceptConflict(ctx, sub, record, outcome.Current, q, began); done {
@@ -228,10 +228,10 @@
 
 // finishAcceptance takes a job into memory that the store has; began is when the
 // call began that showed it.
-func (m *Manager) finishAcceptance(sub Submission, record jobstate.Record, revision int64, q quotaUsage, began time.Duration) {
+func (m *Manager) finishAcceptance(sub Submission, record jobstate.Record, revision int64, q quotaUsage, began time.Duration, c *claim.Claim) {
 	acceptedTotal.Inc()
 	m.mu.Lock()
-	m.addOwned(jobstate.NewJob(record, sub.Items, nil), revision, claim.New(m.proofPeriod(), began))
+	m.addOwned(jobstate.NewJob(record, sub.Items, nil), revision, c)
 	m.noteOpen(sub.ID, began)
 	if sub.Route.TokenCap > 0 {
 		m.quotas[sub.Route.Name] = quotaUsage{Sum: q.Sum + record.Tokens, revision: revision}
@@ -253,7 +253,11 @@
 				return true, result.New(result.Internal, "%v", err).WithRan(result.RanMaybe)
 			}
 			if existing.Writer == record.Writer && existing.Serial == record.Serial {
-				m.finishAcceptance(sub, existing, e.ModRevision, quotaUsage{Sum: q.Sum, revision: 0}, began)
+				// This host may have found the record before and, since the call began, have
+				// handed the job over to an heir that does not wait.
+				c := claim.New(m.proofPeriod(), began)
+				c.Withdraw()
+				m.finishAcceptance(sub, existing, e.ModRevision, quotaUsage{Sum: q.Sum, revision: 0}, began, c)
 				return true, nil
 			}
 			m.LearnOwner(existing.Owner, []string{sub.ID})
