Ownership: a host that is started again retries a job whose record changed

At its start a host takes its jobs back, and tries again until it has them all. A record that changed between the read and the write counted as one that names another owner, and was not tried again. A late write of the host's own former life changes it too. Unless the host scans, the job then waited until a scanner found that nothing had changed for 4 s, and asked the host to run it.

Only a record that names another owner ends the attempts now. The next one reads it again.

The spec failed before: after 2 s the host did not own its job (reclaim_test.go).

--- a/internal/batch/ownership/owning.go
+++ b/internal/batch/ownership/owning.go
@@ -223,7 +223,7 @@
 func (m *Manager) assignedHere(id string) bool { return rendezvous.First(m.scanners(), id) == m.Host }
 
 // takeOver makes this host the owner of a job of formerOwner. It returns false
-// if it has to be tried again; a record that changed meanwhile needs no retry.
+// if it has to be tried again; a record that names another owner needs no retry.
 func (m *Manager) takeOver(ctx context.Context, id, formerOwner string) bool {
 	err := m.tryTakeOver(ctx, id, formerOwner)
 	if err != nil {
@@ -234,6 +234,7 @@
 
 var (
 	errRecordChanged = errors.New("its record changed meanwhile")
+	errWriteConflict = errors.New("its record changed before it was written")
 	errStopping      = errors.New("this host stops")
 )
 
@@ -272,7 +273,7 @@
 			return err
 		}
 		if !outcome.Succeeded {
-			return errRecordChanged
+			return errWriteConflict
 		}
 		revision = outcome.Revision
 	}
