--- a/internal/batch/claim/search_test.go
+++ b/internal/batch/claim/search_test.go
@@ -53,7 +53,7 @@
 	released, ended                         bool
 }
 
-// member is a host. Its fields are as in ownership.Manager and ownership.ownedJob.
+// member is a host: owns to lastSerial are as in ownership.Manager and ownership.ownedJob.
 type member struct {
 	owns                           bool
 	known                          record
--- a/internal/batch/ownership/accept.go
+++ b/internal/batch/ownership/accept.go
@@ -253,8 +253,8 @@
 				return true, result.New(result.Internal, "%v", err).WithRan(result.RanMaybe)
 			}
 			if existing.Writer == record.Writer && existing.Serial == record.Serial {
-				// This host may have found the record before and, since the call began, have
-				// handed the job over to an heir that does not wait.
+				// The conflict proves the record only as of some time during the call. This host
+				// may have handed the job over since, to an heir that lists at once.
 				c := claim.New(m.proofPeriod(), began)
 				c.Withdraw()
 				m.finishAcceptance(sub, existing, e.ModRevision, quotaUsage{Sum: q.Sum, revision: 0}, began, c)
--- a/internal/batch/ownership/writing.go
+++ b/internal/batch/ownership/writing.go
@@ -123,8 +123,7 @@
 // nextSerial returns a serial that no other change of this process has.
 func (m *Manager) nextSerial() int64 { return m.serialAfter(0) }
 
-// serialAfter is nextSerial for a record whose serial is known; that of the change is
-// higher.
+// serialAfter returns a serial above known that no other change of this process has.
 func (m *Manager) serialAfter(known int64) int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/fleet/drain/closing.go
+++ b/internal/fleet/drain/closing.go
@@ -73,8 +73,8 @@
 	Cause   Cause
 	// Status is that of the answer; it is 0 if none was begun.
 	Status int
-	// Read, Written and Unread are bytes since the last complete answer. Those in Unread
-	// had come and were not read.
+	// Read, Written and Unread are bytes since the last complete answer. Unread is how
+	// many received bytes were never read.
 	Read, Written, Unread int64
 	// After is the time since the first byte of the request.
 	After time.Duration
