--- a/internal/operator/answers/answers.go
+++ b/internal/operator/answers/answers.go
@@ -18,7 +18,9 @@
 //   - unknown: no such job after it was accepted, listed or told of, unless it was
 //     removed;
 //   - changed: two pages of the same positions that differ;
-//   - unlisted: a page with a position that no record of the job ever held.
+//   - unlisted: a page with a position that no record of the job ever held;
+//   - undone: an end of a job after which its record, at the same revision or a later
+//     one, is not ended.
 //
 // A job's ID may be accepted anew after the job was removed; that begins a new life, and
 // lines of two lives contradict nothing. The line of a removal comes after it, so an
@@ -60,6 +62,7 @@
 	Unknown  Kind = "unknown"
 	Changed  Kind = "changed"
 	Unlisted Kind = "unlisted"
+	Undone   Kind = "undone"
 )
 
 // Contradiction is an answer that other lines show to be wrong.
@@ -84,7 +87,7 @@
 		return text + "; no host listed a result of the job"
 	}
 	text += "; but " + c.Shown.String()
-	if c.Kind == Changed || c.Kind == Unlisted {
+	if c.Kind == Changed || c.Kind == Unlisted || c.Kind == Undone {
 		return text
 	}
 	return fmt.Sprintf("%s, %.4f s before that was known", text, c.Late.Seconds())
@@ -219,6 +222,14 @@
 			r.Contradictions = append(r.Contradictions, Contradiction{kind, *denial, *shown, late})
 		}
 	}
+	if f.ended != nil {
+		for _, l := range f.listings {
+			if l.Message != jobLost && !l.Ended && l.Revision >= f.ended.Revision {
+				r.Contradictions = append(r.Contradictions, Contradiction{Kind: Undone, Told: *f.ended, Shown: *l})
+				break
+			}
+		}
+	}
 	for _, d := range f.denials {
 		if d.Status != statusOK {
 			r.Unknown++
--- a/internal/operator/answers/answers_test.go
+++ b/internal/operator/answers/answers_test.go
@@ -32,6 +32,14 @@
 	return at(seconds, host, "results listed", fmt.Sprintf(`,"added":1,"listed":%d,"total":9,"ended":false,"revision":7`, n))
 }
 
+func listedAt(seconds float64, host string, revision int, ended bool) string {
+	return at(seconds, host, "results listed", fmt.Sprintf(`,"added":0,"listed":0,"total":9,"ended":%t,"revision":%d`, ended, revision))
+}
+
+func ended(seconds float64, host string, revision int) string {
+	return at(seconds, host, "job ended for its owner", fmt.Sprintf(`,"owner":"a","revision":%d`, revision))
+}
+
 func accepted(seconds float64, host string) string {
 	return at(seconds, host, "job accepted", `,"route":"r","items":9,"tokens":90,"revision":5`)
 }
@@ -140,6 +148,18 @@
 		Entry("a page whose listing is found at a take-over", nil, listed(0, "a", 3), page(1, "b", 2, 2, 0, "x"), takenOver(20, "c", 4)),
 	)
 
+	DescribeTable("finds an end that is undone",
+		func(want []answers.Kind, lines ...string) {
+			Expect(kinds(judge(0, append(lines, accepted(0, "a"))...))).To(Equal(want))
+		},
+		Entry("by a listing that took its record for its own", []answers.Kind{answers.Undone}, ended(1, "a", 9), listedAt(2, "a", 9, false)),
+		Entry("by a later listing", []answers.Kind{answers.Undone}, ended(1, "b", 9), listedAt(2, "a", 12, false)),
+		Entry("by its owner", []answers.Kind{answers.Undone}, listedAt(1, "a", 9, true), listedAt(2, "a", 12, false)),
+		Entry("not by a listing before it whose line comes later", nil, ended(1, "b", 9), listedAt(2, "a", 8, false)),
+		Entry("not by a listing that keeps it", nil, ended(1, "b", 9), listedAt(2, "a", 12, true)),
+		Entry("not by the next job of its ID", nil, ended(1, "b", 9), removed(200, "a"), accepted(201, "b"), listedAt(202, "b", 40, false)),
+	)
+
 	DescribeTable("does not judge unlisted pages if a listing's line may be missing",
 		func(judged bool, line ...string) {
 			r := judge(0, append(line, accepted(0, "a"), listed(1, "a", 3), page(2, "b", 0, 4, 0, "x"))...)
--- a/internal/operator/answers/life.go
+++ b/internal/operator/answers/life.go
@@ -24,6 +24,8 @@
 	// shown has an entry for each position up to the last that was shown.
 	shown    []position
 	listings []*Line
+	// ended is the line of the lowest revision at which the job was ended.
+	ended    *Line
 	denials  []*Line
 	pages    int
 	byExtent map[extent]*Line
@@ -70,10 +72,15 @@
 
 // take adds a line; lines come in the order of time.
 func (f *life) take(l *Line) {
+	if l.Message == jobEnded || l.Message == resultsListed && l.Ended {
+		if f.ended == nil || l.Revision < f.ended.Revision {
+			f.ended = l
+		}
+	}
 	switch l.Message {
 	case resultsListed, jobTakenOver, jobHandedOver, jobLost:
 		f.listings = append(f.listings, l)
-	case jobAccepted:
+	case jobAccepted, jobEnded:
 	case answerTold:
 		if l.denies() {
 			f.denials = append(f.denials, l)
--- a/internal/operator/answers/lines.go
+++ b/internal/operator/answers/lines.go
@@ -21,6 +21,7 @@
 	jobTakenOver  = "job taken over"
 	jobHandedOver = "job handed over"
 	jobLost       = "job lost"
+	jobEnded      = "job ended for its owner"
 	jobRemoved    = "job removed"
 	jobNotRemoved = "job not removed"
 	linesDropped  = "log lines dropped"
@@ -56,7 +57,10 @@
 	Skipped int    `json:"skipped"`
 
 	Listed int `json:"listed"`
-	Lines  int `json:"lines"`
+	// Revision is that of the job's record, Ended whether it says that the job was ended.
+	Revision int64 `json:"revision"`
+	Ended    bool  `json:"ended"`
+	Lines    int   `json:"lines"`
 	// Other is the host that a line is about, Live whether it was heard.
 	Other string `json:"host"`
 	Live  bool   `json:"live"`
@@ -86,7 +90,7 @@
 	text := fmt.Sprintf("%s %s ", l.clock(), l.Host)
 	switch {
 	case l.Message != answerTold:
-		return text + fmt.Sprintf("%q, %d listed of %d", l.Message, l.Listed, l.Total)
+		return text + fmt.Sprintf("%q, %d listed of %d, revision %d", l.Message, l.Listed, l.Total, l.Revision)
 	case l.Status != statusOK:
 		text += fmt.Sprintf("answered %q to %q", l.Status, l.Asked)
 	case l.Results == 0:
@@ -183,7 +187,7 @@
 		message = message[:end]
 	}
 	switch string(message) {
-	case answerTold, resultsListed, jobAccepted, jobTakenOver, jobHandedOver, jobLost, jobRemoved, jobNotRemoved, linesDropped, hostSeen, started, stopped:
+	case answerTold, resultsListed, jobAccepted, jobTakenOver, jobHandedOver, jobLost, jobEnded, jobRemoved, jobNotRemoved, linesDropped, hostSeen, started, stopped:
 		return true
 	}
 	return false
