--- a/internal/batch/claim/search_test.go
+++ b/internal/batch/claim/search_test.go
@@ -17,6 +17,9 @@
 // the model repeats only when package ownership calls them. In each state that can be
 // reached, no host may deny a result that the store lists, and none may show one that it
 // does not list.
+//
+// A write and its reply, and a take-over, are one step each. There are no groups of
+// jobs, no answers passed on, and no removal of the job.
 
 const (
 	searchHosts   = 3
