Jobs: the age of a denial is compared after its line is written

By its log the page had been decided and its line 'answer told' written right before the pause.

The age is compared once more after the line. The spec that holds the line and lets another host show the result failed before ('the answer has no result at a position that was read'), and passes. No record, message or settings key changes.

--- a/internal/batch/ownership/late_answer_test.go
+++ b/internal/batch/ownership/late_answer_test.go
@@ -1,6 +1,8 @@
 package ownership_test
 
 import (
+	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -82,6 +84,33 @@
 		Entry("for 0.6 s, after a wait", 600*time.Millisecond, time.Second),
 	)
 
+	// Guards against a comparison that is not the last step before the first byte.
+	It("does not contradict what was read while its line was written", func() {
+		f, r := newRead()
+		reached, opened := make(chan struct{}), make(chan struct{})
+		var once sync.Once
+		hold := func(line string) {
+			if strings.Contains(line, `"answer told"`) && strings.Contains(line, `"caller"=true`) {
+				once.Do(func() {
+					close(reached)
+					<-opened
+				})
+			}
+		}
+		f.beforeLine.Store(&hold)
+		answer := f.hosts["C"].ask(0, 0)
+		f.eventually(func(g Gomega) { g.Expect(reached).To(BeClosed()) })
+		none := func(string) {}
+		f.beforeLine.Store(&none)
+		close(f.servers.block)
+		r.readUntil(2, "D")
+		f.advance(time.Second)
+		close(opened)
+		a := f.await(answer)
+		expectNotDenied(a)
+		Expect(a.failure).To(BeNil())
+	})
+
 	// Guards against the page of an owner whose uptime jumped between the question and
 	// the decision.
 	It("does not contradict what was read if the owner says that it knew later than its page arrived", func() {
--- a/internal/batch/ownership/telling.go
+++ b/internal/batch/ownership/telling.go
@@ -121,6 +121,10 @@
 		age := m.Timer.Uptime() - a.knownAt
 		if !a.denies || age < m.tellPeriod() {
 			m.logTold(q, a, age, failure)
+			// The host may have stood still while it wrote the line.
+			age = m.Timer.Uptime() - a.knownAt
+		}
+		if !a.denies || age < m.tellPeriod() {
 			tell(a.text, failure)
 			return
 		}
--- a/internal/batch/ownership/world_test.go
+++ b/internal/batch/ownership/world_test.go
@@ -206,6 +206,8 @@
 	births   atomic.Int64
 	logMu    sync.Mutex
 	logLines []string
+	// beforeLine is called before a line is written; it is nil for nothing.
+	beforeLine atomic.Pointer[func(line string)]
 }
 
 // logged returns the lines with a message that the hosts wrote.
@@ -237,10 +239,13 @@
 
 func (f *fleet) newLog() logr.Logger {
 	return funcr.New(func(_, line string) {
+		if call := f.beforeLine.Load(); call != nil {
+			(*call)(line)
+		}
 		f.logMu.Lock()
 		defer f.logMu.Unlock()
 		f.logLines = append(f.logLines, line)
-	}, funcr.Options{})
+	}, funcr.Options{Verbosity: 1})
 }
 
 // rewrite changes a job's record in the store without notifying its owner.
