Soak: parts of prompts that crash servers, each request with a body of its own

The checker judges both: runs later than the window after the third crash of the part, none after the fifth, and the share of sound requests that begin at the first try.

--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -28,6 +28,10 @@
 	AtMostOnce bool
 	Service    string
 	Body       string
+	// Part is the part of the prompt on which servers crash, "" for none. Group says what
+	// a sound request has in common with those that crash servers.
+	Part  string
+	Group Group
 	// Want is the complete expected response, without the software versions that
 	// events may name.
 	Want string
@@ -54,9 +58,22 @@
 	Abandoned bool
 }
 
+// Group says what a sound request has in common with requests that crash servers.
+type Group uint8
+
+// The groups. Requests of the last two are sent in the same way.
+const (
+	NoGroup Group = iota
+	// Sharing has the first part of its prompt in common with them, Apart has nothing.
+	Sharing
+	Apart
+)
+
 // Run is one execution of a request or an item at a server.
 type Run struct {
 	ID, Server, Service, Body string
+	// Parts are the IDs of the parts of the prompt.
+	Parts []string
 	At                        time.Duration
 	// Deadline is the time that the request left the server, 0 if it named none.
 	Deadline time.Duration
@@ -144,8 +161,8 @@
 	Runs     []Run
 	Jobs     []Job
 	Drains   []Drain
-	// Crashing holds the bodies of requests and items that crash each server that runs
-	// them.
+	// Crashing holds the bodies of requests and items, and the parts of prompts, that crash
+	// each server that runs them.
 	Crashing map[string]bool
 	// CrashesEnd is when they crash no server any more, 0 for never.
 	CrashesEnd time.Duration
@@ -207,13 +224,51 @@
 // its runs were late.
 func (h History) CrashSummary() string {
 	var b strings.Builder
-	for _, body := range slices.Sorted(maps.Keys(h.Crashing)) {
-		runs := h.crashRuns(body)
-		fmt.Fprintf(&b, "; %s crashed %d servers, %d late", body, len(runs), len(h.lateRetries(runs)))
+	for _, name := range slices.Sorted(maps.Keys(h.Crashing)) {
+		runs := h.crashRuns(name)
+		fmt.Fprintf(&b, "; %s crashed %d servers, %d late, %d long after the fifth", name, len(runs), len(h.runsAfter(runs, condemningCrashes)), len(h.runsAfter(runs, lastCrashes)))
+	}
+	if sharing := h.share(Sharing); sharing.sent > 0 {
+		fmt.Fprintf(&b, "; sound requests with the same first part: %s, others: %s", sharing, h.share(Apart))
 	}
 	return b.String()
 }
 
+// share counts the requests of a group.
+type share struct {
+	sent, begun, served int
+}
+
+// String says how many of the requests had begun and how many were served.
+func (s share) String() string {
+	return fmt.Sprintf("%d of %d began at the first try, %d were served", s.begun, s.sent, s.served)
+}
+
+// share counts the requests of a group. Those that no host could read don't count.
+func (h History) share(g Group) share {
+	begun := make(map[string]bool)
+	for _, run := range h.Runs {
+		begun[run.ID] = true
+	}
+	var s share
+	for _, r := range h.Requests {
+		if r.Group != g || r.Unsent || r.Abandoned {
+			continue
+		}
+		s.sent++
+		if begun[r.ID] {
+			s.begun++
+		}
+		if r.Status == 200 && r.Complete {
+			s.served++
+		}
+	}
+	return s
+}
+
+// Sound reports whether a request is none of those that crash servers.
+func (h History) Sound(r Request) bool { return !h.Crashing[r.Body] && !h.Crashing[r.Part] }
+
 // Violation is one violated guarantee.
 type Violation struct {
 	// Rule is the short name of the guarantee. The violations are:
@@ -262,6 +317,12 @@
 	// crashWindow after the last of these.
 	condemningCrashes = 3
 	maxLateRetries    = 3
+	// lastCrashes is the number of crashes of a part of prompts after which, and after
+	// crashWindow, no request with the part may run.
+	lastCrashes = 5
+	// maxShareLoss is by how much the share of the requests that begin at the first try may
+	// be lower where these have a part in common with requests that crash servers.
+	maxShareLoss = 0.01
 	// maxClosed is how many requests that a server ran may end with a closed connection.
 	maxClosed = 3
 	// deadlineSlack is by how much a run may be given more time than is left.
@@ -392,7 +453,7 @@
 // fault other than an orderly operation could affect it.
 func (v *verifier) checkCompletion(r Request) {
 	complete := r.Complete && (r.Status == 200 || notRunStatuses[r.Status])
-	if complete || r.Unsent || r.Abandoned || v.Crashing[r.Body] || r.Version > 0 && r.Status == 404 {
+	if complete || r.Unsent || r.Abandoned || !v.Sound(r) || r.Version > 0 && r.Status == 404 {
 		return
 	}
 	if r.Status == 0 && len(v.runs[r.ID]) == 0 && r.Ended-r.Sent <= closeRaceWindow {
@@ -633,21 +694,32 @@
 }
 
 // checkCrashes checks that requests that crash servers are kept away from them, by
-// hosts that were in touch, once they have crashed a few.
+// hosts that were in touch, once they have crashed a few, and that sound requests are not.
 func (v *verifier) checkCrashes() {
-	for body := range v.Crashing {
-		runs := v.crashRuns(body)
-		if late := v.lateRetries(runs); len(late) > maxLateRetries {
-			v.report("budget", "a request with body %s crashed %d servers, %d of them later than %s after the third at %s", body, len(runs), len(late), crashWindow, runs[condemningCrashes-1].At)
+	for name := range v.Crashing {
+		runs := v.crashRuns(name)
+		if late := v.runsAfter(runs, condemningCrashes); len(late) > maxLateRetries {
+			v.report("budget", "a request with %s crashed %d servers, %d of them later than %s after the third at %s", name, len(runs), len(late), crashWindow, runs[condemningCrashes-1].At)
+		}
+		if late := v.runsAfter(runs, lastCrashes); len(late) > 0 && len(runs[0].Parts) > 0 {
+			v.report("budget", "%d tries with part %s began at servers later than %s after its fifth crash at %s (%d crashes in all)", len(late), name, crashWindow, runs[lastCrashes-1].At, len(runs))
 		}
 	}
+	sharing, apart := v.share(Sharing), v.share(Apart)
+	if sharing.sent > 0 && sharing.lost() > apart.lost()+maxShareLoss {
+		v.report("lost", "sound requests with the same first part: %s; others: %s", sharing, apart)
+	}
 }
 
-// crashRuns returns the runs of a request that crashes servers, the earliest first.
-func (h History) crashRuns(body string) []Run {
+// lost returns the share of the requests that did not begin at the first try.
+func (s share) lost() float64 { return float64(s.sent-s.begun) / float64(max(1, s.sent)) }
+
+// crashRuns returns the runs of requests with a body or part that crashes servers, the
+// earliest first.
+func (h History) crashRuns(name string) []Run {
 	var runs []Run
 	for _, run := range h.Runs {
-		if run.Body == body && (h.CrashesEnd == 0 || run.At < h.CrashesEnd) {
+		if (run.Body == name || slices.Contains(run.Parts, name)) && (h.CrashesEnd == 0 || run.At < h.CrashesEnd) {
 			runs = append(runs, run)
 		}
 	}
@@ -655,16 +727,16 @@
 	return runs
 }
 
-// lateRetries returns which runs of a request that crashes servers came later than
-// crashWindow after the crash that should have condemned it, through hosts in touch.
-func (h History) lateRetries(runs []Run) []Run {
-	if len(runs) <= condemningCrashes {
+// runsAfter returns which runs of requests that crash servers came later than
+// crashWindow after the nth crash, through hosts in touch.
+func (h History) runsAfter(runs []Run, n int) []Run {
+	if len(runs) <= n {
 		return nil
 	}
-	condemned := runs[condemningCrashes-1].At
+	condemned := runs[n-1].At
 	hosts := h.hostsOfRequests()
 	var late []Run
-	for _, run := range runs[condemningCrashes:] {
+	for _, run := range runs[n:] {
 		host, known := hosts[run.ID]
 		if !known {
 			// Some host that owned the item's job sent it.
