Suspects: a part is accused whether or not an answer had begun; runs that get further clear it

Cause: only calls whose answer had begun and had brought fewer than two events accused their parts. On a unary route the head comes with the whole answer, so nothing was ever accused there, and on streams nothing before the head; two events cleared a part, also one that crashes its servers later. The rule was read off servers that send a head before they crash.

To accuse every lost call alone blames new parts that many callers ask about at once when servers end by themselves. What tells them apart is that a part that crashes servers crashes each one at some point of its run: a run with it elsewhere that is still there beyond that point refutes it. So records say how far runs got at each server that ended, and a run that got further removes that end from the record: by two events and by its time, or, without any event, by its time at two servers that can be reached.

Specs replaced: a prompt without a head, or with two events, accuses now; many events of an answer that is cut off clear only what ended sooner (forwarder_test.go). The new ones of guard_test.go fail before.

--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -172,6 +172,7 @@
 	h.suspectsKeeper = newSuspectsKeeper(h)
 	h.origins = newOrigins(h)
 	servers := crash.NewDetector(t, log, a.Servers, h.directory, h.suspects)
+	h.suspects.SetReaches(servers.Reaches)
 	h.forwarder = forward.New(t, log, servers, h.directory, h.slots, h.suspects, h.origins, (*stopAdmission)(h))
 	h.forwarder.SetPeers(h.passing)
 	if s.MemoryMB > 0 {
--- a/internal/fleet/entry/suspects_test.go
+++ b/internal/fleet/entry/suspects_test.go
@@ -75,7 +75,7 @@
 	It("learn of a condemnation with the first crash that they see themselves", func() {
 		bad := &exchange.Call{ID: "1", Target: "/x", Body: []byte("bad")}
 		crash := func(h *Host, server string) {
-			h.suspects.Lost(bad, server, clock.Now(), true, 7)
+			h.suspects.Lost(bad, server, clock.Now(), 7)
 			h.suspects.Ended(server)
 		}
 		alone := hosts[1]
@@ -103,7 +103,7 @@
 		go alone.suspectsKeeper.run()
 		defer alone.cancel()
 		crash := func(server string) {
-			alone.suspects.Lost(&exchange.Call{ID: "1", Body: []byte("bad")}, server, clock.Now(), true, 7)
+			alone.suspects.Lost(&exchange.Call{ID: "1", Body: []byte("bad")}, server, clock.Now(), 7)
 			alone.suspects.Ended(server)
 		}
 		stepUntil := func(reached func() bool) {
--- a/internal/fleet/notice/codec.go
+++ b/internal/fleet/notice/codec.go
@@ -299,9 +299,13 @@
 func encodeSuspects(reports []suspect.Report) []*wire.SuspectPart {
 	list := make([]*wire.SuspectPart, 0, len(reports))
 	for _, r := range reports {
-		list = append(list, &wire.SuspectPart{
+		part := &wire.SuspectPart{
 			Part: r.Part, Depth: int32(r.Depth), Version: r.Version, Servers: r.Servers, Trials: uint32(r.Trials), ExpiresInMs: uint32(r.ExpiresIn.Milliseconds()),
-		})
+		}
+		for _, run := range r.Runs {
+			part.Runs = append(part.Runs, &wire.SuspectRun{TimeMs: uint32(run.Time.Milliseconds()), Events: uint32(min(run.Events, maxCount))})
+		}
+		list = append(list, part)
 	}
 	return list
 }
@@ -309,10 +313,14 @@
 func decodeSuspects(list []*wire.SuspectPart) []suspect.Report {
 	var reports []suspect.Report
 	for _, s := range list {
-		reports = append(reports, suspect.Report{
+		report := suspect.Report{
 			Part: s.GetPart(), Depth: int(s.GetDepth()), Version: s.GetVersion(), Servers: s.GetServers(), Trials: int(min(s.GetTrials(), maxCount)),
 			ExpiresIn: milliseconds(s.GetExpiresInMs()),
-		})
+		}
+		for _, run := range s.GetRuns() {
+			report.Runs = append(report.Runs, suspect.Progress{Time: milliseconds(run.GetTimeMs()), Events: int(min(run.GetEvents(), maxCount))})
+		}
+		reports = append(reports, report)
 	}
 	return reports
 }
--- a/internal/fleet/notice/relay_test.go
+++ b/internal/fleet/notice/relay_test.go
@@ -344,7 +344,7 @@
 		f.run(4 * time.Second)
 		f.relay("a", 0).down = true
 		for i, name := range []string{"a-05:1", "a-11:1", "a-17:1"} {
-			f.hosts[name].suspects.RecordCrash(f.clock.Now(), []string{"first", "bad"}, fmt.Sprint("s", i))
+			f.hosts[name].suspects.RecordCrash(f.clock.Now(), []string{"first", "bad"}, fmt.Sprint("s", i), suspect.Progress{})
 		}
 		f.run(time.Second)
 		f.add("a-late", "a", 192)
--- a/internal/serving/crash/detector.go
+++ b/internal/serving/crash/detector.go
@@ -193,6 +193,13 @@
 	return false
 }
 
+// Reaches reports whether a new connection to a listed start of a server can be opened.
+func (d *Detector) Reaches(start string) bool {
+	listed := d.listed()
+	i := slices.IndexFunc(listed, func(s backend.Server) bool { return s.Start() == start })
+	return i >= 0 && d.reaches(context.Background(), listed[i])
+}
+
 // reaches reports whether a new connection to a server can be opened.
 func (d *Detector) reaches(ctx context.Context, s backend.Server) bool {
 	opened := false
--- a/internal/serving/crash/detector_test.go
+++ b/internal/serving/crash/detector_test.go
@@ -130,7 +130,7 @@
 		}
 		n.setRefusing("a3 a4")
 		for _, id := range strings.Fields("a3 a4") {
-			guard.Lost(&exchange.Call{ID: id, Body: []byte(id)}, servers[id].Start(), clock.Now(), false, 0)
+			guard.Lost(&exchange.Call{ID: id, Body: []byte(id)}, servers[id].Start(), clock.Now(), 0)
 			Expect(d.Crashed(context.Background(), servers[id])).To(BeTrue(), id)
 			guard.Ended(servers[id].Start())
 		}
--- a/internal/serving/forward/forwarder.go
+++ b/internal/serving/forward/forwarder.go
@@ -229,6 +229,8 @@
 	events int
 	// crashed is set if the server crashed under the call.
 	crashed bool
+	// run is the run at the server as the suspects know it, nil if another host sent it.
+	run *suspect.Run
 	// ended is set once the outcome was reported to the slots.
 	ended  bool
 	cancel context.CancelFunc
@@ -264,7 +266,7 @@
 // send sends a call to the server that place picked.
 func (f *Forwarder) send(ctx context.Context, c *exchange.Call, choice scheduler.Choice, resume exchange.Resume) *attempt {
 	ctx, cancel := context.WithCancel(exchange.WithCheck(ctx, func() bool { return f.directory.Offers(choice.Server) }))
-	a := &attempt{choice: choice, server: choice.Server, started: f.timer.Now(), resumed: resume.Set, cancel: cancel}
+	a := &attempt{choice: choice, server: choice.Server, started: f.timer.Now(), resumed: resume.Set, run: f.suspects.Sent(c, choice.Server.Start()), cancel: cancel}
 	a.reply, a.err = f.servers.Send(ctx, choice.Server, c, resume, f.remaining(c))
 	var failed *exchange.SendError
 	if errors.As(a.err, &failed) {
@@ -282,6 +284,7 @@
 		return
 	}
 	a.ended = true
+	f.suspects.Gone(a.run)
 	a.cancel()
 	if a.reply != nil {
 		_ = a.reply.Body.Close()
@@ -306,7 +309,8 @@
 		return
 	}
 	start := a.server.Start()
-	f.suspects.Lost(c, start, a.started, a.reply != nil, a.events)
+	f.suspects.Gone(a.run)
+	f.suspects.Lost(c, start, a.started, a.events)
 	if a.crashed = f.servers.Crashed(context.WithoutCancel(ctx), a.server); a.crashed {
 		f.suspects.Ended(start)
 		return
@@ -319,7 +323,7 @@
 	if a.events == 0 && n > 0 {
 		f.suspects.Alive(a.server.Start(), a.started)
 	}
-	f.suspects.Answering(c, a.events, a.events+n)
+	f.suspects.Answering(c, a.run, a.events+n)
 }
 
 // outcomeOf classifies an attempt that returned no usable reply. If the address
--- a/internal/serving/forward/forwarder_test.go
+++ b/internal/serving/forward/forwarder_test.go
@@ -698,7 +698,7 @@
 		Expect(failure.RetryAfter()).To(BeNumerically(">", 0))
 	})
 
-	DescribeTable("accuses the parts of a prompt under which a server went down when it had begun to answer",
+	DescribeTable("accuses the parts of a prompt under which a server went down, however far its answer had got",
 		func(down, cutOff, accused bool, first scriptedReply) {
 			servers := &scriptedServers{down: down, cutOff: cutOff, replies: []scriptedReply{first, {body: numberedEvents(1, 1), truncated: true}}}
 			guard := newGuard()
@@ -711,8 +711,9 @@
 		},
 		Entry("head only", true, false, true, scriptedReply{truncated: true}),
 		Entry("one event", true, false, true, scriptedReply{body: numberedEvents(1, 1), truncated: true}),
-		Entry("two events", true, false, false, scriptedReply{body: numberedEvents(1, 2), truncated: true}),
-		Entry("no head", true, false, false, scriptedReply{lost: true}),
+		Entry("two events", true, false, true, scriptedReply{body: numberedEvents(1, 2), truncated: true}),
+		Entry("no head", true, false, true, scriptedReply{lost: true}),
+		Entry("no head, while all servers refuse connections", true, true, false, scriptedReply{lost: true}),
 		Entry("head only, while all servers refuse connections", true, true, false, scriptedReply{truncated: true}),
 		Entry("a server that is up", false, false, false, scriptedReply{truncated: true}),
 	)
@@ -827,17 +828,20 @@
 		Expect(servers.sent).To(HaveLen(3))
 	})
 
-	DescribeTable("clears the parts of a prompt that a server answers", func(reply scriptedReply) {
+	DescribeTable("clears the parts of a prompt that a server answers, or answers further than one that went down", func(lost suspect.Progress, cleared bool, reply scriptedReply) {
 		servers := &scriptedServers{replies: []scriptedReply{reply}}
 		guard := newGuard()
-		guard.Merge([]suspect.Report{{Part: "part", Servers: []string{"x"}, ExpiresIn: time.Hour}})
+		guard.Merge([]suspect.Report{{Part: "part", Servers: []string{"x"}, Runs: []suspect.Progress{lost}, ExpiresIn: time.Hour}})
 		f, _ := newForwarder(servers, 1, guard)
 		route := routes.Route{Kind: routes.Stream, MaxAttempts: 1, Shares: []routes.Share{{Service: "s", Weight: 1}}}
 		_, _ = f.Serve(context.Background(), &exchange.Call{ID: "1", Route: &route, SharedParts: []string{"part"}, Received: time.Now()}, &recordingWriter{})
-		Expect(guard.Accused()).To(BeEmpty())
+		Expect(len(guard.Accused()) == 0).To(Equal(cleared))
 	},
-		Entry("one event", scriptedReply{body: numberedEvents(1, 1)}),
-		Entry("many events at once", scriptedReply{body: numberedEvents(1, 9)}),
-		Entry("many events, then cut off", scriptedReply{body: numberedEvents(1, 9), truncated: true}),
+		Entry("one event", suspect.Progress{}, true, scriptedReply{body: numberedEvents(1, 1)}),
+		Entry("many events at once", suspect.Progress{Time: time.Hour, Events: 90}, true, scriptedReply{body: numberedEvents(1, 9)}),
+		Entry("many events, then cut off", suspect.Progress{Time: 1, Events: 7}, true, scriptedReply{body: numberedEvents(1, 9), truncated: true}),
+		Entry("fewer events, then cut off", suspect.Progress{Time: 1, Events: 8}, false, scriptedReply{body: numberedEvents(1, 9), truncated: true}),
+		Entry("many events, then cut off sooner", suspect.Progress{Time: time.Hour, Events: 7}, false, scriptedReply{body: numberedEvents(1, 9), truncated: true}),
+		Entry("many events, then cut off, and a host that does not say how far it got", suspect.Progress{}, false, scriptedReply{body: numberedEvents(1, 9), truncated: true}),
 	)
 })
--- a/internal/serving/suspect/guard.go
+++ b/internal/serving/suspect/guard.go
@@ -15,14 +15,14 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
 )
 
-// soundEvents is the number of events that prove the parts of a prompt to be sound.
-// They prove nothing of the body, which may crash the server at a later event.
-const soundEvents = 2
-
 // minRetryAfter is the least retry delay of a refusal. The delay is otherwise the
 // time until the next trial of the part.
 const minRetryAfter = time.Second
 
+// silentInterval is the interval at which runs without events are compared with those at
+// servers that ended.
+const silentInterval = 100 * time.Millisecond
+
 var (
 	accusedTotal   = metrics.NewCounter("kingcupquay_suspect_accused_total")
 	condemnedTotal = metrics.NewCounter("kingcupquay_suspect_condemned_total")
@@ -79,18 +79,27 @@
 	// registry is protected by mu, which is not held during calls of the Fleet's
 	// ShareSoon and KeepSoon.
 	registry *Registry
+	// watching is set while runs without events are compared at each silentInterval;
+	// protected by mu.
+	watching bool
+	// reaches reports whether a start of a server can be reached.
+	reaches func(start string) bool
 }
 
 // NewGuard returns a guard without records.
 func NewGuard(t timer.Service, log logr.Logger, fleet Fleet) *Guard {
-	return &Guard{timer: t, log: log, fleet: fleet, registry: NewRegistry()}
+	return &Guard{timer: t, log: log, fleet: fleet, registry: NewRegistry(), reaches: func(string) bool { return true }}
 }
 
-// subjects returns what a call can be refused for: the shared parts of its prompt
-// and its body.
-func subjects(c *exchange.Call) []string {
-	return append(slices.Clone(c.SharedParts), bodyName(c))
-}
+// SetReaches sets how the guard asks whether a start of a server can be reached, before
+// the first call.
+func (g *Guard) SetReaches(reaches func(start string) bool) { g.reaches = reaches }
+
+// subjects returns what a call can be refused for: the parts of its prompt and its body.
+func subjects(c *exchange.Call) []string { return append(partsOf(c), bodyName(c)) }
+
+// partsOf returns the shared parts of a call's prompt.
+func partsOf(c *exchange.Call) []string { return slices.Clone(c.SharedParts) }
 
 // bodyName returns the name of the record of a call's body.
 func bodyName(c *exchange.Call) string { return "body/" + strconv.FormatUint(c.ContentHash(), 16) }
@@ -161,32 +170,104 @@
 	return trial, onTrial, nil
 }
 
-// Answering reports that a server that had sent before events of its answer has
-// sent after of them now.
-func (g *Guard) Answering(c *exchange.Call, before, after int) {
-	if before < soundEvents && after >= soundEvents {
-		g.clear(c, false)
+// Sent reports that a call is being sent to a start of a server. It returns nil for a call
+// without parts.
+func (g *Guard) Sent(c *exchange.Call, server string) *Run {
+	parts := partsOf(c)
+	if len(parts) == 0 {
+		return nil
+	}
+	r := &Run{server: server, parts: parts, sentAt: g.timer.Now()}
+	g.mu.Lock()
+	g.registry.BeginRun(r)
+	g.mu.Unlock()
+	g.watchSilent()
+	return r
+}
+
+// Gone reports that a run ended, in whichever way. Only the first call has an effect.
+func (g *Guard) Gone(r *Run) {
+	if r == nil {
+		return
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.registry.EndRun(r)
 }
 
-// Answered reports that a server has answered a call to its end. provesSound is not set
-// if it only went on from another server, and not as far as that one got.
-func (g *Guard) Answered(c *exchange.Call, provesSound bool) { g.clear(c, provesSound) }
+// Answering reports that the run of a call has brought so many events in all.
+func (g *Guard) Answering(c *exchange.Call, r *Run, events int) {
+	if r == nil {
+		return
+	}
+	now := g.timer.Now()
+	g.mu.Lock()
+	refuted := g.registry.RecordEvents(now, r, events)
+	g.mu.Unlock()
+	g.reportRefuted(refuted, c.ID)
+}
 
-// clear withdraws the accusation of the parts of a call and, if the answer proves it
-// sound, of its body.
-func (g *Guard) clear(c *exchange.Call, body bool) {
+// Answered reports that a server has answered a call to its end, which withdraws the
+// accusation of its parts and its body. provesSound is not set if the server only went on
+// from another one, and not as far as that one got; it then withdraws nothing.
+func (g *Guard) Answered(c *exchange.Call, provesSound bool) {
+	if !provesSound {
+		return
+	}
 	now := g.timer.Now()
 	g.mu.Lock()
 	var withdrawn []Record
-	if body && g.registry.ClearedByAnswers(now) {
+	if g.registry.ClearedByAnswers(now) {
 		withdrawn = g.registry.RecordBodyAnswer(now, bodyName(c))
 	}
-	withdrawn = append(withdrawn, g.registry.RecordAnswer(now, c.SharedParts)...)
+	withdrawn = append(withdrawn, g.registry.RecordAnswer(now, partsOf(c))...)
 	g.mu.Unlock()
 	g.reportWithdrawn(withdrawn, c.ID)
 }
 
+// watchSilent compares runs without events with those at servers that ended, for as long
+// as one has an accused part.
+func (g *Guard) watchSilent() {
+	now := g.timer.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.watching {
+		return
+	}
+	if _, again := g.registry.Silent(now); again {
+		g.watching = true
+		g.timer.After(silentInterval, func(time.Time) { go g.compareSilent() })
+	}
+}
+
+// compareSilent is one comparison.
+func (g *Guard) compareSilent() {
+	g.mu.Lock()
+	servers, _ := g.registry.Silent(g.timer.Now())
+	g.mu.Unlock()
+	reached := servers
+	if len(servers) >= minSilentServers {
+		reached = slices.DeleteFunc(servers, func(s string) bool { return !g.reaches(s) })
+	}
+	now := g.timer.Now()
+	g.mu.Lock()
+	refuted := g.registry.RecordReached(now, reached)
+	g.watching = false
+	g.mu.Unlock()
+	g.reportRefuted(refuted, "")
+	g.watchSilent()
+}
+
+// reportRefuted logs and spreads records of which a run refuted ends.
+func (g *Guard) reportRefuted(refuted []Record, request string) {
+	for _, r := range refuted {
+		g.log.Info("ends not caused by a part", "part", r.Part, "request", request, "servers_left", r.Servers, "version", r.Version, "cause", "a run with it got further elsewhere")
+	}
+	if len(refuted) > 0 {
+		g.spread()
+	}
+}
+
 // reportWithdrawn logs and spreads accusations that the answer to a request withdrew.
 func (g *Guard) reportWithdrawn(withdrawn []Record, request string) {
 	for _, r := range withdrawn {
@@ -206,13 +287,10 @@
 }
 
 // Lost remembers a call that was sent at a time and lost with its connection to a
-// server, until Ended is called for the server. begun is set if the server had begun to
-// answer, and events is how many events of the answer it had sent.
-func (g *Guard) Lost(c *exchange.Call, server string, sentAt time.Time, begun bool, events int) {
-	l := Loss{Server: server, Request: c.ID, Body: bodyName(c), SentAt: sentAt, At: g.timer.Now()}
-	if begun && events < soundEvents {
-		l.Parts = c.SharedParts
-	}
+// server, until Ended is called for the server. events is how many events of the answer
+// the server had sent.
+func (g *Guard) Lost(c *exchange.Call, server string, sentAt time.Time, events int) {
+	l := Loss{Server: server, Request: c.ID, Parts: c.SharedParts, Body: bodyName(c), Events: events, SentAt: sentAt, At: g.timer.Now()}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.registry.RecordLoss(l)
@@ -226,7 +304,7 @@
 	lost := g.registry.RecordEnd(now, server)
 	accusations := make([][]Record, len(lost))
 	for i, l := range lost {
-		accusations[i] = append(g.registry.RecordCrash(now, l.Parts, server), g.registry.RecordBodyCrash(now, l.Body, server)...)
+		accusations[i] = append(g.registry.RecordCrash(now, l.Parts, server, l.progress()), g.registry.RecordBodyCrash(now, l.Body, server)...)
 	}
 	g.mu.Unlock()
 	changed := false
@@ -240,6 +318,7 @@
 		g.spread()
 		// Hosts from which this one is cut off may have condemned the part.
 		g.fleet.LearnSoon()
+		g.watchSilent()
 	}
 }
 
@@ -279,6 +358,7 @@
 	g.mu.Unlock()
 	if changed {
 		g.spread()
+		g.watchSilent()
 	}
 }
 
--- a/internal/serving/suspect/guard_test.go
+++ b/internal/serving/suspect/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,11 +18,22 @@
 )
 
 var _ = Describe("a guard", func() {
+	// lose has a server end under calls that were sent age before.
+	lose := func(guard *suspect.Guard, clock *timer.Manual, age time.Duration, server string, calls ...*exchange.Call) {
+		for _, c := range calls {
+			guard.Lost(c, server, clock.Now().Add(-age), 0)
+		}
+		guard.Ended(server)
+	}
+	call := func(id, shared, _ string) *exchange.Call {
+		return &exchange.Call{ID: id, Body: []byte(id), SharedParts: parts(shared)}
+	}
+
 	It("sends one of many simultaneous requests as the trial of a part", func() {
 		clock := timer.NewManual(start)
 		guard := suspect.NewGuard(clock, logr.Discard(), suspect.Alone{})
 		guard.Merge([]suspect.Report{{Part: "bad", Servers: parts("s1 s2 s3"), ExpiresIn: time.Hour}})
-		call := &exchange.Call{ID: "1", SharedParts: parts("first bad")}
+		call := call("1", "first bad", "")
 		Expect(guard.Begin(context.Background(), call).Code()).To(Equal(result.CrashesBackends), "no trial is due yet")
 		clock.Advance(2 * time.Second)
 		var sent atomic.Int64
@@ -38,10 +50,49 @@
 		Expect(guard.Check(call)).NotTo(BeNil())
 	})
 
+	DescribeTable("refuses a new part that is at each server that ends, unless runs elsewhere get further",
+		func(sound bool, runsAt string, reached bool) {
+			clock := timer.NewManual(start)
+			guard := suspect.NewGuard(clock, logr.Discard(), suspect.Alone{})
+			guard.SetReaches(func(string) bool { return reached })
+			for _, server := range parts(runsAt) {
+				guard.Sent(call("at "+server, "new", "own"), server)
+			}
+			// Servers end 0.3 s apart, each under a call as old as all others.
+			for i := range 6 {
+				clock.Advance(300 * time.Millisecond)
+				lose(guard, clock, clock.Now().Sub(start), fmt.Sprint("s", i), call(fmt.Sprint(i), "new", fmt.Sprint("own-", i)))
+				// The comparisons run beside the clock.
+				for range 40 {
+					clock.Advance(0)
+					time.Sleep(time.Millisecond)
+				}
+			}
+			Expect(guard.Check(call("next", "new", "own")) == nil).To(Equal(sound))
+		},
+		Entry("no run elsewhere", false, "", true),
+		Entry("one run elsewhere", false, "r1", true),
+		Entry("two runs at one server", false, "r1 r1", true),
+		Entry("runs at two servers", true, "r1 r2", true),
+		Entry("runs at two servers that can't be reached", false, "r1 r2", false),
+	)
+
+	// Guards against retries of each request that hide what the requests have in common.
+	It("condemns a shared part though each request has crashed three servers by itself", func() {
+		clock := timer.NewManual(start)
+		guard := suspect.NewGuard(clock, logr.Discard(), suspect.Alone{})
+		for i := range 9 {
+			lose(guard, clock, time.Second, fmt.Sprint("s", i), call(fmt.Sprint(i/3), "first bad", fmt.Sprint("own ", i/3)))
+			guard.Answered(call("sound", "first", "x"), true)
+		}
+		Expect(guard.Check(call("next", "first bad", "own 9"))).NotTo(BeNil())
+		Expect(guard.Check(call("next", "first", "own 9"))).To(BeNil())
+	})
+
 	It("withdraws an accusation at an operator's request", func() {
 		guard := suspect.NewGuard(timer.NewManual(start), logr.Discard(), suspect.Alone{})
 		guard.Merge([]suspect.Report{{Part: "a", Servers: parts("s1 s2 s3"), ExpiresIn: time.Hour}})
-		call := &exchange.Call{ID: "1", SharedParts: parts("a")}
+		call := call("1", "a", "")
 		Expect(guard.Check(call)).NotTo(BeNil())
 		Expect(guard.Withdraw("a")).To(BeTrue())
 		Expect(guard.Check(call)).To(BeNil())
--- a/internal/serving/suspect/kept.go
+++ b/internal/serving/suspect/kept.go
@@ -29,17 +29,30 @@
 	Depth   int      `json:"depth"`
 	Version uint32   `json:"version"`
 	Servers []string `json:"servers,omitempty"`
-	Trials  int      `json:"trials"`
+	// Runs is how far runs with the part got at the servers, in the same order. Builds
+	// before it neither write nor read it.
+	Runs   []keptRun `json:"runs,omitempty"`
+	Trials int       `json:"trials"`
 	// ExpiresMs is the time of day at which the record is dropped, in Unix
 	// milliseconds.
 	ExpiresMs int64 `json:"expires_ms"`
 }
 
+// keptRun is the stored form of a Progress.
+type keptRun struct {
+	TimeMs int64 `json:"time_ms"`
+	Events int   `json:"events"`
+}
+
 // EncodeKept returns the stored form of reports at a time of day.
 func EncodeKept(wall time.Time, reports []Report) ([]byte, error) {
 	kept := keptRecords{Records: []keptRecord{}}
 	for _, r := range reports {
-		kept.Records = append(kept.Records, keptRecord{r.Part, r.Depth, r.Version, r.Servers, r.Trials, wall.Add(r.ExpiresIn).UnixMilli()})
+		var runs []keptRun
+		for _, run := range r.Runs {
+			runs = append(runs, keptRun{run.Time.Milliseconds(), run.Events})
+		}
+		kept.Records = append(kept.Records, keptRecord{r.Part, r.Depth, r.Version, r.Servers, runs, r.Trials, wall.Add(r.ExpiresIn).UnixMilli()})
 	}
 	data, err := json.Marshal(kept)
 	return data, trace.Wrap(err)
@@ -53,7 +66,11 @@
 	}
 	var reports []Report
 	for _, r := range kept.Records[:min(len(kept.Records), maxKept)] {
-		reports = append(reports, Report{Part: r.Part, Depth: r.Depth, Version: r.Version, Servers: r.Servers, Trials: r.Trials, ExpiresIn: time.UnixMilli(r.ExpiresMs).Sub(wall)})
+		report := Report{Part: r.Part, Depth: r.Depth, Version: r.Version, Servers: r.Servers, Trials: r.Trials, ExpiresIn: time.UnixMilli(r.ExpiresMs).Sub(wall)}
+		for _, run := range r.Runs {
+			report.Runs = append(report.Runs, Progress{time.Duration(run.TimeMs) * time.Millisecond, run.Events})
+		}
+		reports = append(reports, report)
 	}
 	return reports, nil
 }
--- a/internal/serving/suspect/losses.go
+++ b/internal/serving/suspect/losses.go
@@ -19,9 +19,11 @@
 type Loss struct {
 	// Server is the start of the server, Request the ID of the call.
 	Server, Request string
-	// Parts are the shared parts of the prompt if the server had begun to answer it.
+	// Parts are the shared parts of the prompt.
 	Parts []string
 	Body  string
+	// Events is how many events of the answer the server had sent.
+	Events int
 	// SentAt is when the call was sent to the server, At when it was lost.
 	SentAt, At time.Time
 	// late is set for an item whose server may have ended before the item reached its
@@ -37,6 +39,9 @@
 	answered bool
 }
 
+// progress returns how far the run of the call may have got.
+func (l Loss) progress() Progress { return Progress{l.At.Sub(l.SentAt), l.Events} }
+
 // RecordLoss remembers a call until its server is known to have ended. An item that was
 // sent after the server was lost, or reported as ended, is no evidence: a port may be
 // open although its server is down. A request is, since connections are also reset by
--- a/internal/serving/suspect/registry.go
+++ b/internal/serving/suspect/registry.go
@@ -1,13 +1,14 @@
 // Package suspect finds the parts of prompts that crash backend servers, and
 // keeps requests with such a part away from the servers.
 //
-// A server that ends takes all its requests with it. Those that had already got
-// events are innocent, and so are those that had not begun. The parts of the
-// others, whose answer had begun but had not brought soundEvents events, are
-// accused, unless they have been answered elsewhere: one answer proves all parts
-// of its prompt to be sound, since a part that crashes servers crashes each
-// server that begins to answer it. A part is condemned once condemnAfter servers
-// ended under it with no answer in between, on whichever hosts that was. Servers
+// A server that ends takes all its requests with it, and each part of their prompts is
+// accused unless it has been answered elsewhere: one answer proves all parts of its prompt
+// to be sound, since a part that crashes servers crashes each server that runs it. Whether
+// the answer had begun makes no difference: on most routes its head comes with the whole
+// answer. Before the first answer to a new part, the calls that are at other servers tell:
+// one that has got further than each run with the part at a server that ended shows that
+// the part did not end that server, see Progress. A part is condemned once condemnAfter
+// servers ended under it with neither, on whichever hosts that was. Servers
 // that also ended under a condemned part further back in the prompt do not
 // count: the parts at the front are shared by many more requests.
 //
@@ -89,9 +90,13 @@
 	answerSlots = 1 << 12
 )
 
-// bodyDepth is the depth of a body among the parts of its prompt.
+// bodyDepth is the depth of a body among the parts of its prompt. A body explains no end.
 const bodyDepth = -1
 
+// rank orders records by what they explain: the ends under a part count for none of a
+// lower rank.
+func (r *Record) rank() int { return r.Depth - bodyDepth }
+
 // Record is what is known of one part.
 type Record struct {
 	Part string
@@ -102,6 +107,9 @@
 	// Servers are those that ended under the part since the last withdrawal, in
 	// the order in which this host learned of them.
 	Servers []string
+	// runs holds how far the runs with the part got at most at these servers, where that
+	// is known.
+	runs map[string]Progress
 	// Trials counts the requests that were sent since the part was condemned.
 	Trials int
 	// ExpiresAt is when the record is dropped.
@@ -125,7 +133,10 @@
 	Depth   int
 	Version uint32
 	Servers []string
-	Trials  int
+	// Runs is how far runs with the part got at the servers, in the same order; a Time of
+	// 0 says that it is not known. Reports of earlier builds have none.
+	Runs   []Progress
+	Trials int
 	// ExpiresIn is the time until the record is dropped.
 	ExpiresIn time.Duration
 }
@@ -136,7 +147,7 @@
 // withdraw ends the accusation.
 func (r *Record) withdraw(now time.Time) {
 	r.Version++
-	r.Servers, r.Trials, r.condemned = nil, 0, false
+	r.Servers, r.runs, r.Trials, r.condemned = nil, nil, 0, false
 	r.changedAt, r.ExpiresAt = now, now.Add(withdrawnTTL)
 }
 
@@ -190,6 +201,8 @@
 	lost map[string]time.Time
 	// ends holds the starts of servers that were found to have ended, at most maxRecords.
 	ends map[string]end
+	// runs holds the calls with parts that are at servers.
+	runs map[*Run]struct{}
 	// unsaved is set if a record that the store keeps has changed here.
 	unsaved bool
 }
@@ -198,12 +211,12 @@
 func NewRegistry() *Registry {
 	return &Registry{
 		records: make(map[string]*Record), answers: make([]answer, answerSlots), seed: maphash.MakeSeed(),
-		lost: make(map[string]time.Time), ends: make(map[string]end),
+		lost: make(map[string]time.Time), ends: make(map[string]end), runs: make(map[*Run]struct{}),
 	}
 }
 
-// RecordAnswer records that a server has begun to answer a prompt with the parts
-// and went on. It returns the records whose accusation it withdrew.
+// RecordAnswer records that a server has answered a prompt with the parts from its start
+// to its end. It returns the records whose accusation it withdrew.
 func (g *Registry) RecordAnswer(now time.Time, parts []string) []Record {
 	var withdrawn []Record
 	g.clearParts(parts)
@@ -224,13 +237,14 @@
 // servers that ended under a condemned part further back in a prompt.
 func (g *Registry) judge(now time.Time) {
 	accused := g.Accused(now)
-	slices.SortFunc(accused, func(a, b Record) int { return cmp.Compare(b.Depth, a.Depth) })
+	slices.SortFunc(accused, func(a, b Record) int { return cmp.Compare(b.rank(), a.rank()) })
+	// explainedBy holds the highest rank of the condemned records that name a server.
 	explainedBy := make(map[string]int)
 	for _, a := range accused {
 		r := g.records[a.Part]
 		unexplained := 0
 		for _, s := range r.Servers {
-			if depth, explained := explainedBy[s]; !explained || depth <= r.Depth {
+			if explainedBy[s] <= r.rank() {
 				unexplained++
 			}
 		}
@@ -238,20 +252,20 @@
 			r.trialAt = now.Add(trialDelay(r.Trials))
 		}
 		r.condemned = unexplained >= condemnAfter
-		if r.condemned && r.Depth != bodyDepth {
+		if r.condemned {
 			for _, s := range r.Servers {
-				explainedBy[s] = max(explainedBy[s], r.Depth)
+				explainedBy[s] = max(explainedBy[s], r.rank())
 			}
 		}
 	}
 }
 
-// RecordCrash records that a server ended when it had begun to answer a prompt
-// with the parts, and returns the records that changed. It accuses the parts
+// RecordCrash records that a server ended while it had a prompt with the parts, whose run
+// had got so far at most, and returns the records that changed. It accuses the parts
 // that are not known to have been answered or, if all are, those that have not
 // been answered recently. A condemned part explains the crash, so the parts
 // before it, which more requests share, are not accused.
-func (g *Registry) RecordCrash(now time.Time, parts []string, server string) []Record {
+func (g *Registry) RecordCrash(now time.Time, parts []string, server string, run Progress) []Record {
 	accused := g.unanswered(now, parts, answerTTL)
 	if len(accused) == 0 {
 		accused = g.unanswered(now, parts, recentAnswer)
@@ -261,7 +275,7 @@
 		if !slices.Contains(accused, part) {
 			continue
 		}
-		r, isNew := g.accuse(now, part, depth, server)
+		r, isNew := g.accuse(now, part, depth, server, run)
 		if isNew {
 			changed = append(changed, r)
 		}
@@ -277,10 +291,9 @@
 	return records
 }
 
-// RecordBodyCrash records that a server ended while it had a request with a body,
-// and returns the record if it changed.
+// RecordBodyCrash is RecordCrash for a body.
 func (g *Registry) RecordBodyCrash(now time.Time, body, server string) []Record {
-	r, isNew := g.accuse(now, body, bodyDepth, server)
+	r, isNew := g.accuse(now, body, bodyDepth, server, Progress{})
 	if !isNew {
 		return nil
 	}
@@ -319,18 +332,20 @@
 
 // accuse adds a server to the record of a part and reports whether it is new
 // there.
-func (g *Registry) accuse(now time.Time, part string, depth int, server string) (*Record, bool) {
+func (g *Registry) accuse(now time.Time, part string, depth int, server string, run Progress) (*Record, bool) {
 	r := g.lookup(now, part)
 	if r == nil {
 		r = &Record{Part: part, Depth: depth}
 		g.put(now, r)
 	}
 	r.firsthand = true
+	r.Depth = min(r.Depth, depth)
 	if len(r.Servers) == maxServers {
 		// The time of the last crash counts though the server has no room.
 		r.changedAt, r.ExpiresAt = now, now.Add(recordTTL)
 	}
 	isNew := r.addServers(now, now.Add(recordTTL), []string{server})
+	r.addRun(server, run)
 	if isNew && len(r.Servers) >= keptServers {
 		g.unsaved = true
 	}
@@ -369,6 +384,7 @@
 		wasKept := known != nil && known.kept
 		known = &Record{Part: in.Part, Depth: in.Depth, Version: in.Version, Trials: in.Trials, ExpiresAt: expiresAt, changedAt: now, kept: wasKept}
 		known.addServers(now, expiresAt, in.Servers)
+		known.addRuns(in)
 		g.put(now, known)
 	case in.Version < known.Version:
 		// The other host gets the newer record again.
@@ -377,6 +393,7 @@
 	default:
 		known.Depth = min(known.Depth, in.Depth)
 		changed := known.addServers(now, expiresAt, in.Servers)
+		known.addRuns(in)
 		if changed && known.firsthand && len(known.Servers) > len(in.Servers) && len(known.Servers) >= keptServers {
 			// Neither host had all of them, and those that saw none leave it to the others.
 			g.unsaved = true
@@ -504,18 +521,26 @@
 
 // report returns the record as it is told to others.
 func (r *Record) report(now time.Time) Report {
-	return Report{Part: r.Part, Depth: r.Depth, Version: r.Version, Servers: r.Servers, Trials: r.Trials, ExpiresIn: r.ExpiresAt.Sub(now)}
+	report := Report{Part: r.Part, Depth: r.Depth, Version: r.Version, Servers: r.Servers, Trials: r.Trials, ExpiresIn: r.ExpiresAt.Sub(now)}
+	if len(r.runs) > 0 {
+		for _, s := range r.Servers {
+			report.Runs = append(report.Runs, r.runs[s])
+		}
+	}
+	return report
 }
 
-// importance orders the records that do not fit into one message.
+// importance orders the records that do not fit into one message: condemned ones, those of
+// more servers, and shared parts go first.
 func (r *Record) importance() int {
-	switch {
-	case r.condemned:
-		return 2
-	case r.Depth != bodyDepth:
-		return 1
+	importance := 2 * len(r.Servers)
+	if r.Depth != bodyDepth {
+		importance++
+	}
+	if r.condemned {
+		importance += 3 * maxServers
 	}
-	return 0
+	return importance
 }
 
 func (g *Registry) list(now time.Time, keep func(*Record) bool) []Record {
--- a/internal/serving/suspect/registry_test.go
+++ b/internal/serving/suspect/registry_test.go
@@ -35,7 +35,7 @@
 			now := start.Add(time.Duration(i) * 100 * time.Millisecond)
 			words := parts(step)
 			if words[0] == "crash" {
-				g.RecordCrash(now, words[2:], words[1])
+				g.RecordCrash(now, words[2:], words[1], suspect.Progress{})
 			} else {
 				g.RecordAnswer(now, words[1:])
 			}
@@ -211,7 +211,7 @@
 	It("accuse a part that was answered long ago", func() {
 		g.RecordAnswer(start, parts("a b"))
 		for i := range 3 {
-			g.RecordCrash(start.Add(time.Minute), parts("a b"), fmt.Sprint("s", i))
+			g.RecordCrash(start.Add(time.Minute), parts("a b"), fmt.Sprint("s", i), suspect.Progress{})
 		}
 		Expect(refuses(g, start.Add(time.Minute), "a b")).To(BeTrue())
 	})
@@ -219,7 +219,7 @@
 	It("are bounded, and evict those with the fewest servers first", func() {
 		run("crash s1 bad", "crash s2 bad", "crash s3 bad")
 		for i := range 3000 {
-			g.RecordCrash(start.Add(time.Minute), parts(fmt.Sprint("part-", i)), "s1")
+			g.RecordCrash(start.Add(time.Minute), parts(fmt.Sprint("part-", i)), "s1", suspect.Progress{})
 		}
 		Expect(len(g.Accused(start.Add(time.Minute)))).To(Equal(1024))
 		Expect(refuses(g, start.Add(time.Minute), "bad")).To(BeTrue())
@@ -264,7 +264,7 @@
 	It("condemn a part whose crashes were seen by different hosts", func() {
 		other := suspect.NewRegistry()
 		run("crash s1 a bad", "crash s2 a bad")
-		other.RecordCrash(start, parts("a bad"), "s3")
+		other.RecordCrash(start, parts("a bad"), "s3", suspect.Progress{})
 		reports := g.Shared(start)
 		g.Merge(start, other.Shared(start))
 		other.Merge(start, reports)
@@ -311,7 +311,7 @@
 				host.EndTrial(now, trial, true)
 			}
 			if burst && random.Float64() < 0.3 {
-				host.RecordCrash(now, prompt, fmt.Sprint("s", tick))
+				host.RecordCrash(now, prompt, fmt.Sprint("s", tick), suspect.Progress{})
 			} else if len(host.RecordAnswer(now, prompt)) == 0 {
 				continue
 			}
--- a/internal/soak/checker/checker.go
+++ b/internal/soak/checker/checker.go
@@ -74,7 +74,7 @@
 	ID, Server, Service, Body string
 	// Parts are the IDs of the parts of the prompt.
 	Parts []string
-	At                        time.Duration
+	At    time.Duration
 	// Deadline is the time that the request left the server, 0 if it named none.
 	Deadline time.Duration
 }
