Suspects: the last part of a prompt is accused, too

What callers saw: a part that a session shares took servers down without end, each request with other parts in the middle and another body.

Cause: the last part was left out, as it belongs to one request alone; it may also be that of a session. It is accused like a body now: it explains the end of no server but in place of the body, or the retries of each request would hide what many requests have in common (spec: a shared part is condemned though each request has crashed three servers by itself).

The spec of a session fails before.

--- a/internal/serving/exchange/call.go
+++ b/internal/serving/exchange/call.go
@@ -33,7 +33,10 @@
 	// SharedParts names the parts of the prompt that other calls may have in
 	// common with this one.
 	SharedParts []string
-	Route       *routes.Route
+	// LastPart names the last part of the prompt, which belongs to the call or to its
+	// session; "" if the prompt is not listed.
+	LastPart string
+	Route    *routes.Route
 	// Service is the service picked among those of the route.
 	Service string
 	// Received is when the call was read. Deadline is when the caller stops
--- a/internal/serving/suspect/guard.go
+++ b/internal/serving/suspect/guard.go
@@ -98,8 +98,14 @@
 // subjects returns what a call can be refused for: the parts of its prompt and its body.
 func subjects(c *exchange.Call) []string { return append(partsOf(c), bodyName(c)) }
 
-// partsOf returns the shared parts of a call's prompt.
-func partsOf(c *exchange.Call) []string { return slices.Clone(c.SharedParts) }
+// partsOf returns the parts of a call's prompt.
+func partsOf(c *exchange.Call) []string {
+	parts := slices.Clone(c.SharedParts)
+	if c.LastPart != "" {
+		parts = append(parts, c.LastPart)
+	}
+	return parts
+}
 
 // bodyName returns the name of the record of a call's body.
 func bodyName(c *exchange.Call) string { return "body/" + strconv.FormatUint(c.ContentHash(), 16) }
@@ -290,7 +296,7 @@
 // server, until Ended is called for the server. events is how many events of the answer
 // the server had sent.
 func (g *Guard) Lost(c *exchange.Call, server string, sentAt time.Time, events int) {
-	l := Loss{Server: server, Request: c.ID, Parts: c.SharedParts, Body: bodyName(c), Events: events, SentAt: sentAt, At: g.timer.Now()}
+	l := Loss{Server: server, Request: c.ID, Parts: c.SharedParts, LastPart: c.LastPart, Body: bodyName(c), Events: events, SentAt: sentAt, At: g.timer.Now()}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.registry.RecordLoss(l)
@@ -304,7 +310,8 @@
 	lost := g.registry.RecordEnd(now, server)
 	accusations := make([][]Record, len(lost))
 	for i, l := range lost {
-		accusations[i] = append(g.registry.RecordCrash(now, l.Parts, server, l.progress()), g.registry.RecordBodyCrash(now, l.Body, server)...)
+		accusations[i] = append(g.registry.RecordCrash(now, l.Parts, server, l.progress()), g.registry.RecordLastPartCrash(now, l.LastPart, server, l.progress())...)
+		accusations[i] = append(accusations[i], g.registry.RecordBodyCrash(now, l.Body, server)...)
 	}
 	g.mu.Unlock()
 	changed := false
--- a/internal/serving/suspect/guard_test.go
+++ b/internal/serving/suspect/guard_test.go
@@ -25,8 +25,8 @@
 		}
 		guard.Ended(server)
 	}
-	call := func(id, shared, _ string) *exchange.Call {
-		return &exchange.Call{ID: id, Body: []byte(id), SharedParts: parts(shared)}
+	call := func(id, shared, last string) *exchange.Call {
+		return &exchange.Call{ID: id, Body: []byte(id), SharedParts: parts(shared), LastPart: last}
 	}
 
 	It("sends one of many simultaneous requests as the trial of a part", func() {
@@ -77,6 +77,18 @@
 		Entry("runs at two servers that can't be reached", false, "r1 r2", false),
 	)
 
+	It("condemns the last part of a session, whose other parts differ", func() {
+		clock := timer.NewManual(start)
+		guard := suspect.NewGuard(clock, logr.Discard(), suspect.Alone{})
+		for i := range 3 {
+			guard.Answered(call(fmt.Sprint("sound ", i), "first", fmt.Sprint("other ", i)), true)
+			lose(guard, clock, time.Second, fmt.Sprint("s", i), call(fmt.Sprint(i), fmt.Sprint("first m", i), "session"))
+		}
+		Expect(guard.Check(call("next", "first m9", "session"))).NotTo(BeNil())
+		Expect(guard.Check(call("next", "first m9", "another"))).To(BeNil())
+		Expect(guard.Check(call("next", "first m1", "another"))).To(BeNil())
+	})
+
 	// Guards against retries of each request that hide what the requests have in common.
 	It("condemns a shared part though each request has crashed three servers by itself", func() {
 		clock := timer.NewManual(start)
--- a/internal/serving/suspect/losses.go
+++ b/internal/serving/suspect/losses.go
@@ -19,9 +19,10 @@
 type Loss struct {
 	// Server is the start of the server, Request the ID of the call.
 	Server, Request string
-	// Parts are the shared parts of the prompt.
-	Parts []string
-	Body  string
+	// Parts are the shared parts of the prompt, LastPart is the last one, "" for none.
+	Parts    []string
+	LastPart string
+	Body     string
 	// Events is how many events of the answer the server had sent.
 	Events int
 	// SentAt is when the call was sent to the server, At when it was lost.
@@ -131,6 +132,9 @@
 	for i := range g.losses {
 		l := &g.losses[i]
 		l.Parts = slices.DeleteFunc(l.Parts, func(part string) bool { return slices.Contains(parts, part) })
+		if slices.Contains(parts, l.LastPart) {
+			l.LastPart = ""
+		}
 	}
 }
 
--- a/internal/serving/suspect/registry.go
+++ b/internal/serving/suspect/registry.go
@@ -10,7 +10,8 @@
 // the part did not end that server, see Progress. A part is condemned once condemnAfter
 // servers ended under it with neither, on whichever hosts that was. Servers
 // that also ended under a condemned part further back in the prompt do not
-// count: the parts at the front are shared by many more requests.
+// count: the parts at the front are shared by many more requests. The last part of a
+// prompt, which its request or its session alone has, explains no end of these.
 //
 // Requests with a condemned part are refused. The first answer to one that is
 // still running withdraws the accusation. After that only a trial can: at
@@ -90,17 +91,34 @@
 	answerSlots = 1 << 12
 )
 
-// bodyDepth is the depth of a body among the parts of its prompt. A body explains no end.
-const bodyDepth = -1
+// The depths of a body and of the last part of a prompt. Each request has its own, so the
+// retries of one must not explain what many requests have in common: a last part explains
+// the ends of servers only in place of the body, a body in place of nothing.
+const (
+	bodyDepth = -1
+	lastDepth = -2
+)
 
 // rank orders records by what they explain: the ends under a part count for none of a
 // lower rank.
-func (r *Record) rank() int { return r.Depth - bodyDepth }
+func (r *Record) rank() int {
+	switch r.Depth {
+	case bodyDepth:
+		return 0
+	case lastDepth:
+		return 1
+	}
+	return lastRank + 1 + r.Depth
+}
+
+// lastRank is the rank of the last part of a prompt.
+const lastRank = 1
 
 // Record is what is known of one part.
 type Record struct {
 	Part string
-	// Depth is the position of the part in prompts, counted from 0, or bodyDepth.
+	// Depth is the position of the part in prompts, counted from 0, or bodyDepth or
+	// lastDepth.
 	Depth int
 	// Version grows with each withdrawal.
 	Version uint32
@@ -293,7 +311,20 @@
 
 // RecordBodyCrash is RecordCrash for a body.
 func (g *Registry) RecordBodyCrash(now time.Time, body, server string) []Record {
-	r, isNew := g.accuse(now, body, bodyDepth, server, Progress{})
+	return g.recordOwnCrash(now, body, bodyDepth, server, Progress{})
+}
+
+// RecordLastPartCrash is RecordCrash for the last part of a prompt. It is accused whenever
+// it was answered, as its request or session is the only one that has it.
+func (g *Registry) RecordLastPartCrash(now time.Time, part, server string, run Progress) []Record {
+	if part == "" || g.answeredWithin(now, part, recentAnswer) {
+		return nil
+	}
+	return g.recordOwnCrash(now, part, lastDepth, server, run)
+}
+
+func (g *Registry) recordOwnCrash(now time.Time, name string, depth int, server string, run Progress) []Record {
+	r, isNew := g.accuse(now, name, depth, server, run)
 	if !isNew {
 		return nil
 	}
@@ -339,7 +370,7 @@
 		g.put(now, r)
 	}
 	r.firsthand = true
-	r.Depth = min(r.Depth, depth)
+	r.Depth = commonDepth(r.Depth, depth)
 	if len(r.Servers) == maxServers {
 		// The time of the last crash counts though the server has no room.
 		r.changedAt, r.ExpiresAt = now, now.Add(recordTTL)
@@ -391,7 +422,7 @@
 		known.changedAt = now
 		return true
 	default:
-		known.Depth = min(known.Depth, in.Depth)
+		known.Depth = commonDepth(known.Depth, in.Depth)
 		changed := known.addServers(now, expiresAt, in.Servers)
 		known.addRuns(in)
 		if changed && known.firsthand && len(known.Servers) > len(in.Servers) && len(known.Servers) >= keptServers {
@@ -534,7 +565,7 @@
 // more servers, and shared parts go first.
 func (r *Record) importance() int {
 	importance := 2 * len(r.Servers)
-	if r.Depth != bodyDepth {
+	if r.rank() > lastRank {
 		importance++
 	}
 	if r.condemned {
--- a/internal/serving/suspect/runs.go
+++ b/internal/serving/suspect/runs.go
@@ -82,6 +82,15 @@
 	}
 }
 
+// commonDepth returns the depth of a part that was seen at two. A part that is not the
+// last one of some prompt is shared.
+func commonDepth(a, b int) int {
+	if a < 0 || b < 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
 // BeginRun records that a call was sent to a server.
 func (g *Registry) BeginRun(r *Run) { g.runs[r] = struct{}{} }
 
