--- a/internal/fleet/entry/host.go
+++ b/internal/fleet/entry/host.go
@@ -527,6 +527,14 @@
 	h.jobs.TellEnd(ctx, id, tell)
 }
 
+var handlerFaultsTotal = metrics.NewCounter("kingcupquay_handler_faults_total")
+
+// LogFault logs that the handler of a request panicked.
+func (h *Host) LogFault(id, target string, failure *result.Error, stack []byte) {
+	handlerFaultsTotal.Inc()
+	h.log.Error(failure, "handler failed", "request", id, "path", target, "stack", string(stack))
+}
+
 // LogRefusal logs a request that was refused before it became a call.
 func (h *Host) LogRefusal(id, target string, failure *result.Error) {
 	h.log.Info("refused", "request", id, "path", target, "cause", failure.Error(), "config", h.config.Version())
--- a/internal/fleet/entry/passing.go
+++ b/internal/fleet/entry/passing.go
@@ -41,6 +41,9 @@
 	maxPassedBodyBytes = 64 << 20
 	// passedReplyField is the field with the passedReply of an answer.
 	passedReplyField = "Passed-Reply"
+	// minPassedStatus and maxPassedStatus bound the statuses of replies of servers.
+	minPassedStatus = 200
+	maxPassedStatus = 599
 )
 
 // passing passes calls to other hosts while this one reaches no server, and
@@ -242,6 +245,10 @@
 		return p.unable(host, result.New(result.NoBackend, "host %s answered %d", host, resp.StatusCode))
 	}
 	server := backend.Server{ID: head.Server, SoftwareVersion: head.Software}
+	if head.Status != 0 && (head.Status < minPassedStatus || head.Status > maxPassedStatus) {
+		// Hosts of earlier builds pass on any status.
+		return forward.PeerReply{Server: server, Failure: result.New(result.BackendFailed, "server %s answered %d", head.Server, head.Status).WithRan(result.RanMaybe)}
+	}
 	if head.Status == 0 {
 		failure := p.decodeFailure(host, resp)
 		if head.Unable {
