Suspects: ends under a first part count once runs elsewhere could have refuted them

An end counts against the first part of prompts only 150 ms, and 1.25 times the time that the run had been there, after it was known. A first part that does crash servers may end one more by it. Its spec fails before.

--- a/internal/serving/suspect/registry.go
+++ b/internal/serving/suspect/registry.go
@@ -221,6 +221,8 @@
 	ends map[string]end
 	// runs holds the calls with parts that are at servers.
 	runs map[*Run]struct{}
+	// judgeAt is when the next end counts that can still be refuted, zero for none.
+	judgeAt time.Time
 	// unsaved is set if a record that the store keeps has changed here.
 	unsaved bool
 }
@@ -258,13 +260,21 @@
 	slices.SortFunc(accused, func(a, b Record) int { return cmp.Compare(b.rank(), a.rank()) })
 	// explainedBy holds the highest rank of the condemned records that name a server.
 	explainedBy := make(map[string]int)
+	g.judgeAt = time.Time{}
 	for _, a := range accused {
 		r := g.records[a.Part]
 		unexplained := 0
 		for _, s := range r.Servers {
-			if explainedBy[s] <= r.rank() {
-				unexplained++
+			if explainedBy[s] > r.rank() {
+				continue
 			}
+			if refutable := g.refutableUntil(r, s); now.Before(refutable) {
+				if g.judgeAt.IsZero() || refutable.Before(g.judgeAt) {
+					g.judgeAt = refutable
+				}
+				continue
+			}
+			unexplained++
 		}
 		if !r.condemned && unexplained >= condemnAfter {
 			r.trialAt = now.Add(trialDelay(r.Trials))
@@ -488,6 +498,9 @@
 }
 
 func (g *Registry) condemned(now time.Time, parts []string) []*Record {
+	if !g.judgeAt.IsZero() && !now.Before(g.judgeAt) {
+		g.judge(now)
+	}
 	var list []*Record
 	for _, part := range parts {
 		if r := g.lookup(now, part); r != nil && r.condemned && !slices.Contains(list, r) {
--- a/internal/serving/suspect/runs.go
+++ b/internal/serving/suspect/runs.go
@@ -64,6 +64,18 @@
 	return lost.Time > 0 && lost.Events == 0 && p.Time > time.Duration(silentFactor*float64(lost.Time))+silentLead
 }
 
+// refutableUntil returns until when an end under a part does not count yet, as runs that
+// were sent when the server ended can refute it by then. Only the first part of a prompt
+// waits: most requests may share it, and further parts tell apart those that don't.
+func (g *Registry) refutableUntil(r *Record, server string) time.Time {
+	lost := r.runs[server]
+	learned := g.ends[server].learnedAt
+	if r.Depth > 0 || r.rank() <= lastRank || lost.Time <= 0 || learned.IsZero() {
+		return time.Time{}
+	}
+	return learned.Add(time.Duration(silentFactor*float64(lost.Time)) + silentLead)
+}
+
 // addRun records how far a run got at a server that ended.
 func (r *Record) addRun(server string, p Progress) {
 	if p.Time <= 0 || !slices.Contains(r.Servers, server) {
