Codec: times of runs at servers that ended are rounded up

A part that crashes its server within a millisecond had a time of 0 in the messages between hosts, which stands for an unknown one: hosts that saw no end themselves then counted it against a first part at once (part-two, 5 of 700 sound requests refused within 60 ms). The spec fails before.

--- a/internal/fleet/notice/codec.go
+++ b/internal/fleet/notice/codec.go
@@ -303,7 +303,7 @@
 			Part: r.Part, Depth: int32(r.Depth), Version: r.Version, Servers: r.Servers, Trials: uint32(r.Trials), ExpiresInMs: uint32(r.ExpiresIn.Milliseconds()),
 		}
 		for _, run := range r.Runs {
-			part.Runs = append(part.Runs, &wire.SuspectRun{TimeMs: uint32(run.Time.Milliseconds()), Events: uint32(min(run.Events, maxCount))})
+			part.Runs = append(part.Runs, &wire.SuspectRun{TimeMs: uint32(run.Millis()), Events: uint32(min(run.Events, maxCount))})
 		}
 		list = append(list, part)
 	}
--- a/internal/fleet/notice/codec_test.go
+++ b/internal/fleet/notice/codec_test.go
@@ -15,7 +15,7 @@
 
 var _ = Describe("datagrams", func() {
 	member := notice.Member{Host: "A", Zone: "z", Address: "10.0.0.1:1", Start: 1}
-	suspects := []suspect.Report{{Part: "body/1", Depth: -1, Version: 2, Servers: []string{"s1", "s2"}, Trials: 1, ExpiresIn: time.Minute}}
+	suspects := []suspect.Report{{Part: "body/1", Depth: -1, Version: 2, Servers: []string{"s1", "s2"}, Runs: []suspect.Progress{{Time: time.Millisecond, Events: 3}, {}}, Trials: 1, ExpiresIn: time.Minute}}
 	limits := map[string]serverlimit.Limit{"s1": {PerSecond: 2.5, Age: time.Second}, "s2": {}}
 	loads := map[string]scheduler.Load{"s1": {Online: 1, Batch: 2, Sent: 3, Ends: []int{4}}}
 
@@ -36,6 +36,14 @@
 		Expect(m.Summary.Loads).To(Equal(loads))
 	})
 
+	It("carry times of runs of less than a millisecond, as 0 stands for an unknown one", func() {
+		datagram, err := notice.Notice{Member: member, Sequence: 1, Suspects: []suspect.Report{{Part: "a", Servers: []string{"s1"}, Runs: []suspect.Progress{{Time: 1}}, ExpiresIn: time.Minute}}}.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		m, err := notice.Decode(datagram)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(m.Notice.Suspects[0].Runs).To(Equal([]suspect.Progress{{Time: time.Millisecond}}))
+	})
+
 	It("tell that their sender, or a host of its roster, is cut off from all servers", func() {
 		lost := member
 		lost.CutOff = true
--- a/internal/serving/suspect/kept.go
+++ b/internal/serving/suspect/kept.go
@@ -50,7 +50,7 @@
 	for _, r := range reports {
 		var runs []keptRun
 		for _, run := range r.Runs {
-			runs = append(runs, keptRun{run.Time.Milliseconds(), run.Events})
+			runs = append(runs, keptRun{run.Millis(), run.Events})
 		}
 		kept.Records = append(kept.Records, keptRecord{r.Part, r.Depth, r.Version, r.Servers, runs, r.Trials, wall.Add(r.ExpiresIn).UnixMilli()})
 	}
--- a/internal/serving/suspect/runs.go
+++ b/internal/serving/suspect/runs.go
@@ -30,6 +30,9 @@
 	Events int
 }
 
+// Millis returns the time in milliseconds, rounded up, as 0 stands for an unknown one.
+func (p Progress) Millis() int64 { return int64((p.Time + time.Millisecond - 1) / time.Millisecond) }
+
 // atLeast returns the larger of both times and of both numbers of events.
 func (p Progress) atLeast(o Progress) Progress {
 	return Progress{max(p.Time, o.Time), max(p.Events, o.Events)}
