Items accuse the parts of their prompts, and rest together once one is condemned

Items now accuse and clear parts as requests do. One with a condemned part rests by the ends under the part, and those that have rested run one at a time at each host. An item is still never refused.

--- a/internal/batch/ownership/manager.go
+++ b/internal/batch/ownership/manager.go
@@ -44,6 +44,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/serving/backend"
 	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
 	"github.com/kingcupquay/kingcupquay/internal/serving/scheduler"
+	"github.com/kingcupquay/kingcupquay/internal/serving/suspect"
 )
 
 var (
@@ -110,13 +111,16 @@
 // Options holds the dependencies of a Manager.
 type Options struct {
 	// Host is this host's name, Writer an identifier unique to this process.
-	Host            string
-	Writer          string
-	Timer           timer.Service
-	Log             logr.Logger
-	Store           Store
-	Servers         Servers
-	Crashes         Crashes
+	Host    string
+	Writer  string
+	Timer   timer.Service
+	Log     logr.Logger
+	Store   Store
+	Servers Servers
+	Crashes Crashes
+	// PromptParts returns the shared parts and the last part of the prompt of an item with
+	// header fields; nil if items list none.
+	PromptParts     func([]exchange.Field) (shared []string, last string)
 	ServerDirectory *backend.Directory
 	Placer          *scheduler.Placer
 	Config          *routes.Holder
@@ -145,13 +149,21 @@
 	// Alive reports that a start of a server has answered an item that was sent at a
 	// time.
 	Alive(start string, sentAt time.Time)
+	// Sent reports that an item is being sent to a start of a server, Gone that its run
+	// ended, and Answering how many events the run has brought in all.
+	Sent(c *exchange.Call, start string) *suspect.Run
+	Gone(r *suspect.Run)
+	Answering(c *exchange.Call, r *suspect.Run, events int)
 	// ItemLost remembers a run of an item that was sent at a time and ended with its
-	// connection to a start of a server.
-	ItemLost(job, item, start string, sentAt time.Time)
+	// connection to a start of a server after so many events.
+	ItemLost(job string, c *exchange.Call, start string, sentAt time.Time, events int)
 	// Ended records that a start of a server has ended, and with it what was lost.
 	Ended(start string)
-	// ItemDone records that an item has been answered.
-	ItemDone(job, item string)
+	// ItemDone records that an item has been answered, whole by one server or not.
+	ItemDone(job string, c *exchange.Call, whole bool)
+	// CondemnedParts returns when the next item with each part of prompts may run that
+	// is known to crash servers.
+	CondemnedParts() map[string]time.Time
 	// RestingItems returns when each item that rests after crashes may run again, by
 	// its suspect.ItemName.
 	RestingItems() map[string]time.Time
--- a/internal/batch/ownership/running.go
+++ b/internal/batch/ownership/running.go
@@ -40,7 +40,7 @@
 	now := m.Timer.Now()
 	m.preemptSurplus(now)
 	queues := make(map[string][]*queuedItem)
-	resting := m.Crashes.RestingItems()
+	resting := m.restsOf()
 	for _, j := range m.jobs {
 		m.enqueue(now, config, j, resting, queues)
 	}
@@ -81,7 +81,7 @@
 // those whose route the operator has removed, and those that failed in all attempts
 // of their route. Both need the configuration, and none older than the one that accepted
 // the job; until it is known they wait. Items that rest are left out.
-func (m *Manager) enqueue(now time.Time, config *routes.Config, j *ownedJob, resting map[string]time.Time, queues map[string][]*queuedItem) {
+func (m *Manager) enqueue(now time.Time, config *routes.Config, j *ownedJob, resting rests, queues map[string][]*queuedItem) {
 	if j.ending > 0 || now.Before(j.heldUntil) {
 		return
 	}
@@ -105,7 +105,7 @@
 		if j.job.Held(i) {
 			continue
 		}
-		if len(resting) > 0 && now.Before(resting[suspect.ItemName(record.ID, j.job.Item(i).ID)]) {
+		if m.rests(now, resting, record.ID, j.job.Item(i)) {
 			continue
 		}
 		service := route.Pick(splitPoint(j.job.Item(i).ID))
@@ -218,18 +218,18 @@
 }
 
 // recordCrash records the end of a run with its server, or what may turn out to be one.
-func (m *Manager) recordCrash(job, item string, s backend.Server, sentAt time.Time, end itemrun.End) {
+func (m *Manager) recordCrash(job string, c *exchange.Call, s backend.Server, sentAt time.Time, events int, end itemrun.End) {
 	if end.Kind != itemrun.Crashed && !end.Lost {
 		return
 	}
-	m.Crashes.ItemLost(job, item, s.Start(), sentAt)
+	m.Crashes.ItemLost(job, c, s.Start(), sentAt, events)
 	if end.Kind != itemrun.Crashed {
 		m.Servers.Watch(s)
 		return
 	}
 	m.Crashes.Ended(s.Start())
-	if until, rests := m.Crashes.RestingItems()[suspect.ItemName(job, item)]; rests {
-		m.Log.Info("item rests", "job", job, "item", item, "until", until, "cause", "its servers crashed during its runs")
+	if until, rests := m.Crashes.RestingItems()[suspect.ItemName(job, c.ID)]; rests {
+		m.Log.Info("item rests", "job", job, "item", c.ID, "until", until, "cause", "its servers crashed during its runs")
 	}
 }
 
@@ -245,17 +245,23 @@
 		ID: item.ID, Method: http.MethodPost, Target: item.Path, Host: record.Host, Fields: item.Fields, Body: item.Body,
 		Route: route, Service: service, Received: m.Timer.Now(),
 	}
+	call.SharedParts, call.LastPart = m.partsOf(item)
 	end := itemrun.End{Kind: itemrun.Requeue, Cause: "its record does not allow it"}
-	endless, answered, sent := false, false, false
+	endless, brought, sent := false, 0, false
 	var sentAt time.Time
 	if m.mayRun(ctx, j) {
+		tracked := m.Crashes.Sent(call, r.server.Start())
+		defer m.Crashes.Gone(tracked)
 		ctx := exchange.WithCheck(ctx, func() bool { return m.stillMaySend(j, i, r.server) })
 		sent, sentAt = true, m.Timer.Now()
 		end = itemrun.Run(ctx, m.Timer, m.Servers, r.server, call, resume, func(received []events.Event) {
-			if !answered && len(received) > 0 {
-				answered = true
+			if brought == 0 && len(received) > 0 {
 				m.Crashes.Alive(r.server.Start(), sentAt)
 			}
+			if len(received) > 0 {
+				brought += len(received)
+				m.Crashes.Answering(call, tracked, brought)
+			}
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			for _, e := range received {
@@ -266,13 +272,14 @@
 				r.cancel()
 			}
 		})
+		m.Crashes.Gone(tracked)
 	}
 	if endless {
 		end = itemrun.End{Kind: itemrun.Requeue, Outcome: scheduler.Failed, Cause: "its answer does not end"}
 	}
-	m.recordCrash(record.ID, item.ID, r.server, sentAt, end)
+	m.recordCrash(record.ID, call, r.server, sentAt, brought, end)
 	if end.Kind == itemrun.Completed {
-		m.Crashes.ItemDone(record.ID, item.ID)
+		m.Crashes.ItemDone(record.ID, call, !resume.Set)
 	}
 	if end.Misdirected {
 		m.ServerDirectory.MarkMisdirected(r.server)
--- a/internal/operator/command/platform.go
+++ b/internal/operator/command/platform.go
@@ -19,6 +19,7 @@
 	"github.com/kingcupquay/kingcupquay/internal/operator/logging"
 	"github.com/kingcupquay/kingcupquay/internal/record/store"
 	"github.com/kingcupquay/kingcupquay/platform/engines"
+	"github.com/kingcupquay/kingcupquay/platform/fields"
 	"github.com/kingcupquay/kingcupquay/platform/frontend"
 	"github.com/kingcupquay/kingcupquay/platform/keyvalue"
 	"github.com/kingcupquay/kingcupquay/platform/registry"
@@ -117,7 +118,7 @@
 		ConfigKey: registry.ConfigKey, ServerPrefix: registry.ServerPrefix,
 		ParseConfig: registry.ParseConfig, ParseServer: registry.ParseServer, ServerID: registry.ServerID,
 		NewCallerHandler: func(h *entry.Host) http.Handler { return frontend.NewHandler(h) }, NewReadyHandler: frontend.NewReadyHandler,
-		RequestID: frontend.RequestID,
+		RequestID: frontend.RequestID, PromptParts: fields.PromptPartsOf,
 	})
 	listeners, err := entry.Listen(p.settings)
 	if err != nil {
--- a/internal/serving/suspect/items.go
+++ b/internal/serving/suspect/items.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/kingcupquay/kingcupquay/internal/fleet/rendezvous"
+	"github.com/kingcupquay/kingcupquay/internal/serving/exchange"
 )
 
 // Items of batch jobs under which servers ended have records like bodies, so that a
@@ -120,22 +121,44 @@
 	return g.registry.RestingItems(g.timer.Now())
 }
 
+// CondemnedParts returns when the next item with each condemned part of prompts may run.
+// Until it has, others with the part wait for it.
+func (g *Guard) CondemnedParts() map[string]time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var parts map[string]time.Time
+	for name, r := range g.registry.records {
+		if r.condemned && r.Depth != bodyDepth && g.timer.Now().Before(r.ExpiresAt) {
+			if parts == nil {
+				parts = make(map[string]time.Time)
+			}
+			parts[name] = r.lastCrash().Add(restAfter(len(r.Servers)))
+		}
+	}
+	return parts
+}
+
 // ItemLost remembers a run of an item that was sent at a time and ended with its
-// connection to a server, until Ended is called for the server.
-func (g *Guard) ItemLost(job, item, server string, sentAt time.Time) {
+// connection to a server after so many events, until Ended is called for the server.
+func (g *Guard) ItemLost(job string, c *exchange.Call, server string, sentAt time.Time, events int) {
+	l := Loss{Server: server, Request: c.ID, Parts: c.SharedParts, LastPart: c.LastPart, Body: ItemName(job, c.ID), Events: events, SentAt: sentAt, At: g.timer.Now()}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.registry.RecordLoss(Loss{Server: server, Request: item, Body: ItemName(job, item), SentAt: sentAt, At: g.timer.Now()})
+	g.registry.RecordLoss(l)
 }
 
-// ItemDone records that an item has been answered.
-func (g *Guard) ItemDone(job, item string) {
+// ItemDone records that an item has been answered. whole is set if one server made the
+// answer from its start to its end, which proves the parts of its prompt to be sound.
+func (g *Guard) ItemDone(job string, c *exchange.Call, whole bool) {
 	now := g.timer.Now()
 	g.mu.Lock()
 	var withdrawn []Record
 	if g.registry.ClearedByAnswers(now) {
-		withdrawn = g.registry.RecordBodyAnswer(now, ItemName(job, item))
+		withdrawn = g.registry.RecordBodyAnswer(now, ItemName(job, c.ID))
+	}
+	if whole {
+		withdrawn = append(withdrawn, g.registry.RecordAnswer(now, partsOf(c))...)
 	}
 	g.mu.Unlock()
-	g.reportWithdrawn(withdrawn, item)
+	g.reportWithdrawn(withdrawn, c.ID)
 }
