Suspects: runs that go on slowly clear a part as silent ones do; shared parts wait for them

A stream with its first event, at servers that pause between events, counted neither as silent nor as two events ahead. Runs that are as far by their events count by their time now, and an end waits for the runs that this host has with the part.

--- a/internal/serving/suspect/guard.go
+++ b/internal/serving/suspect/guard.go
@@ -19,9 +19,8 @@
 // time until the next trial of the part.
 const minRetryAfter = time.Second
 
-// silentInterval is the interval at which runs without events are compared with those at
-// servers that ended.
-const silentInterval = 100 * time.Millisecond
+// slowInterval is the interval at which runs are compared with those at servers that ended.
+const slowInterval = 100 * time.Millisecond
 
 var (
 	accusedTotal   = metrics.NewCounter("kingcupquay_suspect_accused_total")
@@ -79,7 +78,7 @@
 	// registry is protected by mu, which is not held during calls of the Fleet's
 	// ShareSoon and KeepSoon.
 	registry *Registry
-	// watching is set while runs without events are compared at each silentInterval;
+	// watching is set while runs are compared at each slowInterval;
 	// protected by mu.
 	watching bool
 	// reaches reports whether a start of a server can be reached.
@@ -187,7 +186,7 @@
 	g.mu.Lock()
 	g.registry.BeginRun(r)
 	g.mu.Unlock()
-	g.watchSilent()
+	g.watchRuns()
 	return r
 }
 
@@ -231,28 +230,28 @@
 	g.reportWithdrawn(withdrawn, c.ID)
 }
 
-// watchSilent compares runs without events with those at servers that ended, for as long
-// as one has an accused part.
-func (g *Guard) watchSilent() {
+// watchRuns compares runs with those at servers that ended, for as long as one has an
+// accused part.
+func (g *Guard) watchRuns() {
 	now := g.timer.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.watching {
 		return
 	}
-	if _, again := g.registry.Silent(now); again {
+	if _, again := g.registry.Slow(now); again {
 		g.watching = true
-		g.timer.After(silentInterval, func(time.Time) { go g.compareSilent() })
+		g.timer.After(slowInterval, func(time.Time) { go g.compareRuns() })
 	}
 }
 
-// compareSilent is one comparison.
-func (g *Guard) compareSilent() {
+// compareRuns is one comparison.
+func (g *Guard) compareRuns() {
 	g.mu.Lock()
-	servers, _ := g.registry.Silent(g.timer.Now())
+	servers, _ := g.registry.Slow(g.timer.Now())
 	g.mu.Unlock()
 	reached := servers
-	if len(servers) >= minSilentServers {
+	if len(servers) >= minSlowServers {
 		reached = slices.DeleteFunc(servers, func(s string) bool { return !g.reaches(s) })
 	}
 	now := g.timer.Now()
@@ -261,7 +260,7 @@
 	g.watching = false
 	g.mu.Unlock()
 	g.reportRefuted(refuted, "")
-	g.watchSilent()
+	g.watchRuns()
 }
 
 // reportRefuted logs and spreads records of which a run refuted ends.
@@ -325,7 +324,7 @@
 		g.spread()
 		// Hosts from which this one is cut off may have condemned the part.
 		g.fleet.LearnSoon()
-		g.watchSilent()
+		g.watchRuns()
 	}
 }
 
@@ -365,7 +364,7 @@
 	g.mu.Unlock()
 	if changed {
 		g.spread()
-		g.watchSilent()
+		g.watchRuns()
 	}
 }
 
--- a/internal/serving/suspect/guard_test.go
+++ b/internal/serving/suspect/guard_test.go
@@ -67,7 +67,11 @@
 					clock.Advance(0)
 					time.Sleep(time.Millisecond)
 				}
+				if sound {
+					Expect(guard.Check(call("next", "first new", "own"))).To(BeNil())
+				}
 			}
+			clock.Advance(500 * time.Millisecond)
 			Expect(guard.Check(call("next", "first new", "own")) == nil).To(Equal(sound))
 		},
 		Entry("no run elsewhere", false, "", true),
--- a/internal/serving/suspect/runs.go
+++ b/internal/serving/suspect/runs.go
@@ -14,13 +14,13 @@
 	// soundEvents is by how many events a run must be ahead of one that was lost. One
 	// more may have been on its way when the server ended.
 	soundEvents = 2
-	// silentLead is how long a run without events must be ahead of one that was lost, and
-	// silentFactor by how much: servers differ in speed, and a call may wait for a slot.
-	silentLead   = 150 * time.Millisecond
-	silentFactor = 1.25
-	// minSilentServers is the number of servers with such runs that refute an end. One
-	// may have stopped answering.
-	minSilentServers = 2
+	// A run that is no further by its events must be ahead of one that was lost by slowLead
+	// and slowFactor: servers differ in speed, and a call may wait for a slot.
+	slowLead   = 150 * time.Millisecond
+	slowFactor = 1.25
+	// minSlowServers is the number of servers with such runs that refute an end. One may
+	// have stopped answering.
+	minSlowServers = 2
 )
 
 // Progress is how far a run has got.
@@ -44,39 +44,51 @@
 	server string
 	parts  []string
 	sentAt time.Time
-	// events is how many events the server has sent, lastAt when it sent the last one.
+	// events is how many events the server has sent.
 	events int
-	lastAt time.Time
 }
 
-// progress returns how far the run has certainly got.
-func (r *Run) progress(now time.Time) Progress {
-	if r.events > 0 {
-		now = r.lastAt
-	}
-	return Progress{now.Sub(r.sentAt), r.events}
-}
+// progress returns how far the run has got, if its server goes on.
+func (r *Run) progress(now time.Time) Progress { return Progress{now.Sub(r.sentAt), r.events} }
 
-// outlasts reports whether a run that has brought events has got further than a lost one.
+// outlasts reports whether a run has got further than a lost one by its events.
 func (p Progress) outlasts(lost Progress) bool {
 	return lost.Time > 0 && p.Time > lost.Time && p.Events >= lost.Events+soundEvents
 }
 
-// outlastsInSilence is outlasts for a run without events.
-func (p Progress) outlastsInSilence(lost Progress) bool {
-	return lost.Time > 0 && lost.Events == 0 && p.Time > time.Duration(silentFactor*float64(lost.Time))+silentLead
+// outlastsSlowly is outlasts for a run that is as far by its events, and further by its
+// time only.
+func (p Progress) outlastsSlowly(lost Progress) bool {
+	return lost.Time > 0 && p.Events >= lost.Events && p.Time > lost.slowBound()
 }
 
-// refutableUntil returns until when an end under a part does not count yet, as runs that
-// were sent when the server ended can refute it by then. Only the first part of a prompt
-// waits: most requests may share it, and further parts tell apart those that don't.
+// slowBound returns the time after which a run is further than a lost one by its time.
+func (p Progress) slowBound() time.Duration {
+	return time.Duration(slowFactor*float64(p.Time)) + slowLead
+}
+
+// refutableUntil returns until when an end under a shared part does not count yet, as runs
+// that were sent when the server ended can refute it by then. Ends under the first part of
+// prompts always wait, as most requests may share it and further parts tell apart those
+// that don't. Others wait while this host has a run with the part.
 func (g *Registry) refutableUntil(r *Record, server string) time.Time {
 	lost := r.runs[server]
 	learned := g.ends[server].learnedAt
-	if r.Depth > 0 || r.rank() <= lastRank || lost.Time <= 0 || learned.IsZero() {
+	if r.rank() <= lastRank || lost.Time <= 0 || learned.IsZero() || r.Depth > 0 && !g.runsElsewhere(r) {
 		return time.Time{}
 	}
-	return learned.Add(time.Duration(silentFactor*float64(lost.Time)) + silentLead)
+	return learned.Add(lost.slowBound())
+}
+
+// runsElsewhere reports whether this host has a run with the part of a record, at a server
+// that has not ended under it.
+func (g *Registry) runsElsewhere(r *Record) bool {
+	for run := range g.runs {
+		if slices.Contains(run.parts, r.Part) && !slices.Contains(r.Servers, run.server) {
+			return true
+		}
+	}
+	return false
 }
 
 // addRun records how far a run got at a server that ended.
@@ -115,7 +127,7 @@
 // RecordEvents records that a run has brought so many events in all. It returns the
 // records of which it refuted ends.
 func (g *Registry) RecordEvents(now time.Time, r *Run, events int) []Record {
-	r.events, r.lastAt = events, now
+	r.events = events
 	return g.refute(now, r.parts, r.progress(now).outlasts)
 }
 
@@ -148,14 +160,10 @@
 	return changed
 }
 
-// Silent returns the servers at which runs without events have been for longer than
-// accused parts let them be, if these servers go on, and whether to ask again soon: some
-// run without events has an accused part.
-func (g *Registry) Silent(now time.Time) (servers []string, again bool) {
+// Slow returns the servers at which runs have been for longer than accused parts let them
+// be, if these servers go on, and whether to ask again soon: some run has an accused part.
+func (g *Registry) Slow(now time.Time) (servers []string, again bool) {
 	for run := range g.runs {
-		if run.events > 0 {
-			continue
-		}
 		for _, part := range run.parts {
 			r := g.lookup(now, part)
 			if r == nil || len(r.Servers) < keptServers {
@@ -163,7 +171,7 @@
 			}
 			again = true
 			for _, s := range r.Servers {
-				if run.progress(now).outlastsInSilence(r.runs[s]) && !slices.Contains(servers, run.server) {
+				if run.progress(now).outlastsSlowly(r.runs[s]) && !slices.Contains(servers, run.server) {
 					servers = append(servers, run.server)
 				}
 			}
@@ -173,34 +181,28 @@
 	return servers, again
 }
 
-// RecordReached records that servers of Silent can be reached. It returns the records of
+// RecordReached records that servers of Slow can be reached. It returns the records of
 // which runs there refuted ends.
 func (g *Registry) RecordReached(now time.Time, servers []string) []Record {
-	// longest holds the time of the longest run at each server, by part.
-	longest := make(map[string]map[string]time.Duration)
+	runs := make(map[string][]*Run)
 	for run := range g.runs {
-		if run.events > 0 || !slices.Contains(servers, run.server) {
-			continue
-		}
-		for _, part := range run.parts {
-			if longest[part] == nil {
-				longest[part] = make(map[string]time.Duration)
+		if slices.Contains(servers, run.server) {
+			for _, part := range run.parts {
+				runs[part] = append(runs[part], run)
 			}
-			longest[part][run.server] = max(longest[part][run.server], run.progress(now).Time)
 		}
 	}
 	var changed []Record
-	for part, byServer := range longest {
-		var times []time.Duration
-		for _, t := range byServer {
-			times = append(times, t)
-		}
-		if len(times) < minSilentServers {
-			continue
-		}
-		slices.Sort(times)
-		agreed := Progress{Time: times[len(times)-minSilentServers]}
-		changed = append(changed, g.refute(now, []string{part}, agreed.outlastsInSilence)...)
+	for part, list := range runs {
+		changed = append(changed, g.refute(now, []string{part}, func(lost Progress) bool {
+			further := make(map[string]bool)
+			for _, run := range list {
+				if run.progress(now).outlastsSlowly(lost) {
+					further[run.server] = true
+				}
+			}
+			return len(further) >= minSlowServers
+		})...)
 	}
 	return changed
 }
