--- a/internal/soak/faultproxy/proxy.go
+++ b/internal/soak/faultproxy/proxy.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/kingcupquay/kingcupquay/internal/standin/segment"
 )
 
 // Fault is a fault that a proxy applies to its connections.
@@ -71,10 +73,10 @@
 
 // Listen starts a proxy that listens at address and forwards to target.
 func Listen(address, target string) (*Proxy, error) {
-	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
+	config := net.ListenConfig{Control: func(network, address string, conn syscall.RawConn) error {
 		var optionErr error
 		err := conn.Control(func(fd uintptr) { optionErr = setOption(int(fd), unix.SO_REUSEPORT, true) })
-		return errors.Join(err, optionErr)
+		return errors.Join(err, optionErr, segment.Control(network, address, conn))
 	}}
 	listener, err := config.Listen(context.Background(), "tcp4", address)
 	if err != nil {
