Suspects: withdrawals of shared parts find room in messages

In a play of a new part in the middle, two hosts had refuted its ends, and a third one condemned it 116 ms later: the records of lost bodies and last parts, which name more servers than a record without any, filled the message. Withdrawals of shared parts go right after condemned records.

--- a/internal/serving/suspect/registry.go
+++ b/internal/serving/suspect/registry.go
@@ -574,15 +574,20 @@
 	return report
 }
 
-// importance orders the records that do not fit into one message: condemned ones, those of
-// more servers, and shared parts go first.
+// importance orders the records that do not fit into one message: condemned ones go first,
+// then shared parts of which ends were withdrawn, which other hosts may be about to
+// condemn, and then those of more servers.
 func (r *Record) importance() int {
 	importance := 2 * len(r.Servers)
-	if r.rank() > lastRank {
+	shared := r.rank() > lastRank
+	if shared {
 		importance++
 	}
-	if r.condemned {
-		importance += 3 * maxServers
+	switch {
+	case r.condemned:
+		importance += 4 * maxServers
+	case shared && r.Version > 0:
+		importance += 2 * maxServers
 	}
 	return importance
 }
--- a/internal/serving/suspect/registry_test.go
+++ b/internal/serving/suspect/registry_test.go
@@ -216,6 +216,17 @@
 		Expect(refuses(g, start.Add(time.Minute), "a b")).To(BeTrue())
 	})
 
+	// Guards against a part that hosts condemn since a withdrawal finds no room in messages.
+	It("tell of withdrawn parts before bodies that many servers ended under", func() {
+		run("crash s1 a", "crash s2 a", "answer a")
+		for i := range 100 {
+			for s := range 2 {
+				g.RecordBodyCrash(start.Add(time.Second), fmt.Sprint("body/", i), fmt.Sprint("s", s))
+			}
+		}
+		Expect(g.Shared(start.Add(2 * time.Second))).To(ContainElement(And(HaveField("Part", "a"), HaveField("Version", uint32(1)))))
+	})
+
 	It("are bounded, and evict those with the fewest servers first", func() {
 		run("crash s1 bad", "crash s2 bad", "crash s3 bad")
 		for i := range 3000 {
