--- a/internal/soak/checker/checker_test.go
+++ b/internal/soak/checker/checker_test.go
@@ -330,3 +330,60 @@
 
 // result returns the result of an item.
 func result(id string) checker.Result { return checker.Result{ID: id, Done: true, Text: "abc"} }
+
+// soundRequests adds count requests of a group, sent after a time, of which so many began.
+func soundRequests(h *checker.History, g checker.Group, after time.Duration, count, begun int) {
+	for i := range count {
+		r, x := request(), run()
+		r.ID, r.Body, r.Group = fmt.Sprint("sound-", g, "-", len(h.Requests)), "sound", g
+		x.ID, x.Body = r.ID, r.Body
+		r.Sent, r.Ended, x.At = after*second, after*second, after*second
+		if i < begun {
+			h.Runs = append(h.Runs, x)
+		} else {
+			r.Status, r.Text = 503, ""
+		}
+		h.Requests = append(h.Requests, r)
+	}
+}
+
+var _ = DescribeTable("sound requests with the first part of those that crash servers", func(rule string, calm bool, after time.Duration, sharing, apart int) {
+	h := checker.History{}
+	crashingRuns(&h, 10, 11, 12, 13, 14)
+	if !calm {
+		h.Plan.Faults = []plan.Fault{{Kind: plan.Pause, Target: 1, Start: 10 * second, Duration: second}}
+	}
+	soundRequests(&h, checker.Sharing, after, 100, sharing)
+	soundRequests(&h, checker.Apart, after, 100, apart)
+	violations := checker.Check(h)
+	if rule == "" {
+		Expect(violations).To(BeEmpty())
+		return
+	}
+	Expect(violations).To(ContainElement(HaveField("Rule", rule)))
+},
+	Entry("as many as others", "", true, time.Duration(11), 90, 90),
+	Entry("some fewer in a calm play", "lost", true, time.Duration(11), 88, 90),
+	Entry("some fewer beside a pause", "", false, time.Duration(30), 60, 90),
+	Entry("less than half as many beside a pause", "lost", false, time.Duration(30), 40, 90),
+	Entry("less than half as many until the parts are condemned", "", false, time.Duration(15), 40, 90),
+)
+
+var _ = DescribeTable("requests with a part that crashes servers", func(rule string, seconds ...time.Duration) {
+	h := checker.History{}
+	crashingRuns(&h, seconds...)
+	h.Crashing = map[string]bool{"bad": true}
+	for i := range h.Runs {
+		h.Requests[i].Part, h.Runs[i].Parts = "bad", []string{"aa", "bad"}
+	}
+	violations := checker.Check(h)
+	if rule == "" {
+		Expect(violations).To(BeEmpty())
+		return
+	}
+	Expect(violations).To(ContainElement(HaveField("Rule", rule)))
+},
+	Entry("three late", "", time.Duration(10), time.Duration(11), time.Duration(12), time.Duration(16), time.Duration(20), time.Duration(24)),
+	Entry("four late", "budget", time.Duration(10), time.Duration(11), time.Duration(12), time.Duration(16), time.Duration(20), time.Duration(24), time.Duration(28)),
+	Entry("five at once and four long after the fifth", "budget", time.Duration(10), time.Duration(10), time.Duration(10), time.Duration(10), time.Duration(10), time.Duration(16), time.Duration(20), time.Duration(24), time.Duration(28)),
+)
