Suspects: a call is compared with lost runs only if its own parts ask for it

Each call that was sent looked through all runs of the host while any of them had an accused part. What is compared, and when, is unchanged.

--- a/internal/serving/suspect/bench_test.go
+++ b/internal/serving/suspect/bench_test.go
@@ -13,7 +13,7 @@
 )
 
 // BenchmarkRequest measures what the guard costs a request that is answered: two
-// checks before it is sent, and the answer.
+// checks before it is sent, its run, and the answer.
 func BenchmarkRequest(b *testing.B) {
 	for _, records := range []int{0, 1, 1024} {
 		b.Run(fmt.Sprint(records, " records"), func(b *testing.B) {
@@ -27,7 +27,9 @@
 				if guard.Check(c) != nil || guard.Begin(b.Context(), c) != nil {
 					b.Fatal("refused")
 				}
+				run := guard.Sent(c, "s2")
 				guard.Answered(c, true)
+				guard.Gone(run)
 			}
 		})
 	}
--- a/internal/serving/suspect/guard.go
+++ b/internal/serving/suspect/guard.go
@@ -182,11 +182,15 @@
 	if len(parts) == 0 {
 		return nil
 	}
-	r := &Run{server: server, parts: parts, sentAt: g.timer.Now()}
+	now := g.timer.Now()
+	r := &Run{server: server, parts: parts, sentAt: now}
 	g.mu.Lock()
 	g.registry.BeginRun(r)
+	watch := slices.ContainsFunc(parts, func(part string) bool { return g.registry.compares(now, part) })
 	g.mu.Unlock()
-	g.watchRuns()
+	if watch {
+		g.watchRuns()
+	}
 	return r
 }
 
--- a/internal/serving/suspect/runs.go
+++ b/internal/serving/suspect/runs.go
@@ -160,16 +160,23 @@
 	return changed
 }
 
+// compares reports whether runs with a part are compared with lost ones: enough servers
+// ended under it that the next may condemn it.
+func (g *Registry) compares(now time.Time, part string) bool {
+	r := g.lookup(now, part)
+	return r != nil && len(r.Servers) >= keptServers
+}
+
 // Slow returns the servers at which runs have been for longer than accused parts let them
-// be, if these servers go on, and whether to ask again soon: some run has an accused part.
+// be, if these servers go on, and whether to ask again soon: some run is compared.
 func (g *Registry) Slow(now time.Time) (servers []string, again bool) {
 	for run := range g.runs {
 		for _, part := range run.parts {
-			r := g.lookup(now, part)
-			if r == nil || len(r.Servers) < keptServers {
+			if !g.compares(now, part) {
 				continue
 			}
 			again = true
+			r := g.records[part]
 			for _, s := range r.Servers {
 				if run.progress(now).outlastsSlowly(r.runs[s]) && !slices.Contains(servers, run.server) {
 					servers = append(servers, run.server)
