Suspects: hosts without runs of a part wait for others before they count its ends

Ends under a shared part that this host has no run of wait for 500 ms at most; a part that crashes servers at once ends one more by it, unless the request is the same, whose body and last part don't wait.

--- a/internal/serving/suspect/guard_test.go
+++ b/internal/serving/suspect/guard_test.go
@@ -112,6 +112,7 @@
 		for i := range 9 {
 			lose(guard, clock, time.Second, fmt.Sprint("s", i), call(fmt.Sprint(i/3), "first bad", fmt.Sprint("own ", i/3)))
 			guard.Answered(call("sound", "first", "x"), true)
+			clock.Advance(100 * time.Millisecond)
 		}
 		Expect(guard.Check(call("next", "first bad", "own 9"))).NotTo(BeNil())
 		Expect(guard.Check(call("next", "first", "own 9"))).To(BeNil())
--- a/internal/serving/suspect/runs.go
+++ b/internal/serving/suspect/runs.go
@@ -21,6 +21,9 @@
 	// minSlowServers is the number of servers with such runs that refute an end. One may
 	// have stopped answering.
 	minSlowServers = 2
+	// maxOthersWait is how long a host without runs with a part waits until other hosts may
+	// have refuted an end.
+	maxOthersWait = 500 * time.Millisecond
 )
 
 // Progress is how far a run has got.
@@ -69,15 +72,20 @@
 
 // refutableUntil returns until when an end under a shared part does not count yet, as runs
 // that were sent when the server ended can refute it by then. Ends under the first part of
-// prompts always wait, as most requests may share it and further parts tell apart those
-// that don't. Others wait while this host has a run with the part.
+// prompts wait for that long, as most requests may share it and further parts tell apart
+// those that don't; so do others while this host has a run with the part. Else they wait
+// for other hosts, maxOthersWait at most.
 func (g *Registry) refutableUntil(r *Record, server string) time.Time {
 	lost := r.runs[server]
 	learned := g.ends[server].learnedAt
-	if r.rank() <= lastRank || lost.Time <= 0 || learned.IsZero() || r.Depth > 0 && !g.runsElsewhere(r) {
+	if r.rank() <= lastRank || lost.Time <= 0 || learned.IsZero() {
 		return time.Time{}
 	}
-	return learned.Add(lost.slowBound())
+	wait := lost.slowBound()
+	if r.Depth > 0 && !g.runsElsewhere(r) {
+		wait = min(wait, maxOthersWait)
+	}
+	return learned.Add(wait)
 }
 
 // runsElsewhere reports whether this host has a run with the part of a record, at a server
