--- a/internal/serving/suspect/guard.go
+++ b/internal/serving/suspect/guard.go
@@ -400,11 +400,18 @@
 	}
 }
 
-// Shared returns what to tell other hosts.
+// Shared returns what to tell other hosts. It is called often, and logs what was condemned
+// by time.
 func (g *Guard) Shared() []Report {
+	now := g.timer.Now()
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.registry.Shared(g.timer.Now())
+	overdue := g.registry.TakeOverdue(now)
+	reports := g.registry.Shared(now)
+	g.mu.Unlock()
+	for _, r := range overdue {
+		g.logAccusation(r, "")
+	}
+	return reports
 }
 
 // Accused returns the records of accused parts, those that changed last first.
--- a/internal/serving/suspect/guard_test.go
+++ b/internal/serving/suspect/guard_test.go
@@ -50,6 +50,20 @@
 		Expect(guard.Check(call)).NotTo(BeNil())
 	})
 
+	// Guards against condemnations by time that are neither told, kept nor listed.
+	It("tells, keeps and lists a part that is condemned without another end", func() {
+		clock := timer.NewManual(start)
+		guard := suspect.NewGuard(clock, logr.Discard(), suspect.Alone{})
+		for i := range 3 {
+			lose(guard, clock, time.Millisecond, fmt.Sprint("s", i), call(fmt.Sprint(i), "first bad", fmt.Sprint("own ", i)))
+		}
+		clock.Advance(10 * time.Second)
+		isBad := HaveField("Part", "bad")
+		Expect(guard.CondemnedParts()).To(HaveKey("bad"))
+		Expect(guard.Shared()).To(ContainElement(isBad), "it changed long ago, so it is told only if it is condemned")
+		Expect(guard.Kept()).To(ContainElement(isBad))
+	})
+
 	DescribeTable("refuses a new part that is at each server that ends, unless runs elsewhere get further",
 		func(sound bool, runsAt string, reached bool) {
 			clock := timer.NewManual(start)
@@ -90,6 +104,7 @@
 		lose(guard, clock, time.Millisecond, "s3", call("2", "first worse", "own 2"))
 		Expect(guard.Check(call("next", "first", "own"))).To(BeNil())
 		clock.Advance(200 * time.Millisecond)
+		Expect(guard.Accused()).To(ContainElement(And(HaveField("Part", "first"), WithTransform(func(r suspect.Record) bool { return r.Condemned() }, BeTrue()))))
 		Expect(guard.Check(call("next", "first", "own"))).NotTo(BeNil(), "nothing has refuted it")
 	})
 
--- a/internal/serving/suspect/items.go
+++ b/internal/serving/suspect/items.go
@@ -126,9 +126,11 @@
 func (g *Guard) CondemnedParts() map[string]time.Time {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := g.timer.Now()
+	g.registry.judgeDue(now)
 	var parts map[string]time.Time
 	for name, r := range g.registry.records {
-		if r.condemned && r.Depth != bodyDepth && g.timer.Now().Before(r.ExpiresAt) {
+		if r.condemned && r.Depth != bodyDepth && now.Before(r.ExpiresAt) {
 			if parts == nil {
 				parts = make(map[string]time.Time)
 			}
--- a/internal/serving/suspect/registry.go
+++ b/internal/serving/suspect/registry.go
@@ -223,6 +223,8 @@
 	runs map[*Run]struct{}
 	// judgeAt is when the next end counts that can still be refuted, zero for none.
 	judgeAt time.Time
+	// overdue are the records that judgeDue condemned and TakeOverdue has not returned.
+	overdue []Record
 	// unsaved is set if a record that the store keeps has changed here.
 	unsaved bool
 }
@@ -256,11 +258,11 @@
 // judge condemns the parts under which condemnAfter servers ended, apart from
 // servers that ended under a condemned part further back in a prompt.
 func (g *Registry) judge(now time.Time) {
+	g.judgeAt = time.Time{}
 	accused := g.Accused(now)
 	slices.SortFunc(accused, func(a, b Record) int { return cmp.Compare(b.rank(), a.rank()) })
 	// explainedBy holds the highest rank of the condemned records that name a server.
 	explainedBy := make(map[string]int)
-	g.judgeAt = time.Time{}
 	for _, a := range accused {
 		r := g.records[a.Part]
 		unexplained := 0
@@ -288,6 +290,33 @@
 	}
 }
 
+// judgeDue judges again once ends count that could have been refuted until then. Whatever
+// reads whether records are condemned calls it first.
+func (g *Registry) judgeDue(now time.Time) {
+	if g.judgeAt.IsZero() || now.Before(g.judgeAt) {
+		return
+	}
+	before := make(map[string]bool)
+	for part, r := range g.records {
+		before[part] = r.condemned
+	}
+	g.judge(now)
+	for part, r := range g.records {
+		if r.condemned && !before[part] {
+			g.overdue = append(g.overdue, *r)
+		}
+	}
+}
+
+// TakeOverdue returns the records that were condemned since the last call when ends began
+// to count, and not when one was recorded.
+func (g *Registry) TakeOverdue(now time.Time) []Record {
+	g.judgeDue(now)
+	overdue := g.overdue
+	g.overdue = nil
+	return overdue
+}
+
 // RecordCrash records that a server ended while it had a prompt with the parts, whose run
 // had got so far at most, and returns the records that changed. It accuses the parts
 // that are not known to have been answered or, if all are, those that have not
@@ -498,9 +527,7 @@
 }
 
 func (g *Registry) condemned(now time.Time, parts []string) []*Record {
-	if !g.judgeAt.IsZero() && !now.Before(g.judgeAt) {
-		g.judge(now)
-	}
+	g.judgeDue(now)
 	var list []*Record
 	for _, part := range parts {
 		if r := g.lookup(now, part); r != nil && r.condemned && !slices.Contains(list, r) {
@@ -593,6 +620,7 @@
 }
 
 func (g *Registry) list(now time.Time, keep func(*Record) bool) []Record {
+	g.judgeDue(now)
 	var list []Record
 	for _, r := range g.records {
 		if now.Before(r.ExpiresAt) && keep(r) {
