--- a/internal/serving/suspect/runs.go
+++ b/internal/serving/suspect/runs.go
@@ -21,9 +21,9 @@
 	// minSlowServers is the number of servers with such runs that refute an end. One may
 	// have stopped answering.
 	minSlowServers = 2
-	// maxOthersWait is how long a host without runs with a part waits until other hosts may
-	// have refuted an end.
-	maxOthersWait = 500 * time.Millisecond
+	// maxRefuteWait bounds the time for which an end does not count since a run may still
+	// refute it. A part that ends servers slowly is condemned that much later.
+	maxRefuteWait = 500 * time.Millisecond
 )
 
 // Progress is how far a run has got.
@@ -71,32 +71,13 @@
 }
 
 // refutableUntil returns until when an end under a part does not count yet, as runs that
-// were sent when the server ended can refute it by then. Ends under the first part of
-// prompts wait for that long, as most requests may share it and further parts tell apart
-// those that don't; so do others while this host has a run with the part. Else they wait
-// for other hosts, maxOthersWait at most.
+// were sent when the server ended may refute it until then. Ends under a body always count.
 func (g *Registry) refutableUntil(r *Record, server string) time.Time {
-	lost := r.runs[server]
-	learned := g.ends[server].learnedAt
+	lost, learned := r.runs[server], g.ends[server].learnedAt
 	if r.Depth == bodyDepth || lost.Time <= 0 || learned.IsZero() {
 		return time.Time{}
 	}
-	wait := lost.slowBound()
-	if r.Depth != 0 && !g.runsElsewhere(r) {
-		wait = min(wait, maxOthersWait)
-	}
-	return learned.Add(wait)
-}
-
-// runsElsewhere reports whether this host has a run with the part of a record, at a server
-// that has not ended under it.
-func (g *Registry) runsElsewhere(r *Record) bool {
-	for run := range g.runs {
-		if slices.Contains(run.parts, r.Part) && !slices.Contains(r.Servers, run.server) {
-			return true
-		}
-	}
-	return false
+	return learned.Add(min(lost.slowBound(), maxRefuteWait))
 }
 
 // addRun records how far a run got at a server that ended.
