--- a/internal/serving/exchange/call.go
+++ b/internal/serving/exchange/call.go
@@ -33,8 +33,8 @@
 	// SharedParts names the parts of the prompt that other calls may have in
 	// common with this one.
 	SharedParts []string
-	// LastPart names the last part of the prompt, which belongs to the call or to its
-	// session; "" if the prompt is not listed.
+	// LastPart names the last part of the prompt, which few calls share, "" if the prompt
+	// is not listed.
 	LastPart string
 	Route    *routes.Route
 	// Service is the service picked among those of the route.
--- a/internal/serving/suspect/registry.go
+++ b/internal/serving/suspect/registry.go
@@ -11,7 +11,7 @@
 // servers ended under it with neither, on whichever hosts that was. Servers
 // that also ended under a condemned part further back in the prompt do not
 // count: the parts at the front are shared by many more requests. The last part of a
-// prompt, which its request or its session alone has, explains no end of these.
+// prompt explains no end of these, as hardly any other request has it.
 //
 // Requests with a condemned part are refused. The first answer to one that is
 // still running withdraws the accusation. After that only a trial can: at
@@ -308,8 +308,7 @@
 	}
 }
 
-// TakeOverdue returns the records that were condemned since the last call when ends began
-// to count, and not when one was recorded.
+// TakeOverdue returns the records that judgeDue has condemned since the last call.
 func (g *Registry) TakeOverdue(now time.Time) []Record {
 	g.judgeDue(now)
 	overdue := g.overdue
@@ -353,8 +352,8 @@
 	return g.recordOwnCrash(now, body, bodyDepth, server, Progress{})
 }
 
-// RecordLastPartCrash is RecordCrash for the last part of a prompt. It is accused whenever
-// it was answered, as its request or session is the only one that has it.
+// RecordLastPartCrash is RecordCrash for the last part of a prompt. An answer protects it
+// for recentAnswer only, whatever is known of the other parts of the prompt.
 func (g *Registry) RecordLastPartCrash(now time.Time, part, server string, run Progress) []Record {
 	if part == "" || g.answeredWithin(now, part, recentAnswer) {
 		return nil
