--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -22,7 +22,8 @@
 
 // cases are the cases by name. Each reports whether its rule was broken.
 var cases = map[string]func(b *bed, trouble bool) (broke bool, err error){
-	"outage": playOutage,
+	"outage":  playOutage,
+	"weights": playWeights,
 }
 
 func main() { os.Exit(run()) }
