--- a/review/rig-2/jobs.go
+++ b/review/rig-2/jobs.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -88,13 +89,18 @@
 	Text  string `json:"text"`
 }
 
-// results reads all listed results of a job from the start. It tries the other hosts and
-// again for readTime if that fails; ok is false if it went on to fail.
-func (b *bed) results(j *job) (list []result, ok bool) {
+// results reads all listed results of a job from the start, waiting for the first one. It
+// tries the other hosts and again for readTime if that fails; ok is false if it went on to
+// fail.
+func (b *bed) results(j *job, wait time.Duration) (list []result, ok bool) {
+	var header map[string]string
+	if wait > 0 {
+		header = map[string]string{"Wait-Ms": strconv.FormatInt(wait.Milliseconds(), 10)}
+	}
 	deadline := time.Now().Add(readTime)
 	for n := 0; time.Now().Before(deadline); {
 		h := b.hosts[n%len(b.hosts)]
-		a := b.send(h, http.MethodGet, fmt.Sprintf("/api/lots/%s?after=%d", j.id, len(list)), "", nil, nil, 3*time.Second)
+		a := b.send(h, http.MethodGet, fmt.Sprintf("/api/lots/%s?after=%d", j.id, len(list)), "", nil, header, wait+3*time.Second)
 		var page struct {
 			Total   int      `json:"total"`
 			Next    int      `json:"next"`
@@ -127,7 +133,7 @@
 			continue
 		}
 		accepted++
-		list, ok := b.results(j)
+		list, ok := b.results(j, 0)
 		if !ok {
 			b.note("client: job %s can't be read", j.id)
 		}
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(b *bed, trouble bool) (broke bool, err error){
 	"outage":  playOutage,
 	"weights": playWeights,
+	"second":  playSecond,
 }
 
 func main() { os.Exit(run()) }
